--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+GOLANGCI_LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+BIN := bin
+
+.PHONY: all build test race lint format generate clean
+
+all: build
+
+build:
+	go build -o $(BIN)/ . ./cmd/...
+
+test:
+	go test ./...
+
+race:
+	go test -race ./...
+
+format:
+	$(GOLANGCI_LINT) fmt
+
+lint:
+	$(GOLANGCI_LINT) fmt --diff
+	$(GOLANGCI_LINT) run
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/app/app.go
@@ -0,0 +1,40 @@
+// Package app holds the command line of cranberrywalk.
+package app
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+)
+
+// The exit codes of the program.
+const (
+	exitClean  = 0
+	exitInput  = 1
+	exitFailed = 2
+)
+
+// Run executes the command line and returns the exit code of the process.
+func Run(arguments []string, stdout, stderr io.Writer) int {
+	root := newRoot()
+	root.SetArgs(arguments)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(stderr, "error:", err)
+		return exitCode(err)
+	}
+	return exitClean
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "cranberrywalk",
+		Short:         "Serve model-backed applications on reclaimable VMs",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(newVersion())
+	return root
+}
