--- /dev/null
+++ b/roster/leaving.go
@@ -0,0 +1,52 @@
+package roster
+
+import (
+	"maps"
+	"time"
+)
+
+func (e Noticed) apply(r Roster, now time.Time) (Roster, []Effect) {
+	return r.leave(e.Notice.VM, e.Notice.Deadline, now)
+}
+
+func (e Reported) apply(r Roster, now time.Time) (Roster, []Effect) {
+	return r.leave(e.VM, e.Deadline, now)
+}
+
+// leave records that a VM is leaving. The earliest deadline holds.
+func (r Roster) leave(vm string, deadline, now time.Time) (Roster, []Effect) {
+	known, reported := r.reports[vm]
+	if reported && !isEarlier(deadline, known.deadline) {
+		return r, nil
+	}
+	r.reports = maps.Clone(r.reports)
+	if r.reports == nil {
+		r.reports = make(map[string]report)
+	}
+	expires := now.Add(ReportRetention)
+	if deadline.After(now) {
+		expires = deadline.Add(ReportRetention)
+	}
+	r.reports[vm] = report{deadline: deadline, expires: expires}
+	member, listed := r.members[vm]
+	if !listed {
+		return r, nil
+	}
+	var effects []Effect
+	if member.State != Leaving {
+		effects = append(effects, Effect{Kind: Left, VM: member.VM, Deadline: deadline})
+	}
+	member.State = Leaving
+	member.Deadline = deadline
+	member.VM.Leaving = true
+	return r.with(member), effects
+}
+
+// isEarlier reports whether deadline is known and before the known one. A
+// zero time is an unknown deadline.
+func isEarlier(deadline, known time.Time) bool {
+	if deadline.IsZero() {
+		return false
+	}
+	return known.IsZero() || deadline.Before(known)
+}
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,127 @@
+package roster_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/roster"
+)
+
+var start = time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+
+func runner(name string) platform.VM {
+	return platform.VM{Name: name, Role: platform.RoleRunner, Zone: "ZoneA", Models: []string{"Small"}}
+}
+
+func listed(version uint64, vms ...platform.VM) roster.Listed {
+	return roster.Listed{Snapshot: platform.VMSnapshot{Version: version, VMs: vms}}
+}
+
+// script applies events one second apart and returns the last roster, the
+// kinds of all effects and the time after the last event.
+func script(events ...roster.Event) (roster.Roster, []roster.EffectKind, time.Time) {
+	r, now := roster.New(), start
+	var kinds []roster.EffectKind
+	for _, event := range events {
+		now = now.Add(time.Second)
+		var effects []roster.Effect
+		r, effects = r.Apply(event, now)
+		for _, effect := range effects {
+			kinds = append(kinds, effect.Kind)
+		}
+	}
+	return r, kinds, now
+}
+
+func names(vms []platform.VM) []string {
+	var names []string
+	for _, vm := range vms {
+		names = append(names, vm.Name)
+	}
+	return names
+}
+
+func TestSourcesAreCombined(t *testing.T) {
+	a, b := runner("A"), runner("B")
+	leavingB := b
+	leavingB.Leaving = true
+	notice := roster.Noticed{Notice: platform.Notice{VM: "A", Deadline: start.Add(time.Minute)}}
+	failed := roster.Failed{VM: "A"}
+	for _, scenario := range []struct {
+		name    string
+		events  []roster.Event
+		usable  []string
+		effects []roster.EffectKind
+		state   roster.State
+	}{{
+		name:    "the list brings VMs in",
+		events:  []roster.Event{listed(1, a, b)},
+		usable:  []string{"A", "B"},
+		effects: []roster.EffectKind{roster.Arrived, roster.Arrived},
+		state:   roster.Serving,
+	}, {
+		name:    "a notice outlives a lagging list",
+		events:  []roster.Event{listed(1, a, b), notice, notice, listed(2, a, b)},
+		usable:  []string{"B"},
+		effects: []roster.EffectKind{roster.Arrived, roster.Arrived, roster.Left},
+		state:   roster.Leaving,
+	}, {
+		name:    "a notice precedes the list",
+		events:  []roster.Event{notice, listed(1, a, b)},
+		usable:  []string{"B"},
+		effects: []roster.EffectKind{roster.Arrived, roster.Left, roster.Arrived},
+		state:   roster.Leaving,
+	}, {
+		name:    "a notice about a gone VM changes nothing",
+		events:  []roster.Event{listed(1, a, b), listed(2, b), notice, listed(1, a, b)},
+		usable:  []string{"B"},
+		effects: []roster.EffectKind{roster.Arrived, roster.Arrived, roster.Removed},
+		state:   roster.Leaving,
+	}, {
+		name:    "a peer's report counts like a notice",
+		events:  []roster.Event{listed(1, a, b), roster.Reported{VM: "A"}, listed(2, a, leavingB)},
+		effects: []roster.EffectKind{roster.Arrived, roster.Arrived, roster.Left, roster.Left},
+		state:   roster.Leaving,
+	}, {
+		name:    "failures in a row raise suspicion",
+		events:  []roster.Event{listed(1, a, b), failed, failed, failed},
+		usable:  []string{"B"},
+		effects: []roster.EffectKind{roster.Arrived, roster.Arrived, roster.Doubted},
+		state:   roster.Suspected,
+	}, {
+		name:    "an answer between failures prevents suspicion",
+		events:  []roster.Event{listed(1, a, b), failed, failed, roster.Answered{VM: "A"}, failed},
+		usable:  []string{"A", "B"},
+		effects: []roster.EffectKind{roster.Arrived, roster.Arrived},
+		state:   roster.Serving,
+	}} {
+		t.Run(scenario.name, func(t *testing.T) {
+			c := qt.New(t)
+			r, effects, now := script(scenario.events...)
+			c.Assert(names(r.Usable(now)), qt.DeepEquals, scenario.usable)
+			c.Assert(effects, qt.DeepEquals, scenario.effects)
+			c.Assert(r.Member("A").State, qt.Equals, scenario.state)
+		})
+	}
+}
+
+func TestSuspectedVMIsProbedByOneRequest(t *testing.T) {
+	c := qt.New(t)
+	failed := roster.Failed{VM: "A"}
+	r, _, now := script(listed(1, runner("A")), failed, failed, failed)
+	c.Assert(r.Usable(now), qt.HasLen, 0)
+
+	now = now.Add(roster.ProbeDelay)
+	c.Assert(r.Runners("Small", now), qt.HasLen, 1)
+	r, _ = r.Apply(roster.Probed{VM: "A"}, now)
+	c.Assert(r.Runners("Small", now), qt.HasLen, 0)
+
+	r, _ = r.Apply(roster.Answered{VM: "A"}, now)
+	c.Assert(r.Member("A").State, qt.Equals, roster.Suspected)
+	r, effects := r.Apply(roster.Answered{VM: "A"}, now)
+	c.Assert(effects[0].Kind, qt.Equals, roster.Restored)
+	c.Assert(r.Member("A").State, qt.Equals, roster.Serving)
+}
