Add the fold of the two lists

Operators race each other, records are delivered in any batches and more than once, and the log forgets.

Versions are offsets, not counters, so that a version names one state of one list. A change that amends one entry is still bound to the version of the whole list: checks across entries (no key hash twice) need it.

--- /dev/null
+++ b/plan/change.go
@@ -0,0 +1,218 @@
+package plan
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"slices"
+)
+
+// Kind is the kind of a record in the configuration stream.
+type Kind string
+
+// The kinds of records. Snapshots are written by daemons, the other kinds by
+// operators.
+const (
+	KindPublish  Kind = "Publish"
+	KindAmend    Kind = "Amend"
+	KindRemove   Kind = "Remove"
+	KindSnapshot Kind = "Snapshot"
+)
+
+const (
+	// MaxIdentityBytes bounds the identity of a change.
+	MaxIdentityBytes = 128
+	// MaxChangeBytes bounds the encoded form of a change.
+	MaxChangeBytes = 4 << 20
+)
+
+// Change is one operator's change of one list.
+type Change struct {
+	// Identity is unique to the change; a repeated one is folded once.
+	Identity string
+	// Base is the version of the list that the change was made for.
+	Base uint64
+	List ListName
+	Kind Kind
+	// Plans holds the whole list for KindPublish and the one changed entry
+	// for KindAmend, when List is ListPlans.
+	Plans []Plan `json:",omitempty"`
+	// Allowances is the same for ListAllowances.
+	Allowances []Allowance `json:",omitempty"`
+	// Entry names the entry that KindRemove takes out.
+	Entry string `json:",omitempty"`
+}
+
+// Encode returns the change as the payload of a record. It returns an
+// *InvalidError for a change that no daemon would accept.
+func (c Change) Encode() ([]byte, error) {
+	if err := c.Check(); err != nil {
+		return nil, err
+	}
+	return json.Marshal(c)
+}
+
+// Check returns an *InvalidError for the first fault that can be told
+// without knowing the state.
+func (c Change) Check() error {
+	for _, check := range []func(Change) error{checkHeader, checkContent} {
+		if err := check(c); err != nil {
+			return err
+		}
+	}
+	if c.List == ListPlans {
+		return CheckPlans(c.Plans)
+	}
+	return CheckAllowances(c.Allowances)
+}
+
+func checkHeader(c Change) error {
+	switch {
+	case c.Identity == "":
+		return c.invalid("Identity", "is empty")
+	case len(c.Identity) > MaxIdentityBytes:
+		return c.invalid("Identity", fmt.Sprintf("is longer than %d bytes", MaxIdentityBytes))
+	case c.List != ListPlans && c.List != ListAllowances:
+		return c.invalid("List", fmt.Sprintf("%q is not a list", c.List))
+	case !slices.Contains([]Kind{KindPublish, KindAmend, KindRemove}, c.Kind):
+		return c.invalid("Kind", fmt.Sprintf("%q is not a kind of change", c.Kind))
+	}
+	return nil
+}
+
+func checkContent(c Change) error {
+	own, other, field := len(c.Plans), len(c.Allowances), "Allowances"
+	if c.List == ListAllowances {
+		own, other, field = other, own, "Plans"
+	}
+	switch {
+	case other > 0:
+		return c.invalid(field, fmt.Sprintf("does not belong to a change of list %s", c.List))
+	case c.Kind == KindAmend && own != 1:
+		return c.invalid(string(c.List), fmt.Sprintf("holds %d entries, an amendment has 1", own))
+	case c.Kind == KindRemove && own != 0:
+		return c.invalid(string(c.List), "holds entries, a removal has none")
+	case c.Kind == KindRemove && c.Entry == "":
+		return c.invalid("Entry", "is empty")
+	case c.Kind != KindRemove && c.Entry != "":
+		return c.invalid("Entry", "belongs to removals only")
+	}
+	return nil
+}
+
+func (c Change) invalid(field, reason string) error {
+	return &InvalidError{List: c.List, Entry: c.Entry, Field: field, Reason: reason}
+}
+
+// wireChange is a change whose entries are not decoded yet, so that a fault
+// can be told together with its entry.
+type wireChange struct {
+	Identity   string
+	Base       uint64
+	List       ListName
+	Kind       Kind
+	Plans      []json.RawMessage
+	Allowances []json.RawMessage
+	Entry      string
+}
+
+// DecodeChange reads the payload of a record. It returns an *InvalidError
+// that names the list, the entry and the field of the first fault. The
+// change holds what could be read even when there is a fault.
+func DecodeChange(payload []byte) (Change, error) {
+	if len(payload) > MaxChangeBytes {
+		return Change{}, &InvalidError{Reason: fmt.Sprintf("is longer than %d bytes", MaxChangeBytes)}
+	}
+	wire, found := decodeStrict[wireChange](payload)
+	change := Change{Identity: wire.Identity, Base: wire.Base, List: wire.List, Kind: wire.Kind, Entry: wire.Entry}
+	if found != nil {
+		return change, change.invalid(found.field, found.reason)
+	}
+	var err error
+	if change.Plans, err = decodeEntries[Plan](ListPlans, wire.Plans); err != nil {
+		return change, err
+	}
+	if change.Allowances, err = decodeEntries[Allowance](ListAllowances, wire.Allowances); err != nil {
+		return change, err
+	}
+	return change, change.Check()
+}
+
+// DecodePlans reads a list of plans from a JSON array.
+func DecodePlans(raw []byte) ([]Plan, error) { return decodeList(ListPlans, raw, CheckPlans) }
+
+// DecodeAllowances reads a list of allowances from a JSON array.
+func DecodeAllowances(raw []byte) ([]Allowance, error) {
+	return decodeList(ListAllowances, raw, CheckAllowances)
+}
+
+func decodeList[T any](list ListName, raw []byte, check func([]T) error) ([]T, error) {
+	elements, found := decodeStrict[[]json.RawMessage](raw)
+	if found != nil {
+		return nil, &InvalidError{List: list, Field: found.field, Reason: found.reason}
+	}
+	entries, err := decodeEntries[T](list, elements)
+	if err != nil {
+		return nil, err
+	}
+	return entries, check(entries)
+}
+
+func decodeEntries[T any](list ListName, elements []json.RawMessage) ([]T, error) {
+	var entries []T
+	for i, element := range elements {
+		entry, found := decodeStrict[T](element)
+		if found != nil {
+			return nil, invalid(list, entryName(element), i, *found)
+		}
+		entries = append(entries, entry)
+	}
+	return entries, nil
+}
+
+// entryName returns the name of an entry that could not be decoded, or "".
+func entryName(element json.RawMessage) string {
+	var named struct{ Name, Plan string }
+	// A fault elsewhere in the entry does not matter here.
+	_ = json.Unmarshal(element, &named)
+	return named.Name + named.Plan
+}
+
+// decodeStrict decodes one JSON value and refuses fields that T lacks.
+func decodeStrict[T any](raw []byte) (T, *fault) {
+	var value T
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&value); err != nil {
+		return value, findFault[T](raw, err)
+	}
+	if decoder.More() {
+		return value, &fault{reason: "data follows the JSON value"}
+	}
+	return value, nil
+}
+
+// findFault decodes the fields of an object one by one, since the errors of
+// encoding/json do not name the field in all cases.
+func findFault[T any](raw []byte, cause error) *fault {
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(raw, &fields) != nil {
+		return &fault{reason: cause.Error()}
+	}
+	names := make([]string, 0, len(fields))
+	for name := range fields {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		// A map of strings and raw messages always encodes.
+		single, _ := json.Marshal(map[string]json.RawMessage{name: fields[name]})
+		decoder := json.NewDecoder(bytes.NewReader(single))
+		decoder.DisallowUnknownFields()
+		var value T
+		if err := decoder.Decode(&value); err != nil {
+			return &fault{field: name, reason: err.Error()}
+		}
+	}
+	return &fault{reason: cause.Error()}
+}
--- /dev/null
+++ b/plan/errors.go
@@ -0,0 +1,120 @@
+package plan
+
+import "fmt"
+
+// DurationError says that a value is not a duration.
+type DurationError struct {
+	Value string
+}
+
+// Error implements error.
+func (e *DurationError) Error() string {
+	return fmt.Sprintf("%q is not a duration such as \"400ms\"", e.Value)
+}
+
+// InvalidError says which part of a change is invalid. Empty fields do not
+// apply.
+type InvalidError struct {
+	List ListName
+	// Entry is the name of the entry, or its index when it has no name.
+	Entry string
+	// Field is the path of the field inside the entry or the change.
+	Field  string
+	Reason string
+}
+
+// Error implements error.
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("invalid change: list %q, entry %q, field %q: %s", e.List, e.Entry, e.Field, e.Reason)
+}
+
+// StaleBaseError says that a change was based on a version of its list that
+// is not the current one.
+type StaleBaseError struct {
+	List    ListName
+	Base    uint64
+	Current uint64
+}
+
+// Error implements error.
+func (e *StaleBaseError) Error() string {
+	return fmt.Sprintf("the change is based on version %d of list %s, current is %d", e.Base, e.List, e.Current)
+}
+
+// RepeatedError says that a change with this identity has been judged before.
+type RepeatedError struct {
+	Identity string
+}
+
+// Error implements error.
+func (e *RepeatedError) Error() string {
+	return fmt.Sprintf("change %s has been judged before", e.Identity)
+}
+
+// FoldedError says that a record has been folded before.
+type FoldedError struct {
+	Offset uint64
+	// Current is the offset of the state.
+	Current uint64
+}
+
+// Error implements error.
+func (e *FoldedError) Error() string {
+	return fmt.Sprintf("record %d is already folded, the state is at offset %d", e.Offset, e.Current)
+}
+
+// GapError says that records between the state and a record are missing.
+// Only a snapshot leads across the gap.
+type GapError struct {
+	// Expected is the offset of the next record that the state can fold.
+	Expected uint64
+	Offset   uint64
+}
+
+// Error implements error.
+func (e *GapError) Error() string {
+	return fmt.Sprintf("record %d leaves a gap, the next one to fold is %d", e.Offset, e.Expected)
+}
+
+// SnapshotError says why a snapshot was not used.
+type SnapshotError struct {
+	// Offset is the offset of the state that the snapshot claims to hold.
+	Offset uint64
+	Reason string
+}
+
+// Error implements error.
+func (e *SnapshotError) Error() string {
+	return fmt.Sprintf("snapshot as of offset %d is not used: %s", e.Offset, e.Reason)
+}
+
+// UnknownCustomerError says that no customer has the bearer key. It holds
+// nothing of the key.
+type UnknownCustomerError struct{}
+
+// Error implements error.
+func (e *UnknownCustomerError) Error() string { return "no customer has this key" }
+
+// NoAllowanceError says that a plan has no entry in the list of allowances.
+type NoAllowanceError struct {
+	Plan string
+}
+
+// Error implements error.
+func (e *NoAllowanceError) Error() string {
+	return fmt.Sprintf("plan %s has no entry in list %s", e.Plan, ListAllowances)
+}
+
+// ForbiddenError says which entry and field forbid a request.
+type ForbiddenError struct {
+	Plan string
+	List ListName
+	// Field is the field of the entry that does not hold the value.
+	Field string
+	Value string
+}
+
+// Error implements error.
+func (e *ForbiddenError) Error() string {
+	return fmt.Sprintf("plan %s: field %s of list %s does not allow %q", e.Plan, e.Field, e.List, e.Value)
+}
--- /dev/null
+++ b/plan/fold.go
@@ -0,0 +1,118 @@
+package plan
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+)
+
+// Verdict tells what the fold made of a record.
+type Verdict struct {
+	// Accepted is true when the record changed a list, or was a snapshot
+	// that was used.
+	Accepted bool
+	// Identity is that of the change, as far as it could be read.
+	Identity string
+	// Err says why the record was not accepted: an *InvalidError,
+	// *StaleBaseError, *RepeatedError, *FoldedError, *GapError or
+	// *SnapshotError.
+	Err error
+}
+
+// Fold returns the state after one more record of the stream. It is a pure
+// function that is defined for all bytes: a record that is not accepted only
+// moves the offset forward. A record below the state's offset changes
+// nothing. A record above it changes nothing either, unless it is a snapshot
+// that leads across the gap; the next record to fold is then the one at the
+// offset of the returned state, which can be below the snapshot's own.
+func (s State) Fold(offset uint64, payload []byte) (State, Verdict) {
+	if offset < s.offset {
+		return s, Verdict{Err: &FoldedError{Offset: offset, Current: s.offset}}
+	}
+	if kindOf(payload) == KindSnapshot {
+		return s.foldSnapshot(offset, payload)
+	}
+	if offset > s.offset {
+		return s, Verdict{Err: &GapError{Expected: s.offset, Offset: offset}}
+	}
+	change, err := DecodeChange(payload)
+	next, err := s.withOffset(offset+1).judge(change, err)
+	return next, Verdict{Accepted: err == nil, Identity: change.Identity, Err: err}
+}
+
+// judge applies a change to a state whose offset is the one after it.
+func (s State) judge(change Change, decodeErr error) (State, error) {
+	if change.Identity == "" || len(change.Identity) > MaxIdentityBytes {
+		return s, decodeErr
+	}
+	if slices.Contains(s.identities, change.Identity) {
+		return s, &RepeatedError{Identity: change.Identity}
+	}
+	s = s.withIdentity(change.Identity)
+	if decodeErr != nil {
+		return s, decodeErr
+	}
+	if current := s.Version(change.List); change.Base != current {
+		return s, &StaleBaseError{List: change.List, Base: change.Base, Current: current}
+	}
+	if change.List == ListPlans {
+		return s.applyPlans(change)
+	}
+	return s.applyAllowances(change)
+}
+
+func (s State) applyPlans(change Change) (State, error) {
+	plans, err := apply(change, s.plans, change.Plans, func(p Plan) string { return p.Name })
+	if err != nil {
+		return s, err
+	}
+	if err := CheckPlans(plans); err != nil {
+		return s, err
+	}
+	s.plans, s.keys, s.plansVersion = plans, indexKeys(plans), s.offset
+	return s, nil
+}
+
+func (s State) applyAllowances(change Change) (State, error) {
+	allowances, err := apply(change, s.allowances, change.Allowances, func(a Allowance) string { return a.Plan })
+	if err != nil {
+		return s, err
+	}
+	if err := CheckAllowances(allowances); err != nil {
+		return s, err
+	}
+	s.allowances, s.allowancesVersion = allowances, s.offset
+	return s, nil
+}
+
+// apply returns the list after a change. It never writes to current.
+func apply[T any](change Change, current, entries []T, name func(T) string) ([]T, error) {
+	if change.Kind == KindPublish {
+		return entries, nil
+	}
+	wanted := change.Entry
+	if change.Kind == KindAmend {
+		wanted = name(entries[0])
+	}
+	index := slices.IndexFunc(current, func(entry T) bool { return name(entry) == wanted })
+	list := slices.Clone(current)
+	switch {
+	case change.Kind == KindAmend && index >= 0:
+		list[index] = entries[0]
+	case change.Kind == KindAmend:
+		list = append(list, entries[0])
+	case index >= 0:
+		list = slices.Delete(list, index, index+1)
+	default:
+		return nil, &InvalidError{List: change.List, Entry: wanted, Field: "Entry", Reason: fmt.Sprintf("%q is not in the list", wanted)}
+	}
+	return list, nil
+}
+
+// kindOf returns the kind of a record, or "" when it cannot be read.
+func kindOf(payload []byte) Kind {
+	var header struct{ Kind Kind }
+	// Faults of the record are told by the decoder for its kind.
+	_ = json.Unmarshal(payload, &header)
+	return header.Kind
+}
