Add stand-ins of the outside systems and HTTP clients for the platform

The daemon needs something to talk to before a real platform is at hand. The stand-ins (log service, cloud with VM list and weight store, model engine, plain service) are http.Handlers, so that tests run them in their own process, and cmd/standin runs them as processes of their own.

platformhttp tells a request without effect from a lost answer: only a request that never got a connection, or a refusal by status, is reported as unavailable. Appends carry no GetBody and follow no redirect, because net/http would otherwise be free to send the body a second time. Telling by the WroteRequest trace whether anything was written was ruled out: the transport may flush a part of a request before the trace fires.

go test -race ./platformhttp passes; the engine, the service and cmd/standin were tried by hand and have no tests yet.

--- /dev/null
+++ b/platformhttp/cloud.go
@@ -0,0 +1,58 @@
+package platformhttp
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/platform"
+)
+
+// Cloud is a client of the cloud API.
+type Cloud struct {
+	client client
+}
+
+var _ platform.Cloud = (*Cloud)(nil)
+
+// NewCloud returns a client of the cloud API at the base URL.
+func NewCloud(base string, httpClient *http.Client) *Cloud {
+	return &Cloud{client: newClient("cloud", base, httpClient)}
+}
+
+// Notices implements platform.Cloud.
+func (c *Cloud) Notices(ctx context.Context, after uint64, wait time.Duration) ([]platform.Notice, error) {
+	query := url.Values{}
+	query.Set("After", strconv.FormatUint(after, 10))
+	query.Set("Wait", wait.String())
+	answer, err := c.client.read(ctx, "/notices?"+query.Encode())
+	if err != nil {
+		return nil, err
+	}
+	notices, err := decode[NoticesResponse](c.client, answer)
+	return notices.Notices, err
+}
+
+// Start implements platform.Cloud.
+func (c *Cloud) Start(ctx context.Context, request platform.StartRequest) (platform.VM, error) {
+	answer, err := c.client.change(ctx, "/vms/start", request)
+	if err != nil {
+		return platform.VM{}, err
+	}
+	if answer.status == http.StatusConflict {
+		return platform.VM{}, &platform.RefusedError{Zone: request.Zone, Class: request.Class}
+	}
+	return decode[platform.VM](c.client, answer)
+}
+
+// Stop implements platform.Cloud.
+func (c *Cloud) Stop(ctx context.Context, vm string) error {
+	answer, err := c.client.change(ctx, "/vms/"+url.PathEscape(vm)+"/stop", struct{}{})
+	if err != nil {
+		return err
+	}
+	_, err = decode[struct{}](c.client, answer)
+	return err
+}
--- /dev/null
+++ b/platformhttp/engine.go
@@ -0,0 +1,81 @@
+package platformhttp
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/cranberrywalk/cranberrywalk/platform"
+)
+
+// Engine is a client of the control interface of one model engine.
+type Engine struct {
+	client client
+}
+
+var _ platform.Engine = (*Engine)(nil)
+
+// NewEngine returns a client of the engine at the base URL.
+func NewEngine(base string, httpClient *http.Client) *Engine {
+	return &Engine{client: newClient("engine", base, httpClient)}
+}
+
+// Load implements platform.Engine.
+func (e *Engine) Load(ctx context.Context) (platform.LoadReport, error) {
+	answer, err := e.client.read(ctx, "/engine/load")
+	if err != nil {
+		return platform.LoadReport{}, err
+	}
+	return decode[platform.LoadReport](e.client, answer)
+}
+
+// CacheEvents implements platform.Engine.
+func (e *Engine) CacheEvents(ctx context.Context, after uint64) ([]platform.CacheEvent, error) {
+	answer, err := e.client.read(ctx, "/engine/cache-events?After="+strconv.FormatUint(after, 10))
+	if err != nil {
+		return nil, err
+	}
+	events, err := decode[CacheEventsResponse](e.client, answer)
+	return events.Events, err
+}
+
+// Order implements platform.Engine.
+func (e *Engine) Order(ctx context.Context, order platform.Order) error {
+	answer, err := e.client.change(ctx, "/engine/orders", order)
+	if err != nil {
+		return err
+	}
+	if answer.status == http.StatusConflict {
+		return e.fenced(order, answer)
+	}
+	_, err = decode[struct{}](e.client, answer)
+	return err
+}
+
+func (e *Engine) fenced(order platform.Order, answer reply) error {
+	var fenced FencedResponse
+	if err := json.Unmarshal(answer.body, &fenced); err != nil {
+		return e.client.unavailable(err)
+	}
+	return &platform.FencedError{Fencing: order.Fencing, Seen: fenced.Seen}
+}
+
+// ExportKV implements platform.Engine.
+func (e *Engine) ExportKV(ctx context.Context, requestID string) (platform.KVCache, error) {
+	answer, err := e.client.change(ctx, "/engine/kv/export", ExportRequest{RequestID: requestID})
+	if err != nil {
+		return platform.KVCache{}, err
+	}
+	return decode[platform.KVCache](e.client, answer)
+}
+
+// ImportKV implements platform.Engine.
+func (e *Engine) ImportKV(ctx context.Context, cache platform.KVCache) error {
+	answer, err := e.client.change(ctx, "/engine/kv/import", cache)
+	if err != nil {
+		return err
+	}
+	_, err = decode[struct{}](e.client, answer)
+	return err
+}
--- /dev/null
+++ b/platformhttp/log.go
@@ -0,0 +1,62 @@
+package platformhttp
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/platform"
+)
+
+// Log is a client of the log service.
+type Log struct {
+	client client
+}
+
+var _ platform.Log = (*Log)(nil)
+
+// NewLog returns a client of the log service at the base URL.
+func NewLog(base string, httpClient *http.Client) *Log {
+	return &Log{client: newClient("log", base, httpClient)}
+}
+
+// Append implements platform.Log.
+func (l *Log) Append(ctx context.Context, stream string, payloads [][]byte) (uint64, error) {
+	answer, err := l.client.change(ctx, streamPath(stream), AppendRequest{Payloads: payloads})
+	if err != nil {
+		return 0, err
+	}
+	appended, err := decode[AppendResponse](l.client, answer)
+	return appended.Offset, err
+}
+
+// Read implements platform.Log.
+func (l *Log) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (platform.Batch, error) {
+	query := url.Values{}
+	query.Set("From", strconv.FormatUint(from, 10))
+	query.Set("Limit", strconv.Itoa(limit))
+	query.Set("Wait", wait.String())
+	answer, err := l.client.read(ctx, streamPath(stream)+"?"+query.Encode())
+	if err != nil {
+		return platform.Batch{}, err
+	}
+	if answer.status == http.StatusGone {
+		return platform.Batch{}, l.trimmed(stream, from, answer)
+	}
+	return decode[platform.Batch](l.client, answer)
+}
+
+func (l *Log) trimmed(stream string, from uint64, answer reply) error {
+	var trimmed TrimmedResponse
+	if err := json.Unmarshal(answer.body, &trimmed); err != nil {
+		return l.client.unavailable(err)
+	}
+	return &platform.TrimmedError{Stream: stream, From: from, First: trimmed.First}
+}
+
+func streamPath(stream string) string {
+	return "/streams/" + url.PathEscape(stream) + "/records"
+}
--- /dev/null
+++ b/platformhttp/weights.go
@@ -0,0 +1,49 @@
+package platformhttp
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/platform"
+)
+
+// WeightStore is a client of the weight store.
+type WeightStore struct {
+	client client
+}
+
+var _ platform.WeightStore = (*WeightStore)(nil)
+
+// NewWeightStore returns a client of the weight store at the base URL.
+func NewWeightStore(base string, httpClient *http.Client) *WeightStore {
+	return &WeightStore{client: newClient("weight store", base, httpClient)}
+}
+
+// Size implements platform.WeightStore.
+func (s *WeightStore) Size(ctx context.Context, model string) (int64, error) {
+	answer, err := s.client.read(ctx, "/weights/"+url.PathEscape(model))
+	if err != nil {
+		return 0, err
+	}
+	size, err := decode[SizeResponse](s.client, answer)
+	return size.Bytes, err
+}
+
+// Reserve implements platform.WeightStore.
+func (s *WeightStore) Reserve(ctx context.Context, bytes int64) (time.Duration, error) {
+	answer, err := s.client.change(ctx, "/weights/reserve", ReserveRequest{Bytes: bytes})
+	if err != nil {
+		return 0, err
+	}
+	reserved, err := decode[ReserveResponse](s.client, answer)
+	if err != nil {
+		return 0, err
+	}
+	wait, err := time.ParseDuration(reserved.Wait)
+	if err != nil {
+		return 0, s.client.lost(answer, err)
+	}
+	return wait, nil
+}
--- /dev/null
+++ b/platformhttp/wire.go
@@ -0,0 +1,63 @@
+package platformhttp
+
+import "github.com/cranberrywalk/cranberrywalk/platform"
+
+// AppendRequest is the body of an append to a stream.
+type AppendRequest struct {
+	// Payloads become consecutive records; none is refused.
+	Payloads [][]byte
+}
+
+// AppendResponse is the answer to an append.
+type AppendResponse struct {
+	// Offset is the offset of the first appended record.
+	Offset uint64
+}
+
+// TrimmedResponse is the answer to a read below the retention.
+type TrimmedResponse struct {
+	// First is the oldest offset that the log still keeps.
+	First uint64
+}
+
+// FencedResponse is the answer to an order with an old fencing number.
+type FencedResponse struct {
+	// Seen is the highest fencing number that the engine has seen.
+	Seen uint64
+}
+
+// NoticesResponse is the answer to a poll for reclaim notices.
+type NoticesResponse struct {
+	// Notices are ordered by sequence.
+	Notices []platform.Notice
+}
+
+// CacheEventsResponse is the answer to a poll for cache events.
+type CacheEventsResponse struct {
+	// Events are ordered by sequence, possibly with gaps.
+	Events []platform.CacheEvent
+}
+
+// ExportRequest is the body of a KV cache export.
+type ExportRequest struct {
+	// RequestID is the X-Request-Id of the stream that is in progress.
+	RequestID string
+}
+
+// SizeResponse is the answer to a question for the size of a model.
+type SizeResponse struct {
+	// Bytes is the size of the model's weights.
+	Bytes int64
+}
+
+// ReserveRequest is the body of a reservation of transfer rate.
+type ReserveRequest struct {
+	// Bytes is the size of the transfer.
+	Bytes int64
+}
+
+// ReserveResponse is the answer to a reservation of transfer rate.
+type ReserveResponse struct {
+	// Wait is the time until the transfer may start, as a duration string.
+	Wait string
+}
--- /dev/null
+++ b/standin/cloud/list.go
@@ -0,0 +1,52 @@
+package cloud
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/standin"
+)
+
+// version is a state of the list and when it came about.
+type version struct {
+	since    time.Time
+	snapshot platform.VMSnapshot
+}
+
+// list answers with the newest state that is at least the lag old.
+func (c *Cloud) list(w http.ResponseWriter, _ *http.Request) {
+	standin.Respond(w, http.StatusOK, c.visible())
+}
+
+func (c *Cloud) visible() platform.VMSnapshot {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	shown := c.clock.Now().Add(-c.parameters.ListLag)
+	for len(c.versions) > 1 && !c.versions[1].since.After(shown) {
+		c.versions = c.versions[1:]
+	}
+	return c.versions[0].snapshot
+}
+
+// replace sets the whole list. It is part of the control interface.
+func (c *Cloud) replace(w http.ResponseWriter, r *http.Request) {
+	var request struct{ VMs []platform.VM }
+	if !standin.Decode(w, r, &request) {
+		return
+	}
+	c.change(func([]platform.VM) []platform.VM { return request.VMs })
+	standin.Respond(w, http.StatusOK, struct{}{})
+}
+
+// change adds a state of the list, which shows after the lag.
+func (c *Cloud) change(edit func(vms []platform.VM) []platform.VM) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	truth := c.versions[len(c.versions)-1].snapshot
+	c.versions = append(c.versions, version{
+		since:    c.clock.Now(),
+		snapshot: platform.VMSnapshot{Version: truth.Version + 1, VMs: edit(slices.Clone(truth.VMs))},
+	})
+}
--- /dev/null
+++ b/standin/cloud/vms.go
@@ -0,0 +1,68 @@
+package cloud
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/standin"
+)
+
+// start adds a VM to the list. No process runs behind its address.
+func (c *Cloud) start(w http.ResponseWriter, r *http.Request) {
+	var request platform.StartRequest
+	if !standin.Decode(w, r, &request) {
+		return
+	}
+	refused := c.faults.Get().RefuseStarts
+	if slices.Contains(refused, "*") || slices.Contains(refused, request.Zone) {
+		http.Error(w, "no capacity", http.StatusConflict)
+		return
+	}
+	vm, isNew := c.place(request)
+	if isNew {
+		c.change(func(vms []platform.VM) []platform.VM { return append(vms, vm) })
+	}
+	standin.Respond(w, http.StatusOK, vm)
+}
+
+// place returns the VM of the request's identity, and whether it is new.
+func (c *Cloud) place(request platform.StartRequest) (platform.VM, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if vm, ok := c.started[request.Identity]; ok && request.Identity != "" {
+		return vm, false
+	}
+	number := len(c.started) + 1
+	vm := platform.VM{
+		Name:        fmt.Sprintf("started-%d", number),
+		Role:        request.Role,
+		Zone:        request.Zone,
+		Class:       request.Class,
+		Reclaimable: request.Reclaimable,
+		Price:       c.parameters.OnDemandPrice,
+		Models:      request.Models,
+		Service:     request.Service,
+	}
+	if request.Reclaimable {
+		vm.Price = c.parameters.ReclaimablePrice
+	}
+	identity := request.Identity
+	if identity == "" {
+		identity = vm.Name
+	}
+	c.started[identity] = vm
+	return vm, true
+}
+
+// stop takes a VM off the list.
+func (c *Cloud) stop(w http.ResponseWriter, r *http.Request) {
+	name := chi.URLParam(r, "Name")
+	c.change(func(vms []platform.VM) []platform.VM {
+		return slices.DeleteFunc(vms, func(vm platform.VM) bool { return vm.Name == name })
+	})
+	standin.Respond(w, http.StatusOK, struct{}{})
+}
--- /dev/null
+++ b/standin/engine/control.go
@@ -0,0 +1,86 @@
+package engine
+
+import (
+	"net/http"
+	"slices"
+
+	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/platformhttp"
+	"github.com/cranberrywalk/cranberrywalk/prefix"
+	"github.com/cranberrywalk/cranberrywalk/standin"
+)
+
+// load answers with a report that is renewed when it is older than the lag.
+func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	if e.clock.Now().Sub(e.report.Time) >= e.parameters.LoadLag {
+		e.report = e.batch.report()
+		e.report.Models = slices.Clone(e.models)
+	}
+	report := e.report
+	e.mu.Unlock()
+	standin.Respond(w, http.StatusOK, report)
+}
+
+func (e *Engine) cacheEvents(w http.ResponseWriter, r *http.Request) {
+	shown := e.clock.Now().Add(-e.parameters.EventLag)
+	e.batch.mu.Lock()
+	events := e.batch.cache.published(standin.Uint(r, "After"), shown, e.parameters.LostEventEvery)
+	e.batch.mu.Unlock()
+	standin.Respond(w, http.StatusOK, platformhttp.CacheEventsResponse{Events: events})
+}
+
+// order sets the models and adapters. An engine that does not check fencing
+// numbers follows every order.
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var order platform.Order
+	if !standin.Decode(w, r, &order) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.parameters.ChecksFencing && order.Fencing < e.fencing {
+		standin.Respond(w, http.StatusConflict, platformhttp.FencedResponse{Seen: e.fencing})
+		return
+	}
+	e.fencing = max(e.fencing, order.Fencing)
+	e.models = order.Models
+	e.adapters = order.Adapters
+	standin.Respond(w, http.StatusOK, struct{}{})
+}
+
+// serves tells whether a model is loaded.
+func (e *Engine) serves(model string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.models) == 0 || slices.Contains(e.models, model)
+}
+
+func (e *Engine) exportKV(w http.ResponseWriter, r *http.Request) {
+	var request platformhttp.ExportRequest
+	if !standin.Decode(w, r, &request) {
+		return
+	}
+	found, ok := e.batch.find(request.RequestID)
+	if !ok {
+		http.Error(w, "no such stream", http.StatusNotFound)
+		return
+	}
+	standin.Respond(w, http.StatusOK, platform.KVCache{
+		RequestID: found.id,
+		Blocks:    found.blocks,
+		Tokens:    len(found.blocks) * prefix.BlockTokens,
+		Payload:   []byte("kv-" + found.id),
+	})
+}
+
+func (e *Engine) importKV(w http.ResponseWriter, r *http.Request) {
+	var kv platform.KVCache
+	if !standin.Decode(w, r, &kv) {
+		return
+	}
+	e.batch.mu.Lock()
+	e.batch.cache.use(kv.Blocks, e.clock.Now())
+	e.batch.mu.Unlock()
+	standin.Respond(w, http.StatusOK, struct{}{})
+}
--- /dev/null
+++ b/standin/engine/words.go
@@ -0,0 +1,57 @@
+package engine
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// wordLength is the length of a generated word with its trailing space.
+const wordLength = 6
+
+// Text returns count words of the answer to a prompt, from position from
+// onwards. It is a pure function, so that a test can check an answer that was
+// put together from several streams.
+func Text(prompt []byte, from, count int) string {
+	seed := xxhash.Sum64(prompt)
+	var text strings.Builder
+	for i := from; i < from+count; i++ {
+		text.WriteString(word(seed, i))
+	}
+	return text.String()
+}
+
+// word returns the word at a position, for example "w03fa ".
+func word(seed uint64, position int) string {
+	var input [16]byte
+	binary.LittleEndian.PutUint64(input[:8], seed)
+	binary.LittleEndian.PutUint64(input[8:], uint64(position))
+	var hash [8]byte
+	binary.LittleEndian.PutUint64(hash[:], xxhash.Sum64(input[:]))
+	return "w" + hex.EncodeToString(hash[:2]) + " "
+}
+
+// splitWords separates the generated words at the end of a prompt from the
+// original prompt, and counts them.
+func splitWords(prompt []byte) ([]byte, int) {
+	count := 0
+	for endsWithWord(prompt) {
+		prompt = prompt[:len(prompt)-wordLength]
+		count++
+	}
+	return prompt, count
+}
+
+func endsWithWord(prompt []byte) bool {
+	if len(prompt) < wordLength {
+		return false
+	}
+	end := prompt[len(prompt)-wordLength:]
+	if end[0] != 'w' || end[wordLength-1] != ' ' {
+		return false
+	}
+	_, err := hex.DecodeString(string(end[1 : wordLength-1]))
+	return err == nil
+}
--- /dev/null
+++ b/standin/logservice/log.go
@@ -0,0 +1,144 @@
+// Package logservice is a stand-in of the platform's append-only log service.
+package logservice
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"golang.org/x/time/rate"
+
+	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/platformhttp"
+	"github.com/cranberrywalk/cranberrywalk/standin"
+)
+
+const (
+	defaultReadLimit = 1000
+	maxWait          = 30 * time.Second
+)
+
+// Parameters describe the log service.
+type Parameters struct {
+	// RetainedRecords is the number of records that a stream keeps.
+	RetainedRecords int
+	// AppendsPerSecond bounds the rate of appends over all streams; 0 sets
+	// no bound.
+	AppendsPerSecond float64
+}
+
+// DefaultParameters returns a log service that takes 500 appends a second.
+func DefaultParameters() Parameters {
+	return Parameters{RetainedRecords: 100_000, AppendsPerSecond: 500}
+}
+
+// Log is the stand-in. It is an http.Handler.
+type Log struct {
+	chi.Router
+	clock      clock.Clock
+	parameters Parameters
+	limiter    *rate.Limiter
+	faults     standin.Faults[Faults]
+
+	mu      sync.Mutex
+	streams map[string]*stream
+}
+
+// New returns an empty log.
+func New(c clock.Clock, parameters Parameters) *Log {
+	l := &Log{
+		Router:     chi.NewRouter(),
+		clock:      c,
+		parameters: parameters,
+		limiter:    newLimiter(parameters.AppendsPerSecond),
+		streams:    map[string]*stream{},
+	}
+	l.Post("/streams/{Stream}/records", l.append)
+	l.Get("/streams/{Stream}/records", l.read)
+	l.Handle("/control/faults", &l.faults)
+	return l
+}
+
+func newLimiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond/10)))
+}
+
+// SetFaults replaces the faults that are switched on.
+func (l *Log) SetFaults(faults Faults) { l.faults.Set(faults) }
+
+func (l *Log) stream(name string) *stream {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	found := l.streams[name]
+	if found == nil {
+		found = newStream(l.parameters.RetainedRecords)
+		l.streams[name] = found
+	}
+	return found
+}
+
+func (l *Log) append(w http.ResponseWriter, r *http.Request) {
+	if !l.pass(w, r, OutageAppends) {
+		return
+	}
+	if !l.limiter.AllowN(l.clock.Now(), 1) {
+		http.Error(w, "too many appends", http.StatusTooManyRequests)
+		return
+	}
+	var request platformhttp.AppendRequest
+	if !standin.Decode(w, r, &request) {
+		return
+	}
+	if len(request.Payloads) == 0 {
+		http.Error(w, "Payloads is empty", http.StatusBadRequest)
+		return
+	}
+	offset := l.stream(chi.URLParam(r, "Stream")).append(request.Payloads, l.clock.Now())
+	if l.losesAnswer() {
+		standin.Abort()
+	}
+	standin.Respond(w, http.StatusOK, platformhttp.AppendResponse{Offset: offset})
+}
+
+func (l *Log) read(w http.ResponseWriter, r *http.Request) {
+	if !l.pass(w, r, OutageReads) {
+		return
+	}
+	limit := int(min(standin.Uint(r, "Limit"), defaultReadLimit))
+	if limit == 0 {
+		limit = defaultReadLimit
+	}
+	from := standin.Uint(r, "From")
+	found := l.stream(chi.URLParam(r, "Stream"))
+	l.await(r, found, from, min(standin.QueryDuration(r, "Wait"), maxWait))
+	batch, kept := found.read(from, limit)
+	if !kept {
+		standin.Respond(w, http.StatusGone, platformhttp.TrimmedResponse{First: batch.First})
+		return
+	}
+	standin.Respond(w, http.StatusOK, batch)
+}
+
+// await waits until the stream has a record at offset from.
+func (l *Log) await(r *http.Request, found *stream, from uint64, wait time.Duration) {
+	grown := found.grown(from)
+	if grown == nil || wait <= 0 {
+		return
+	}
+	timer := l.clock.NewTimer(wait)
+	defer timer.Stop()
+	for grown != nil {
+		select {
+		case <-grown:
+			grown = found.grown(from)
+		case <-timer.Chan():
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/standin/logservice/stream.go
@@ -0,0 +1,71 @@
+package logservice
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/platform"
+)
+
+// stream is one sequence of records.
+type stream struct {
+	mu sync.Mutex
+	// retained bounds the length of records.
+	retained int
+	// records are consecutive; the first has offset first.
+	records []platform.Record
+	first   uint64
+	// appended is closed and replaced by every append.
+	appended chan struct{}
+}
+
+func newStream(retained int) *stream {
+	return &stream{retained: max(1, retained), appended: make(chan struct{})}
+}
+
+// next returns the offset of the next record. The caller holds mu.
+func (s *stream) next() uint64 { return s.first + uint64(len(s.records)) }
+
+func (s *stream) append(payloads [][]byte, now time.Time) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	offset := s.next()
+	for i, payload := range payloads {
+		s.records = append(s.records, platform.Record{Offset: offset + uint64(i), Payload: payload, Time: now})
+	}
+	if excess := len(s.records) - s.retained; excess > 0 {
+		s.records = s.records[excess:]
+		s.first += uint64(excess)
+	}
+	close(s.appended)
+	s.appended = make(chan struct{})
+	return offset
+}
+
+// read returns up to limit records from offset from onwards. It returns false
+// when retention has removed the record at from.
+func (s *stream) read(from uint64, limit int) (platform.Batch, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	batch := platform.Batch{First: s.first, Next: s.next(), Records: []platform.Record{}}
+	if from < s.first {
+		return batch, false
+	}
+	if from >= batch.Next {
+		return batch, true
+	}
+	rest := s.records[from-s.first:]
+	batch.Records = append(batch.Records, rest[:min(limit, len(rest))]...)
+	return batch, true
+}
+
+// grown returns a channel that is closed by the next append, or nil when the
+// stream already has a record at or after from, or has trimmed it.
+func (s *stream) grown(from uint64) <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if from < s.next() {
+		return nil
+	}
+	return s.appended
+}
--- /dev/null
+++ b/standin/service/service.go
@@ -0,0 +1,137 @@
+// Package service is a stand-in of a plain service that counts every request
+// that it runs.
+package service
+
+import (
+	"io"
+	"maps"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/standin"
+)
+
+const maxBodyBytes = 1 << 20
+
+// Parameters describe the service.
+type Parameters struct {
+	// Name is shown in the answers.
+	Name string
+	// Delay is the time that each request takes to run.
+	Delay time.Duration
+}
+
+// Runs counts the requests that a service has run.
+type Runs struct {
+	// Keys counts the runs of each Idempotency-Key.
+	Keys map[string]int
+	// Requests counts the runs of each X-Request-Id.
+	Requests map[string]int
+	// Total counts all runs.
+	Total int
+}
+
+// Answer is the body of every answer.
+type Answer struct {
+	Service string
+	Method  string
+	Path    string
+	// Run is the number of this run among all runs of the service.
+	Run int
+	// Body is the body of the request.
+	Body string
+}
+
+// Service is the stand-in. It is an http.Handler.
+type Service struct {
+	chi.Router
+	clock      clock.Clock
+	parameters Parameters
+	faults     standin.Faults[Faults]
+
+	mu      sync.Mutex
+	running int
+	runs    Runs
+}
+
+// New returns a service that has run nothing.
+func New(c clock.Clock, parameters Parameters) *Service {
+	s := &Service{
+		Router:     chi.NewRouter(),
+		clock:      c,
+		parameters: parameters,
+		runs:       Runs{Keys: map[string]int{}, Requests: map[string]int{}},
+	}
+	s.Get("/control/runs", func(w http.ResponseWriter, _ *http.Request) {
+		standin.Respond(w, http.StatusOK, s.Runs())
+	})
+	s.Handle("/control/faults", &s.faults)
+	s.Get("/engine/load", s.load)
+	s.HandleFunc("/*", s.handle)
+	return s
+}
+
+// SetFaults replaces the faults that are switched on.
+func (s *Service) SetFaults(faults Faults) { s.faults.Set(faults) }
+
+// Runs returns a copy of the counts.
+func (s *Service) Runs() Runs {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Runs{Keys: maps.Clone(s.runs.Keys), Requests: maps.Clone(s.runs.Requests), Total: s.runs.Total}
+}
+
+func (s *Service) load(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	report := platform.LoadReport{Running: s.running, Time: s.clock.Now()}
+	s.mu.Unlock()
+	standin.Respond(w, http.StatusOK, report)
+}
+
+// handle runs a request. Nothing is counted for a request that is refused.
+func (s *Service) handle(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	fault := s.nextFault()
+	if fault == FaultRefuse {
+		http.Error(w, "the service refuses requests", http.StatusServiceUnavailable)
+		return
+	}
+	run := s.begin(r)
+	defer s.end()
+	if s.parameters.Delay > 0 {
+		// A caller that leaves does not undo the run.
+		_ = clock.Sleep(r.Context(), s.clock, s.parameters.Delay)
+	}
+	s.answer(w, r, fault, Answer{
+		Service: s.parameters.Name, Method: r.Method, Path: r.URL.Path, Run: run, Body: string(body),
+	})
+}
+
+func (s *Service) begin(r *http.Request) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running++
+	s.runs.Total++
+	if key := r.Header.Get("Idempotency-Key"); key != "" {
+		s.runs.Keys[key]++
+	}
+	if id := r.Header.Get("X-Request-Id"); id != "" {
+		s.runs.Requests[id]++
+	}
+	return s.runs.Total
+}
+
+func (s *Service) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+}
