Add claims on the log and the ledger that makes them

A caller that sends a keyed request twice reaches two daemons, and only the platform's log can order them. Daemons append claims and fold the stream; the first claim of a key in log order wins.

Three things were weighed: - A lifetime counted from the winner alone makes the verdict depend on records that the log may have removed. Any claim of a key therefore starts its lifetime again, so that the last lifetime of records decides. - Forgetting the oldest keys when the book is full would hand out a key twice. New keys are refused instead, by a count of the same window. - After a lost answer a new claim could win beside the old one. The same record is appended again, and the fold takes each sequence of a process once.

--- /dev/null
+++ b/ledger/errors.go
@@ -0,0 +1,86 @@
+package ledger
+
+import (
+	"fmt"
+
+	"github.com/cranberrywalk/cranberrywalk/claim"
+)
+
+// UnavailableError says that a claim was not made: it is not in the log and
+// never will be.
+type UnavailableError struct {
+	Key   claim.Key
+	Cause error
+}
+
+// Error implements error.
+func (e *UnavailableError) Error() string {
+	return fmt.Sprintf("key %s was not claimed: %v", e.Key, e.Cause)
+}
+
+// Unwrap returns the failure underneath.
+func (e *UnavailableError) Unwrap() error { return e.Cause }
+
+// UncertainError says that the caller stopped waiting for a claim or a
+// release that may be in the log. The ledger goes on with it: it releases
+// the claim if that turns out to have won, and appends the release.
+type UncertainError struct {
+	Claim claim.Claim
+	Cause error
+}
+
+// Error implements error.
+func (e *UncertainError) Error() string {
+	return fmt.Sprintf("claim %d of key %s is not settled: %v", e.Claim.Number, e.Claim.Key, e.Cause)
+}
+
+// Unwrap returns the failure underneath.
+func (e *UncertainError) Unwrap() error { return e.Cause }
+
+// NotReadyError says that the ledger does not know the claims of the last
+// lifetime. Nothing was claimed.
+type NotReadyError struct {
+	// Cause is nil while the ledger reads the stream for the first time,
+	// and a *HistoryError when records were missed.
+	Cause error
+}
+
+// Error implements error.
+func (e *NotReadyError) Error() string {
+	return fmt.Sprintf("the claim stream has not been read: %v", e.Cause)
+}
+
+// Unwrap returns the failure underneath.
+func (e *NotReadyError) Unwrap() error { return e.Cause }
+
+// HistoryError says that the log has removed records that may be younger
+// than the lifetime of keys. The ledger claims nothing until it has watched
+// the stream for a lifetime.
+type HistoryError struct {
+	// From is the first offset that was missed, First the oldest one kept.
+	From  uint64
+	First uint64
+}
+
+// Error implements error.
+func (e *HistoryError) Error() string {
+	return fmt.Sprintf("claim records %d to %d were removed before they were read", e.From, e.First)
+}
+
+// FingerprintError says that the key has been claimed for a request with
+// another payload.
+type FingerprintError struct {
+	Key    claim.Key
+	Winner claim.Claim
+}
+
+// Error implements error.
+func (e *FingerprintError) Error() string {
+	return fmt.Sprintf("key %s was claimed with another payload by %s", e.Key, e.Winner.Daemon)
+}
+
+// StoppedError says that the ledger has ended.
+type StoppedError struct{}
+
+// Error implements error.
+func (e *StoppedError) Error() string { return "the ledger has stopped" }
--- /dev/null
+++ b/ledger/ledger_test.go
@@ -0,0 +1,78 @@
+package ledger_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/goleak"
+	"k8s.io/klog/v2"
+
+	"github.com/cranberrywalk/cranberrywalk/claim"
+	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/ledger"
+	"github.com/cranberrywalk/cranberrywalk/telemetry"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var (
+	start = time.Date(2026, 1, 5, 6, 0, 0, 0, time.UTC)
+	key   = claim.NewKey("customer", "placement", "1")
+)
+
+// bench is a log, a fake clock and the daemons of one test.
+type bench struct {
+	*qt.C
+	clock *clockwork.FakeClock
+	log   *fakeLog
+}
+
+func newBench(t *testing.T) *bench {
+	fake := clock.NewFake(start)
+	return &bench{C: qt.New(t), clock: fake, log: newFakeLog(fake)}
+}
+
+// daemon starts a ledger and returns it with the function that kills it.
+func (b *bench) daemon(name string) (*ledger.Ledger, func()) {
+	options := ledger.DefaultOptions()
+	options.Daemon, options.Incarnation, options.FlushInterval = name, "1", 0
+	common := telemetry.Common{Log: klog.Background(), Metrics: metrics.NewRegistry(), Clock: b.clock, Events: telemetry.Discard{}}
+	l := ledger.New(common, b.log, options)
+	ctx, cancel := context.WithCancel(context.Background())
+	go l.Run(ctx)
+	kill := func() {
+		cancel()
+		<-l.Done()
+	}
+	b.Cleanup(kill)
+	<-l.Ready()
+	return l, kill
+}
+
+func TestFirstClaimInLogOrderWins(t *testing.T) {
+	b := newBench(t)
+	one, _ := b.daemon("one")
+	two, _ := b.daemon("two")
+
+	won, err := one.Claim(context.Background(), key, 7)
+	b.Assert(err, qt.IsNil)
+	b.Assert(won.Won, qt.IsTrue)
+	lost, err := two.Claim(context.Background(), key, 7)
+	b.Assert(err, qt.IsNil)
+	b.Assert(lost.Won, qt.IsFalse)
+	b.Assert(lost.Winner.IsSame(won.Claim), qt.IsTrue)
+
+	_, err = two.Claim(context.Background(), key, 8)
+	var other *ledger.FingerprintError
+	b.Assert(errors.As(err, &other), qt.IsTrue)
+
+	b.Assert(one.Release(context.Background(), won.Claim), qt.IsNil)
+	again, err := one.Claim(context.Background(), key, 8)
+	b.Assert(err, qt.IsNil)
+	b.Assert(again.Won, qt.IsTrue)
+}
--- /dev/null
+++ b/ledger/log_test.go
@@ -0,0 +1,115 @@
+package ledger_test
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+)
+
+// effect is what a fault does to one append.
+type effect int
+
+const (
+	works effect = iota
+	refuses
+	throttles
+	losesRequest
+	losesAnswer
+)
+
+// fakeLog is a log of one stream whose faults are set by the tests.
+type fakeLog struct {
+	clock clock.Clock
+
+	mu      sync.Mutex
+	records []platform.Record
+	first   uint64
+	// appends has the effects of the next appends; once it is empty, rest
+	// applies.
+	appends []effect
+	rest    effect
+	// readsDown makes reads fail.
+	readsDown bool
+	// changed is closed and replaced on every change.
+	changed chan struct{}
+	// tried gets a value for every append, after its effect.
+	tried chan effect
+}
+
+func newFakeLog(c clock.Clock) *fakeLog {
+	return &fakeLog{clock: c, changed: make(chan struct{}), tried: make(chan effect, 1000)}
+}
+
+// with changes the log under its lock and wakes the waiting reads.
+func (f *fakeLog) with(change func(*fakeLog)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f)
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *fakeLog) add(payload []byte) {
+	offset := f.first + uint64(len(f.records))
+	f.records = append(f.records, platform.Record{Offset: offset, Payload: payload, Time: f.clock.Now()})
+}
+
+// Append implements platform.Log.
+func (f *fakeLog) Append(_ context.Context, _ string, payloads [][]byte) (offset uint64, err error) {
+	f.with(func(f *fakeLog) {
+		now := f.rest
+		if len(f.appends) > 0 {
+			now, f.appends = f.appends[0], f.appends[1:]
+		}
+		offset = f.first + uint64(len(f.records))
+		if now == works || now == losesAnswer {
+			for _, payload := range payloads {
+				f.add(payload)
+			}
+		}
+		err = map[effect]error{
+			refuses:      &platform.UnavailableError{Service: "log"},
+			throttles:    &platform.ThrottledError{Service: "log"},
+			losesRequest: &platform.UncertainError{Service: "log"},
+			losesAnswer:  &platform.UncertainError{Service: "log"},
+		}[now]
+		f.tried <- now
+	})
+	return offset, err
+}
+
+// Read implements platform.Log. It waits for a change, not for a time.
+func (f *fakeLog) Read(ctx context.Context, _ string, from uint64, limit int, wait time.Duration) (platform.Batch, error) {
+	for {
+		f.mu.Lock()
+		batch, changed, err := f.read(from, limit)
+		f.mu.Unlock()
+		if err != nil || len(batch.Records) > 0 || wait == 0 {
+			return batch, err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return platform.Batch{}, &platform.UnavailableError{Service: "log", Cause: ctx.Err()}
+		}
+	}
+}
+
+func (f *fakeLog) read(from uint64, limit int) (platform.Batch, chan struct{}, error) {
+	if f.readsDown {
+		return platform.Batch{}, nil, &platform.UnavailableError{Service: "log"}
+	}
+	if from < f.first {
+		return platform.Batch{}, nil, &platform.TrimmedError{Stream: "Claims", From: from, First: f.first}
+	}
+	next := f.first + uint64(len(f.records))
+	batch := platform.Batch{First: f.first, Next: next}
+	if from < next {
+		batch.Records = f.records[from-f.first:]
+		batch.Records = batch.Records[:min(limit, len(batch.Records))]
+	}
+	return batch, f.changed, nil
+}
