--- /dev/null
+++ b/backend/stream.go
@@ -0,0 +1,150 @@
+package backend
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"mime"
+)
+
+// streamBuffer is the read buffer of a stream, in bytes.
+const streamBuffer = 4096
+
+// done is the payload of the last event of a stream.
+var done = []byte("[DONE]")
+
+// Chunk is one event of a streamed model answer.
+type Chunk struct {
+	// Payload is the event's data without its framing.
+	Payload []byte
+	// Last is true for the end event, which has no further fields.
+	Last bool
+	ChunkFields
+}
+
+// ChunkFields are the fields of an OpenAI-style chunk that the system reads.
+type ChunkFields struct {
+	ID      string   `json:"id"`
+	Created int64    `json:"created"`
+	Choices []Choice `json:"choices"`
+	Usage   *Usage   `json:"usage"`
+}
+
+// Choice is one of the alternatives in a chunk.
+type Choice struct {
+	Index        int                        `json:"index"`
+	Delta        map[string]json.RawMessage `json:"delta"`
+	Text         string                     `json:"text"`
+	FinishReason *string                    `json:"finish_reason"`
+}
+
+// Usage counts the tokens of an answer.
+type Usage struct {
+	PromptTokens     int           `json:"prompt_tokens"`
+	CompletionTokens int           `json:"completion_tokens"`
+	TotalTokens      int           `json:"total_tokens"`
+	Details          *PromptDetail `json:"prompt_tokens_details,omitempty"`
+}
+
+// PromptDetail says how much of the prompt was not computed anew.
+type PromptDetail struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+// Cached returns the number of cached prompt tokens.
+func (u Usage) Cached() int {
+	if u.Details == nil {
+		return 0
+	}
+	return u.Details.CachedTokens
+}
+
+// UsageOf returns the usage in a whole model answer, or nil.
+func UsageOf(body []byte) *Usage {
+	var fields ChunkFields
+	if json.Unmarshal(body, &fields) != nil {
+		return nil
+	}
+	return fields.Usage
+}
+
+// IsStream reports whether the answer is a stream of server-sent events.
+func (a *Answer) IsStream() bool {
+	kind, _, err := mime.ParseMediaType(a.response.Header.Get("Content-Type"))
+	return err == nil && kind == "text/event-stream"
+}
+
+// Next returns the next whole event. After the Last one the exchange is
+// over. Every error is a *FaultError.
+func (a *Answer) Next() (Chunk, error) {
+	if a.reader == nil {
+		body := io.LimitReader(a.response.Body, int64(a.link.options.MaxAnswerBytes)+1)
+		a.reader = bufio.NewReaderSize(body, streamBuffer)
+	}
+	payload, err := a.nextPayload()
+	if err != nil {
+		var length *LengthError
+		if errors.As(err, &length) {
+			return Chunk{}, a.fail(TooLarge, err)
+		}
+		return Chunk{}, a.fail(Truncated, err)
+	}
+	if bytes.Equal(payload, done) {
+		a.drain()
+		return Chunk{Payload: payload, Last: true}, nil
+	}
+	chunk := Chunk{Payload: payload}
+	if err := json.Unmarshal(payload, &chunk.ChunkFields); err != nil {
+		return Chunk{}, a.fail(Malformed, err)
+	}
+	if want := ChunkIDPrefix + a.call.ID; chunk.ID != want {
+		return Chunk{}, a.fail(Foreign, &IdentityError{Want: want, Got: chunk.ID})
+	}
+	return chunk, nil
+}
+
+// nextPayload reads up to the blank line that ends an event with data.
+func (a *Answer) nextPayload() ([]byte, error) {
+	var payload []byte
+	var found bool
+	for {
+		line, err := a.reader.ReadBytes('\n')
+		a.bytes += len(line)
+		if a.bytes > a.link.options.MaxAnswerBytes {
+			return nil, &LengthError{Bytes: a.link.options.MaxAnswerBytes}
+		}
+		if err == io.EOF {
+			return nil, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return nil, err
+		}
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 && found {
+			return payload, nil
+		}
+		if data, ok := bytes.CutPrefix(line, []byte("data:")); ok {
+			if found {
+				payload = append(payload, '\n')
+			}
+			payload = append(payload, bytes.TrimPrefix(data, []byte(" "))...)
+			found = true
+		}
+	}
+}
+
+// drain ends the exchange after the end event. The connection returns to the
+// pool when its body ends there; otherwise it is closed, so that what comes
+// behind cannot reach another request.
+func (a *Answer) drain() {
+	a.link.drains.Go(func() {
+		rest, err := io.ReadAll(io.LimitReader(a.reader, 1))
+		if err != nil || len(rest) > 0 {
+			a.Close()
+			return
+		}
+		a.finish()
+	})
+}
--- /dev/null
+++ b/dispatch/body.go
@@ -0,0 +1,96 @@
+package dispatch
+
+import (
+	"encoding/json"
+
+	"github.com/cranberrywalk/cranberrywalk/request"
+)
+
+// uncontinuable are the fields of a model call whose effect on the rest of an
+// answer depends on state that a continuation does not carry.
+var uncontinuable = []string{
+	"tools", "functions", "logprobs", "top_logprobs", "response_format",
+	"continue_final_message", "echo", "suffix", "best_of",
+}
+
+// modelBody is the body of a model call.
+type modelBody struct {
+	request request.Request
+	// fields is nil when the body is not a JSON object.
+	fields object
+}
+
+// message is one turn of a chat.
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+func parseBody(r request.Request) modelBody {
+	return modelBody{request: r, fields: parseObject(r.Body)}
+}
+
+// continuable reports whether an engine can continue an answer to the call.
+func (b modelBody) continuable() bool {
+	if b.fields == nil || !b.request.Idempotent {
+		return false
+	}
+	for _, name := range uncontinuable {
+		if value, found := b.fields[name]; found && string(value) != "null" && string(value) != "false" {
+			return false
+		}
+	}
+	var choices int
+	if value, found := b.fields["n"]; found && (json.Unmarshal(value, &choices) != nil || choices != 1) {
+		return false
+	}
+	if b.request.Kind == request.Completion {
+		var prompt string
+		return json.Unmarshal(b.fields["prompt"], &prompt) == nil
+	}
+	var messages []json.RawMessage
+	return json.Unmarshal(b.fields["messages"], &messages) == nil
+}
+
+// first returns the body of the first attempt.
+func (b modelBody) first() []byte {
+	if b.fields == nil {
+		return b.request.Body
+	}
+	return b.prioritised().encode(b.request.Body)
+}
+
+// prioritised returns the fields with the priority of the request. Engines
+// serve lower numbers first.
+func (b modelBody) prioritised() object {
+	fields := make(object, len(b.fields)+4)
+	for name, value := range b.fields {
+		fields[name] = value
+	}
+	fields.set("priority", -b.request.Priority)
+	return fields
+}
+
+// continuation returns the body that asks for what follows text. At most left
+// tokens follow, unless it is negative.
+func (b modelBody) continuation(text string, left int) []byte {
+	fields := b.prioritised()
+	if b.request.Kind == request.Completion {
+		var prompt string
+		_ = json.Unmarshal(fields["prompt"], &prompt)
+		fields.set("prompt", prompt+text)
+	} else {
+		var messages []json.RawMessage
+		_ = json.Unmarshal(fields["messages"], &messages)
+		last, _ := json.Marshal(message{Role: "assistant", Content: text})
+		fields.set("messages", append(messages, last))
+		fields.set("continue_final_message", true)
+		fields.set("add_generation_prompt", false)
+	}
+	for _, name := range []string{"max_tokens", "max_completion_tokens"} {
+		if _, found := fields[name]; found && left >= 0 {
+			fields.set(name, left)
+		}
+	}
+	return fields.encode(b.request.Body)
+}
--- /dev/null
+++ b/dispatch/transcript.go
@@ -0,0 +1,121 @@
+package dispatch
+
+import (
+	"encoding/json"
+
+	"github.com/cranberrywalk/cranberrywalk/backend"
+	"github.com/cranberrywalk/cranberrywalk/request"
+)
+
+// transcript is what the caller has of a streamed model answer. From it a
+// stream is continued at another engine.
+type transcript struct {
+	request request.Request
+	body    modelBody
+	limit   int
+	// text is what was passed on; its length is at most limit.
+	text []byte
+	// tokens counts the chunks with text, which are one token each.
+	tokens int
+	// earlier is the value of tokens when the current attempt began.
+	earlier int
+	// created is the time in the first chunk; all chunks carry it.
+	created json.RawMessage
+	// role is true when a chunk with the role was passed on.
+	role bool
+	// finish is true when a finish reason was passed on.
+	finish bool
+	// last is the last chunk that was passed on.
+	last []byte
+	// opaque is true when something was passed on that text cannot continue.
+	opaque bool
+}
+
+func newTranscript(r request.Request, limit int) *transcript {
+	t := &transcript{request: r, limit: limit}
+	if r.IsModelCall() {
+		t.body = parseBody(r)
+	}
+	return t
+}
+
+// resumable reports whether another engine can go on where the caller is.
+func (t *transcript) resumable() bool {
+	if t.opaque || t.finish {
+		return false
+	}
+	return t.tokens == 0 || t.body.continuable()
+}
+
+// complete reports whether the caller has the whole text.
+func (t *transcript) complete() bool {
+	return t.finish || (t.tokens > 0 && t.left() == 0 && !t.opaque)
+}
+
+// left returns how many tokens may still come, or -1 without a bound.
+func (t *transcript) left() int {
+	if t.request.MaxTokens <= 0 {
+		return -1
+	}
+	return max(t.request.MaxTokens-t.tokens, 0)
+}
+
+// nextBody returns the body of the next attempt.
+func (t *transcript) nextBody() []byte {
+	t.earlier = t.tokens
+	if !t.request.IsModelCall() {
+		return t.request.Body
+	}
+	if t.tokens == 0 {
+		return t.body.first()
+	}
+	return t.body.continuation(string(t.text), t.left())
+}
+
+// take adds a chunk and returns the payload that the caller gets, or nil.
+func (t *transcript) take(chunk backend.Chunk) []byte {
+	text, rest := textOf(t.request.Kind, chunk.ChunkFields)
+	finish := len(chunk.Choices) > 0 && chunk.Choices[0].FinishReason != nil
+	if t.role && text == "" && !finish && !rest && chunk.Usage == nil {
+		return nil
+	}
+	payload := chunk.Payload
+	if t.last != nil {
+		payload = t.rewrite(chunk)
+	} else {
+		t.created = createdOf(chunk.Payload)
+	}
+	t.opaque = t.opaque || rest || len(t.text)+len(text) > t.limit
+	t.role = true
+	t.finish = t.finish || finish
+	if text != "" && !t.opaque {
+		t.text = append(t.text, text...)
+	}
+	if text != "" {
+		t.tokens++
+	}
+	t.last = payload
+	return payload
+}
+
+// textOf returns the text of a chunk, and whether it holds more than text.
+func textOf(kind request.Kind, fields backend.ChunkFields) (string, bool) {
+	if len(fields.Choices) == 0 {
+		return "", false
+	}
+	choice := fields.Choices[0]
+	rest := len(fields.Choices) > 1 || choice.Index != 0
+	if kind == request.Completion {
+		return choice.Text, rest
+	}
+	var text string
+	for name, value := range choice.Delta {
+		switch {
+		case name == "content" && json.Unmarshal(value, &text) == nil:
+		case name == "role", string(value) == "null":
+		default:
+			rest = true
+		}
+	}
+	return text, rest
+}
--- /dev/null
+++ b/suspect/suspect.go
@@ -0,0 +1,171 @@
+// Package suspect recognises requests that crash the backend servers which
+// run them, by a fingerprint of their content. It has no input or output.
+package suspect
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Threshold is the number of crashes, over all daemons, after which a
+// request is refused.
+const Threshold = 2
+
+// Options bounds a book.
+type Options struct {
+	// Lifetime is how long a crash counts.
+	Lifetime time.Duration
+	// MaxEntries bounds the number of fingerprints.
+	MaxEntries int
+}
+
+// DefaultOptions returns the defaults.
+func DefaultOptions() Options {
+	return Options{Lifetime: 10 * time.Minute, MaxEntries: 1000}
+}
+
+// Entry tells what is known of one fingerprint. Entries of all daemons are
+// merged as sets of crashes, so that a repeated entry changes nothing.
+type Entry struct {
+	Fingerprint uint64
+	// Crashes holds the identities of distinct crashes in ascending order,
+	// at most Threshold of them.
+	Crashes []uint64
+	Expires time.Time
+}
+
+// Identity returns the identity of a crash: of one attempt of one request at
+// one backend server.
+func Identity(requestID, backend string, attempt int) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(requestID)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(backend)
+	_, _ = digest.Write([]byte{0, byte(attempt)})
+	return digest.Sum64()
+}
+
+// Book counts crashes by fingerprint. It is safe for use by several
+// goroutines.
+type Book struct {
+	options Options
+
+	mu sync.Mutex
+	// entries holds at most MaxEntries values.
+	entries map[uint64]Entry
+}
+
+// New returns an empty book.
+func New(options Options) *Book {
+	return &Book{options: options, entries: make(map[uint64]Entry)}
+}
+
+// Add records a crash and returns what is known of the fingerprint then.
+func (b *Book) Add(fingerprint, identity uint64, now time.Time) Entry {
+	crash := Entry{Fingerprint: fingerprint, Crashes: []uint64{identity}, Expires: now.Add(b.options.Lifetime)}
+	b.Merge([]Entry{crash}, now)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.entries[fingerprint]
+}
+
+// Merge takes in entries of other daemons and returns those that were news.
+func (b *Book) Merge(entries []Entry, now time.Time) []Entry {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var news []Entry
+	for _, entry := range entries {
+		if !now.Before(entry.Expires) || len(entry.Crashes) == 0 {
+			continue
+		}
+		if merged, changed := b.merge(entry, now); changed {
+			news = append(news, merged)
+		}
+	}
+	return news
+}
+
+func (b *Book) merge(entry Entry, now time.Time) (Entry, bool) {
+	expires := minTime(entry.Expires, now.Add(b.options.Lifetime))
+	known, found := b.entries[entry.Fingerprint]
+	if !found || !now.Before(known.Expires) {
+		known = Entry{Fingerprint: entry.Fingerprint}
+		b.makeRoom(now)
+	}
+	crashes := union(known.Crashes, entry.Crashes)
+	if slices.Equal(crashes, known.Crashes) {
+		return known, false
+	}
+	merged := Entry{Fingerprint: entry.Fingerprint, Crashes: crashes, Expires: maxTime(known.Expires, expires)}
+	b.entries[entry.Fingerprint] = merged
+	return merged, true
+}
+
+// makeRoom removes what has expired and, in a full book, the entry that
+// expires first.
+func (b *Book) makeRoom(now time.Time) {
+	if len(b.entries) < b.options.MaxEntries {
+		return
+	}
+	var oldest *Entry
+	for fingerprint, entry := range b.entries {
+		if !now.Before(entry.Expires) {
+			delete(b.entries, fingerprint)
+			continue
+		}
+		if oldest == nil || entry.Expires.Before(oldest.Expires) {
+			oldest = &entry
+		}
+	}
+	if len(b.entries) >= b.options.MaxEntries && oldest != nil {
+		delete(b.entries, oldest.Fingerprint)
+	}
+}
+
+// Refused reports whether requests with the fingerprint are refused.
+func (b *Book) Refused(fingerprint uint64, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	entry, found := b.entries[fingerprint]
+	return found && now.Before(entry.Expires) && len(entry.Crashes) >= Threshold
+}
+
+// Entries returns what has not expired, by fingerprint.
+func (b *Book) Entries(now time.Time) []Entry {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var entries []Entry
+	for _, entry := range b.entries {
+		if now.Before(entry.Expires) {
+			entries = append(entries, entry)
+		}
+	}
+	slices.SortFunc(entries, func(x, y Entry) int { return cmp.Compare(x.Fingerprint, y.Fingerprint) })
+	return entries
+}
+
+// union returns the first Threshold values that x or y holds, ascending.
+func union(x, y []uint64) []uint64 {
+	all := slices.Concat(x, y)
+	slices.Sort(all)
+	all = slices.Compact(all)
+	return all[:min(len(all), Threshold)]
+}
+
+func minTime(x, y time.Time) time.Time {
+	if x.Before(y) {
+		return x
+	}
+	return y
+}
+
+func maxTime(x, y time.Time) time.Time {
+	if x.After(y) {
+		return x
+	}
+	return y
+}
