Connect watermill to the log service

The configuration is read from the platform's log through watermill. It says when it has caught up with the log, because a daemon may serve only with a configuration.

The publisher does not retry: what an uncertain append means is known to its caller only. clockwork.WithTimeout was ruled out: Err of its context blocks until the context is done, and its deadline by a fake clock is compared with the machine's clock by net/http.

--- /dev/null
+++ b/logstream/errors.go
@@ -0,0 +1,24 @@
+package logstream
+
+import "fmt"
+
+// ClosedError says that a publisher or a subscriber was used after Close.
+type ClosedError struct {
+	Topic string
+}
+
+// Error implements error.
+func (e *ClosedError) Error() string {
+	return fmt.Sprintf("topic %s was used after the stream was closed", e.Topic)
+}
+
+// MetadataError says that a message lacks metadata or has it malformed.
+type MetadataError struct {
+	Key   string
+	Value string
+}
+
+// Error implements error.
+func (e *MetadataError) Error() string {
+	return fmt.Sprintf("metadata %s of the message is %q", e.Key, e.Value)
+}
--- /dev/null
+++ b/logstream/fake_test.go
@@ -0,0 +1,130 @@
+package logstream_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+
+	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/logstream"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/telemetry"
+)
+
+const topic = "Plans"
+
+// options have no timeout, so that the pauses are the only timers.
+func options() logstream.Options {
+	o := logstream.DefaultOptions()
+	o.Timeout = 0
+	return o
+}
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// errHang is a failure that makes a read wait until its context ends.
+var errHang = errors.New("hang")
+
+// fakeLog is a log of one stream in memory. Reads fail with the errors in
+// failures first.
+type fakeLog struct {
+	mu       sync.Mutex
+	first    uint64
+	payloads []string
+	failures []error
+	appended chan struct{}
+}
+
+func newFakeLog(payloads ...string) *fakeLog {
+	return &fakeLog{payloads: payloads, appended: make(chan struct{}, 100)}
+}
+
+func (f *fakeLog) Append(_ context.Context, _ string, payloads [][]byte) (uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	offset := f.first + uint64(len(f.payloads))
+	for _, payload := range payloads {
+		f.payloads = append(f.payloads, string(payload))
+	}
+	f.appended <- struct{}{}
+	return offset, nil
+}
+
+// Read waits for the next append, whatever the time.
+func (f *fakeLog) Read(ctx context.Context, _ string, from uint64, limit int, wait time.Duration) (platform.Batch, error) {
+	batch, err := f.batch(from, limit)
+	if errors.Is(err, errHang) {
+		<-ctx.Done()
+		return platform.Batch{}, &platform.UnavailableError{Service: "log", Cause: context.Cause(ctx)}
+	}
+	if err != nil || len(batch.Records) > 0 || wait == 0 {
+		return batch, err
+	}
+	select {
+	case <-f.appended:
+		return f.batch(from, limit)
+	case <-ctx.Done():
+		return platform.Batch{}, &platform.UnavailableError{Service: "log", Cause: ctx.Err()}
+	}
+}
+
+func (f *fakeLog) batch(from uint64, limit int) (platform.Batch, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.failures) > 0 {
+		failure := f.failures[0]
+		f.failures = f.failures[1:]
+		return platform.Batch{}, failure
+	}
+	if from < f.first {
+		return platform.Batch{}, &platform.TrimmedError{Stream: topic, From: from, First: f.first}
+	}
+	batch := platform.Batch{First: f.first, Next: f.first + uint64(len(f.payloads))}
+	for offset := from; offset < batch.Next && len(batch.Records) < limit; offset++ {
+		payload := []byte(f.payloads[offset-f.first])
+		batch.Records = append(batch.Records, platform.Record{Offset: offset, Payload: payload, Time: start})
+	}
+	return batch, nil
+}
+
+// driver runs a subscription against a fake log.
+type driver struct {
+	*qt.C
+	clock      *clockwork.FakeClock
+	common     telemetry.Common
+	subscriber *logstream.Subscriber
+	messages   <-chan *message.Message
+}
+
+func newDriver(t *testing.T, log platform.Log, options logstream.Options) *driver {
+	d := &driver{C: qt.New(t), clock: clock.NewFake(start), common: telemetry.NewCommon()}
+	d.common.Clock = d.clock
+	d.subscriber = logstream.NewSubscriber(d.common, log, options)
+	messages, err := d.subscriber.Subscribe(context.Background(), topic)
+	d.Assert(err, qt.IsNil)
+	d.messages = messages
+	d.Cleanup(func() { d.Check(d.subscriber.Close(), qt.IsNil) })
+	return d
+}
+
+// expect takes and acknowledges messages with these payloads.
+func (d *driver) expect(payloads ...string) {
+	for _, payload := range payloads {
+		m := <-d.messages
+		d.Assert(string(m.Payload), qt.Equals, payload)
+		m.Ack()
+	}
+}
+
+// passBackoff lets the pause after one failed read pass.
+func (d *driver) passBackoff() {
+	d.Assert(d.clock.BlockUntilContext(context.Background(), 1), qt.IsNil)
+	d.clock.Advance(2 * options().MaxBackoff)
+}
--- /dev/null
+++ b/logstream/publisher.go
@@ -0,0 +1,68 @@
+package logstream
+
+import (
+	"context"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+
+	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/telemetry"
+)
+
+// Publisher appends messages to the log. It does not retry: the caller has to
+// decide what a *platform.UncertainError means for its messages.
+type Publisher struct {
+	telemetry.Common
+	log     platform.Log
+	timeout time.Duration
+	closed  atomic.Bool
+}
+
+var _ message.Publisher = (*Publisher)(nil)
+
+// NewPublisher returns a publisher whose appends take at most timeout;
+// 0 sets no bound.
+func NewPublisher(common telemetry.Common, log platform.Log, timeout time.Duration) *Publisher {
+	return &Publisher{Common: common, log: log, timeout: timeout}
+}
+
+// Publish implements message.Publisher. All messages go into one append, which
+// takes the context of the first message. Each message gets its offset as
+// metadata.
+func (p *Publisher) Publish(topic string, messages ...*message.Message) error {
+	if p.closed.Load() {
+		return &ClosedError{Topic: topic}
+	}
+	if len(messages) == 0 {
+		return nil
+	}
+	payloads := make([][]byte, 0, len(messages))
+	for _, m := range messages {
+		payloads = append(payloads, m.Payload)
+	}
+	first, err := p.append(messages[0].Context(), topic, payloads)
+	if err != nil {
+		p.Count("Logstream.AppendsFailed", 1)
+		return err
+	}
+	p.Count("Logstream.Appends", 1)
+	for i, m := range messages {
+		m.Metadata.Set(MetadataOffset, strconv.FormatUint(first+uint64(i), 10))
+	}
+	return nil
+}
+
+func (p *Publisher) append(ctx context.Context, topic string, payloads [][]byte) (uint64, error) {
+	ctx, cancel := withTimeout(ctx, p.Clock, p.timeout)
+	defer cancel()
+	return p.log.Append(ctx, topic, payloads)
+}
+
+// Close implements message.Publisher. Appends that are in progress go on.
+func (p *Publisher) Close() error {
+	p.closed.Store(true)
+	return nil
+}
--- /dev/null
+++ b/logstream/reader.go
@@ -0,0 +1,199 @@
+package logstream
+
+import (
+	"context"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/cenkalti/backoff/v5"
+	"github.com/pkg/errors"
+
+	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/telemetry"
+)
+
+// reader is one subscription. It runs on one goroutine.
+type reader struct {
+	telemetry.Common
+	log     platform.Log
+	options Options
+	topic   string
+	// next is the offset of the next record to deliver. All records below
+	// it are acknowledged.
+	next uint64
+	// caughtUp is true while the last read found no record behind next. Only
+	// then does a read wait for new records.
+	caughtUp bool
+	// failing is true from a failed read until the next good one.
+	failing bool
+	backoff *backoff.ExponentialBackOff
+	output  chan *message.Message
+}
+
+func newReader(s *Subscriber, topic string) *reader {
+	r := &reader{
+		Common:  s.Common,
+		log:     s.log,
+		options: s.options,
+		topic:   topic,
+		backoff: newBackoff(s.options),
+		output:  make(chan *message.Message),
+	}
+	if s.options.From != nil {
+		r.next = s.options.From(topic)
+	}
+	return r
+}
+
+func newBackoff(options Options) *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = options.MinBackoff
+	b.MaxInterval = options.MaxBackoff
+	b.Multiplier = 2
+	b.Reset()
+	return b
+}
+
+// run reads and delivers until ctx ends. It closes output.
+func (r *reader) run(ctx context.Context) {
+	defer close(r.output)
+	for ctx.Err() == nil {
+		if err := r.step(ctx); err != nil {
+			r.pause(ctx, err)
+		}
+	}
+}
+
+// step reads and delivers one batch, or goes on behind trimmed records.
+func (r *reader) step(ctx context.Context) error {
+	batch, err := r.read(ctx)
+	var trimmed *platform.TrimmedError
+	if errors.As(err, &trimmed) {
+		return r.skip(ctx, trimmed)
+	}
+	if err != nil {
+		return err
+	}
+	r.succeeded()
+	r.deliver(ctx, batch)
+	return nil
+}
+
+// read returns the next batch. A read of a backlog does not wait.
+func (r *reader) read(ctx context.Context) (platform.Batch, error) {
+	wait := time.Duration(0)
+	if r.caughtUp {
+		wait = r.options.Wait
+	}
+	timeout := r.options.Timeout
+	if timeout > 0 {
+		timeout += wait
+	}
+	ctx, cancel := withTimeout(ctx, r.Clock, timeout)
+	defer cancel()
+	r.Count("Logstream.Reads", 1)
+	return r.log.Read(ctx, r.topic, r.next, r.options.ReadLimit, wait)
+}
+
+// skip goes on behind the records that retention has removed.
+func (r *reader) skip(ctx context.Context, trimmed *platform.TrimmedError) error {
+	r.Count("Logstream.Trimmed", 1)
+	r.Log.Info("records were trimmed", "topic", r.topic, "from", trimmed.From, "first", trimmed.First)
+	next := trimmed.First
+	if r.options.Trimmed != nil {
+		restored, err := r.options.Trimmed(ctx, trimmed)
+		if err != nil {
+			return errors.Wrap(err, "restore after trimmed records")
+		}
+		next = restored
+	}
+	if next < trimmed.First {
+		return &platform.TrimmedError{Stream: r.topic, From: next, First: trimmed.First}
+	}
+	r.next = next
+	r.caughtUp = false
+	return nil
+}
+
+// pause waits before the next read.
+func (r *reader) pause(ctx context.Context, cause error) {
+	if ctx.Err() != nil {
+		return
+	}
+	r.Count("Logstream.ReadsFailed", 1)
+	if !r.failing {
+		r.failing = true
+		r.Log.Error(cause, "reads fail", "topic", r.topic, "next", r.next)
+	}
+	r.caughtUp = false
+	// The error of an ended ctx is seen by the caller.
+	_ = clock.Sleep(ctx, r.Clock, r.backoff.NextBackOff())
+}
+
+func (r *reader) succeeded() {
+	if r.failing {
+		r.failing = false
+		r.Log.Info("reads succeed again", "topic", r.topic, "next", r.next)
+	}
+	r.backoff.Reset()
+}
+
+// deliver sends the records of a batch, and reports when there are no more.
+func (r *reader) deliver(ctx context.Context, batch platform.Batch) {
+	for _, record := range batch.Records {
+		if record.Offset < r.next {
+			continue
+		}
+		if !r.settle(ctx, record) {
+			return
+		}
+		r.next = record.Offset + 1
+	}
+	if batch.Next < r.next {
+		// The log has lost its end. New records get offsets that were
+		// delivered before, so that they are held back.
+		r.Count("Logstream.LogShrunk", 1)
+	}
+	r.caughtUp = r.next >= batch.Next
+	if r.caughtUp && r.options.CaughtUp != nil {
+		r.options.CaughtUp(r.topic, r.next)
+	}
+}
+
+// settle sends a record until it is acknowledged. It returns false when ctx
+// has ended first.
+func (r *reader) settle(ctx context.Context, record platform.Record) bool {
+	for {
+		acknowledged, ended := r.send(ctx, newMessage(r.topic, record))
+		if ended {
+			return false
+		}
+		if acknowledged {
+			r.Count("Logstream.Records", 1)
+			return true
+		}
+		r.Count("Logstream.Redeliveries", 1)
+		_ = clock.Sleep(ctx, r.Clock, r.options.MinBackoff)
+	}
+}
+
+// send delivers one message and waits for its acknowledgement.
+func (r *reader) send(ctx context.Context, m *message.Message) (acknowledged, ended bool) {
+	messageCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	m.SetContext(messageCtx)
+	select {
+	case r.output <- m:
+	case <-ctx.Done():
+		return false, true
+	}
+	select {
+	case <-m.Acked():
+		return true, false
+	case <-m.Nacked():
+		return false, false
+	case <-ctx.Done():
+		return false, true
+	}
+}
--- /dev/null
+++ b/logstream/subscriber.go
@@ -0,0 +1,136 @@
+package logstream
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+
+	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/telemetry"
+)
+
+// Options configure a subscriber.
+type Options struct {
+	// From returns the offset that a subscription of a topic starts at.
+	// Without it, a subscription starts at offset 0.
+	From func(topic string) uint64
+	// Trimmed is called when retention has removed the next record. It
+	// returns the offset to go on at, or an error to be called again after
+	// a backoff. Without it, a subscription goes on at the first record
+	// that is kept. The messages that were delivered before are settled.
+	Trimmed func(ctx context.Context, trimmed *platform.TrimmedError) (uint64, error)
+	// CaughtUp is called when every record up to next has been delivered and
+	// acknowledged, and the log had no further one.
+	CaughtUp func(topic string, next uint64)
+	// ReadLimit is the number of records that are read at once.
+	ReadLimit int
+	// Wait is how long a read waits for new records.
+	Wait time.Duration
+	// Timeout bounds a read, beyond Wait; 0 sets no bound.
+	Timeout time.Duration
+	// MinBackoff and MaxBackoff bound the pauses between failed reads.
+	MinBackoff time.Duration
+	MaxBackoff time.Duration
+}
+
+// DefaultOptions returns options that follow the log closely.
+func DefaultOptions() Options {
+	return Options{
+		ReadLimit:  500,
+		Wait:       time.Second,
+		Timeout:    2 * time.Second,
+		MinBackoff: 50 * time.Millisecond,
+		MaxBackoff: 2 * time.Second,
+	}
+}
+
+// Subscriber delivers the records of streams in order, each until it is
+// acknowledged. It survives outages of the log.
+type Subscriber struct {
+	telemetry.Common
+	log     platform.Log
+	options Options
+	// done is closed when all subscriptions have ended after Close.
+	done chan struct{}
+
+	mu     sync.Mutex
+	closed bool
+	// cancels ends the subscriptions by number.
+	cancels map[int]context.CancelFunc
+	number  int
+	readers sync.WaitGroup
+}
+
+var _ message.Subscriber = (*Subscriber)(nil)
+
+// NewSubscriber returns a subscriber without subscriptions.
+func NewSubscriber(common telemetry.Common, log platform.Log, options Options) *Subscriber {
+	return &Subscriber{
+		Common:  common,
+		log:     log,
+		options: options,
+		done:    make(chan struct{}),
+		cancels: map[int]context.CancelFunc{},
+	}
+}
+
+// Subscribe implements message.Subscriber. The channel is closed when ctx ends
+// or after Close.
+func (s *Subscriber) Subscribe(ctx context.Context, topic string) (<-chan *message.Message, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return nil, &ClosedError{Topic: topic}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	s.number++
+	number := s.number
+	s.cancels[number] = cancel
+	r := newReader(s, topic)
+	s.readers.Add(1)
+	go func() {
+		defer s.readers.Done()
+		defer s.forget(number)
+		r.run(ctx)
+	}()
+	return r.output, nil
+}
+
+// forget releases what belongs to a subscription that has ended.
+func (s *Subscriber) forget(number int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cancels[number]()
+	delete(s.cancels, number)
+}
+
+// Close implements message.Subscriber. It returns when all subscriptions have
+// ended.
+func (s *Subscriber) Close() error {
+	if s.beginClose() {
+		s.readers.Wait()
+		close(s.done)
+	}
+	<-s.done
+	return nil
+}
+
+// beginClose cancels the subscriptions. It returns false when Close was
+// called before.
+func (s *Subscriber) beginClose() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.closed = true
+	for _, cancel := range s.cancels {
+		cancel()
+	}
+	return true
+}
+
+// Done is closed when all subscriptions have ended after Close.
+func (s *Subscriber) Done() <-chan struct{} { return s.done }
