--- a/plan/fold_test.go
+++ b/plan/fold_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/cranberrywalk/cranberrywalk/plan"
+	"github.com/cranberrywalk/cranberrywalk/platform"
 )
 
 func hashOf(key string) string {
@@ -115,3 +116,49 @@
 		})
 	}
 }
+
+func TestSnapshotIsUsedOnlyAcrossGap(t *testing.T) {
+	c := qt.New(t)
+	old, _ := foldAll(payloadOf(c, publishPlans("1", 0, planOf("gold", "k1"))))
+	current, _ := old.Fold(1, payloadOf(c, publishPlans("2", 1, planOf("silver", "k1"))))
+	damaged := append([]byte{}, current.Snapshot()...)
+	damaged[len(damaged)/2] ^= 1
+
+	for _, scenario := range []struct {
+		name     string
+		state    plan.State
+		offset   uint64
+		snapshot []byte
+		accepted bool
+		then     uint64
+	}{
+		{"late and old at its turn", current, 2, old.Snapshot(), false, 3},
+		{"doubled", current, 1, current.Snapshot(), false, 2},
+		{"old after a gap", current, 9, old.Snapshot(), false, 2},
+		{"damaged after a gap", plan.State{}, 9, damaged, false, 0},
+		{"cut short after a gap", plan.State{}, 9, current.Snapshot()[:40], false, 0},
+		{"newer than its own record", plan.State{}, 1, current.Snapshot(), false, 0},
+		{"newer after a gap", plan.State{}, 9, current.Snapshot(), true, 2},
+	} {
+		c.Run(scenario.name, func(c *qt.C) {
+			state, verdict := scenario.state.Fold(scenario.offset, scenario.snapshot)
+			c.Assert(verdict.Accepted, qt.Equals, scenario.accepted)
+			c.Assert(verdict.Err == nil, qt.Equals, scenario.accepted)
+			c.Assert(state.Offset(), qt.Equals, scenario.then)
+		})
+	}
+}
+
+func TestRecordAfterGapIsNotFolded(t *testing.T) {
+	c := qt.New(t)
+	follower := plan.NewFollower(plan.State{}).WithTrimmed(4)
+	c.Assert(follower.HasGap(), qt.IsTrue)
+
+	follower, verdict := follower.Fold(platform.Record{Offset: 4, Payload: payloadOf(c, publishPlans("1", 0))})
+	c.Assert(verdict.Err, qt.DeepEquals, &plan.GapError{Expected: 0, Offset: 4})
+	c.Assert(follower.From(), qt.Equals, uint64(5))
+
+	follower, _ = follower.Fold(platform.Record{Offset: 5, Payload: plan.NewStateAt(5).Snapshot()})
+	c.Assert(follower.HasGap(), qt.IsFalse)
+	c.Assert(follower.From(), qt.Equals, uint64(5))
+}
--- /dev/null
+++ b/plan/property_test.go
@@ -0,0 +1,179 @@
+package plan_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/cranberrywalk/cranberrywalk/plan"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+)
+
+// changes makes changes of small lists, so that bases, identities and keys
+// collide often.
+func changes(t *rapid.T, newest uint64) plan.Change {
+	change := plan.Change{
+		Identity: fmt.Sprint(rapid.IntRange(1, 40).Draw(t, "identity")),
+		Base:     rapid.Uint64Range(0, newest).Draw(t, "base"),
+		List:     rapid.SampledFrom([]plan.ListName{plan.ListPlans, plan.ListAllowances}).Draw(t, "list"),
+		Kind:     rapid.SampledFrom([]plan.Kind{plan.KindPublish, plan.KindAmend, plan.KindRemove}).Draw(t, "kind"),
+	}
+	name := fmt.Sprint("p", rapid.IntRange(0, 3).Draw(t, "entry"))
+	switch {
+	case change.Kind == plan.KindRemove:
+		change.Entry = name
+	case change.List == plan.ListPlans:
+		change.Plans = []plan.Plan{planOf(name, fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "key")))}
+	default:
+		change.Allowances = []plan.Allowance{{Plan: name, Models: []string{"m"}}}
+	}
+	return change
+}
+
+// streams makes the records of a stream: changes, damaged ones and
+// snapshots of any earlier state. A base is mostly the current version.
+func streams(t *rapid.T) []platform.Record {
+	states := []plan.State{{}}
+	var records []platform.Record
+	for offset := range rapid.IntRange(1, 30).Draw(t, "records") {
+		state := states[len(states)-1]
+		change := changes(t, uint64(offset))
+		if rapid.IntRange(0, 2).Draw(t, "fresh") > 0 {
+			change.Base = state.Version(change.List)
+		}
+		payload, _ := json.Marshal(change)
+		switch rapid.IntRange(0, 9).Draw(t, "shape") {
+		case 0:
+			payload = rapid.SampledFrom(states).Draw(t, "snapshot").Snapshot()
+		case 1:
+			payload = rapid.SliceOfN(rapid.Byte(), 0, 20).Draw(t, "bytes")
+		case 2:
+			payload = payload[:rapid.IntRange(0, len(payload)).Draw(t, "cut")]
+		}
+		records = append(records, platform.Record{Offset: uint64(offset), Payload: payload})
+		state, _ = state.Fold(uint64(offset), payload)
+		states = append(states, state)
+	}
+	return records
+}
+
+func foldRecords(records []platform.Record) plan.State {
+	var state plan.State
+	for _, record := range records {
+		state, _ = state.Fold(record.Offset, record.Payload)
+	}
+	return state
+}
+
+// isSame compares what can be seen of two states and what they remember.
+func isSame(a, b plan.State) bool {
+	return reflect.DeepEqual(a.Snapshot(), b.Snapshot())
+}
+
+func TestDaemonsAgreeWhateverIsRepeatedOrTrimmed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records := streams(t)
+		want := foldRecords(records)
+		follower := plan.NewFollower(plan.State{})
+		steps := 0
+		for trimmed := uint64(0); follower.From() < uint64(len(records)); steps++ {
+			if steps > 10_000 {
+				t.Fatalf("the follower does not come to an end at %d", follower.From())
+			}
+			// Retention moves on while the follower reads.
+			if rapid.IntRange(0, 9).Draw(t, "trim") == 0 {
+				trimmed = rapid.Uint64Range(trimmed, uint64(len(records)-1)).Draw(t, "first")
+			}
+			if follower.From() < trimmed {
+				follower = follower.WithTrimmed(trimmed)
+			}
+			before := follower.State().Offset()
+			offset := follower.From()
+			if rapid.IntRange(0, 4).Draw(t, "old") == 0 {
+				offset = rapid.Uint64Range(0, offset).Draw(t, "offset")
+			}
+			follower, _ = follower.Fold(records[offset])
+			if follower.State().Offset() < before {
+				t.Fatalf("offset fell from %d to %d", before, follower.State().Offset())
+			}
+			if at := follower.State().Offset(); !isSame(follower.State(), foldRecords(records[:at])) {
+				t.Fatalf("state at %d differs from the fold of all records", at)
+			}
+		}
+		if !follower.HasGap() && !isSame(follower.State(), want) {
+			t.Fatalf("the follower ended with another state")
+		}
+	})
+}
+
+func TestOneOfRacingChangesWins(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		state := foldRecords(streams(t))
+		list := rapid.SampledFrom([]plan.ListName{plan.ListPlans, plan.ListAllowances}).Draw(t, "list")
+		accepted := 0
+		base := state.Version(list)
+		for racer := range rapid.IntRange(1, 5).Draw(t, "racers") {
+			change := plan.Change{Identity: fmt.Sprint("racer", racer), Base: base, List: list, Kind: plan.KindPublish}
+			payload, _ := change.Encode()
+			var verdict plan.Verdict
+			state, verdict = state.Fold(state.Offset(), payload)
+			if verdict.Accepted {
+				accepted++
+			}
+		}
+		if accepted != 1 {
+			t.Fatalf("%d of the racing changes were accepted", accepted)
+		}
+	})
+}
+
+func TestInquiryTellsOwnVerdict(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records := streams(t)
+		at := rapid.IntRange(0, len(records)-1).Draw(t, "own")
+		base := rapid.IntRange(0, at).Draw(t, "read")
+		inquiry := plan.NewInquiry(foldRecords(records[:base]), records[at].Payload)
+		_, want := foldRecords(records[:at]).Fold(records[at].Offset, records[at].Payload)
+		isFirst := true
+		for _, record := range records[base:] {
+			isFirst = isFirst && (record.Offset >= uint64(at) || string(record.Payload) != string(records[at].Payload))
+			inquiry = inquiry.Fold(record)
+		}
+		got, found := inquiry.Verdict()
+		if !found || (isFirst && !reflect.DeepEqual(got, want)) {
+			t.Fatalf("verdict %+v (found %t), want %+v", got, found, want)
+		}
+	})
+}
+
+func TestRestoreReadsAnyBytes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		snapshot := foldRecords(streams(t)).Snapshot()
+		at := rapid.IntRange(0, len(snapshot)-1).Draw(t, "at")
+		damaged := append([]byte{}, snapshot...)
+		damaged[at] ^= rapid.ByteRange(1, 255).Draw(t, "flip")
+		restored, err := plan.Restore(damaged)
+		intact, _ := plan.Restore(snapshot)
+		if err == nil && !isSame(restored, intact) {
+			t.Fatalf("a damaged snapshot was restored")
+		}
+	})
+}
+
+func TestFoldChangesNoEarlierState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		state := foldRecords(streams(t))
+		before := string(state.Snapshot())
+		one, _ := json.Marshal(changes(t, state.Offset()))
+		two, _ := json.Marshal(changes(t, state.Offset()))
+		first, _ := state.Fold(state.Offset(), one)
+		firstBefore := string(first.Snapshot())
+		_, _ = state.Fold(state.Offset(), two)
+		if before != string(state.Snapshot()) || firstBefore != string(first.Snapshot()) {
+			t.Fatalf("a fold wrote to a state that it was given")
+		}
+	})
+}
