Test the stand-ins, and count what backend servers run

NotRun is a promise about every backend server, so that the engine now counts the requests that it ran as the service does, with the time of the last one for checks of leaving servers. A misspelt name in a control request is refused: it used to switch off all faults in silence.

An engine that hangs on a request gives it up when it crashes or stops; a truncated answer without a stream now ends in the middle of its body and not before its head. A request that crashes the engine counts as run.

--- /dev/null
+++ b/standin/cloud/cloud_test.go
@@ -0,0 +1,122 @@
+package cloud_test
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/platformhttp"
+	"github.com/cranberrywalk/cranberrywalk/standin/cloud"
+)
+
+var (
+	start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	ctx   = context.Background()
+)
+
+// driver talks to a cloud with one runner through the clients.
+type driver struct {
+	*qt.C
+	clock   *clockwork.FakeClock
+	service *cloud.Cloud
+	list    *platformhttp.VMList
+	cloud   *platformhttp.Cloud
+	weights *platformhttp.WeightStore
+}
+
+func newDriver(t *testing.T) *driver {
+	d := &driver{C: qt.New(t), clock: clock.NewFake(start)}
+	d.service = cloud.New(d.clock, cloud.DefaultParameters(), []platform.VM{{Name: "runner-1"}})
+	server := httptest.NewServer(d.service)
+	d.Cleanup(server.Close)
+	d.list = platformhttp.NewVMList(server.URL, server.Client())
+	d.cloud = platformhttp.NewCloud(server.URL, server.Client())
+	d.weights = platformhttp.NewWeightStore(server.URL, server.Client())
+	return d
+}
+
+func (d *driver) vms() []platform.VM {
+	snapshot, err := d.list.VMs(ctx)
+	d.Assert(err, qt.IsNil)
+	return snapshot.VMs
+}
+
+func TestReclaimIsNoticedBeforeTheListShowsIt(t *testing.T) {
+	d := newDriver(t)
+	d.service.Reclaim([]string{"runner-1"}, 5*time.Second)
+
+	notices, err := d.cloud.Notices(ctx, 0, time.Second)
+
+	d.Assert(err, qt.IsNil)
+	d.Assert(notices, qt.DeepEquals, []platform.Notice{{Sequence: 1, VM: "runner-1", Deadline: start.Add(5 * time.Second)}})
+	d.Assert(d.vms()[0].Leaving, qt.IsFalse)
+	d.clock.Advance(cloud.DefaultParameters().ListLag)
+	d.Assert(d.vms()[0].Leaving, qt.IsTrue)
+}
+
+func TestPollWaitsForNotice(t *testing.T) {
+	d := newDriver(t)
+	polled := make(chan []platform.Notice, 1)
+	go func() {
+		notices, _ := d.cloud.Notices(ctx, 0, 20*time.Second)
+		polled <- notices
+	}()
+	d.Assert(d.clock.BlockUntilContext(ctx, 1), qt.IsNil)
+
+	d.service.Reclaim([]string{"runner-1"}, 0)
+
+	d.Assert(<-polled, qt.HasLen, 1)
+}
+
+func TestStartAndStop(t *testing.T) {
+	d := newDriver(t)
+	request := platform.StartRequest{Identity: "s1", Zone: "a", Class: "large", Reclaimable: true}
+	vm, err := d.cloud.Start(ctx, request)
+	d.Assert(err, qt.IsNil)
+	d.Assert(vm.Price, qt.Equals, 1.0)
+
+	again, err := d.cloud.Start(ctx, request)
+
+	d.Assert(err, qt.IsNil)
+	d.Assert(again, qt.DeepEquals, vm)
+	d.Assert(d.vms(), qt.HasLen, 1)
+	d.clock.Advance(time.Minute)
+	d.Assert(d.vms(), qt.HasLen, 2)
+	d.Assert(d.cloud.Stop(ctx, vm.Name), qt.IsNil)
+	d.Assert(d.cloud.Stop(ctx, vm.Name), qt.IsNil)
+	d.clock.Advance(time.Minute)
+	d.Assert(d.vms(), qt.HasLen, 1)
+}
+
+func TestFaults(t *testing.T) {
+	d := newDriver(t)
+	d.service.SetFaults(cloud.Faults{RefuseStarts: []string{"a"}})
+	_, err := d.cloud.Start(ctx, platform.StartRequest{Zone: "a"})
+	var refused *platform.RefusedError
+	d.Assert(errors.As(err, &refused), qt.IsTrue)
+	_, err = d.cloud.Start(ctx, platform.StartRequest{Zone: "b"})
+	d.Assert(err, qt.IsNil)
+
+	d.service.SetFaults(cloud.Faults{Outage: true})
+	_, err = d.list.VMs(ctx)
+	var unavailable *platform.UnavailableError
+	d.Assert(errors.As(err, &unavailable), qt.IsTrue)
+}
+
+func TestTransfersQueueForTheRate(t *testing.T) {
+	d := newDriver(t)
+	size, err := d.weights.Size(ctx, "teacher")
+	d.Assert(err, qt.IsNil)
+	for _, want := range []time.Duration{0, 8 * time.Second, 16 * time.Second} {
+		wait, err := d.weights.Reserve(ctx, size)
+		d.Assert(err, qt.IsNil)
+		d.Assert(wait, qt.Equals, want)
+	}
+}
--- a/standin/cloud/notices.go
+++ b/standin/cloud/notices.go
@@ -24,7 +24,7 @@
 // request takes them out.
 func (c *Cloud) announce(w http.ResponseWriter, r *http.Request) {
 	var request announcement
-	if !standin.Decode(w, r, &request) {
+	if !standin.DecodeStrictly(w, r, &request) {
 		return
 	}
 	c.Reclaim(request.VMs, time.Duration(request.Notice))
--- a/standin/engine/answer.go
+++ b/standin/engine/answer.go
@@ -22,20 +22,40 @@
 	fault        Fault
 	// after is the number of words before FaultTruncate and FaultStall.
 	after int
+	// words counts the words that were taken from the stream.
 	words int
 }
 
+// write sends the answer, as far as the fault lets it.
+func (a *answer) write(asEvents bool) {
+	if a.fault == FaultSilent {
+		a.hang()
+	}
+	a.identify()
+	if asEvents {
+		a.events()
+		return
+	}
+	a.whole()
+}
+
+// identify echoes the identity of the request.
+func (a *answer) identify() {
+	id := a.stream.id
+	if a.fault == FaultCross {
+		id = "foreign-" + id
+	}
+	a.id = "cmpl-" + id
+	a.w.Header().Set(requestIDHeader, id)
+}
+
 // next returns the next word, and false after the last one. It does not
-// return when the caller has left, the engine has crashed or a fault cuts the
-// answer off.
+// return when the caller has left or the engine has crashed or stopped.
 func (a *answer) next() (string, bool) {
-	if a.words == a.after {
-		switch a.fault {
-		case FaultTruncate:
-			standin.Abort()
-		case FaultStall:
-			standin.Hang(a.r)
-		}
+	select {
+	case <-a.engine.Crashed():
+		standin.Abort()
+	default:
 	}
 	select {
 	case next, ok := <-a.stream.words:
@@ -44,22 +64,52 @@
 		}
 		return next, ok
 	case <-a.r.Context().Done():
-		standin.Abort()
 	case <-a.engine.Crashed():
-		standin.Abort()
 	case <-a.engine.Done():
-		standin.Abort()
 	}
+	standin.Abort()
 	return "", false
 }
 
+// hang keeps the connection open without a further byte until the caller has
+// left or the engine has crashed or stopped. It does not return.
+func (a *answer) hang() {
+	select {
+	case <-a.r.Context().Done():
+	case <-a.engine.Crashed():
+	case <-a.engine.Done():
+	}
+	standin.Abort()
+}
+
+// cutOff ends a streamed answer after the number of words that the fault
+// lets through.
+func (a *answer) cutOff() {
+	if a.words < a.after {
+		return
+	}
+	switch a.fault {
+	case FaultTruncate:
+		standin.Abort()
+	case FaultStall:
+		a.hang()
+	}
+}
+
 // whole writes the answer as one JSON document.
 func (a *answer) whole() {
 	var text strings.Builder
 	for next, ok := a.next(); ok; next, ok = a.next() {
 		text.WriteString(next)
 	}
-	standin.Respond(a.w, http.StatusOK, a.completion(text.String(), true, false))
+	message := a.completion(text.String(), true, false)
+	switch a.fault {
+	case FaultStall:
+		a.hang()
+	case FaultTruncate:
+		standin.RespondTruncated(a.w, message)
+	}
+	standin.Respond(a.w, http.StatusOK, message)
 }
 
 // events writes the answer as server-sent events.
@@ -67,8 +117,10 @@
 	a.w.Header().Set("Content-Type", "text/event-stream")
 	a.w.WriteHeader(http.StatusOK)
 	a.flush()
+	a.cutOff()
 	for next, ok := a.next(); ok; next, ok = a.next() {
 		a.event(a.completion(next, false, true))
+		a.cutOff()
 	}
 	a.event(a.completion("", true, true))
 	_, _ = a.w.Write([]byte("data: [DONE]\n\n"))
--- a/standin/engine/completions.go
+++ b/standin/engine/completions.go
@@ -14,6 +14,9 @@
 // requestIDHeader carries the identity of a request in both directions.
 const requestIDHeader = "X-Request-Id"
 
+// maxAnswerTokens bounds the length of an answer.
+const maxAnswerTokens = 32_768
+
 // prompt is what an answer is computed from.
 type prompt struct {
 	// text is the whole prompt, which the prefix cache refers to.
@@ -73,9 +76,9 @@
 		refuse(w, http.StatusNotFound, fmt.Sprintf("model %q is not loaded", request.Model))
 		return
 	}
-	if e.isPoison(p.text) {
-		e.Crash()
-		standin.Abort()
+	if request.MaxTokens > maxAnswerTokens {
+		refuse(w, http.StatusBadRequest, "max_tokens is too large")
+		return
 	}
 	fault, after := e.nextFault()
 	if fault == FaultRefuse {
@@ -88,29 +91,15 @@
 		return
 	}
 	defer s.cancelled.Store(true)
-	if fault == FaultSilent {
-		standin.Hang(r)
+	e.runs.Record(r, e.clock.Now())
+	if e.isPoison(p.text) {
+		e.Crash()
 	}
 	a := &answer{
 		engine: e, w: w, r: r, stream: s, model: request.Model, isChat: p.isChat,
 		finishReason: finishReason(request), fault: fault, after: after,
 	}
-	a.identify()
-	if request.Stream {
-		a.events()
-		return
-	}
-	a.whole()
-}
-
-// identify echoes the identity of the request.
-func (a *answer) identify() {
-	id := a.stream.id
-	if a.fault == FaultCross {
-		id = "foreign-" + id
-	}
-	a.id = "cmpl-" + id
-	a.w.Header().Set(requestIDHeader, id)
+	a.write(request.Stream)
 }
 
 func (e *Engine) newStream(r *http.Request, request completionRequest, p prompt) *stream {
--- a/standin/engine/control.go
+++ b/standin/engine/control.go
@@ -49,11 +49,11 @@
 	standin.Respond(w, http.StatusOK, struct{}{})
 }
 
-// serves tells whether a model is loaded.
+// serves tells whether a model or an adapter of that name is loaded.
 func (e *Engine) serves(model string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return len(e.models) == 0 || slices.Contains(e.models, model)
+	return len(e.models) == 0 || slices.Contains(e.models, model) || slices.Contains(e.adapters, model)
 }
 
 func (e *Engine) exportKV(w http.ResponseWriter, r *http.Request) {
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -22,6 +22,7 @@
 	batch      *batch
 	faults     standin.Faults[Faults]
 	life       life
+	runs       standin.RunCounter
 
 	mu sync.Mutex
 	// models and adapters are loaded.
@@ -47,6 +48,7 @@
 	}
 	e.batch = newBatch(c, parameters, e.slowdown)
 	e.Handle("/control/faults", &e.faults)
+	e.Handle("/control/runs", &e.runs)
 	e.Post("/control/crash", func(http.ResponseWriter, *http.Request) { e.Crash() })
 	e.Post("/control/restart", func(http.ResponseWriter, *http.Request) { e.Restart() })
 	e.Group(e.routes)
@@ -54,6 +56,9 @@
 	return e
 }
 
+// Runs returns how often the engine ran each request.
+func (e *Engine) Runs() standin.Runs { return e.runs.Runs() }
+
 // Done is closed when the engine has stopped computing.
 func (e *Engine) Done() <-chan struct{} { return e.batch.done }
 
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -38,7 +38,7 @@
 func (f *Faults[F]) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.Method == http.MethodPost {
 		var faults F
-		if !Decode(w, r, &faults) {
+		if !DecodeStrictly(w, r, &faults) {
 			return
 		}
 		f.Set(faults)
--- a/standin/service/faults.go
+++ b/standin/service/faults.go
@@ -1,9 +1,7 @@
 package service
 
 import (
-	"encoding/json"
 	"net/http"
-	"strconv"
 
 	"github.com/cranberrywalk/cranberrywalk/standin"
 )
@@ -52,17 +50,8 @@
 	if id != "" {
 		w.Header().Set("X-Request-Id", id)
 	}
-	if fault != FaultTruncate {
-		standin.Respond(w, http.StatusOK, answer)
-		return
+	if fault == FaultTruncate {
+		standin.RespondTruncated(w, answer)
 	}
-	body, err := json.Marshal(answer)
-	if err != nil {
-		standin.Abort()
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	_, _ = w.Write(body[:len(body)/2])
-	_ = http.NewResponseController(w).Flush()
-	standin.Abort()
+	standin.Respond(w, http.StatusOK, answer)
 }
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -4,9 +4,8 @@
 
 import (
 	"io"
-	"maps"
 	"net/http"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -26,16 +25,6 @@
 	Delay time.Duration
 }
 
-// Runs counts the requests that a service has run.
-type Runs struct {
-	// Keys counts the runs of each Idempotency-Key.
-	Keys map[string]int
-	// Requests counts the runs of each X-Request-Id.
-	Requests map[string]int
-	// Total counts all runs.
-	Total int
-}
-
 // Answer is the body of every answer.
 type Answer struct {
 	Service string
@@ -53,23 +42,14 @@
 	clock      clock.Clock
 	parameters Parameters
 	faults     standin.Faults[Faults]
-
-	mu      sync.Mutex
-	running int
-	runs    Runs
+	runs       standin.RunCounter
+	running    atomic.Int64
 }
 
 // New returns a service that has run nothing.
 func New(c clock.Clock, parameters Parameters) *Service {
-	s := &Service{
-		Router:     chi.NewRouter(),
-		clock:      c,
-		parameters: parameters,
-		runs:       Runs{Keys: map[string]int{}, Requests: map[string]int{}},
-	}
-	s.Get("/control/runs", func(w http.ResponseWriter, _ *http.Request) {
-		standin.Respond(w, http.StatusOK, s.Runs())
-	})
+	s := &Service{Router: chi.NewRouter(), clock: c, parameters: parameters}
+	s.Handle("/control/runs", &s.runs)
 	s.Handle("/control/faults", &s.faults)
 	s.Get("/engine/load", s.load)
 	s.HandleFunc("/*", s.handle)
@@ -80,17 +60,13 @@
 func (s *Service) SetFaults(faults Faults) { s.faults.Set(faults) }
 
 // Runs returns a copy of the counts.
-func (s *Service) Runs() Runs {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return Runs{Keys: maps.Clone(s.runs.Keys), Requests: maps.Clone(s.runs.Requests), Total: s.runs.Total}
-}
+func (s *Service) Runs() standin.Runs { return s.runs.Runs() }
 
 func (s *Service) load(w http.ResponseWriter, _ *http.Request) {
-	s.mu.Lock()
-	report := platform.LoadReport{Running: s.running, Time: s.clock.Now()}
-	s.mu.Unlock()
-	standin.Respond(w, http.StatusOK, report)
+	standin.Respond(w, http.StatusOK, platform.LoadReport{
+		Running: int(s.running.Load()),
+		Time:    s.clock.Now(),
+	})
 }
 
 // handle runs a request. Nothing is counted for a request that is refused.
@@ -105,8 +81,9 @@
 		http.Error(w, "the service refuses requests", http.StatusServiceUnavailable)
 		return
 	}
-	run := s.begin(r)
-	defer s.end()
+	run := s.runs.Record(r, s.clock.Now())
+	s.running.Add(1)
+	defer s.running.Add(-1)
 	if s.parameters.Delay > 0 {
 		// A caller that leaves does not undo the run.
 		_ = clock.Sleep(r.Context(), s.clock, s.parameters.Delay)
@@ -115,23 +92,3 @@
 		Service: s.parameters.Name, Method: r.Method, Path: r.URL.Path, Run: run, Body: string(body),
 	})
 }
-
-func (s *Service) begin(r *http.Request) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.running++
-	s.runs.Total++
-	if key := r.Header.Get("Idempotency-Key"); key != "" {
-		s.runs.Keys[key]++
-	}
-	if id := r.Header.Get("X-Request-Id"); id != "" {
-		s.runs.Requests[id]++
-	}
-	return s.runs.Total
-}
-
-func (s *Service) end() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.running--
-}
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -24,11 +24,36 @@
 	_ = json.NewEncoder(w).Encode(message)
 }
 
+// RespondTruncated announces a JSON answer, writes half of it and closes the
+// connection. It does not return.
+func RespondTruncated(w http.ResponseWriter, message any) {
+	body, err := json.Marshal(message)
+	if err != nil {
+		Abort()
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = w.Write(body[:len(body)/2])
+	_ = http.NewResponseController(w).Flush()
+	Abort()
+}
+
 // Decode reads a JSON body into message. It answers 400 and returns false
 // when the body is malformed.
 func Decode(w http.ResponseWriter, r *http.Request, message any) bool {
-	body := http.MaxBytesReader(w, r.Body, maxBodyBytes)
-	if err := json.NewDecoder(body).Decode(message); err != nil {
+	return decode(w, json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)), message)
+}
+
+// DecodeStrictly is Decode for control requests, whose bodies may not have
+// unknown fields.
+func DecodeStrictly(w http.ResponseWriter, r *http.Request, message any) bool {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	decoder.DisallowUnknownFields()
+	return decode(w, decoder, message)
+}
+
+func decode(w http.ResponseWriter, decoder *json.Decoder, message any) bool {
+	if err := decoder.Decode(message); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return false
 	}
