Measure routing policies in a seeded rig with fake runners

The rig is a loop of events on its own clock: fake runners with a prefix cache, a batch and a price, and seven daemons that run the product's view and policies and share only digests and cache events, as late as those come.

A runner's step is either the prefill of one waiting prompt or one token for each stream. A model in which prefill costs the batch nothing was ruled out: recomputed tokens would then cost no capacity at all.

Least in flight stands in two forms. The one that adds the peers' digests sends all daemons to the same runner between two digests, so the form that counts only own calls is the stronger baseline and is printed beside it.

--- /dev/null
+++ b/cmd/measure/main.go
@@ -0,0 +1,15 @@
+// Command measure prints the tables that compare routing policies and limits.
+package main
+
+import (
+	"flag"
+	"os"
+
+	"github.com/cranberrywalk/cranberrywalk/measure"
+)
+
+func main() {
+	seeds := flag.Int("seeds", 5, "number of seeds")
+	flag.Parse()
+	measure.Report(os.Stdout, *seeds)
+}
--- /dev/null
+++ b/measure/daemon.go
@@ -0,0 +1,102 @@
+package measure
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/route"
+)
+
+// daemon is a fake daemon around the product's view and policy.
+type daemon struct {
+	name   string
+	zone   string
+	view   *route.View
+	policy route.Policy
+	// cutOff says that the daemon does not reach its peers.
+	cutOff bool
+}
+
+// newDaemon returns a daemon that knows runners.
+func newDaemon(t Tenant, number int, policy route.Policy, runners []route.Runner) *daemon {
+	zone := zoneName(number % len(t.Reclaimable))
+	options := route.DefaultOptions(zone)
+	options.ZoneDelay = 2 * t.ZoneDelay
+	options.Speed = t.speed
+	d := &daemon{
+		name:   "daemon-" + string(rune('1'+number)),
+		zone:   zone,
+		view:   route.NewView(options),
+		policy: policy,
+	}
+	d.view.SetRunners(runners)
+	return d
+}
+
+// Digests are made every digestPeriod and arrive digestDelay later, so that
+// they are 0.5 s old on average when a decision uses them.
+const (
+	digestPeriod = 500 * time.Millisecond
+	digestDelay  = 250 * time.Millisecond
+	// eventPeriod is the time between two fetches of a runner's cache
+	// events.
+	eventPeriod = 500 * time.Millisecond
+)
+
+// startDigests lets the daemons exchange digests.
+func (s *simulation) startDigests() {
+	for i, d := range s.daemons {
+		offset := digestPeriod * time.Duration(i) / daemons
+		s.loop.every(offset, digestPeriod, func() { s.sendDigest(d) })
+	}
+}
+
+// sendDigest sends the digest of a daemon to its peers.
+func (s *simulation) sendDigest(from *daemon) {
+	digest := from.view.Report(from.name, s.time())
+	s.loop.after(digestDelay, func() {
+		for _, to := range s.daemons {
+			if to != from && !to.cutOff && !from.cutOff {
+				to.view.Digest(digest)
+			}
+		}
+	})
+}
+
+// startEvents lets the daemons fetch the cache events of the runners.
+func (s *simulation) startEvents() {
+	for i, e := range s.engines {
+		offset := eventPeriod * time.Duration(i) / time.Duration(len(s.engines))
+		s.loop.every(offset, eventPeriod, func() { s.sendEvents(e) })
+	}
+}
+
+// sendEvents hands the cache events of a runner to the daemons. A lost event
+// is lost for all, since one daemon fetches it for its peers.
+func (s *simulation) sendEvents(e *engine) {
+	events := e.takeEvents()
+	kept := events[:0]
+	for _, event := range events {
+		if s.scenario.eventLoss == 0 || s.faults.Float64() >= s.scenario.eventLoss {
+			kept = append(kept, event)
+		}
+	}
+	s.loop.after(s.scenario.eventDelay, func() {
+		for _, d := range s.daemons {
+			if d.cutOff {
+				continue
+			}
+			for _, event := range kept {
+				d.view.CacheEvent(e.info.Name, event.block, event.stored)
+			}
+		}
+	})
+}
+
+// balancer hands calls to the daemons at random.
+type balancer struct {
+	random *rand.Rand
+}
+
+// pick returns a daemon.
+func (b balancer) pick(all []*daemon) *daemon { return all[b.random.IntN(len(all))] }
--- a/route/baselines.go
+++ b/route/baselines.go
@@ -25,13 +25,22 @@
 }
 
 // LeastInFlight chooses the runner with the fewest calls in flight.
-type LeastInFlight struct{}
+type LeastInFlight struct {
+	// OwnOnly leaves out the peers' calls in flight. Their digests are old,
+	// and daemons that follow them choose the same runner at once.
+	OwnOnly bool
+}
 
 // Name implements Policy.
-func (LeastInFlight) Name() string { return "least in flight" }
+func (l LeastInFlight) Name() string {
+	if l.OwnOnly {
+		return "least own in flight"
+	}
+	return "least in flight"
+}
 
 // Choose implements Policy.
-func (LeastInFlight) Choose(call *Call, view *View, _ time.Time) (Decision, error) {
+func (l LeastInFlight) Choose(call *Call, view *View, _ time.Time) (Decision, error) {
 	view.match(call)
 	best, lowest := -1, math.Inf(1)
 	start := 0
@@ -41,7 +50,11 @@
 	}
 	for i := range view.slots {
 		at := (start + i) % len(view.slots)
-		if streams := view.streams(at); view.usable(call, at) && streams < lowest {
+		streams := view.slots[at].own.streams
+		if !l.OwnOnly {
+			streams = view.streams(at)
+		}
+		if view.usable(call, at) && streams < lowest {
 			best, lowest = at, streams
 		}
 	}
