Carry a request from caller to backend server through real processes

Cause: the packages of the core stood alone; nothing served a request.

Ruled out: a deadline on the context that the front hands to the dispatcher, since an ended context means there that the caller has gone.

Limits are still an even split over the daemons.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GOLANGCI_LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 BIN := bin
 
-.PHONY: all build test race lint format generate clean
+.PHONY: all build test race lint format demo clean
 
 all: build
 
@@ -21,5 +21,9 @@
 	$(GOLANGCI_LINT) fmt --diff
 	$(GOLANGCI_LINT) run
 
+# Shows the system at work, in separate processes on loopback.
+demo: build
+	./$(BIN)/demo
+
 clean:
 	rm -rf $(BIN)
--- /dev/null
+++ b/admin/admin.go
@@ -0,0 +1,96 @@
+// Package admin is the HTTP interface for operators: health, readiness,
+// metrics, the plans in force, the backend servers and the time line.
+package admin
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/cranberrywalk/cranberrywalk/plan"
+	"github.com/cranberrywalk/cranberrywalk/roster"
+	"github.com/cranberrywalk/cranberrywalk/telemetry"
+	"github.com/cranberrywalk/cranberrywalk/timeline"
+)
+
+// Sources are what the interface shows.
+type Sources struct {
+	// Ready returns nil when the daemon takes requests.
+	Ready func() error
+	// Plans returns false until a configuration has been read.
+	Plans func() (plan.State, bool)
+	// Backends returns the backend servers as the daemon sees them.
+	Backends func() []roster.Member
+	// Timeline returns the events that the daemon still has.
+	Timeline func() []timeline.Entry
+}
+
+// Admin answers operators.
+type Admin struct {
+	telemetry.Common
+	sources Sources
+}
+
+// New returns an administration interface on its sources.
+func New(common telemetry.Common, sources Sources) *Admin {
+	return &Admin{Common: common, sources: sources}
+}
+
+// Handler returns the routes for operators.
+func (a *Admin) Handler() http.Handler {
+	router := chi.NewRouter()
+	router.Get("/healthz", a.health)
+	router.Get("/readyz", a.ready)
+	router.Get("/metrics", a.metrics)
+	router.Get("/plans", a.plans)
+	router.Get("/backends", a.backends)
+	router.Get("/timeline", a.timeline)
+	return router
+}
+
+// health says that the process runs.
+func (a *Admin) health(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, Health{Status: "Alive"})
+}
+
+func (a *Admin) ready(w http.ResponseWriter, _ *http.Request) {
+	if err := a.sources.Ready(); err != nil {
+		writeJSON(w, http.StatusServiceUnavailable, Health{Status: "NotReady", Reason: err.Error()})
+		return
+	}
+	writeJSON(w, http.StatusOK, Health{Status: "Ready"})
+}
+
+func (a *Admin) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	metrics.WriteJSONOnce(a.Metrics, w)
+}
+
+func (a *Admin) plans(w http.ResponseWriter, _ *http.Request) {
+	state, ready := a.sources.Plans()
+	if !ready {
+		writeJSON(w, http.StatusServiceUnavailable, Health{Status: "NotReady", Reason: "no configuration has been read yet"})
+		return
+	}
+	writeJSON(w, http.StatusOK, NewPlans(state))
+}
+
+func (a *Admin) backends(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, newBackends(a.sources.Backends()))
+}
+
+// timeline writes the events as JSON lines, which timeline.ReadLines reads.
+func (a *Admin) timeline(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/jsonl")
+	// The connection is gone when this fails; nobody is left to tell.
+	_ = timeline.WriteLines(w, a.sources.Timeline())
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The connection is gone when this fails; nobody is left to tell.
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/admin/message.go
@@ -0,0 +1,65 @@
+package admin
+
+import (
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/plan"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/roster"
+)
+
+// Health is the answer of /healthz and /readyz.
+type Health struct {
+	// Status is Alive, Ready or NotReady.
+	Status string
+	// Reason says why the daemon takes no requests.
+	Reason string `json:",omitempty"`
+}
+
+// Plans is the answer of /plans.
+type Plans struct {
+	// Offset is the offset after the last folded record.
+	Offset uint64
+	// PlansVersion and AllowancesVersion are what a change of the list has
+	// to name as its base.
+	PlansVersion      uint64
+	AllowancesVersion uint64
+	Plans             []plan.Plan
+	Allowances        []plan.Allowance
+}
+
+// NewPlans returns the view of a state that operators see.
+func NewPlans(state plan.State) Plans {
+	return Plans{
+		Offset:            state.Offset(),
+		PlansVersion:      state.Version(plan.ListPlans),
+		AllowancesVersion: state.Version(plan.ListAllowances),
+		Plans:             state.Plans(),
+		Allowances:        state.Allowances(),
+	}
+}
+
+// Backend is a backend server as the daemon sees it.
+type Backend struct {
+	VM    platform.VM
+	State roster.State
+	// Deadline is when a leaving VM stops, if that is known.
+	Deadline *time.Time `json:",omitempty"`
+}
+
+// Backends is the answer of /backends.
+type Backends struct {
+	Backends []Backend
+}
+
+func newBackends(members []roster.Member) Backends {
+	view := Backends{Backends: make([]Backend, 0, len(members))}
+	for _, member := range members {
+		backend := Backend{VM: member.VM, State: member.State}
+		if !member.Deadline.IsZero() {
+			backend.Deadline = &member.Deadline
+		}
+		view.Backends = append(view.Backends, backend)
+	}
+	return view
+}
--- a/app/app.go
+++ b/app/app.go
@@ -2,6 +2,7 @@
 package app
 
 import (
+	"context"
 	"fmt"
 	"io"
 
@@ -21,7 +22,7 @@
 	root.SetArgs(arguments)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	if err := root.Execute(); err != nil {
+	if err := root.ExecuteContext(context.Background()); err != nil {
 		fmt.Fprintln(stderr, "error:", err)
 		return exitCode(err)
 	}
@@ -35,6 +36,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newVersion())
+	root.AddCommand(newServe(), newCheck(), newPublish(), newAmend(), newPlans(), newTimeline(), newVersion())
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &InputError{Cause: err} })
 	return root
 }
--- /dev/null
+++ b/configuration/snapshotter.go
@@ -0,0 +1,89 @@
+package configuration
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill"
+	"github.com/ThreeDotsLabs/watermill/message"
+
+	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/plan"
+	"github.com/cranberrywalk/cranberrywalk/telemetry"
+)
+
+const (
+	// SnapshotRecords is the number of records after which the stream gets
+	// a snapshot. It is far below what the log service retains.
+	SnapshotRecords = 200
+	// snapshotSpread is the longest random wait before a daemon writes a
+	// snapshot, so that as a rule only one does.
+	snapshotSpread = 20 * time.Second
+	// snapshotPoll is the time between two looks at the follower.
+	snapshotPoll = time.Second
+)
+
+// Snapshotter writes the state to the configuration stream before the log
+// forgets the records behind it. Any daemon may do it at any time: a snapshot
+// that is doubled, old or late changes nothing, since the fold compares
+// offsets. The duty therefore needs no lease.
+type Snapshotter struct {
+	telemetry.Common
+	follower *Follower
+	appender message.Publisher
+	random   *rand.Rand
+	// done is closed when Run has returned.
+	done chan struct{}
+}
+
+// NewSnapshotter returns a snapshotter for the follower's stream.
+func NewSnapshotter(common telemetry.Common, follower *Follower, appender message.Publisher, random *rand.Rand) *Snapshotter {
+	return &Snapshotter{Common: common, follower: follower, appender: appender, random: random, done: make(chan struct{})}
+}
+
+// Done is closed when Run has returned.
+func (s *Snapshotter) Done() <-chan struct{} { return s.done }
+
+// Run writes snapshots until ctx ends.
+func (s *Snapshotter) Run(ctx context.Context) {
+	defer close(s.done)
+	for clock.Sleep(ctx, s.Clock, snapshotPoll) == nil {
+		if !s.follower.needsSnapshot() {
+			continue
+		}
+		if clock.Sleep(ctx, s.Clock, s.delay()) != nil {
+			return
+		}
+		if s.follower.needsSnapshot() {
+			s.write()
+		}
+	}
+}
+
+func (s *Snapshotter) delay() time.Duration {
+	return time.Duration(s.random.Int64N(int64(snapshotSpread)))
+}
+
+func (s *Snapshotter) write() {
+	snapshot, _ := s.follower.Snapshot()
+	if err := s.appender.Publish(s.follower.stream, message.NewMessage(watermill.NewUUID(), snapshot)); err != nil {
+		s.Count("configuration.snapshots_failed", 1)
+		return
+	}
+	s.Count(CounterSnapshots, 1)
+}
+
+// needsSnapshot reports whether many records follow the last snapshot, and
+// the state is up to date enough to write one.
+func (f *Follower) needsSnapshot() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.booted && !f.follower.HasGap() && f.unsnapshotted >= SnapshotRecords
+}
+
+// isSnapshot reports whether a record holds a snapshot that can be restored.
+func isSnapshot(payload []byte) bool {
+	_, err := plan.Restore(payload)
+	return err == nil
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,285 @@
+// Package daemon joins the parts of cranberrywalk into the one process that
+// runs on every entry VM.
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"github.com/cranberrywalk/cranberrywalk/admin"
+	"github.com/cranberrywalk/cranberrywalk/answer"
+	"github.com/cranberrywalk/cranberrywalk/backend"
+	"github.com/cranberrywalk/cranberrywalk/configuration"
+	"github.com/cranberrywalk/cranberrywalk/dispatch"
+	"github.com/cranberrywalk/cranberrywalk/front"
+	"github.com/cranberrywalk/cranberrywalk/ledger"
+	"github.com/cranberrywalk/cranberrywalk/logstream"
+	"github.com/cranberrywalk/cranberrywalk/peer"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/platformhttp"
+	"github.com/cranberrywalk/cranberrywalk/retry"
+	"github.com/cranberrywalk/cranberrywalk/roster"
+	"github.com/cranberrywalk/cranberrywalk/settings"
+	"github.com/cranberrywalk/cranberrywalk/suspect"
+	"github.com/cranberrywalk/cranberrywalk/telemetry"
+	"github.com/cranberrywalk/cranberrywalk/timeline"
+)
+
+// Daemon is the process of one entry VM.
+type Daemon struct {
+	telemetry.Common
+	settings settings.Settings
+	// incarnation is unique to this start of the process.
+	incarnation string
+
+	events        *timeline.Log
+	configuration *configuration.Follower
+	snapshotter   *configuration.Snapshotter
+	keeper        *keeper
+	chooser       *chooser
+	admitter      *admitter
+	neighbour     *neighbour
+	mesh          *peer.Mesh
+	ledger        *ledger.Ledger
+	link          *backend.Link
+	dispatcher    *dispatch.Dispatcher
+	callers       *http.Server
+	admin         *http.Server
+
+	// reclaimed is closed when the cloud or the VM list says that this VM
+	// stops.
+	reclaimed chan struct{}
+	// stopping is closed when the planned stop begins.
+	stopping chan struct{}
+	// done is closed when Run has returned.
+	done chan struct{}
+}
+
+// New returns a daemon that does nothing before Run.
+func New(common telemetry.Common, s settings.Settings) *Daemon {
+	stamps := timeline.NewClock(common)
+	events := timeline.NewLog(common, stamps, s.Daemon.Name, s.Daemon.Zone, s.Timeline.Capacity)
+	common.Events = events
+	d := &Daemon{
+		Common:      common,
+		settings:    s,
+		incarnation: ulid.Make().String(),
+		events:      events,
+		reclaimed:   make(chan struct{}),
+		stopping:    make(chan struct{}),
+		done:        make(chan struct{}),
+	}
+	d.addState()
+	d.addPeers(stamps)
+	d.addRequests()
+	d.addListeners()
+	return d
+}
+
+// addState adds the parts that follow the platform.
+func (d *Daemon) addState() {
+	s := d.settings
+	client := &http.Client{Transport: http.DefaultTransport.(*http.Transport).Clone()}
+	log := platformhttp.NewLog(s.Platform.Log, client)
+	appender := logstream.NewPublisher(d.Common, log, s.Platform.Timeout)
+	d.configuration = configuration.NewFollower(d.Common, log, s.Platform.ConfigurationStream, s.Platform.LongPoll)
+	d.snapshotter = configuration.NewSnapshotter(d.Common, d.configuration, appender, d.random())
+	d.keeper = newKeeper(d.Common, platformhttp.NewVMList(s.Platform.VMList, client),
+		platformhttp.NewCloud(s.Platform.Cloud, client), s.Platform.PollInterval, s.Platform.LongPoll)
+	d.keeper.changed = d.rosterChanged
+	d.chooser = newChooser(s.Daemon.Region, s.Daemon.Zone, s.Routing.ZoneDelay, d.keeper)
+	d.admitter = newAdmitter()
+	d.ledger = ledger.New(d.Common, log, d.ledgerOptions())
+}
+
+func (d *Daemon) ledgerOptions() ledger.Options {
+	options := ledger.DefaultOptions()
+	options.Stream = d.settings.Platform.ClaimStream
+	options.Daemon = d.settings.Daemon.Name
+	options.Incarnation = d.incarnation
+	options.FlushInterval = d.settings.Claims.FlushInterval
+	options.ReadWait = d.settings.Platform.LongPoll
+	options.AppendTimeout = d.settings.Platform.Timeout
+	options.Book.Lifetime = d.settings.Claims.KeyLifetime
+	options.Book.MaxClaims = d.settings.Claims.MaxClaims
+	return options
+}
+
+// addPeers adds the parts that talk to other daemons.
+func (d *Daemon) addPeers(stamps *timeline.Clock) {
+	s := d.settings
+	d.neighbour = &neighbour{
+		Common:        d.Common,
+		name:          s.Daemon.Name,
+		configuration: d.configuration,
+		keeper:        d.keeper,
+		chooser:       d.chooser,
+		answers:       answer.New(d.Common, d.answerOptions()),
+		suspects:      suspect.New(suspect.DefaultOptions()),
+		admitter:      d.admitter,
+		crashes:       make(map[uint64]peer.Suspect),
+	}
+	identity := peer.Identity{
+		Daemon: s.Daemon.Name, Zone: s.Daemon.Zone, Region: s.Daemon.Region, Incarnation: d.incarnation,
+	}
+	options := peer.DefaultOptions(identity, s.Peers.Address, rand.Uint64())
+	options.Interval = s.Peers.Interval
+	options.CallTimeout = s.Peers.CallTimeout
+	d.mesh = peer.New(d.Common, options, stamps, d.neighbour)
+}
+
+func (d *Daemon) answerOptions() answer.Options {
+	options := answer.DefaultOptions()
+	options.MaxBytes = d.settings.Claims.AnswerBytes
+	return options
+}
+
+// addRequests adds the parts that carry requests.
+func (d *Daemon) addRequests() {
+	s := d.settings
+	now := d.Clock.Now()
+	d.link = backend.New(d.Common, d.linkOptions())
+	budget := retry.DefaultBudgetOptions()
+	budget.Share = s.Retries.BudgetShare
+	budget.FloorPerSecond = s.Retries.BudgetFloor
+	options := dispatch.DefaultOptions()
+	options.Daemon = s.Daemon.Name
+	options.Incarnation = d.incarnation
+	options.MaxAttempts = s.Retries.MaxAttempts
+	d.dispatcher = dispatch.New(d.Common, dispatch.Parts{
+		Link:      d.link,
+		Chooser:   d.chooser,
+		Claimer:   claimer{ledger: d.ledger},
+		Relayer:   relayer{mesh: d.mesh, timeout: s.Peers.RelayTimeout},
+		Answers:   d.neighbour.answers,
+		Suspects:  d.neighbour.suspects,
+		Budget:    retry.NewBudget(budget, now),
+		Backoff:   retry.NewBackoff(retry.DefaultBackoffOptions(), rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		OnSuspect: d.crashSeen,
+	}, options)
+}
+
+func (d *Daemon) linkOptions() backend.Options {
+	options := backend.DefaultOptions()
+	options.DialTimeout = d.settings.Backends.ConnectTimeout
+	options.StreamSilence = d.settings.Backends.Silence
+	options.MaxAnswerBytes = d.settings.Backends.MaxAnswerBytes
+	return options
+}
+
+// addListeners adds the HTTP servers.
+func (d *Daemon) addListeners() {
+	s := d.settings
+	options := front.Options{
+		MaxBodyBytes:    s.Callers.MaxBodyBytes,
+		MaxInFlight:     s.Callers.MaxInFlight,
+		DefaultDeadline: s.Callers.DefaultDeadline,
+	}
+	callers := front.New(d.Common, options, d.configuration, d.admitter, d.dispatcher)
+	d.callers = &http.Server{
+		Addr:              s.Callers.Address,
+		Handler:           callers.Handler(),
+		ReadHeaderTimeout: s.Callers.ReadTimeout,
+		MaxHeaderBytes:    s.Callers.MaxHeaderBytes,
+	}
+	operators := admin.New(d.Common, admin.Sources{
+		Ready:    d.Ready,
+		Plans:    d.configuration.State,
+		Backends: func() []roster.Member { return d.keeper.Roster().Backends() },
+		Timeline: d.events.Entries,
+	})
+	d.admin = &http.Server{Addr: s.Admin.Address, Handler: operators.Handler(), ReadHeaderTimeout: s.Callers.ReadTimeout}
+}
+
+func (d *Daemon) random() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
+
+// Ready returns nil when the daemon takes requests, or a *NotReadyError.
+func (d *Daemon) Ready() error {
+	select {
+	case <-d.stopping:
+		return &NotReadyError{Part: "the daemon is being stopped and"}
+	default:
+	}
+	if _, ready := d.configuration.State(); !ready {
+		return &NotReadyError{Part: "the configuration"}
+	}
+	if d.keeper.Roster().Version() == 0 {
+		return &NotReadyError{Part: "the VM list"}
+	}
+	return nil
+}
+
+// rosterChanged hands a change of the roster to the parts that depend on it.
+func (d *Daemon) rosterChanged(r roster.Roster, effects []roster.Effect) {
+	d.chooser.setMembers(r.Backends())
+	peers := r.Peers()
+	d.chooser.forgetPeers(peers)
+	d.admitter.setDaemons(len(peers))
+	d.mesh.SetVMs(listedVMs(r))
+	for _, effect := range effects {
+		if effect.Kind == roster.Left {
+			d.vmLeaves(effect)
+		}
+	}
+}
+
+// vmLeaves spreads the news and moves the streams away.
+func (d *Daemon) vmLeaves(effect roster.Effect) {
+	if effect.VM.Name == d.settings.Daemon.Name {
+		close(d.reclaimed)
+		return
+	}
+	// Both take locks of parts that apply events to the roster.
+	go func() {
+		d.mesh.Tell()
+		d.dispatcher.Move(effect.VM.Name)
+	}()
+}
+
+func listedVMs(r roster.Roster) []platform.VM {
+	vms := append([]platform.VM(nil), r.Peers()...)
+	for _, member := range r.Backends() {
+		vms = append(vms, member.VM)
+	}
+	return vms
+}
+
+// crashSeen spreads a crash that a request has caused.
+func (d *Daemon) crashSeen(entry suspect.Entry) {
+	d.neighbour.addCrash(entry)
+	d.mesh.Tell()
+}
+
+// Done is closed when Run has returned.
+func (d *Daemon) Done() <-chan struct{} { return d.done }
+
+// bootTimeout is how long a daemon waits for the log before it asks its peers
+// for the configuration.
+const bootTimeout = 2 * time.Second
+
+// bootFromPeers takes the configuration from peers when the log can't be read.
+func (d *Daemon) bootFromPeers(ctx context.Context) {
+	for {
+		timer := d.Clock.NewTimer(bootTimeout)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.Chan():
+		}
+		if _, ready := d.configuration.State(); ready {
+			return
+		}
+		snapshot, _, err := d.mesh.Fetch(ctx)
+		if err != nil || d.configuration.Adopt(snapshot) != nil {
+			continue
+		}
+		d.configuration.BootFromPeers()
+	}
+}
--- /dev/null
+++ b/daemon/run.go
@@ -0,0 +1,95 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/telemetry"
+)
+
+// Run serves until ctx ends or the VM is reclaimed, and then stops without
+// cutting off a request. It returns a *ListenError, or the *dispatch.DrainError
+// of a stop that took too long. listening is called once all listeners are
+// bound.
+func (d *Daemon) Run(ctx context.Context, listening func()) error {
+	defer close(d.done)
+	callers, operators, err := d.listen()
+	if err != nil {
+		return err
+	}
+	parts, stopParts := context.WithCancel(context.WithoutCancel(ctx))
+	mesh, stopMesh := context.WithCancel(context.WithoutCancel(ctx))
+	var running, meshRunning sync.WaitGroup
+	meshRunning.Go(func() { d.mesh.Run(mesh) })
+	for _, run := range []func(context.Context){
+		d.configuration.Run, d.snapshotter.Run, d.keeper.run, d.ledger.Run, d.bootFromPeers,
+	} {
+		running.Go(func() { run(parts) })
+	}
+	running.Go(func() { d.serve(d.callers, callers) })
+	running.Go(func() { d.serve(d.admin, operators) })
+	d.Events.Record(telemetry.Event{Kind: "DaemonStarted", Detail: d.incarnation})
+	listening()
+	select {
+	case <-ctx.Done():
+	case <-d.reclaimed:
+	}
+	drainErr := d.drain()
+	stopParts()
+	// A server that was shut down has nothing left to close.
+	_ = d.admin.Close()
+	running.Wait()
+	d.link.Close()
+	// The peer address is released last: whoever binds it next knows that
+	// this process writes to no backend server any more.
+	stopMesh()
+	meshRunning.Wait()
+	return drainErr
+}
+
+// listen binds all addresses before any part runs.
+func (d *Daemon) listen() (callers, operators net.Listener, err error) {
+	if err := d.mesh.Listen(); err != nil {
+		return nil, nil, err
+	}
+	callers, err = net.Listen("tcp", d.callers.Addr)
+	if err != nil {
+		return nil, nil, &ListenError{Listener: "Callers", Address: d.callers.Addr, Cause: err}
+	}
+	operators, err = net.Listen("tcp", d.admin.Addr)
+	if err != nil {
+		return nil, nil, &ListenError{Listener: "Admin", Address: d.admin.Addr, Cause: err}
+	}
+	return callers, operators, nil
+}
+
+func (d *Daemon) serve(server *http.Server, listener net.Listener) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		d.Log.Error(err, "listener failed", "Address", server.Addr)
+	}
+}
+
+// drain is the planned stop: it ends the acceptance of requests and waits for
+// those in flight.
+func (d *Daemon) drain() error {
+	close(d.stopping)
+	d.Log.Info("planned stop begins", "InFlight", d.dispatcher.InFlight())
+	d.Events.Record(telemetry.Event{Kind: "DaemonDraining"})
+	d.neighbour.drain()
+	d.mesh.Tell()
+	// The balancer sees the readiness go off before connections are refused.
+	d.callers.SetKeepAlivesEnabled(false)
+	_ = clock.Sleep(context.Background(), d.Clock, d.settings.Daemon.LeaveDelay)
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Daemon.DrainTimeout)
+	defer cancel()
+	// The dispatcher's own error says more than the server's.
+	_ = d.callers.Shutdown(ctx)
+	d.dispatcher.Drain()
+	err := d.dispatcher.Wait(ctx)
+	d.Log.Info("planned stop ends", "InFlight", d.dispatcher.InFlight())
+	return err
+}
--- /dev/null
+++ b/fleet/backend.go
@@ -0,0 +1,77 @@
+package fleet
+
+import "github.com/cranberrywalk/cranberrywalk/platform"
+
+// Backend describes a backend server that is to be started.
+type Backend struct {
+	Name        string
+	Zone        string
+	Class       string
+	Reclaimable bool
+	Price       float64
+	// Model is the model of a runner; empty for a plain service.
+	Model string
+	// Service is the name of a plain service; empty for a runner.
+	Service string
+	// Flags are further flags of the stand-in.
+	Flags []string
+}
+
+// StartBackend starts the stand-in of a backend server and adds its VM to the
+// VM list.
+func (f *Fleet) StartBackend(b Backend) (platform.VM, error) {
+	address, err := FreeAddress()
+	if err != nil {
+		return platform.VM{}, err
+	}
+	vm := platform.VM{
+		Name: b.Name, Region: f.options.Region, Zone: b.Zone, Class: b.Class,
+		Reclaimable: b.Reclaimable, Price: b.Price, Address: address,
+	}
+	flags := []string{"engine", "--address", address, "--models", b.Model}
+	vm.Role = platform.RoleRunner
+	vm.Models = []string{b.Model}
+	if b.Service != "" {
+		flags = []string{"service", "--address", address, "--name", b.Service}
+		vm.Role = platform.RoleService
+		vm.Models = nil
+		vm.Service = b.Service
+	}
+	if _, err := f.run(b.Name, "standin", append(flags, b.Flags...)...); err != nil {
+		return platform.VM{}, err
+	}
+	return vm, f.addVM(vm)
+}
+
+func (f *Fleet) addVM(vm platform.VM) error {
+	f.mu.Lock()
+	f.vms = append(f.vms, vm)
+	f.mu.Unlock()
+	return f.putVMs()
+}
+
+// RemoveVM takes a VM off the VM list.
+func (f *Fleet) RemoveVM(name string) error {
+	f.mu.Lock()
+	var kept []platform.VM
+	for _, vm := range f.vms {
+		if vm.Name != name {
+			kept = append(kept, vm)
+		}
+	}
+	f.vms = kept
+	f.mu.Unlock()
+	return f.putVMs()
+}
+
+// VM returns an entry of the VM list.
+func (f *Fleet) VM(name string) (platform.VM, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, vm := range f.vms {
+		if vm.Name == name {
+			return vm, true
+		}
+	}
+	return platform.VM{}, false
+}
--- /dev/null
+++ b/fleet/daemon.go
@@ -0,0 +1,85 @@
+package fleet
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/cranberrywalk/cranberrywalk/platform"
+)
+
+// Daemon describes a daemon that is to be started.
+type Daemon struct {
+	Name string
+	Zone string
+	// Settings are further lines of the settings file, by section.
+	Settings map[string][]string
+	// PlatformURL replaces the fleet's own when it is not empty, for
+	// example by the address of a relay.
+	PlatformURL string
+}
+
+// StartDaemon starts a daemon, adds its VM to the VM list and returns it. A
+// daemon of a known name is started again on the same addresses.
+func (f *Fleet) StartDaemon(d Daemon) (platform.VM, error) {
+	vm, known := f.VM(d.Name)
+	if !known {
+		addresses, err := freeAddresses(3)
+		if err != nil {
+			return platform.VM{}, err
+		}
+		vm = platform.VM{
+			Name: d.Name, Role: platform.RoleEntry, Region: f.options.Region, Zone: d.Zone,
+			Address: addresses[0], PeerAddress: addresses[1], AdminAddress: addresses[2],
+		}
+		if err := f.addVM(vm); err != nil {
+			return platform.VM{}, err
+		}
+	}
+	path, err := f.writeFile(d.Name+".ini", f.settingsFile(d, vm))
+	if err != nil {
+		return platform.VM{}, err
+	}
+	_, err = f.run(d.Name, "cranberrywalk", "serve", "--settings", path)
+	return vm, err
+}
+
+// SettingsPath returns the settings file of a daemon that was started.
+func (f *Fleet) SettingsPath(daemon string) string {
+	return fmt.Sprintf("%s/%s.ini", f.options.Dir, daemon)
+}
+
+func (f *Fleet) settingsFile(d Daemon, vm platform.VM) string {
+	base := f.PlatformURL
+	if d.PlatformURL != "" {
+		base = d.PlatformURL
+	}
+	var text strings.Builder
+	section := func(name string, lines ...string) {
+		fmt.Fprintf(&text, "[%s]\n", name)
+		for _, line := range append(lines, d.Settings[name]...) {
+			fmt.Fprintln(&text, line)
+		}
+		fmt.Fprintln(&text)
+	}
+	section("Daemon", "Name = "+vm.Name, "Region = "+vm.Region, "Zone = "+vm.Zone)
+	section("Callers", "Address = "+vm.Address)
+	section("Peers", "Address = "+vm.PeerAddress)
+	section("Admin", "Address = "+vm.AdminAddress)
+	section("Platform", "Log = "+base, "VMList = "+base, "Cloud = "+base, "WeightStore = "+base)
+	for _, name := range []string{"Claims", "Backends", "Retries", "Routing", "Timeline"} {
+		section(name)
+	}
+	return text.String()
+}
+
+func freeAddresses(n int) ([]string, error) {
+	addresses := make([]string, 0, n)
+	for len(addresses) < n {
+		address, err := FreeAddress()
+		if err != nil {
+			return nil, err
+		}
+		addresses = append(addresses, address)
+	}
+	return addresses, nil
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,139 @@
+// Package fleet runs the built programs as separate processes on loopback:
+// the stand-ins of the platform and of the backend servers, and daemons. The
+// demonstration, the end-to-end tests and the benchmark drive them with it.
+package fleet
+
+import (
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/platform"
+)
+
+const (
+	// startTimeout bounds the start of one program.
+	startTimeout = 20 * time.Second
+	// stopTimeout bounds the planned stop of one program.
+	stopTimeout = 30 * time.Second
+)
+
+// Options say what a fleet is made of.
+type Options struct {
+	// Bin is the directory of the built programs.
+	Bin string
+	// Dir is the directory for settings and logs of the processes.
+	Dir string
+	// Region is the name of the region that every VM is in.
+	Region string
+	// PlatformFlags are further flags of the platform's stand-in.
+	PlatformFlags []string
+}
+
+// Fleet is a set of running processes on loopback.
+type Fleet struct {
+	options Options
+	// PlatformURL is the base URL of the platform's stand-in.
+	PlatformURL string
+
+	mu        sync.Mutex
+	processes []*Process
+	// vms is the VM list as the platform's stand-in has it.
+	vms []platform.VM
+}
+
+// New starts the platform's stand-in.
+func New(options Options) (*Fleet, error) {
+	f := &Fleet{options: options}
+	address, err := FreeAddress()
+	if err != nil {
+		return nil, err
+	}
+	flags := append([]string{"platform", "--address", address}, options.PlatformFlags...)
+	if _, err := f.run("platform", "standin", flags...); err != nil {
+		return nil, err
+	}
+	f.PlatformURL = "http://" + address
+	return f, nil
+}
+
+// FreeAddress returns a loopback address that no process listens on.
+func FreeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", &StartError{Name: "free address", Cause: err}
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+// run starts a program and waits until it listens.
+func (f *Fleet) run(name, program string, arguments ...string) (*Process, error) {
+	process, err := startProcess(f.options.Dir, name, filepath.Join(f.options.Bin, program), arguments...)
+	if err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	f.processes = append(f.processes, process)
+	f.mu.Unlock()
+	return process, process.AwaitReady(startTimeout)
+}
+
+// Process returns the process of that name, the latest one if it was started
+// again, or nil.
+func (f *Fleet) Process(name string) *Process {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, process := range slices.Backward(f.processes) {
+		if process.Name == name {
+			return process
+		}
+	}
+	return nil
+}
+
+// Stop sends the planned stop to a process and returns its exit code.
+func (f *Fleet) Stop(name string) (int, error) {
+	process := f.Process(name)
+	if err := process.Signal(syscall.SIGTERM); err != nil {
+		return 0, &StartError{Name: name, Cause: err}
+	}
+	return process.AwaitExit(stopTimeout)
+}
+
+// Close ends every process, the latest first, and returns those whose planned
+// stop did not end with code 0.
+func (f *Fleet) Close() []string {
+	f.mu.Lock()
+	processes := slices.Clone(f.processes)
+	f.mu.Unlock()
+	var failed []string
+	for _, process := range slices.Backward(processes) {
+		select {
+		case <-process.Done():
+			continue
+		default:
+		}
+		_ = process.Signal(syscall.SIGCONT)
+		_ = process.Signal(syscall.SIGTERM)
+		code, err := process.AwaitExit(stopTimeout)
+		if err != nil || code != 0 {
+			failed = append(failed, process.Name)
+			process.kill()
+		}
+	}
+	return failed
+}
+
+// writeFile puts a file into the fleet's directory and returns its path.
+func (f *Fleet) writeFile(name, content string) (string, error) {
+	path := filepath.Join(f.options.Dir, name)
+	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+		return "", &StartError{Name: name, Cause: err}
+	}
+	return path, nil
+}
--- /dev/null
+++ b/fleet/process.go
@@ -0,0 +1,118 @@
+package fleet
+
+import (
+	"bufio"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// readyPrefix starts the line that a program prints once it listens.
+const readyPrefix = "ready "
+
+// Process is one running program.
+type Process struct {
+	// Name is unique in the fleet.
+	Name string
+	// LogFile holds what the program wrote on standard error.
+	LogFile string
+
+	command *exec.Cmd
+	// ready is closed when the program has printed that it listens.
+	ready chan struct{}
+	// done is closed when the program has ended; exitCode is set then.
+	done     chan struct{}
+	exitCode int
+}
+
+// startProcess runs a program whose standard error goes to a file in dir.
+func startProcess(dir, name, program string, arguments ...string) (*Process, error) {
+	logFile := filepath.Join(dir, name+".log")
+	stderr, err := os.Create(logFile)
+	if err != nil {
+		return nil, &StartError{Name: name, Cause: err}
+	}
+	defer stderr.Close()
+	command := exec.Command(program, arguments...)
+	command.Stderr = stderr
+	// The kernel stops the program when the fleet's own process dies.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	stdout, err := command.StdoutPipe()
+	if err != nil {
+		return nil, &StartError{Name: name, Cause: err}
+	}
+	if err := command.Start(); err != nil {
+		return nil, &StartError{Name: name, Cause: err}
+	}
+	process := &Process{
+		Name:    name,
+		LogFile: logFile,
+		command: command,
+		ready:   make(chan struct{}),
+		done:    make(chan struct{}),
+	}
+	go process.watch(stdout)
+	return process, nil
+}
+
+// watch reads the program's output to its end and then waits for its exit.
+func (p *Process) watch(stdout io.Reader) {
+	defer close(p.done)
+	isReady := false
+	lines := bufio.NewScanner(stdout)
+	for lines.Scan() {
+		if !isReady && strings.HasPrefix(lines.Text(), readyPrefix) {
+			isReady = true
+			close(p.ready)
+		}
+	}
+	// The exit code says more than the error.
+	_ = p.command.Wait()
+	p.exitCode = p.command.ProcessState.ExitCode()
+}
+
+// AwaitReady waits until the program listens.
+func (p *Process) AwaitReady(timeout time.Duration) error {
+	select {
+	case <-p.ready:
+		return nil
+	case <-p.done:
+		return &ExitedError{Name: p.Name, Code: p.exitCode, LogFile: p.LogFile}
+	case <-time.After(timeout):
+		return &TimeoutError{Name: p.Name, Step: "listening", Timeout: timeout}
+	}
+}
+
+// Signal sends a signal to the program.
+func (p *Process) Signal(signal syscall.Signal) error {
+	return p.command.Process.Signal(signal)
+}
+
+// Done is closed when the program has ended.
+func (p *Process) Done() <-chan struct{} { return p.done }
+
+// AwaitExit waits for the program's end and returns its exit code, which is
+// -1 when a signal ended it.
+func (p *Process) AwaitExit(timeout time.Duration) (int, error) {
+	select {
+	case <-p.done:
+		return p.exitCode, nil
+	case <-time.After(timeout):
+		return 0, &TimeoutError{Name: p.Name, Step: "ending", Timeout: timeout}
+	}
+}
+
+// PID returns the program's process number.
+func (p *Process) PID() int { return p.command.Process.Pid }
+
+// kill ends the program without a chance to clean up.
+func (p *Process) kill() {
+	// A program that has ended already needs no signal.
+	_ = p.Signal(syscall.SIGCONT)
+	_ = p.Signal(syscall.SIGKILL)
+	<-p.done
+}
--- /dev/null
+++ b/front/classify.go
@@ -0,0 +1,134 @@
+package front
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/dispatch"
+	"github.com/cranberrywalk/cranberrywalk/limit"
+	"github.com/cranberrywalk/cranberrywalk/plan"
+	"github.com/cranberrywalk/cranberrywalk/request"
+)
+
+// notReadyRetry is told to callers of a daemon that is starting or busy.
+const notReadyRetry = time.Second
+
+// problemOf describes a request that was refused before it was dispatched.
+// Nothing was sent to a backend server for this sending of it.
+func problemOf(err error) Problem {
+	problem := Problem{Detail: err.Error(), Outcome: request.NotRun.String()}
+	var (
+		field     *FieldError
+		tooLarge  *BodyTooLargeError
+		forbidden *plan.ForbiddenError
+		allowance *plan.NoAllowanceError
+		exceeded  *limit.ExceededError
+	)
+	switch {
+	case errors.As(err, &field):
+		problem.set("InvalidField", http.StatusBadRequest, "A field of the request is wrong")
+		problem.Field = field.Field
+	case errors.As(err, &tooLarge):
+		problem.set("BodyTooLarge", http.StatusRequestEntityTooLarge, "The body is too large")
+		problem.Field = "body"
+	case errors.As(err, &forbidden):
+		problem.set("Forbidden", http.StatusForbidden, "The plan does not allow the request")
+		problem.List, problem.Entry, problem.Field = string(forbidden.List), forbidden.Plan, forbidden.Field
+	case errors.As(err, &allowance):
+		problem.set("NoAllowance", http.StatusForbidden, "The plan has no allowance")
+		problem.List, problem.Entry = string(plan.ListAllowances), allowance.Plan
+	case errors.As(err, &exceeded):
+		problem.set("LimitExceeded", http.StatusTooManyRequests, "The plan's limit is reached")
+		problem.List, problem.Entry, problem.Field = string(plan.ListPlans), exceeded.Plan, exceeded.Limit
+		problem.RetryAfter = exceeded.RetryAfter
+	default:
+		problem.setPlain(err)
+	}
+	return problem
+}
+
+// setPlain describes the failures that have no fields to show.
+func (p *Problem) setPlain(err error) {
+	var (
+		unknown *plan.UnknownCustomerError
+		missing *KeyMissingError
+		read    *BodyReadError
+		route   *RouteError
+		method  *MethodError
+	)
+	switch {
+	case errors.As(err, &unknown), errors.As(err, &missing):
+		p.set("UnknownCustomer", http.StatusUnauthorized, "The request has no valid key")
+		p.Field = "Authorization"
+	case errors.As(err, &read):
+		p.set("BodyUnreadable", http.StatusBadRequest, "The body could not be read")
+		p.Field = "body"
+	case errors.As(err, &route):
+		p.set("UnknownPath", http.StatusNotFound, "There is no such path")
+	case errors.As(err, &method):
+		p.set("MethodNotAllowed", http.StatusMethodNotAllowed, "The path does not take this method")
+	default:
+		p.set("NotReady", http.StatusServiceUnavailable, "The daemon can't take the request now")
+		p.RetryAfter = notReadyRetry
+	}
+}
+
+func (p *Problem) set(kind string, status int, title string) {
+	p.Type, p.Status, p.Title = kind, status, title
+}
+
+// problemOfResult describes a request that ended without a whole answer.
+func problemOfResult(result dispatch.Result) Problem {
+	problem := Problem{
+		Type:       "NotAnswered",
+		Title:      "The request was not answered",
+		Status:     result.Status,
+		Outcome:    result.Outcome.String(),
+		RetryAfter: result.RetryAfter,
+	}
+	if result.Problem != nil {
+		problem.Detail = result.Problem.Error()
+		problem.Type = kindOf(result.Problem)
+	}
+	if problem.Status < http.StatusBadRequest || problem.Status > 599 {
+		problem.Status = http.StatusServiceUnavailable
+	}
+	return problem
+}
+
+// kindOf names the failure behind a result.
+func kindOf(err error) string {
+	var (
+		none     *dispatch.NoBackendError
+		overload *dispatch.OverloadError
+		draining *dispatch.DrainingError
+		suspect  *dispatch.SuspectError
+		conflict *dispatch.ConflictError
+		claim    *dispatch.ClaimError
+		relay    *dispatch.RelayError
+		deadline *dispatch.DeadlineError
+		broken   *dispatch.BrokenStreamError
+	)
+	switch {
+	case errors.As(err, &none):
+		return "NoBackend"
+	case errors.As(err, &overload):
+		return "Overloaded"
+	case errors.As(err, &draining):
+		return "Draining"
+	case errors.As(err, &suspect):
+		return "CrashesBackends"
+	case errors.As(err, &conflict):
+		return "KeyReused"
+	case errors.As(err, &claim):
+		return "ClaimUnsettled"
+	case errors.As(err, &relay):
+		return "AnswerElsewhere"
+	case errors.As(err, &deadline):
+		return "DeadlinePassed"
+	case errors.As(err, &broken):
+		return "StreamBroken"
+	}
+	return "BackendsFailed"
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,150 @@
+// Package settings reads the INI file of a daemon and checks it as a whole.
+package settings
+
+import "time"
+
+// Settings is the checked content of a settings file. A key of the file is
+// the name of a field, in the section named after the field of Settings.
+type Settings struct {
+	Daemon   Daemon
+	Callers  Callers
+	Peers    Peers
+	Admin    Admin
+	Platform Platform
+	Claims   Claims
+	Backends Backends
+	Retries  Retries
+	Routing  Routing
+	Timeline Timeline
+}
+
+// Daemon says which VM the daemon runs on.
+type Daemon struct {
+	Name         string        `form:"name" doc:"Name of the entry VM, as the VM list has it."`
+	Region       string        `form:"name" doc:"Region of the entry VM."`
+	Zone         string        `form:"name" doc:"Availability zone of the entry VM."`
+	LeaveDelay   time.Duration `min:"0s" doc:"Time between readiness going off and the callers' listener closing at a planned stop, so that the balancer notices."`
+	DrainTimeout time.Duration `min:"1s" doc:"Longest time that a planned stop waits for requests in flight."`
+}
+
+// Callers configures the listener for callers.
+type Callers struct {
+	Address         string        `form:"hostport" doc:"Address of the listener for callers."`
+	MaxBodyBytes    int           `min:"1024" doc:"Largest request body, in bytes."`
+	MaxHeaderBytes  int           `min:"1024" doc:"Largest request header, in bytes."`
+	MaxInFlight     int           `min:"1" doc:"Most requests in flight; further ones are refused at once."`
+	DefaultDeadline time.Duration `min:"100ms" doc:"Time in which a request has to end when its plan names no deadline."`
+	ReadTimeout     time.Duration `min:"100ms" doc:"Longest time for reading one request."`
+}
+
+// Peers configures the exchange with other daemons.
+type Peers struct {
+	Address      string        `form:"hostport" doc:"Address of the listener for other daemons."`
+	Interval     time.Duration `min:"50ms" doc:"Time between two exchanges with peers."`
+	CallTimeout  time.Duration `min:"50ms" doc:"Longest time for one call to a peer."`
+	RelayTimeout time.Duration `min:"50ms" doc:"Longest time for asking the winner of a claim for its answer."`
+}
+
+// Admin configures the administration listener.
+type Admin struct {
+	Address string `form:"hostport" doc:"Address of the administration listener."`
+}
+
+// Platform says where the platform's services are.
+type Platform struct {
+	Log                 string        `form:"url" doc:"Base URL of the log service."`
+	VMList              string        `form:"url" doc:"Base URL of the VM list."`
+	Cloud               string        `form:"url" doc:"Base URL of the cloud API."`
+	WeightStore         string        `form:"url" doc:"Base URL of the weight store."`
+	ConfigurationStream string        `form:"name" doc:"Stream of the log service that holds the plans and allowances."`
+	ClaimStream         string        `form:"name" doc:"Stream of the log service that holds the claims of the region."`
+	Timeout             time.Duration `min:"50ms" doc:"Longest time for one request to a platform service, long polls aside."`
+	PollInterval        time.Duration `min:"10ms" doc:"Time between two reads of the VM list."`
+	LongPoll            time.Duration `min:"10ms" doc:"Time for which the log service and the cloud API hold a read that has nothing to return."`
+}
+
+// Claims configures the agreement on non-idempotent requests with a key.
+type Claims struct {
+	FlushInterval time.Duration `min:"1ms" doc:"Time for which claims are gathered into one append."`
+	KeyLifetime   time.Duration `min:"1m" doc:"Time for which a key stays claimed. It has to be below the retention of the log service."`
+	MaxClaims     int           `min:"1" doc:"Most claims within one key lifetime, over all daemons; further ones are refused. The same at all daemons."`
+	AnswerBytes   int           `min:"1024" doc:"Memory for recent answers that other daemons may ask for, in bytes."`
+}
+
+// Backends configures the links to backend servers.
+type Backends struct {
+	ConnectTimeout time.Duration `min:"10ms" doc:"Longest time for opening a connection to a backend server."`
+	Silence        time.Duration `min:"100ms" doc:"Longest time without a byte from a backend server before its connection is closed."`
+	MaxAnswerBytes int           `min:"1024" doc:"Largest answer of a backend server that is not streamed, in bytes."`
+	LoadInterval   time.Duration `min:"50ms" doc:"Time between two reads of the load reports of backend servers."`
+}
+
+// Retries configures how idempotent requests are tried again.
+type Retries struct {
+	MaxAttempts int     `min:"1" doc:"Most attempts for one request, the first one included."`
+	BudgetShare float64 `min:"0" doc:"Retries that are allowed per request of recent traffic."`
+	BudgetFloor float64 `min:"0" doc:"Retries a second that are allowed whatever the traffic."`
+}
+
+// Routing configures the choice of backend servers.
+type Routing struct {
+	ZoneDelay time.Duration `min:"0s" doc:"One-way network delay to another availability zone of the region."`
+}
+
+// Timeline configures the time line of events.
+type Timeline struct {
+	Capacity int `min:"16" doc:"Events that the daemon keeps; older ones are dropped."`
+}
+
+// Default returns the settings that hold where a file has no key. Fields
+// without a default here have to be set.
+func Default() Settings {
+	return Settings{
+		Daemon: Daemon{
+			LeaveDelay:   2 * time.Second,
+			DrainTimeout: 60 * time.Second,
+		},
+		Callers: Callers{
+			MaxBodyBytes:    4 << 20,
+			MaxHeaderBytes:  32 << 10,
+			MaxInFlight:     2048,
+			DefaultDeadline: 60 * time.Second,
+			ReadTimeout:     10 * time.Second,
+		},
+		Peers: Peers{
+			Interval:     500 * time.Millisecond,
+			CallTimeout:  time.Second,
+			RelayTimeout: 10 * time.Second,
+		},
+		Platform: Platform{
+			ConfigurationStream: "Configuration",
+			ClaimStream:         "Claims",
+			Timeout:             2 * time.Second,
+			PollInterval:        time.Second,
+			LongPoll:            time.Second,
+		},
+		Claims: Claims{
+			FlushInterval: 5 * time.Millisecond,
+			KeyLifetime:   24 * time.Hour,
+			MaxClaims:     100_000,
+			AnswerBytes:   8 << 20,
+		},
+		Backends: Backends{
+			ConnectTimeout: time.Second,
+			Silence:        10 * time.Second,
+			MaxAnswerBytes: 16 << 20,
+			LoadInterval:   500 * time.Millisecond,
+		},
+		Retries: Retries{
+			MaxAttempts: 4,
+			BudgetShare: 0.1,
+			BudgetFloor: 2,
+		},
+		Routing: Routing{
+			ZoneDelay: time.Millisecond,
+		},
+		Timeline: Timeline{
+			Capacity: 4096,
+		},
+	}
+}
