Add a relay that cuts and silences connections

Partitions and connections that go silent for good can't be caused by the stand-ins themselves: a handler sees requests, not connections. The relay forwards TCP, drops the bytes of one or both directions, silences the open connections while new ones work, and counts what it drops, so that a test can wait for a fault to hit. Bytes that were dropped make the rest of a direction useless; a link therefore never passes them again.

The cloud takes spare addresses for the VMs that it starts and price factors by zone, and can hang in an outage. logstream names its counters and writes its log keys in Pascal case.

--- a/cmd/standin/platform.go
+++ b/cmd/standin/platform.go
@@ -69,6 +69,7 @@
 	flags.DurationVar(&p.ListLag, "list-lag", p.ListLag, "time after which a change shows in the VM list")
 	flags.Float64Var(&p.OnDemandPrice, "on-demand-price", p.OnDemandPrice, "price of an hour of an on-demand VM")
 	flags.Float64Var(&p.ReclaimablePrice, "reclaimable-price", p.ReclaimablePrice, "price of an hour of a reclaimable VM")
+	flags.Var(zoneFactors{&p}, "zone-factor", "ZONE=FACTOR by which prices in a zone are multiplied; may be repeated")
 	flags.Int64Var(&p.ModelBytes, "model-bytes", p.ModelBytes, "size of each model's weights")
 	flags.Float64Var(&p.WeightBytesPerSecond, "weight-bytes-per-second", p.WeightBytesPerSecond, "transfer rate of the weight store")
 	return &p
--- a/logstream/logstream.go
+++ b/logstream/logstream.go
@@ -24,6 +24,20 @@
 	MetadataTime = "Time"
 )
 
+// The counters of this package.
+const (
+	CounterAppends       = "Logstream.Appends"
+	CounterAppendsFailed = "Logstream.AppendsFailed"
+	CounterReads         = "Logstream.Reads"
+	CounterReadsFailed   = "Logstream.ReadsFailed"
+	CounterRecords       = "Logstream.Records"
+	CounterRedeliveries  = "Logstream.Redeliveries"
+	CounterTrimmed       = "Logstream.Trimmed"
+	// CounterLogShrunk counts reads whose log ends before the records that
+	// were delivered.
+	CounterLogShrunk = "Logstream.LogShrunk"
+)
+
 // Offset returns the offset of a message that was published or received.
 func Offset(m *message.Message) (uint64, error) {
 	text := m.Metadata.Get(MetadataOffset)
--- a/logstream/publisher.go
+++ b/logstream/publisher.go
@@ -45,10 +45,10 @@
 	}
 	first, err := p.append(messages[0].Context(), topic, payloads)
 	if err != nil {
-		p.Count("Logstream.AppendsFailed", 1)
+		p.Count(CounterAppendsFailed, 1)
 		return err
 	}
-	p.Count("Logstream.Appends", 1)
+	p.Count(CounterAppends, 1)
 	for i, m := range messages {
 		m.Metadata.Set(MetadataOffset, strconv.FormatUint(first+uint64(i), 10))
 	}
--- a/logstream/reader.go
+++ b/logstream/reader.go
@@ -92,14 +92,14 @@
 	}
 	ctx, cancel := withTimeout(ctx, r.Clock, timeout)
 	defer cancel()
-	r.Count("Logstream.Reads", 1)
+	r.Count(CounterReads, 1)
 	return r.log.Read(ctx, r.topic, r.next, r.options.ReadLimit, wait)
 }
 
 // skip goes on behind the records that retention has removed.
 func (r *reader) skip(ctx context.Context, trimmed *platform.TrimmedError) error {
-	r.Count("Logstream.Trimmed", 1)
-	r.Log.Info("records were trimmed", "topic", r.topic, "from", trimmed.From, "first", trimmed.First)
+	r.Count(CounterTrimmed, 1)
+	r.Log.Info("records were trimmed", "Topic", r.topic, "From", trimmed.From, "First", trimmed.First)
 	next := trimmed.First
 	if r.options.Trimmed != nil {
 		restored, err := r.options.Trimmed(ctx, trimmed)
@@ -121,10 +121,10 @@
 	if ctx.Err() != nil {
 		return
 	}
-	r.Count("Logstream.ReadsFailed", 1)
+	r.Count(CounterReadsFailed, 1)
 	if !r.failing {
 		r.failing = true
-		r.Log.Error(cause, "reads fail", "topic", r.topic, "next", r.next)
+		r.Log.Error(cause, "reads fail", "Topic", r.topic, "Next", r.next)
 	}
 	r.caughtUp = false
 	// The error of an ended ctx is seen by the caller.
@@ -134,7 +134,7 @@
 func (r *reader) succeeded() {
 	if r.failing {
 		r.failing = false
-		r.Log.Info("reads succeed again", "topic", r.topic, "next", r.next)
+		r.Log.Info("reads succeed again", "Topic", r.topic, "Next", r.next)
 	}
 	r.backoff.Reset()
 }
@@ -153,7 +153,7 @@
 	if batch.Next < r.next {
 		// The log has lost its end. New records get offsets that were
 		// delivered before, so that they are held back.
-		r.Count("Logstream.LogShrunk", 1)
+		r.Count(CounterLogShrunk, 1)
 	}
 	r.caughtUp = r.next >= batch.Next
 	if r.caughtUp && r.options.CaughtUp != nil {
@@ -170,10 +170,10 @@
 			return false
 		}
 		if acknowledged {
-			r.Count("Logstream.Records", 1)
+			r.Count(CounterRecords, 1)
 			return true
 		}
-		r.Count("Logstream.Redeliveries", 1)
+		r.Count(CounterRedeliveries, 1)
 		_ = clock.Sleep(ctx, r.Clock, r.options.MinBackoff)
 	}
 }
--- a/standin/cloud/cloud.go
+++ b/standin/cloud/cloud.go
@@ -22,6 +22,9 @@
 	// VMs that the cloud starts.
 	OnDemandPrice    float64
 	ReclaimablePrice float64
+	// ZoneFactors multiply the prices in availability zones; 1 without an
+	// entry.
+	ZoneFactors map[string]float64
 	// ModelBytes is the size of every model in the weight store.
 	ModelBytes int64
 	// WeightBytesPerSecond is the transfer rate of the weight store.
@@ -41,8 +44,10 @@
 
 // Faults are the faults of the cloud.
 type Faults struct {
-	// Outage makes every request fail with status 503.
+	// Outage makes every request fail, with status 503 unless Hang is set.
 	Outage bool
+	// Hang makes the requests in an outage wait without an answer.
+	Hang bool
 	// RefuseStarts lists the zones that have no capacity; "*" stands for
 	// every zone.
 	RefuseStarts []string
@@ -65,6 +70,8 @@
 	noticed chan struct{}
 	// started holds the VM of each identity of a start.
 	started map[string]platform.VM
+	// spares are the addresses for VMs to be started.
+	spares []string
 	// transfersUntil is when the weight store has served every reservation.
 	transfersUntil time.Time
 }
@@ -82,6 +89,7 @@
 	cloud.Handle("/control/faults", &cloud.faults)
 	cloud.Put("/vms", cloud.replace)
 	cloud.Post("/notices", cloud.announce)
+	cloud.Put("/spares", cloud.replaceSpares)
 	cloud.Group(cloud.routes)
 	return cloud
 }
@@ -108,6 +116,9 @@
 				standin.Abort()
 			}
 		}
+		if faults.Outage && faults.Hang {
+			standin.Hang(r)
+		}
 		if faults.Outage {
 			http.Error(w, "the cloud has an outage", http.StatusServiceUnavailable)
 			return
--- a/standin/cloud/cloud_test.go
+++ b/standin/cloud/cloud_test.go
@@ -33,7 +33,9 @@
 
 func newDriver(t *testing.T) *driver {
 	d := &driver{C: qt.New(t), clock: clock.NewFake(start)}
-	d.service = cloud.New(d.clock, cloud.DefaultParameters(), []platform.VM{{Name: "runner-1"}})
+	parameters := cloud.DefaultParameters()
+	parameters.ZoneFactors = map[string]float64{"a": 0.8}
+	d.service = cloud.New(d.clock, parameters, []platform.VM{{Name: "runner-1"}})
 	server := httptest.NewServer(d.service)
 	d.Cleanup(server.Close)
 	d.list = platformhttp.NewVMList(server.URL, server.Client())
@@ -80,7 +82,7 @@
 	request := platform.StartRequest{Identity: "s1", Zone: "a", Class: "large", Reclaimable: true}
 	vm, err := d.cloud.Start(ctx, request)
 	d.Assert(err, qt.IsNil)
-	d.Assert(vm.Price, qt.Equals, 1.0)
+	d.Assert(vm.Price, qt.Equals, 0.8)
 
 	again, err := d.cloud.Start(ctx, request)
 
--- a/standin/cloud/vms.go
+++ b/standin/cloud/vms.go
@@ -11,7 +11,21 @@
 	"github.com/cranberrywalk/cranberrywalk/standin"
 )
 
-// start adds a VM to the list. No process runs behind its address.
+// replaceSpares sets the addresses of processes that are ready to serve as
+// VMs to be started. It is part of the control interface.
+func (c *Cloud) replaceSpares(w http.ResponseWriter, r *http.Request) {
+	var request struct{ Addresses []string }
+	if !standin.DecodeStrictly(w, r, &request) {
+		return
+	}
+	c.mu.Lock()
+	c.spares = request.Addresses
+	c.mu.Unlock()
+	standin.Respond(w, http.StatusOK, struct{}{})
+}
+
+// start adds a VM to the list. It takes the next spare address; without one,
+// the VM has no address.
 func (c *Cloud) start(w http.ResponseWriter, r *http.Request) {
 	var request platform.StartRequest
 	if !standin.Decode(w, r, &request) {
@@ -43,12 +57,13 @@
 		Zone:        request.Zone,
 		Class:       request.Class,
 		Reclaimable: request.Reclaimable,
-		Price:       c.parameters.OnDemandPrice,
+		Price:       c.price(request),
 		Models:      request.Models,
 		Service:     request.Service,
 	}
-	if request.Reclaimable {
-		vm.Price = c.parameters.ReclaimablePrice
+	if len(c.spares) > 0 {
+		vm.Address = c.spares[0]
+		c.spares = c.spares[1:]
 	}
 	identity := request.Identity
 	if identity == "" {
@@ -58,6 +73,18 @@
 	return vm, true
 }
 
+// price returns the cost of one hour of the VM that is asked for.
+func (c *Cloud) price(request platform.StartRequest) float64 {
+	price := c.parameters.OnDemandPrice
+	if request.Reclaimable {
+		price = c.parameters.ReclaimablePrice
+	}
+	if factor, ok := c.parameters.ZoneFactors[request.Zone]; ok {
+		price *= factor
+	}
+	return price
+}
+
 // stop takes a VM off the list.
 func (c *Cloud) stop(w http.ResponseWriter, r *http.Request) {
 	name := chi.URLParam(r, "Name")
--- /dev/null
+++ b/standin/relay/relay_test.go
@@ -0,0 +1,143 @@
+package relay_test
+
+import (
+	"bufio"
+	"net"
+	"runtime"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"github.com/cranberrywalk/cranberrywalk/standin/relay"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// newEcho returns a relay to a server that repeats lines, and the lines that
+// the server has received.
+func newEcho(c *qt.C) (*relay.Relay, <-chan string) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	received := make(chan string, 100)
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go echo(connection, received)
+		}
+	}()
+	r, err := relay.New(listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() {
+		c.Check(listener.Close(), qt.IsNil)
+		r.Close()
+	})
+	return r, received
+}
+
+func echo(connection net.Conn, received chan<- string) {
+	defer connection.Close()
+	lines := bufio.NewScanner(connection)
+	for lines.Scan() {
+		received <- lines.Text()
+		_, _ = connection.Write([]byte(lines.Text() + "\n"))
+	}
+}
+
+// caller is a connection through the relay.
+type caller struct {
+	*qt.C
+	connection net.Conn
+	lines      *bufio.Scanner
+}
+
+func dial(c *qt.C, r *relay.Relay) caller {
+	connection, err := net.Dial("tcp", r.Address())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = connection.Close() })
+	return caller{C: c, connection: connection, lines: bufio.NewScanner(connection)}
+}
+
+func (c caller) send(line string) {
+	_, err := c.connection.Write([]byte(line + "\n"))
+	c.Assert(err, qt.IsNil)
+}
+
+// works tells whether a line comes back before the connection ends.
+func (c caller) works() bool {
+	_, err := c.connection.Write([]byte("ping\n"))
+	return err == nil && c.lines.Scan() && c.lines.Text() == "ping"
+}
+
+// awaitDropped returns when the relay has dropped the bytes of a text.
+func awaitDropped(r *relay.Relay, text string) {
+	for r.Dropped() < int64(len(text)) {
+		runtime.Gosched()
+	}
+}
+
+func TestSilencedConnectionStaysSilentWhileNewOnesWork(t *testing.T) {
+	c := qt.New(t)
+	r, received := newEcho(c)
+	old := dial(c, r)
+	c.Assert(old.works(), qt.IsTrue)
+	<-received
+
+	r.Silence()
+	old.send("lost")
+	awaitDropped(r, "lost\n")
+
+	c.Assert(dial(c, r).works(), qt.IsTrue)
+	c.Assert(<-received, qt.Equals, "ping")
+	r.Close()
+	c.Assert(old.lines.Scan(), qt.IsFalse)
+	c.Assert(received, qt.HasLen, 0)
+}
+
+func TestCutEndsConnectionsUntilPassed(t *testing.T) {
+	c := qt.New(t)
+	r, _ := newEcho(c)
+	old := dial(c, r)
+	c.Assert(old.works(), qt.IsTrue)
+
+	r.SetMode(relay.ModeCut)
+
+	c.Assert(old.works(), qt.IsFalse)
+	c.Assert(dial(c, r).works(), qt.IsFalse)
+	r.SetMode(relay.ModePass)
+	c.Assert(dial(c, r).works(), qt.IsTrue)
+}
+
+func TestOneWayLoss(t *testing.T) {
+	for _, scenario := range []struct {
+		name    string
+		mode    relay.Mode
+		reaches bool
+	}{
+		{"answers are dropped", relay.ModeDropAnswers, true},
+		{"requests are dropped", relay.ModeDropRequests, false},
+		{"both are dropped", relay.ModeSilent, false},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			c := qt.New(t)
+			r, received := newEcho(c)
+			old := dial(c, r)
+			c.Assert(old.works(), qt.IsTrue)
+			<-received
+			r.SetMode(scenario.mode)
+
+			old.send("one way")
+			awaitDropped(r, "one way\n")
+
+			if scenario.reaches {
+				c.Assert(<-received, qt.Equals, "one way")
+			}
+			r.Close()
+			c.Assert(old.lines.Scan(), qt.IsFalse)
+			c.Assert(received, qt.HasLen, 0)
+		})
+	}
+}
