--- a/configuration/follower.go
+++ b/configuration/follower.go
@@ -42,6 +42,9 @@
 	booted bool
 	// unsnapshotted counts the records since the last snapshot in the log.
 	unsnapshotted int
+	// snapshotSeen is the local time of the last snapshot in the log, or of
+	// the first look for one.
+	snapshotSeen time.Time
 }
 
 // NewFollower returns a follower that starts at the beginning of the stream.
@@ -158,6 +161,7 @@
 	f.unsnapshotted++
 	if isSnapshot(m.Payload) {
 		f.unsnapshotted = 0
+		f.snapshotSeen = f.Clock.Now()
 	}
 	current := follower.State().Offset()
 	f.mu.Unlock()
--- /dev/null
+++ b/configuration/log_test.go
@@ -0,0 +1,94 @@
+package configuration_test
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/platform"
+)
+
+// appendFault says what happens to an append.
+type appendFault int
+
+const (
+	none appendFault = iota
+	// refused appends have no effect, and the caller knows.
+	refused
+	// lostBefore appends have no effect, and the caller does not know.
+	lostBefore
+	// lostAfter appends take effect, and the caller does not know.
+	lostAfter
+)
+
+// fakeLog is one stream in memory.
+type fakeLog struct {
+	mu      sync.Mutex
+	records []platform.Record
+	first   uint64
+	fault   appendFault
+	down    bool
+}
+
+func (l *fakeLog) Append(_ context.Context, _ string, payloads [][]byte) (uint64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch l.fault {
+	case refused:
+		return 0, &platform.UnavailableError{Service: "Log"}
+	case lostBefore:
+		return 0, &platform.UncertainError{Service: "Log"}
+	}
+	offset := l.first + uint64(len(l.records))
+	for i, payload := range payloads {
+		l.records = append(l.records, platform.Record{Offset: offset + uint64(i), Payload: payload})
+	}
+	if l.fault == lostAfter {
+		return 0, &platform.UncertainError{Service: "Log"}
+	}
+	return offset, nil
+}
+
+func (l *fakeLog) Read(ctx context.Context, _ string, from uint64, limit int, wait time.Duration) (platform.Batch, error) {
+	batch, err := l.read(from, limit)
+	if err == nil && len(batch.Records) == 0 && wait > 0 {
+		select {
+		case <-time.After(time.Millisecond):
+		case <-ctx.Done():
+		}
+		return l.read(from, limit)
+	}
+	return batch, err
+}
+
+func (l *fakeLog) read(from uint64, limit int) (platform.Batch, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return platform.Batch{}, &platform.UnavailableError{Service: "Log"}
+	}
+	if from < l.first {
+		return platform.Batch{}, &platform.TrimmedError{Stream: "Configuration", From: from, First: l.first}
+	}
+	batch := platform.Batch{First: l.first, Next: l.first + uint64(len(l.records))}
+	if from < batch.Next {
+		rest := l.records[from-l.first:]
+		batch.Records = slices.Clone(rest[:min(limit, len(rest))])
+	}
+	return batch, nil
+}
+
+func (l *fakeLog) set(fault appendFault, down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fault, l.down = fault, down
+}
+
+// trim removes the records below first.
+func (l *fakeLog) trim(first uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.records = l.records[first-l.first:]
+	l.first = first
+}
--- a/configuration/snapshotter.go
+++ b/configuration/snapshotter.go
@@ -17,6 +17,10 @@
 	// SnapshotRecords is the number of records after which the stream gets
 	// a snapshot. It is far below what the log service retains.
 	SnapshotRecords = 200
+	// SnapshotInterval is the time after which the stream gets a snapshot
+	// even if nothing has changed, since the log service also forgets the
+	// last snapshot. It is far below the retention of the log service.
+	SnapshotInterval = time.Hour
 	// snapshotSpread is the longest random wait before a daemon writes a
 	// snapshot, so that as a rule only one does.
 	snapshotSpread = 20 * time.Second
@@ -49,13 +53,13 @@
 func (s *Snapshotter) Run(ctx context.Context) {
 	defer close(s.done)
 	for clock.Sleep(ctx, s.Clock, snapshotPoll) == nil {
-		if !s.follower.needsSnapshot() {
+		if !s.follower.needsSnapshot(s.Clock.Now()) {
 			continue
 		}
 		if clock.Sleep(ctx, s.Clock, s.delay()) != nil {
 			return
 		}
-		if s.follower.needsSnapshot() {
+		if s.follower.needsSnapshot(s.Clock.Now()) {
 			s.write()
 		}
 	}
@@ -74,12 +78,18 @@
 	s.Count(CounterSnapshots, 1)
 }
 
-// needsSnapshot reports whether many records follow the last snapshot, and
-// the state is up to date enough to write one.
-func (f *Follower) needsSnapshot() bool {
+// needsSnapshot reports whether many records or much time follow the last
+// snapshot, and the state is up to date enough to write one.
+func (f *Follower) needsSnapshot(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.booted && !f.follower.HasGap() && f.unsnapshotted >= SnapshotRecords
+	if !f.booted || f.follower.HasGap() || !f.follower.State().IsComplete() {
+		return false
+	}
+	if f.snapshotSeen.IsZero() {
+		f.snapshotSeen = now
+	}
+	return f.unsnapshotted >= SnapshotRecords || now.Sub(f.snapshotSeen) >= SnapshotInterval
 }
 
 // isSnapshot reports whether a record holds a snapshot that can be restored.
--- /dev/null
+++ b/front/front_test.go
@@ -0,0 +1,224 @@
+package front_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/dispatch"
+	"github.com/cranberrywalk/cranberrywalk/front"
+	"github.com/cranberrywalk/cranberrywalk/limit"
+	"github.com/cranberrywalk/cranberrywalk/plan"
+	"github.com/cranberrywalk/cranberrywalk/request"
+	"github.com/cranberrywalk/cranberrywalk/telemetry"
+)
+
+var noon = time.Date(2026, 1, 2, 12, 0, 0, 0, time.UTC)
+
+// fixed is a configuration that does not change.
+type fixed struct {
+	state plan.State
+	ready bool
+}
+
+func (f fixed) State() (plan.State, bool) { return f.state, f.ready }
+
+// fakeAdmitter refuses the plan of a name.
+type fakeAdmitter struct{ refused string }
+
+func (f fakeAdmitter) Admit(p plan.Plan, _ int, _ time.Time) error {
+	if p.Name == f.refused {
+		return &limit.ExceededError{Plan: p.Name, Limit: "RequestsPerSecond", RetryAfter: 1500 * time.Millisecond}
+	}
+	return nil
+}
+
+// fakeDispatcher keeps the requests it gets and ends them by a script.
+type fakeDispatcher struct {
+	requests []request.Request
+	script   func(w dispatch.Writer) dispatch.Result
+}
+
+func (f *fakeDispatcher) Do(_ context.Context, r request.Request, w dispatch.Writer) dispatch.Result {
+	f.requests = append(f.requests, r)
+	result := f.script(w)
+	w.(dispatch.Finisher).Finish(result)
+	return result
+}
+
+func answered(w dispatch.Writer) dispatch.Result {
+	_ = w.Head(http.StatusOK, http.Header{"Content-Type": {"text/plain"}})
+	_ = w.Chunk([]byte("done"))
+	return dispatch.Result{Outcome: request.Answered, Status: http.StatusOK}
+}
+
+func hashOf(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+func state() plan.State {
+	school := plan.Customer{Name: "school", KeyHashes: []string{hashOf("good")}}
+	full := plan.Customer{Name: "full", KeyHashes: []string{hashOf("limited")}}
+	bare := plan.Customer{Name: "bare", KeyHashes: []string{hashOf("no-allowance")}}
+	return plan.State{}.WithPlans(
+		plan.Plan{Name: "Desk", Customers: []plan.Customer{school}, IdempotentPaths: []string{"/availability"}},
+		plan.Plan{Name: "Limited", Customers: []plan.Customer{full}},
+		plan.Plan{Name: "Bare", Customers: []plan.Customer{bare}},
+	).WithAllowances(
+		plan.Allowance{Plan: "Desk", Models: []string{"notes"}, Services: []string{"placements"}, Priority: 3},
+		plan.Allowance{Plan: "Limited", Models: []string{"notes"}},
+	)
+}
+
+type call struct {
+	method, path, key, body string
+	header                  http.Header
+}
+
+func send(c *qt.C, f *fakeDispatcher, configuration fixed, sent call) *http.Response {
+	common := telemetry.NewCommon()
+	common.Clock = clock.NewFake(noon)
+	options := front.Options{MaxBodyBytes: 1024, MaxInFlight: 2, DefaultDeadline: time.Minute}
+	handler := front.New(common, options, configuration, fakeAdmitter{refused: "Limited"}, f).Handler()
+	r := httptest.NewRequest(sent.method, sent.path, strings.NewReader(sent.body))
+	for name, values := range sent.header {
+		r.Header[name] = values
+	}
+	if sent.key != "" {
+		r.Header.Set("Authorization", "Bearer "+sent.key)
+	}
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, r)
+	response := recorder.Result()
+	c.Assert(response.Header.Get(front.HeaderRequestID), qt.Not(qt.Equals), "")
+	return response
+}
+
+const chat = `{"model": "notes", "messages": [{"role": "user", "content": "hello"}]}`
+
+func TestBadInputNamesTheField(t *testing.T) {
+	const chatPath = "/v1/chat/completions"
+	scenarios := []struct {
+		name   string
+		sent   call
+		status int
+		kind   string
+		field  string
+		entry  string
+	}{
+		{"no key", call{"POST", chatPath, "", chat, nil}, 401, "UnknownCustomer", "Authorization", ""},
+		{"unknown customer", call{"POST", chatPath, "bad", chat, nil}, 401, "UnknownCustomer", "Authorization", ""},
+		{"malformed JSON", call{"POST", chatPath, "good", `{"model": `, nil}, 400, "InvalidField", "body", ""},
+		{"two JSON values", call{"POST", chatPath, "good", chat + "{}", nil}, 400, "InvalidField", "body", ""},
+		{"wrong type", call{"POST", chatPath, "good", `{"model": 3}`, nil}, 400, "InvalidField", "model", ""},
+		{"no model", call{"POST", chatPath, "good", `{"messages": []}`, nil}, 400, "InvalidField", "model", ""},
+		{"no messages", call{"POST", chatPath, "good", `{"model": "notes"}`, nil}, 400, "InvalidField", "messages", ""},
+		{"no role", call{"POST", chatPath, "good", `{"model": "notes", "messages": [{"content": "x"}]}`, nil}, 400, "InvalidField", "messages[0].role", ""},
+		{"content of a wrong type", call{"POST", chatPath, "good", `{"model": "notes", "messages": [{"role": "user", "content": 4}]}`, nil}, 400, "InvalidField", "messages[0].content", ""},
+		{"no tokens", call{"POST", chatPath, "good", `{"model": "notes", "max_tokens": 0, "messages": [{"role": "user", "content": "x"}]}`, nil}, 400, "InvalidField", "max_tokens", ""},
+		{"two answers", call{"POST", chatPath, "good", `{"model": "notes", "n": 2, "messages": [{"role": "user"}]}`, nil}, 400, "InvalidField", "n", ""},
+		{"no prompt", call{"POST", "/v1/completions", "good", `{"model": "notes"}`, nil}, 400, "InvalidField", "prompt", ""},
+		{"oversized body", call{"POST", chatPath, "good", strings.Repeat("x", 2000), nil}, 413, "BodyTooLarge", "body", ""},
+		{"model outside the plan", call{"POST", "/v1/completions", "good", `{"model": "other", "prompt": "x"}`, nil}, 403, "Forbidden", "Models", "Desk"},
+		{"service outside the plan", call{"POST", "/services/loans/x", "good", "", nil}, 403, "Forbidden", "Services", "Desk"},
+		{"plan without allowance", call{"POST", chatPath, "no-allowance", chat, nil}, 403, "NoAllowance", "", "Bare"},
+		{"limit reached", call{"POST", chatPath, "limited", chat, nil}, 429, "LimitExceeded", "RequestsPerSecond", "Limited"},
+		{"empty key", call{"POST", "/services/placements/x", "good", "", http.Header{"Idempotency-Key": {""}}}, 400, "InvalidField", "Idempotency-Key", ""},
+		{"two keys", call{"POST", "/services/placements/x", "good", "", http.Header{"Idempotency-Key": {"a", "b"}}}, 400, "InvalidField", "Idempotency-Key", ""},
+		{"idempotent is no boolean", call{"POST", "/services/placements/x", "good", "", http.Header{"Cranberrywalk-Idempotent": {"maybe"}}}, 400, "InvalidField", "Cranberrywalk-Idempotent", ""},
+		{"unknown path", call{"GET", "/v2/x", "good", "", nil}, 404, "UnknownPath", "", ""},
+		{"wrong method", call{"GET", chatPath, "good", "", nil}, 405, "MethodNotAllowed", "", ""},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			c := qt.New(t)
+			f := &fakeDispatcher{script: answered}
+
+			response := send(c, f, fixed{state(), true}, s.sent)
+
+			var problem front.Problem
+			c.Assert(json.NewDecoder(response.Body).Decode(&problem), qt.IsNil)
+			c.Assert(response.StatusCode, qt.Equals, s.status)
+			c.Assert(response.Header.Get("Content-Type"), qt.Equals, "application/problem+json")
+			c.Assert(response.Header.Get(front.HeaderOutcome), qt.Equals, "NotRun")
+			c.Assert([]string{problem.Type, problem.Field, problem.Entry}, qt.DeepEquals, []string{s.kind, s.field, s.entry})
+			c.Assert(response.Header.Get("Retry-After") != "", qt.Equals, s.status == 429)
+			c.Assert(f.requests, qt.HasLen, 0)
+		})
+	}
+}
+
+func TestDaemonWithoutConfigurationRefuses(t *testing.T) {
+	c := qt.New(t)
+	response := send(c, &fakeDispatcher{script: answered}, fixed{}, call{"POST", "/v1/chat/completions", "good", chat, nil})
+	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(response.Header.Get("Retry-After"), qt.Equals, "1")
+}
+
+func TestIdempotencyOfRequests(t *testing.T) {
+	scenarios := []struct {
+		name       string
+		sent       call
+		idempotent bool
+	}{
+		{"model call", call{"POST", "/v1/chat/completions", "good", chat, nil}, true},
+		{"post to a service", call{"POST", "/services/placements/x", "good", "", nil}, false},
+		{"patch of a service", call{"PATCH", "/services/placements/x", "good", "", nil}, false},
+		{"get of a service", call{"GET", "/services/placements/x?a=1", "good", "", nil}, true},
+		{"path that the plan names", call{"POST", "/services/placements/availability/7", "good", "", nil}, true},
+		{"header says false", call{"GET", "/services/placements/x", "good", "", http.Header{"Cranberrywalk-Idempotent": {"false"}}}, false},
+		{"header says true", call{"POST", "/services/placements/x", "good", "", http.Header{"Cranberrywalk-Idempotent": {"true"}}}, true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			c := qt.New(t)
+			f := &fakeDispatcher{script: answered}
+			response := send(c, f, fixed{state(), true}, s.sent)
+			c.Assert(response.Header.Get(front.HeaderOutcome), qt.Equals, "Answered")
+			c.Assert(f.requests, qt.HasLen, 1)
+			c.Assert(f.requests[0].Idempotent, qt.Equals, s.idempotent)
+			c.Assert(f.requests[0].Priority, qt.Equals, 3)
+			c.Assert(f.requests[0].Header["Authorization"], qt.HasLen, 0)
+		})
+	}
+}
+
+func TestKeyIsScopedToCustomerAndTarget(t *testing.T) {
+	c := qt.New(t)
+	f := &fakeDispatcher{script: answered}
+	header := http.Header{"Idempotency-Key": {`"k-1"`}}
+	send(c, f, fixed{state(), true}, call{"POST", "/services/placements/x", "good", "", header})
+	send(c, f, fixed{state(), true}, call{"POST", "/v1/completions", "good", `{"model": "notes", "prompt": "x"}`, header})
+	c.Assert(f.requests[0].Key, qt.Not(qt.Equals), f.requests[1].Key)
+	c.Assert(f.requests[0].Path, qt.Equals, "/x")
+}
+
+func TestBrokenStreamEndsWithErrorEventAndOutcomeTrailer(t *testing.T) {
+	c := qt.New(t)
+	f := &fakeDispatcher{script: func(w dispatch.Writer) dispatch.Result {
+		_ = w.Head(http.StatusOK, http.Header{"Content-Type": {"text/event-stream"}})
+		_ = w.Chunk([]byte("data: {}\n\n"))
+		broken := &dispatch.BrokenStreamError{Backend: "runner-a-1"}
+		return dispatch.Result{Outcome: request.Unknown, Status: http.StatusBadGateway, Problem: broken, Began: true}
+	}}
+	body := `{"model": "notes", "stream": true, "prompt": "x"}`
+
+	response := send(c, f, fixed{state(), true}, call{"POST", "/v1/completions", "good", body, nil})
+
+	content, err := io.ReadAll(response.Body)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(content), qt.Contains, `"type":"StreamBroken"`)
+	c.Assert(string(content), qt.Not(qt.Contains), "[DONE]")
+	c.Assert(response.Trailer.Get(front.HeaderOutcome), qt.Equals, "Unknown")
+}
