Let the log stand-in forget records by age

The platform keeps records for a limited time, and a daemon that was cut off for longer has to notice that. The bound by number of records alone could not show it at a realistic rate. go test -race ./standin/... passes.

--- a/cmd/standin/platform.go
+++ b/cmd/standin/platform.go
@@ -60,6 +60,7 @@
 func logFlags(flags *pflag.FlagSet) *logservice.Parameters {
 	p := logservice.DefaultParameters()
 	flags.IntVar(&p.RetainedRecords, "retained-records", p.RetainedRecords, "records that a stream keeps")
+	flags.DurationVar(&p.Retention, "retention", p.Retention, "time that a stream keeps a record; 0 for no bound")
 	flags.Float64Var(&p.AppendsPerSecond, "appends-per-second", p.AppendsPerSecond, "bound on the rate of appends; 0 for none")
 	return &p
 }
--- a/standin/logservice/log.go
+++ b/standin/logservice/log.go
@@ -23,6 +23,8 @@
 type Parameters struct {
 	// RetainedRecords is the number of records that a stream keeps.
 	RetainedRecords int
+	// Retention is how long a stream keeps a record; 0 sets no bound.
+	Retention time.Duration
 	// AppendsPerSecond bounds the rate of appends over all streams; 0 sets
 	// no bound.
 	AppendsPerSecond float64
@@ -75,7 +77,7 @@
 	defer l.mu.Unlock()
 	found := l.streams[name]
 	if found == nil {
-		found = newStream(l.parameters.RetainedRecords)
+		found = newStream(l.parameters)
 		l.streams[name] = found
 	}
 	return found
@@ -115,7 +117,7 @@
 	from := standin.Uint(r, "From")
 	found := l.stream(chi.URLParam(r, "Stream"))
 	l.await(r, found, from, min(standin.QueryDuration(r, "Wait"), maxWait))
-	batch, kept := found.read(from, limit)
+	batch, kept := found.read(from, limit, l.clock.Now())
 	if !kept {
 		standin.Respond(w, http.StatusGone, platformhttp.TrimmedResponse{First: batch.First})
 		return
--- a/standin/logservice/log_test.go
+++ b/standin/logservice/log_test.go
@@ -37,6 +37,25 @@
 	c.Assert(offset, qt.Equals, uint64(1))
 }
 
+func TestOldRecordsAreTrimmed(t *testing.T) {
+	c := qt.New(t)
+	fake := clock.NewFake(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC))
+	server := httptest.NewServer(logservice.New(fake, logservice.Parameters{RetainedRecords: 10, Retention: time.Minute}))
+	defer server.Close()
+	log := platformhttp.NewLog(server.URL, server.Client())
+	for range 2 {
+		_, err := log.Append(ctx, "Claims", [][]byte{[]byte("a")})
+		c.Assert(err, qt.IsNil)
+		fake.Advance(40 * time.Second)
+	}
+
+	batch, err := log.Read(ctx, "Claims", 1, 10, 0)
+
+	c.Assert(err, qt.IsNil)
+	c.Assert(batch.Records, qt.HasLen, 1)
+	c.Assert(batch.First, qt.Equals, uint64(1))
+}
+
 func TestRequestsThatHitAFaultAreHeld(t *testing.T) {
 	for _, scenario := range []struct {
 		name   string
--- a/standin/logservice/stream.go
+++ b/standin/logservice/stream.go
@@ -10,8 +10,8 @@
 // stream is one sequence of records.
 type stream struct {
 	mu sync.Mutex
-	// retained bounds the length of records.
-	retained int
+	// parameters bound the records.
+	parameters Parameters
 	// records are consecutive; the first has offset first.
 	records []platform.Record
 	first   uint64
@@ -19,8 +19,8 @@
 	appended chan struct{}
 }
 
-func newStream(retained int) *stream {
-	return &stream{retained: max(1, retained), appended: make(chan struct{})}
+func newStream(parameters Parameters) *stream {
+	return &stream{parameters: parameters, appended: make(chan struct{})}
 }
 
 // next returns the offset of the next record. The caller holds mu.
@@ -33,20 +33,31 @@
 	for i, payload := range payloads {
 		s.records = append(s.records, platform.Record{Offset: offset + uint64(i), Payload: payload, Time: now})
 	}
-	if excess := len(s.records) - s.retained; excess > 0 {
-		s.records = s.records[excess:]
-		s.first += uint64(excess)
-	}
+	s.trim(now)
 	close(s.appended)
 	s.appended = make(chan struct{})
 	return offset
 }
 
+// trim removes the records that are too many or too old. The caller holds mu.
+func (s *stream) trim(now time.Time) {
+	excess := max(0, len(s.records)-max(1, s.parameters.RetainedRecords))
+	if s.parameters.Retention > 0 {
+		oldest := now.Add(-s.parameters.Retention)
+		for excess < len(s.records) && s.records[excess].Time.Before(oldest) {
+			excess++
+		}
+	}
+	s.records = s.records[excess:]
+	s.first += uint64(excess)
+}
+
 // read returns up to limit records from offset from onwards. It returns false
 // when retention has removed the record at from.
-func (s *stream) read(from uint64, limit int) (platform.Batch, bool) {
+func (s *stream) read(from uint64, limit int, now time.Time) (platform.Batch, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.trim(now)
 	batch := platform.Batch{First: s.first, Next: s.next(), Records: []platform.Record{}}
 	if from < s.first {
 		return batch, false
