--- a/front/front_test.go
+++ b/front/front_test.go
@@ -86,7 +86,14 @@
 	header                  http.Header
 }
 
-func send(c *qt.C, f *fakeDispatcher, configuration fixed, sent call) *http.Response {
+// reply is a whole answer of the front.
+type reply struct {
+	status          int
+	header, trailer http.Header
+	body            []byte
+}
+
+func send(c *qt.C, f *fakeDispatcher, configuration fixed, sent call) reply {
 	common := telemetry.NewCommon()
 	common.Clock = clock.NewFake(noon)
 	options := front.Options{MaxBodyBytes: 1024, MaxInFlight: 2, DefaultDeadline: time.Minute}
@@ -101,8 +108,11 @@
 	recorder := httptest.NewRecorder()
 	handler.ServeHTTP(recorder, r)
 	response := recorder.Result()
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	c.Assert(err, qt.IsNil)
 	c.Assert(response.Header.Get(front.HeaderRequestID), qt.Not(qt.Equals), "")
-	return response
+	return reply{response.StatusCode, response.Header, response.Trailer, body}
 }
 
 const chat = `{"model": "notes", "messages": [{"role": "user", "content": "hello"}]}`
@@ -148,12 +158,12 @@
 			response := send(c, f, fixed{state(), true}, s.sent)
 
 			var problem front.Problem
-			c.Assert(json.NewDecoder(response.Body).Decode(&problem), qt.IsNil)
-			c.Assert(response.StatusCode, qt.Equals, s.status)
-			c.Assert(response.Header.Get("Content-Type"), qt.Equals, "application/problem+json")
-			c.Assert(response.Header.Get(front.HeaderOutcome), qt.Equals, "NotRun")
+			c.Assert(json.Unmarshal(response.body, &problem), qt.IsNil)
+			c.Assert(response.status, qt.Equals, s.status)
+			c.Assert(response.header.Get("Content-Type"), qt.Equals, "application/problem+json")
+			c.Assert(response.header.Get(front.HeaderOutcome), qt.Equals, "NotRun")
 			c.Assert([]string{problem.Type, problem.Field, problem.Entry}, qt.DeepEquals, []string{s.kind, s.field, s.entry})
-			c.Assert(response.Header.Get("Retry-After") != "", qt.Equals, s.status == 429)
+			c.Assert(response.header.Get("Retry-After") != "", qt.Equals, s.status == 429)
 			c.Assert(f.requests, qt.HasLen, 0)
 		})
 	}
@@ -162,8 +172,8 @@
 func TestDaemonWithoutConfigurationRefuses(t *testing.T) {
 	c := qt.New(t)
 	response := send(c, &fakeDispatcher{script: answered}, fixed{}, call{"POST", "/v1/chat/completions", "good", chat, nil})
-	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
-	c.Assert(response.Header.Get("Retry-After"), qt.Equals, "1")
+	c.Assert(response.status, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(response.header.Get("Retry-After"), qt.Equals, "1")
 }
 
 func TestIdempotencyOfRequests(t *testing.T) {
@@ -185,7 +195,7 @@
 			c := qt.New(t)
 			f := &fakeDispatcher{script: answered}
 			response := send(c, f, fixed{state(), true}, s.sent)
-			c.Assert(response.Header.Get(front.HeaderOutcome), qt.Equals, "Answered")
+			c.Assert(response.header.Get(front.HeaderOutcome), qt.Equals, "Answered")
 			c.Assert(f.requests, qt.HasLen, 1)
 			c.Assert(f.requests[0].Idempotent, qt.Equals, s.idempotent)
 			c.Assert(f.requests[0].Priority, qt.Equals, 3)
@@ -216,9 +226,7 @@
 
 	response := send(c, f, fixed{state(), true}, call{"POST", "/v1/completions", "good", body, nil})
 
-	content, err := io.ReadAll(response.Body)
-	c.Assert(err, qt.IsNil)
-	c.Assert(string(content), qt.Contains, `"type":"StreamBroken"`)
-	c.Assert(string(content), qt.Not(qt.Contains), "[DONE]")
-	c.Assert(response.Trailer.Get(front.HeaderOutcome), qt.Equals, "Unknown")
+	c.Assert(string(response.body), qt.Contains, `"type":"StreamBroken"`)
+	c.Assert(string(response.body), qt.Not(qt.Contains), "[DONE]")
+	c.Assert(response.trailer.Get(front.HeaderOutcome), qt.Equals, "Unknown")
 }
