Bound the requests to the platform in time

A poll of the VM list on a connection that has gone silent never returned: its caller passes a context without a deadline, and the HTTP client has no timeout. Each client now bounds a request by five seconds beyond the time that a long poll waits. A timeout on the http.Client was ruled out, since it would cut long polls off or be too long for the rest.

go test -race -count=10 ./platformhttp passes.

--- a/platformhttp/client.go
+++ b/platformhttp/client.go
@@ -16,6 +16,7 @@
 	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/platform"
 )
@@ -23,6 +24,11 @@
 // maxResponseBytes bounds the answers that a client reads into memory.
 const maxResponseBytes = 64 << 20
 
+// defaultTimeout bounds the time until an answer is complete, beyond the time
+// that a long poll waits. Without it, a connection that has gone silent would
+// hold its caller for good.
+const defaultTimeout = 5 * time.Second
+
 // client sends JSON requests to one service.
 type client struct {
 	// service is the name that errors carry.
@@ -30,6 +36,8 @@
 	// base is the URL without a trailing slash.
 	base string
 	http *http.Client
+	// timeout bounds a request, beyond the time that a long poll waits.
+	timeout time.Duration
 }
 
 // newClient returns a client that follows no redirect, because a followed
@@ -39,7 +47,17 @@
 	withoutRedirect.CheckRedirect = func(*http.Request, []*http.Request) error {
 		return http.ErrUseLastResponse
 	}
-	return client{service: service, base: strings.TrimSuffix(base, "/"), http: &withoutRedirect}
+	return client{
+		service: service,
+		base:    strings.TrimSuffix(base, "/"),
+		http:    &withoutRedirect,
+		timeout: defaultTimeout,
+	}
+}
+
+func (c client) withTimeout(timeout time.Duration) client {
+	c.timeout = timeout
+	return c
 }
 
 // reply is a whole answer of a service.
@@ -50,9 +68,11 @@
 	changes bool
 }
 
-// read sends a GET request. It has no effect, so that every failure is an
-// *platform.UnavailableError.
-func (c client) read(ctx context.Context, path string) (reply, error) {
+// read sends a GET request that the service may hold for wait. It has no
+// effect, so that every failure is an *platform.UnavailableError.
+func (c client) read(ctx context.Context, path string, wait time.Duration) (reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout)
+	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, http.NoBody)
 	if err != nil {
 		return reply{}, c.unavailable(err)
@@ -72,6 +92,8 @@
 	if err != nil {
 		return reply{}, c.unavailable(err)
 	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace),
--- a/platformhttp/cloud.go
+++ b/platformhttp/cloud.go
@@ -22,12 +22,18 @@
 	return &Cloud{client: newClient("cloud", base, httpClient)}
 }
 
+// WithTimeout returns a client whose requests take at most timeout, beyond the
+// time that a long poll waits.
+func (c *Cloud) WithTimeout(timeout time.Duration) *Cloud {
+	return &Cloud{client: c.client.withTimeout(timeout)}
+}
+
 // Notices implements platform.Cloud.
 func (c *Cloud) Notices(ctx context.Context, after uint64, wait time.Duration) ([]platform.Notice, error) {
 	query := url.Values{}
 	query.Set("After", strconv.FormatUint(after, 10))
 	query.Set("Wait", wait.String())
-	answer, err := c.client.read(ctx, "/notices?"+query.Encode())
+	answer, err := c.client.read(ctx, "/notices?"+query.Encode(), wait)
 	if err != nil {
 		return nil, err
 	}
--- a/platformhttp/engine.go
+++ b/platformhttp/engine.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/platform"
 )
@@ -21,9 +22,15 @@
 	return &Engine{client: newClient("engine", base, httpClient)}
 }
 
+// WithTimeout returns a client whose requests take at most timeout, beyond the
+// time that a long poll waits.
+func (e *Engine) WithTimeout(timeout time.Duration) *Engine {
+	return &Engine{client: e.client.withTimeout(timeout)}
+}
+
 // Load implements platform.Engine.
 func (e *Engine) Load(ctx context.Context) (platform.LoadReport, error) {
-	answer, err := e.client.read(ctx, "/engine/load")
+	answer, err := e.client.read(ctx, "/engine/load", 0)
 	if err != nil {
 		return platform.LoadReport{}, err
 	}
@@ -32,7 +39,7 @@
 
 // CacheEvents implements platform.Engine.
 func (e *Engine) CacheEvents(ctx context.Context, after uint64) ([]platform.CacheEvent, error) {
-	answer, err := e.client.read(ctx, "/engine/cache-events?After="+strconv.FormatUint(after, 10))
+	answer, err := e.client.read(ctx, "/engine/cache-events?After="+strconv.FormatUint(after, 10), 0)
 	if err != nil {
 		return nil, err
 	}
--- a/platformhttp/log.go
+++ b/platformhttp/log.go
@@ -23,6 +23,12 @@
 	return &Log{client: newClient("log", base, httpClient)}
 }
 
+// WithTimeout returns a client whose requests take at most timeout, beyond the
+// time that a long poll waits.
+func (l *Log) WithTimeout(timeout time.Duration) *Log {
+	return &Log{client: l.client.withTimeout(timeout)}
+}
+
 // Append implements platform.Log.
 func (l *Log) Append(ctx context.Context, stream string, payloads [][]byte) (uint64, error) {
 	answer, err := l.client.change(ctx, streamPath(stream), AppendRequest{Payloads: payloads})
@@ -39,7 +45,7 @@
 	query.Set("From", strconv.FormatUint(from, 10))
 	query.Set("Limit", strconv.Itoa(limit))
 	query.Set("Wait", wait.String())
-	answer, err := l.client.read(ctx, streamPath(stream)+"?"+query.Encode())
+	answer, err := l.client.read(ctx, streamPath(stream)+"?"+query.Encode(), wait)
 	if err != nil {
 		return platform.Batch{}, err
 	}
--- a/platformhttp/log_test.go
+++ b/platformhttp/log_test.go
@@ -138,6 +138,17 @@
 	c.Assert(kind(err), qt.Equals, "Uncertain")
 }
 
+func TestSilentReadIsGivenUp(t *testing.T) {
+	c := qt.New(t)
+	log, service := newLog(c)
+	service.SetFaults(logservice.Faults{Outage: logservice.OutageReads, Hang: true})
+
+	_, err := log.WithTimeout(time.Millisecond).Read(context.Background(), stream, 0, 10, 0)
+
+	c.Assert(kind(err), qt.Equals, "Unavailable")
+	c.Assert(errors.Is(err, context.DeadlineExceeded), qt.IsTrue)
+}
+
 func TestRefusedConnectionIsUnavailable(t *testing.T) {
 	c := qt.New(t)
 	server := httptest.NewServer(http.NotFoundHandler())
--- a/platformhttp/weights.go
+++ b/platformhttp/weights.go
@@ -21,9 +21,15 @@
 	return &WeightStore{client: newClient("weight store", base, httpClient)}
 }
 
+// WithTimeout returns a client whose requests take at most timeout, beyond the
+// time that a long poll waits.
+func (s *WeightStore) WithTimeout(timeout time.Duration) *WeightStore {
+	return &WeightStore{client: s.client.withTimeout(timeout)}
+}
+
 // Size implements platform.WeightStore.
 func (s *WeightStore) Size(ctx context.Context, model string) (int64, error) {
-	answer, err := s.client.read(ctx, "/weights/"+url.PathEscape(model))
+	answer, err := s.client.read(ctx, "/weights/"+url.PathEscape(model), 0)
 	if err != nil {
 		return 0, err
 	}
