--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,84 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cranberrywalk/cranberrywalk/retry"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func TestBudgetAllowsShareOfRecentTraffic(t *testing.T) {
+	for _, scenario := range []struct {
+		name     string
+		requests int
+		passed   time.Duration
+		retries  int
+	}{
+		{"no traffic leaves the burst of the floor", 0, 0, 10},
+		{"each request adds its share", 100, 0, 10 + 20},
+		{"old traffic loses its weight", 100, 10 * time.Minute, 10},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			c := qt.New(t)
+			budget := retry.NewBudget(retry.DefaultBudgetOptions(), start)
+			for range scenario.requests {
+				budget.Deposit(start)
+			}
+			now := start.Add(scenario.passed)
+			retries := 0
+			for budget.Withdraw(now) {
+				retries++
+			}
+			// Sums of shares are rounded.
+			c.Assert(retries >= scenario.retries-1 && retries <= scenario.retries, qt.IsTrue, qt.Commentf("%d retries", retries))
+		})
+	}
+}
+
+// Half of the backend servers go, and every request fails once.
+func TestRetriesStayBelowTheirShareOfTheLoad(t *testing.T) {
+	c := qt.New(t)
+	options := retry.DefaultBudgetOptions()
+	budget := retry.NewBudget(options, start)
+	const perSecond, seconds = 100, 300
+	retries := 0
+	for i := range perSecond * seconds {
+		now := start.Add(time.Duration(i) * time.Second / perSecond)
+		budget.Deposit(now)
+		if budget.Withdraw(now) {
+			retries++
+		}
+	}
+	most := options.Share*perSecond*seconds + options.FloorPerSecond*seconds + options.Burst
+	c.Assert(float64(retries) <= most, qt.IsTrue, qt.Commentf("%d retries", retries))
+}
+
+func TestTimeThatGoesBackAddsNothing(t *testing.T) {
+	c := qt.New(t)
+	budget := retry.NewBudget(retry.BudgetOptions{Window: time.Second, FloorPerSecond: 1, Burst: 1}, start)
+	c.Assert(budget.Withdraw(start), qt.IsTrue)
+	c.Assert(budget.Withdraw(start.Add(-time.Hour)), qt.IsFalse)
+	c.Assert(budget.Withdraw(start.Add(time.Second)), qt.IsTrue)
+}
+
+func TestBackoffGrowsWithinItsBoundsAndTheDeadline(t *testing.T) {
+	c := qt.New(t)
+	options := retry.DefaultBackoffOptions()
+	backoff := retry.NewBackoff(options, rand.NewPCG(1, 2))
+	bound := options.First
+	for failed := 1; failed < 8; failed++ {
+		for range 100 {
+			wait, ok := backoff.Wait(failed, start, time.Time{})
+			c.Assert(ok, qt.IsTrue)
+			c.Assert(wait >= 0 && wait <= min(bound, options.Most), qt.IsTrue, qt.Commentf("%s", wait))
+		}
+		bound *= time.Duration(options.Factor)
+	}
+	_, ok := backoff.Wait(1, start, start)
+	c.Assert(ok, qt.IsFalse)
+}
