Make the service stand-in slow on demand

A late answer of a plain service had to be asked for when the process was started; as a fault it can begin in the middle of a test.

--- a/standin/service/faults.go
+++ b/standin/service/faults.go
@@ -27,6 +27,8 @@
 // Faults are the faults that are switched on.
 type Faults struct {
 	standin.Counted[Fault]
+	// Delay is added to the time that each request takes to run.
+	Delay standin.Duration
 }
 
 // nextFault returns the fault for one request.
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -84,9 +84,9 @@
 	run := s.runs.Record(r, s.clock.Now())
 	s.running.Add(1)
 	defer s.running.Add(-1)
-	if s.parameters.Delay > 0 {
+	if delay := s.parameters.Delay + time.Duration(s.faults.Get().Delay); delay > 0 {
 		// A caller that leaves does not undo the run.
-		_ = clock.Sleep(r.Context(), s.clock, s.parameters.Delay)
+		_ = clock.Sleep(r.Context(), s.clock, delay)
 	}
 	s.answer(w, r, fault, Answer{
 		Service: s.parameters.Name, Method: r.Method, Path: r.URL.Path, Run: run, Body: string(body),
--- a/standin/service/service_test.go
+++ b/standin/service/service_test.go
@@ -1,12 +1,14 @@
 package service_test
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -68,6 +70,26 @@
 	}
 }
 
+func TestSlowRequestCountsBeforeItsAnswer(t *testing.T) {
+	c := qt.New(t)
+	fake := clock.NewFake(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC))
+	s := service.New(fake, service.Parameters{Delay: time.Second})
+	server := httptest.NewServer(s)
+	defer server.Close()
+	s.SetFaults(service.Faults{Delay: standin.Duration(time.Minute)})
+	answered := make(chan int, 1)
+	go func() {
+		status, _, _ := confirm(server)
+		answered <- status
+	}()
+	c.Assert(fake.BlockUntilContext(context.Background(), 1), qt.IsNil)
+	c.Assert(s.Runs().Total, qt.Equals, 1)
+
+	fake.Advance(time.Minute + time.Second)
+
+	c.Assert(<-answered, qt.Equals, http.StatusOK)
+}
+
 func TestControlInterface(t *testing.T) {
 	c := qt.New(t)
 	server := httptest.NewServer(service.New(clock.Real(), service.Parameters{}))
