Measure what a daemon adds to a request

Cause: the cost of passing through a daemon was not known.

Change: make bench runs a service and two daemons, the measured one with GOMAXPROCS=1, and prints the latency that a daemon adds, requests for each second of a core, and memory. fleet reads processor time and resident memory from /proc.

The slopes over peers and runners are still to be measured.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GOLANGCI_LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 BIN := bin
 
-.PHONY: all build test race lint format demo clean
+.PHONY: all build test race lint format demo bench clean
 
 all: build
 
@@ -25,5 +25,9 @@
 demo: build
 	./$(BIN)/demo
 
+# Prints what a daemon adds to a request, and what it takes of the machine.
+bench: build
+	./$(BIN)/bench
+
 clean:
 	rm -rf $(BIN)
--- /dev/null
+++ b/cmd/bench/bench.go
@@ -0,0 +1,198 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/fleet"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+)
+
+const (
+	region       = "mn-central"
+	zone         = "mn-central-a"
+	service      = "placements"
+	customerKey  = "demo-key"
+	listsDir     = "examples/demo/"
+	readyWait    = 20 * time.Second
+	sequential   = 2000
+	parallel     = 32
+	loadRequests = 20_000
+	idleTime     = 10 * time.Second
+)
+
+// bench is the running system.
+type bench struct {
+	fleet   *fleet.Fleet
+	out     io.Writer
+	daemon  platform.VM
+	backend platform.VM
+}
+
+func run(out io.Writer) error {
+	dir, err := os.MkdirTemp("", "cranberrywalk-bench-")
+	if err != nil {
+		return err
+	}
+	// A directory that stays behind does no harm.
+	defer func() { _ = os.RemoveAll(dir) }()
+	f, err := fleet.New(fleet.Options{Bin: "bin", Dir: dir, Region: region, PlatformFlags: []string{"--list-lag", "0s"}})
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	b := &bench{fleet: f, out: out}
+	for _, step := range []func() error{b.start, b.measureIdle, b.measureLatency, b.measureLoad} {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// start runs one service and two daemons, the measured one on one core.
+func (b *bench) start() error {
+	var err error
+	if b.backend, err = b.fleet.StartBackend(fleet.Backend{Name: "service-a-1", Zone: zone, Class: "on-demand", Service: service}); err != nil {
+		return err
+	}
+	if b.daemon, err = b.fleet.StartDaemon(fleet.Daemon{Name: "entry-a-1", Zone: zone, Environment: []string{"GOMAXPROCS=1"}}); err != nil {
+		return err
+	}
+	if _, err = b.fleet.StartDaemon(fleet.Daemon{Name: "entry-a-2", Zone: zone}); err != nil {
+		return err
+	}
+	_, err = b.fleet.Command("publish", "--settings", b.fleet.SettingsPath("entry-a-1"),
+		"--plans", listsDir+"unlimited-plans.json", "--allowances", listsDir+"allowances.json")
+	if err != nil {
+		return err
+	}
+	if err := fleet.AwaitReady(b.daemon, readyWait); err != nil {
+		return err
+	}
+	return fleet.AwaitBackends(b.daemon, 1, readyWait)
+}
+
+func (b *bench) usage() (fleet.Usage, error) { return b.fleet.Process("entry-a-1").Usage() }
+
+func (b *bench) measureIdle() error {
+	before, err := b.usage()
+	if err != nil {
+		return err
+	}
+	time.Sleep(idleTime)
+	after, err := b.usage()
+	if err != nil {
+		return err
+	}
+	share := (after.Processor - before.Processor).Seconds() / idleTime.Seconds()
+	fmt.Fprintf(b.out, "idle: %.2f %% of a core, %.1f MB resident\n", 100*share, megabytes(after.Resident))
+	return nil
+}
+
+// measureLatency compares small requests through the daemon with the same
+// requests straight to the service.
+func (b *bench) measureLatency() error {
+	direct, err := b.sequence("http://" + b.backend.Address + "/rosters")
+	if err != nil {
+		return err
+	}
+	through, err := b.sequence("http://" + b.daemon.Address + "/services/" + service + "/rosters")
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(b.out, "one request at a time, median of %d: direct %v, through a daemon %v, ratio %.2f, added %v\n",
+		sequential, direct, through, through.Seconds()/direct.Seconds(), through-direct)
+	return nil
+}
+
+func (b *bench) sequence(url string) (time.Duration, error) {
+	client := newClient(1)
+	times := make([]time.Duration, 0, sequential)
+	for range sequential {
+		begun := time.Now()
+		if err := get(client, url); err != nil {
+			return 0, err
+		}
+		times = append(times, time.Since(begun))
+	}
+	slices.Sort(times)
+	return times[len(times)/2], nil
+}
+
+// measureLoad keeps the daemon busy from many callers.
+func (b *bench) measureLoad() error {
+	before, err := b.usage()
+	if err != nil {
+		return err
+	}
+	begun := time.Now()
+	if err := b.load(); err != nil {
+		return err
+	}
+	elapsed := time.Since(begun)
+	after, err := b.usage()
+	if err != nil {
+		return err
+	}
+	processor := after.Processor - before.Processor
+	fmt.Fprintf(b.out, "%d callers: %.0f requests a second, %.0f for each second of a core, %.1f MB resident\n",
+		parallel, loadRequests/elapsed.Seconds(), loadRequests/processor.Seconds(), megabytes(after.Resident))
+	return nil
+}
+
+func (b *bench) load() error {
+	client := newClient(parallel)
+	url := "http://" + b.daemon.Address + "/services/" + service + "/rosters"
+	failures := make(chan error, parallel)
+	var callers sync.WaitGroup
+	for range parallel {
+		callers.Go(func() {
+			for range loadRequests / parallel {
+				if err := get(client, url); err != nil {
+					failures <- err
+					return
+				}
+			}
+		})
+	}
+	callers.Wait()
+	select {
+	case err := <-failures:
+		return err
+	default:
+		return nil
+	}
+}
+
+func newClient(connections int) *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connections}, Timeout: readyWait}
+}
+
+func get(client *http.Client, url string) error {
+	request, err := http.NewRequest(http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Authorization", "Bearer "+customerKey)
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return &fleet.StatusError{URL: url, Status: response.StatusCode, Body: string(body)}
+	}
+	return nil
+}
+
+func megabytes(bytes int64) float64 { return float64(bytes) / (1 << 20) }
--- a/fleet/backend.go
+++ b/fleet/backend.go
@@ -37,7 +37,7 @@
 		vm.Models = nil
 		vm.Service = b.Service
 	}
-	if _, err := f.run(b.Name, "standin", append(flags, b.Flags...)...); err != nil {
+	if _, err := f.run(b.Name, "standin", nil, append(flags, b.Flags...)...); err != nil {
 		return platform.VM{}, err
 	}
 	return vm, f.addVM(vm)
--- a/fleet/daemon.go
+++ b/fleet/daemon.go
@@ -16,6 +16,8 @@
 	// PlatformURL replaces the fleet's own when it is not empty, for
 	// example by the address of a relay.
 	PlatformURL string
+	// Environment holds further variables, for example GOMAXPROCS=1.
+	Environment []string
 }
 
 // StartDaemon starts a daemon, adds its VM to the VM list and returns it. A
@@ -39,7 +41,7 @@
 	if err != nil {
 		return platform.VM{}, err
 	}
-	_, err = f.run(d.Name, "cranberrywalk", "serve", "--settings", path)
+	_, err = f.run(d.Name, "cranberrywalk", d.Environment, "serve", "--settings", path)
 	return vm, err
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -54,7 +54,7 @@
 		return nil, err
 	}
 	flags := append([]string{"platform", "--address", address}, options.PlatformFlags...)
-	if _, err := f.run("platform", "standin", flags...); err != nil {
+	if _, err := f.run("platform", "standin", nil, flags...); err != nil {
 		return nil, err
 	}
 	f.PlatformURL = "http://" + address
@@ -72,8 +72,8 @@
 }
 
 // run starts a program and waits until it listens.
-func (f *Fleet) run(name, program string, arguments ...string) (*Process, error) {
-	process, err := startProcess(f.options.Dir, name, filepath.Join(f.options.Bin, program), arguments...)
+func (f *Fleet) run(name, program string, environment []string, arguments ...string) (*Process, error) {
+	process, err := startProcess(f.options.Dir, name, filepath.Join(f.options.Bin, program), environment, arguments...)
 	if err != nil {
 		return nil, err
 	}
--- a/fleet/process.go
+++ b/fleet/process.go
@@ -30,7 +30,7 @@
 }
 
 // startProcess runs a program whose standard error goes to a file in dir.
-func startProcess(dir, name, program string, arguments ...string) (*Process, error) {
+func startProcess(dir, name, program string, environment []string, arguments ...string) (*Process, error) {
 	logFile := filepath.Join(dir, name+".log")
 	stderr, err := os.Create(logFile)
 	if err != nil {
@@ -39,6 +39,7 @@
 	defer stderr.Close()
 	command := exec.Command(program, arguments...)
 	command.Stderr = stderr
+	command.Env = append(os.Environ(), environment...)
 	// The kernel stops the program when the fleet's own process dies.
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	stdout, err := command.StdoutPipe()
