Test claims by properties and mend two faults that they found

Processes claim, release, read late, append copies of records and join a log that has removed records of a lifetime ago. No two winners of a key may overlap within a lifetime, all full books agree, and each winner's process knows that it has won.

Copies now renew what is remembered of their process.

A key that is claimed again and again no longer adds to the memory: it stands in the queue once.

--- a/claim/book.go
+++ b/claim/book.go
@@ -43,32 +43,20 @@
 	// next is the offset of the next record to fold.
 	next uint64
 	// now is the highest time of a folded record.
-	now time.Time
-	// holders has the winner of each key that is not open.
-	holders map[[keyBytes]byte]holder
-	// window counts the claims of the last lifetime and finds the keys
-	// whose lifetime has passed.
+	now     time.Time
+	holders holders
+	// window counts the claims of the last lifetime.
 	window    window
 	producers producers
 }
 
-// holder is the winning claim of a key.
-type holder struct {
-	producer    *producer
-	number      uint64
-	fingerprint uint64
-	// won is when the claim was folded; touched is the time of the last
-	// claim of the key. Both are log times.
-	won     time.Time
-	touched time.Time
-}
-
 // NewBook returns a book whose first record is the one at offset first.
 func NewBook(options Options, first uint64) *Book {
 	return &Book{
 		options:   options,
 		next:      first,
-		holders:   make(map[[keyBytes]byte]holder),
+		holders:   newHolders(options.Lifetime),
+		window:    window{lifetime: options.Lifetime},
 		producers: producers{lifetime: options.Lifetime, known: make(map[producerName]*producer)},
 	}
 }
@@ -79,8 +67,9 @@
 // Now returns the highest time of a folded record.
 func (b *Book) Now() time.Time { return b.now }
 
-// Keys returns how many keys have a winner.
-func (b *Book) Keys() int { return len(b.holders) }
+// Keys returns how many keys the book holds in memory: those that have a
+// winner, and some whose lifetime has passed.
+func (b *Book) Keys() int { return len(b.holders.byKey) }
 
 // Look returns the winner of a key as of now, which is at or after the last
 // folded record. It returns false for a key that is open or has outlived its
@@ -90,8 +79,8 @@
 	if err != nil {
 		return Claim{}, false
 	}
-	held, found := b.holders[raw]
-	if !found || b.hasPassed(held.touched, now) {
+	held, found := b.holders.find(raw, now)
+	if !found {
 		return Claim{}, false
 	}
 	return held.claim(key), true
@@ -147,56 +136,37 @@
 	return judgements, nil
 }
 
-// advance moves the log time forward and forgets the keys that outlive it.
+// advance moves the log time forward and forgets what has outlived it.
 func (b *Book) advance(now time.Time) {
 	if now.After(b.now) {
 		b.now = now
 	}
-	for _, key := range b.window.expire(b.now, b.options.Lifetime) {
-		if held, found := b.holders[key]; found && b.hasPassed(held.touched, b.now) {
-			delete(b.holders, key)
-		}
-	}
+	b.window.expire(b.now)
+	b.holders.expire(b.now)
 }
 
 func (b *Book) judge(source *producer, claimed Claim) Judgement {
-	claimed.Time = b.now
+	claimed.Time = b.now.UTC()
 	// Decode has made the key from its binary form.
 	raw, _ := claimed.Key.binary()
-	held, found := b.holders[raw]
+	held, found := b.holders.find(raw, b.now)
 	room := b.CheckRoom()
-	if !found && room != nil {
-		b.window.addRefused(b.now)
+	b.window.add(b.now)
+	switch {
+	case found:
+		b.holders.touch(raw, held, b.now)
+	case room != nil:
 		return Judgement{Claim: claimed, Err: room}
+	default:
+		held = b.holders.win(raw, holder{producer: source, number: claimed.Number, fingerprint: claimed.Fingerprint}, b.now)
 	}
-	if !found {
-		held = holder{producer: source, number: claimed.Number, fingerprint: claimed.Fingerprint, won: b.now}
-	}
-	held.touched = b.now
-	b.holders[raw] = held
-	b.window.add(b.now, raw)
 	return Judgement{Claim: claimed, Won: !found, Winner: held.claim(claimed.Key)}
 }
 
 func (b *Book) release(source *producer, release Release) {
 	raw, _ := release.Key.binary()
-	held, found := b.holders[raw]
+	held, found := b.holders.find(raw, b.now)
 	if found && held.producer.name == source.name && held.number == release.Number {
-		delete(b.holders, raw)
-	}
-}
-
-func (b *Book) hasPassed(since, now time.Time) bool {
-	return now.Sub(since) >= b.options.Lifetime
-}
-
-func (h holder) claim(key Key) Claim {
-	return Claim{
-		Key:         key,
-		Daemon:      h.producer.name.daemon,
-		Incarnation: h.producer.name.incarnation,
-		Number:      h.number,
-		Fingerprint: h.fingerprint,
-		Time:        h.won,
+		b.holders.remove(raw)
 	}
 }
--- /dev/null
+++ b/claim/book_test.go
@@ -0,0 +1,123 @@
+package claim_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cranberrywalk/cranberrywalk/claim"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+)
+
+// script appends one claim per call and folds it into the books.
+type script struct {
+	*qt.C
+	records []platform.Record
+	number  uint64
+}
+
+func (s *script) claim(at time.Duration, key string, books ...*claim.Book) []claim.Judgement {
+	s.number++
+	return s.append(at, claim.Record{
+		Daemon: "d", Incarnation: "1", Sequence: s.number, Claims: []claim.Entry{{Key: claim.NewKey("c", "s", key)}},
+	}, books...)
+}
+
+func (s *script) append(at time.Duration, record claim.Record, books ...*claim.Book) []claim.Judgement {
+	payload, err := record.Encode()
+	s.Assert(err, qt.IsNil)
+	s.records = append(s.records, platform.Record{
+		Offset: uint64(len(s.records)), Payload: payload, Time: time.Unix(1000, 0).Add(at),
+	})
+	return s.fold(books...)
+}
+
+// fold folds the last record into the books and returns one judgement each.
+func (s *script) fold(books ...*claim.Book) (judged []claim.Judgement) {
+	for _, book := range books {
+		judgements, err := book.Fold(s.records[len(s.records)-1])
+		s.Assert(err, qt.IsNil)
+		judged = append(judged, judgements...)
+	}
+	return judged
+}
+
+// A book that began after the first claims must not refuse a claim for want
+// of room that an older book takes: it would give the key away later.
+func TestFullBookRefusesNewKeysAlikeInBooksThatBeganLater(t *testing.T) {
+	s := &script{C: qt.New(t)}
+	options := claim.Options{Lifetime: lifetime, MaxClaims: 2}
+	old, late := claim.NewBook(options, 0), claim.NewBook(options, 1)
+
+	s.claim(0, "a", old)
+	s.claim(time.Second, "b", old, late)
+	refused := s.claim(2*time.Second, "c", old, late)[0]
+	var full *claim.FullError
+	s.Assert(errors.As(refused.Err, &full), qt.IsTrue)
+	s.Assert(full.Claims, qt.Equals, 2)
+
+	both := s.claim(10500*time.Millisecond, "d", old, late)
+	s.Assert(both[0].Won, qt.Equals, both[1].Won)
+	both = s.claim(11500*time.Millisecond, "d", old, late)
+	s.Assert(both[0].Won && both[1].Won, qt.IsFalse)
+}
+
+func TestLogTimeNeverFalls(t *testing.T) {
+	s := &script{C: qt.New(t)}
+	book := claim.NewBook(claim.Options{Lifetime: lifetime, MaxClaims: 9}, 0)
+	s.claim(5*time.Second, "a", book)
+	s.Assert(s.claim(time.Second, "a", book)[0].Won, qt.IsFalse)
+	s.Assert(book.Now(), qt.Equals, time.Unix(1005, 0))
+	s.Assert(s.claim(15*time.Second, "a", book)[0].Won, qt.IsTrue)
+}
+
+func TestGapIsNotFolded(t *testing.T) {
+	s := &script{C: qt.New(t)}
+	s.claim(0, "a")
+	s.claim(0, "b")
+	_, err := claim.NewBook(claim.DefaultOptions(), 0).Fold(s.records[1])
+	s.Assert(err, qt.DeepEquals, &claim.GapError{Expected: 0, Offset: 1})
+}
+
+// A losing claim must start the lifetime again: a book that began after the
+// winner takes the loser for the winner, and the books would part when the
+// lifetimes of the two end at different times.
+func TestLosingClaimStartsLifetimeAgain(t *testing.T) {
+	s := &script{C: qt.New(t)}
+	old, late := claim.NewBook(claim.Options{Lifetime: lifetime, MaxClaims: 9}, 0), claim.NewBook(claim.Options{Lifetime: lifetime, MaxClaims: 9}, 1)
+	s.claim(0, "a", old)
+	s.claim(5*time.Second, "a", old, late)
+	both := s.claim(12*time.Second, "a", old, late)
+	s.Assert(both[0].Won || both[1].Won, qt.IsFalse)
+	both = s.claim(22*time.Second, "a", old, late)
+	s.Assert(both[0].Won && both[1].Won, qt.IsTrue)
+}
+
+func TestReleaseOpensKeyForWinnerOnly(t *testing.T) {
+	key := claim.NewKey("c", "s", "a")
+	for _, scenario := range []struct {
+		name                string
+		daemon, incarnation string
+		number              uint64
+		opens               bool
+	}{
+		{"by the winner", "d", "1", 1, true},
+		{"by another daemon", "e", "1", 1, false},
+		{"by a later incarnation", "d", "2", 1, false},
+		{"of another claim of the winner", "d", "1", 2, false},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			s := &script{C: qt.New(t)}
+			book := claim.NewBook(claim.DefaultOptions(), 0)
+			s.claim(0, "a", book)
+			s.append(0, claim.Record{
+				Daemon: scenario.daemon, Incarnation: scenario.incarnation, Sequence: 8,
+				Releases: []claim.Release{{Key: key, Number: scenario.number}},
+			}, book)
+			_, held := book.Look(key, book.Now())
+			s.Assert(held, qt.Equals, !scenario.opens)
+		})
+	}
+}
--- a/claim/producer.go
+++ b/claim/producer.go
@@ -14,7 +14,8 @@
 	// highest is the highest number of a folded record. A record at or
 	// below it is a copy that a repeated or delayed append left behind.
 	highest uint64
-	// seen is the log time of the last folded record.
+	// seen is the log time of the last record, copies included: an append
+	// that is repeated for long leaves a chain of copies.
 	seen time.Time
 }
 
@@ -39,11 +40,11 @@
 		source = &producer{name: name}
 		p.known[name] = source
 	}
+	source.seen = now
 	if record.Sequence <= source.highest {
 		return nil
 	}
 	source.highest = record.Last()
-	source.seen = now
 	return source
 }
 
--- /dev/null
+++ b/claim/property_test.go
@@ -0,0 +1,201 @@
+package claim_test
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/cranberrywalk/cranberrywalk/claim"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+)
+
+const lifetime = 10 * time.Second
+
+// keys are few, so that claims of different processes collide.
+var keys = []claim.Key{claim.NewKey("c", "s", "1"), claim.NewKey("c", "s", "2")}
+
+// process is a daemon that keeps the rules of the ledger.
+type process struct {
+	name string
+	book *claim.Book
+	next uint64
+	// sent has the numbers whose claims it has not seen judged.
+	sent map[uint64]bool
+	// held has the claims that it won and may still release.
+	held []claim.Claim
+}
+
+// world is a log and the processes that claim on it.
+type world struct {
+	options   claim.Options
+	now       time.Time
+	records   []platform.Record
+	processes []*process
+	// wins has the claims that give the right to write.
+	wins []claim.Claim
+	// trims says that processes join on a log that has removed records.
+	trims bool
+}
+
+func (w *world) append(payload []byte) {
+	w.records = append(w.records, platform.Record{Offset: uint64(len(w.records)), Payload: payload, Time: w.now})
+}
+
+// join starts a process on a log that has removed some of the records that
+// are a lifetime old.
+func (w *world) join(t *rapid.T) {
+	old := 0
+	for w.trims && old < len(w.records) && w.now.Sub(w.records[old].Time) >= lifetime {
+		old++
+	}
+	first := uint64(rapid.IntRange(0, old).Draw(t, "first"))
+	w.processes = append(w.processes, &process{
+		name: fmt.Sprint("d", len(w.processes)), book: claim.NewBook(w.options, first), next: 1, sent: map[uint64]bool{},
+	})
+}
+
+// claim appends a record of up to two claims, and perhaps one release.
+func (w *world) claim(t *rapid.T, p *process) {
+	record := claim.Record{Daemon: p.name, Incarnation: "1", Sequence: p.next}
+	for range rapid.IntRange(0, 1).Draw(t, "claims") {
+		record.Claims = append(record.Claims, claim.Entry{Key: rapid.SampledFrom(keys).Draw(t, "key")})
+		p.sent[p.next+uint64(len(record.Claims)-1)] = true
+	}
+	if len(p.held) > 0 && rapid.Bool().Draw(t, "release") {
+		given := p.held[0]
+		p.held = p.held[1:]
+		record.Releases = []claim.Release{{Key: given.Key, Number: given.Number}}
+		w.wins = remove(w.wins, given)
+	}
+	p.next = record.Last() + 1
+	payload, err := record.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.append(payload)
+}
+
+func remove(claims []claim.Claim, given claim.Claim) []claim.Claim {
+	var kept []claim.Claim
+	for _, c := range claims {
+		if !c.IsSame(given) {
+			kept = append(kept, c)
+		}
+	}
+	return kept
+}
+
+// read lets a process fold up to count records.
+func (w *world) read(t *rapid.T, p *process, count int) {
+	for ; count > 0 && p.book.Next() < uint64(len(w.records)); count-- {
+		judgements, _ := p.book.Fold(w.records[p.book.Next()])
+		for _, judged := range judgements {
+			own := judged.Claim.Daemon == p.name && p.sent[judged.Claim.Number]
+			if own && judged.Won {
+				p.held = append(p.held, judged.Claim)
+				w.win(t, judged.Claim)
+			}
+			if own {
+				delete(p.sent, judged.Claim.Number)
+			}
+		}
+	}
+}
+
+// win checks the invariant: the lifetimes of two winners never overlap.
+func (w *world) win(t *rapid.T, won claim.Claim) {
+	for _, other := range w.wins {
+		if apart := won.Time.Sub(other.Time).Abs(); other.Key == won.Key && apart < lifetime {
+			t.Fatalf("%+v and %+v both have the right to write", other, won)
+		}
+	}
+	w.wins = append(w.wins, won)
+}
+
+func TestKeyHasOneWinnerWhateverIsRepeatedLateOrForgotten(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{
+			options: claim.Options{Lifetime: lifetime, MaxClaims: rapid.SampledFrom([]int{2, 5, 100}).Draw(t, "max")},
+			now:     time.Unix(1000, 0),
+			trims:   rapid.Bool().Draw(t, "trims"),
+		}
+		w.join(t)
+		for range rapid.IntRange(20, 80).Draw(t, "steps") {
+			w.step(t)
+		}
+		if !w.trims {
+			w.checkAgreement(t)
+		}
+	})
+}
+
+// checkAgreement lets every process read the whole log. All books agree
+// then, and a key's winner is a claim whose process knows that it has won:
+// no copy of a record has made a winner that nobody would ever release.
+func (w *world) checkAgreement(t *rapid.T) {
+	for _, p := range w.processes {
+		w.read(t, p, len(w.records))
+	}
+	for _, key := range keys {
+		first, found := w.processes[0].book.Look(key, w.processes[0].book.Now())
+		for _, p := range w.processes {
+			if other, _ := p.book.Look(key, p.book.Now()); other != first {
+				t.Fatalf("%s holds %+v for the winner, another one %+v", p.name, other, first)
+			}
+		}
+		if found && !slices.ContainsFunc(w.wins, first.IsSame) {
+			t.Fatalf("%+v has won, but its process does not hold it", first)
+		}
+	}
+}
+
+// step mostly claims and reads, so that most keys are contested.
+func (w *world) step(t *rapid.T) {
+	p := rapid.SampledFrom(w.processes).Draw(t, "process")
+	switch roll := rapid.IntRange(0, 19).Draw(t, "step"); {
+	case roll < 8:
+		w.claim(t, p)
+		w.read(t, p, rapid.SampledFrom([]int{0, 1, 1000}).Draw(t, "count"))
+	case roll < 13:
+		w.read(t, p, rapid.IntRange(1, 9).Draw(t, "count"))
+	case roll < 15 && len(w.records) > 0:
+		repeated := rapid.SampledFrom(w.records).Draw(t, "repeated")
+		if repeated.Offset < p.book.Next() {
+			if judgements, _ := p.book.Fold(repeated); len(judgements) > 0 {
+				t.Fatalf("record %d was judged twice", repeated.Offset)
+			}
+		}
+		if w.now.Sub(repeated.Time) < lifetime {
+			w.append(repeated.Payload)
+		}
+	case roll < 18:
+		w.now = w.now.Add(time.Duration(rapid.IntRange(1, 6000).Draw(t, "ms")) * time.Millisecond)
+	case roll < 19 && len(w.processes) < 5:
+		w.join(t)
+	default:
+		w.append(rapid.SliceOfN(rapid.Byte(), 0, 9).Draw(t, "bytes"))
+	}
+}
+
+func TestRecordSurvivesEncoding(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		record := claim.Record{Daemon: "d", Incarnation: "1", Sequence: rapid.Uint64Min(1).Draw(t, "sequence")}
+		for i := range rapid.IntRange(0, 4).Draw(t, "claims") {
+			key := claim.NewKey("c", "s", fmt.Sprint(i))
+			record.Claims = append(record.Claims, claim.Entry{Key: key, Fingerprint: rapid.Uint64().Draw(t, "fingerprint")})
+			record.Releases = append(record.Releases, claim.Release{Key: key, Number: rapid.Uint64().Draw(t, "number")})
+		}
+		payload, err := record.Encode()
+		if err != nil {
+			return
+		}
+		decoded, err := claim.Decode(payload)
+		if err != nil || !reflect.DeepEqual(decoded, record) {
+			t.Fatalf("%+v became %+v: %v", record, decoded, err)
+		}
+	})
+}
