Drive the built programs through faults; give up a claim at once

Cause: nothing showed the promises on real processes. The first run of the scenarios found that a keyed confirmation waited for the request's whole deadline when the log service hung: it was answered after 30 s with the problem DeadlinePassed, though the claim had been given up long before.

Ruled out: the deadline of the plan, which is right for its other uses, and a shorter append timeout, which only moves the wait to the read.

Change: one claim is bounded by the setting Claims.Timeout.

Broken engines that accept and drop connections are left.

--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -16,10 +16,15 @@
 // claimer implements dispatch.Claimer on the ledger.
 type claimer struct {
 	ledger *ledger.Ledger
+	// timeout bounds one claim, so that a log service that does not answer
+	// leads to a final answer long before the request's deadline.
+	timeout time.Duration
 }
 
 // Claim implements dispatch.Claimer.
 func (c claimer) Claim(ctx context.Context, key claim.Key, fingerprint uint64) (dispatch.Verdict, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
 	verdict, err := c.ledger.Claim(ctx, key, fingerprint)
 	var conflict *ledger.FingerprintError
 	if errors.As(err, &conflict) {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -153,7 +153,7 @@
 	d.dispatcher = dispatch.New(d.Common, dispatch.Parts{
 		Link:      d.link,
 		Chooser:   d.chooser,
-		Claimer:   claimer{ledger: d.ledger},
+		Claimer:   claimer{ledger: d.ledger, timeout: s.Claims.Timeout},
 		Relayer:   relayer{mesh: d.mesh, timeout: s.Peers.RelayTimeout},
 		Answers:   d.neighbour.answers,
 		Suspects:  d.neighbour.suspects,
--- /dev/null
+++ b/e2e/call.go
@@ -0,0 +1,120 @@
+package e2e
+
+import (
+	"os"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cranberrywalk/cranberrywalk/fleet"
+)
+
+// tailBytes is how much of a log a failed scenario shows.
+const tailBytes = 4000
+
+// Call is a request on its way.
+type Call struct {
+	driver *Driver
+	// events gets the number of each event of a stream.
+	events chan int
+	// ended is closed when Answer and Err are set.
+	ended  chan struct{}
+	answer fleet.Answer
+	err    error
+}
+
+// Chat begins a streamed chat request.
+func (d *Driver) Chat(daemon, question string, tokens int) *Call {
+	call := d.newCall()
+	caller := fleet.NewCaller(d.daemons[daemon], customerKey)
+	caller.OnEvent = func(number int) {
+		select {
+		case call.events <- number:
+		default:
+		}
+	}
+	return call.begin(func() (fleet.Answer, error) {
+		return caller.Chat(fleet.ChatRequest{
+			Model: Model, Stream: true, MaxTokens: tokens,
+			Messages: []fleet.Message{{Role: "user", Content: question}},
+		})
+	})
+}
+
+// Confirm begins a POST to the plain service under a key; an empty key sends
+// none.
+func (d *Driver) Confirm(daemon, key string) *Call {
+	caller := fleet.NewCaller(d.daemons[daemon], customerKey)
+	return d.newCall().begin(func() (fleet.Answer, error) {
+		return caller.Service(Service, "/confirmations", key, `{"School": "Khovd 3"}`)
+	})
+}
+
+func (d *Driver) newCall() *Call {
+	return &Call{driver: d, events: make(chan int, 1024), ended: make(chan struct{})}
+}
+
+func (c *Call) begin(send func() (fleet.Answer, error)) *Call {
+	go func() {
+		defer close(c.ended)
+		c.answer, c.err = send()
+	}()
+	return c
+}
+
+// AwaitEvents waits until the stream has that many events.
+func (c *Call) AwaitEvents(count int) *Call {
+	c.driver.Helper()
+	for {
+		select {
+		case number := <-c.events:
+			if number >= count {
+				return c
+			}
+		case <-c.ended:
+			c.driver.Fatalf("the stream ended after %d events: %+v %v", c.answer.Events, c.answer, c.err)
+		}
+	}
+}
+
+// Result waits for the end and returns what the caller got. The error is that
+// of the caller's connection.
+func (c *Call) Result() (fleet.Answer, error) {
+	<-c.ended
+	return c.answer, c.err
+}
+
+// Answer waits for the end of a call whose connection has to last.
+func (c *Call) Answer() fleet.Answer {
+	c.driver.Helper()
+	answer, err := c.Result()
+	c.driver.Assert(err, qt.IsNil)
+	return answer
+}
+
+// Ended reports whether the call has ended.
+func (c *Call) Ended() bool {
+	select {
+	case <-c.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// AssertWhole checks that the caller got exactly the text of the question.
+func (c *Call) AssertWhole(question string, tokens int) {
+	c.driver.Helper()
+	answer := c.Answer()
+	c.driver.Assert(answer.Text, qt.Equals, ExpectedText(question, tokens))
+	c.driver.Assert(answer.Outcome, qt.Equals, "Answered")
+	c.driver.Assert(answer.Whole, qt.IsTrue)
+}
+
+// tail returns the end of a file, or nothing when it can't be read.
+func tail(file string) string {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return ""
+	}
+	return string(content[max(0, len(content)-tailBytes):])
+}
--- /dev/null
+++ b/e2e/driver.go
@@ -0,0 +1,269 @@
+package e2e
+
+import (
+	"net/http"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cranberrywalk/cranberrywalk/fleet"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/prefix"
+	"github.com/cranberrywalk/cranberrywalk/standin/engine"
+	"github.com/cranberrywalk/cranberrywalk/standin/logservice"
+	"github.com/cranberrywalk/cranberrywalk/standin/relay"
+)
+
+const (
+	// Region, ZoneA and ZoneB are where the VMs of the scenarios are.
+	Region = "mn-central"
+	ZoneA  = "mn-central-a"
+	ZoneB  = "mn-central-b"
+	// Model and Service are what the demonstration's plan may use.
+	Model   = "teaching-documents"
+	Service = "placements"
+
+	customerKey = "demo-key"
+	listsDir    = "../examples/demo/"
+	// patience bounds every wait for something that has to happen. It is not
+	// a target.
+	patience = 30 * time.Second
+)
+
+// Driver runs one scenario. Its methods fail the test when a step can't be
+// done.
+type Driver struct {
+	*qt.C
+	Fleet   *fleet.Fleet
+	daemons map[string]platform.VM
+}
+
+// NewDriver starts the platform's stand-in. The programs are in bin.
+func NewDriver(c *qt.C, bin string) *Driver {
+	f, err := fleet.New(fleet.Options{Bin: bin, Dir: c.TempDir(), Region: Region, PlatformFlags: []string{"--list-lag", "100ms"}})
+	c.Assert(err, qt.IsNil)
+	d := &Driver{C: c, Fleet: f, daemons: make(map[string]platform.VM)}
+	c.Cleanup(func() {
+		if failed := f.Close(); len(failed) > 0 {
+			c.Errorf("processes did not stop with code 0: %v", failed)
+		}
+		if c.Failed() {
+			d.showLogs()
+		}
+	})
+	return d
+}
+
+// Runners starts model engines in a zone.
+func (d *Driver) Runners(zone string, names ...string) *Driver {
+	for _, name := range names {
+		d.backend(fleet.Backend{
+			Name: name, Zone: zone, Class: "reclaimable-small", Reclaimable: true, Price: 1, Model: Model,
+			Flags: []string{"--exit-on-crash"},
+		})
+	}
+	return d
+}
+
+// RelayedRunner starts a model engine behind a relay.
+func (d *Driver) RelayedRunner(zone, name string) *Driver {
+	return d.backend(fleet.Backend{Name: name, Zone: zone, Class: "reclaimable-small", Price: 1, Model: Model, Relayed: true})
+}
+
+// PlainService starts a plain service whose requests take the delay.
+func (d *Driver) PlainService(zone, name string, delay time.Duration) *Driver {
+	return d.backend(fleet.Backend{
+		Name: name, Zone: zone, Class: "on-demand-small", Price: 3, Service: Service,
+		Flags: []string{"--delay", delay.String()},
+	})
+}
+
+func (d *Driver) backend(b fleet.Backend) *Driver {
+	d.Helper()
+	_, err := d.Fleet.StartBackend(b)
+	d.Assert(err, qt.IsNil)
+	return d
+}
+
+// quick are settings that keep the scenarios short.
+func quick() map[string][]string {
+	return map[string][]string{
+		"Daemon":   {"LeaveDelay = 100ms"},
+		"Peers":    {"Interval = 100ms", "RelayTimeout = 2s"},
+		"Platform": {"PollInterval = 100ms", "LongPoll = 500ms", "Timeout = 1s"},
+		"Backends": {"Silence = 1s"},
+		"Claims":   {"Timeout = 1500ms"},
+	}
+}
+
+// Daemon starts a daemon in a zone.
+func (d *Driver) Daemon(zone, name string) *Driver {
+	return d.daemon(fleet.Daemon{Name: name, Zone: zone, Settings: quick()})
+}
+
+// RelayedDaemon starts a daemon whose links to the platform and from its peers
+// go through relays.
+func (d *Driver) RelayedDaemon(zone, name string) *Driver {
+	return d.daemon(fleet.Daemon{Name: name, Zone: zone, Settings: quick(), Relayed: true})
+}
+
+func (d *Driver) daemon(entry fleet.Daemon) *Driver {
+	d.Helper()
+	vm, err := d.Fleet.StartDaemon(entry)
+	d.Assert(err, qt.IsNil)
+	d.daemons[entry.Name] = vm
+	return d
+}
+
+// Publish publishes the lists of the demonstration and waits until every
+// daemon knows them and that many backend servers.
+func (d *Driver) Publish(backends int) *Driver {
+	d.Helper()
+	for name := range d.daemons {
+		d.Command("publish", "--settings", d.Fleet.SettingsPath(name),
+			"--plans", listsDir+"unlimited-plans.json", "--allowances", listsDir+"allowances.json")
+		break
+	}
+	for name := range d.daemons {
+		d.AwaitServing(name, backends)
+	}
+	return d
+}
+
+// AwaitServing waits until a daemon takes requests and knows that many backend
+// servers.
+func (d *Driver) AwaitServing(daemon string, backends int) *Driver {
+	d.Helper()
+	d.Assert(fleet.AwaitReady(d.daemons[daemon], patience), qt.IsNil)
+	d.Assert(fleet.AwaitBackends(d.daemons[daemon], backends, patience), qt.IsNil)
+	return d
+}
+
+// Command runs a command of the program that has to succeed.
+func (d *Driver) Command(arguments ...string) string {
+	d.Helper()
+	output, err := d.Fleet.Command(arguments...)
+	d.Assert(err, qt.IsNil, qt.Commentf("%s", output))
+	return output
+}
+
+// Kill ends a process without a chance to clean up.
+func (d *Driver) Kill(name string) *Driver {
+	d.signal(name, syscall.SIGKILL)
+	<-d.Fleet.Process(name).Done()
+	return d
+}
+
+// Freeze stops a process from running until Thaw.
+func (d *Driver) Freeze(name string) *Driver { return d.signal(name, syscall.SIGSTOP) }
+
+// Thaw lets a frozen process run on.
+func (d *Driver) Thaw(name string) *Driver { return d.signal(name, syscall.SIGCONT) }
+
+// BeginStop asks a process for its planned stop.
+func (d *Driver) BeginStop(name string) *Driver { return d.signal(name, syscall.SIGTERM) }
+
+func (d *Driver) signal(name string, signal syscall.Signal) *Driver {
+	d.Helper()
+	d.Assert(d.Fleet.Process(name).Signal(signal), qt.IsNil)
+	return d
+}
+
+// AwaitStopped waits for the end of a planned stop, which has to be clean.
+func (d *Driver) AwaitStopped(name string) *Driver {
+	d.Helper()
+	code, err := d.Fleet.Process(name).AwaitExit(patience)
+	d.Assert(err, qt.IsNil)
+	d.Assert(code, qt.Equals, 0)
+	return d
+}
+
+// Reclaim gives notice of VMs, and ends them when the notice is over.
+func (d *Driver) Reclaim(notice time.Duration, names ...string) *Driver {
+	d.Helper()
+	d.Assert(d.Fleet.Announce(notice, names...), qt.IsNil)
+	time.Sleep(notice)
+	for _, name := range names {
+		d.signal(name, syscall.SIGKILL)
+		d.Assert(d.Fleet.RemoveVM(name), qt.IsNil)
+	}
+	return d
+}
+
+// LogOutage switches an outage of the log service on or off.
+func (d *Driver) LogOutage(outage logservice.Outage, hang bool) *Driver {
+	return d.Faults("platform", logservice.Faults{Outage: outage, Hang: hang})
+}
+
+// Faults switches the faults of a stand-in.
+func (d *Driver) Faults(name string, body any) *Driver {
+	d.Helper()
+	d.Assert(d.Fleet.SetFaults(name, body), qt.IsNil)
+	return d
+}
+
+// Link changes what a relay does with bytes.
+func (d *Driver) Link(name string, mode relay.Mode) *Driver {
+	d.Fleet.Relay(name).SetMode(mode)
+	return d
+}
+
+// Restart starts a daemon of a known name again.
+func (d *Driver) Restart(name string) *Driver {
+	return d.daemon(fleet.Daemon{Name: name, Zone: d.daemons[name].Zone, Settings: quick()})
+}
+
+// Runs tells how often the plain service ran a key.
+func (d *Driver) Runs(service, key string) int {
+	d.Helper()
+	runs, err := d.Fleet.Runs(service)
+	d.Assert(err, qt.IsNil)
+	return runs.Keys[`"`+key+`"`]
+}
+
+// AwaitRuns waits until the plain service has begun to run a key.
+func (d *Driver) AwaitRuns(service, key string, count int) *Driver {
+	d.Helper()
+	err := fleet.Await(service, "running "+key, patience, func() bool { return d.Runs(service, key) >= count })
+	d.Assert(err, qt.IsNil)
+	return d
+}
+
+// Metric reads a counter of a daemon.
+func (d *Driver) Metric(daemon, name string) int64 {
+	d.Helper()
+	var all map[string]struct{ Count int64 }
+	address := d.daemons[daemon].AdminAddress
+	d.Assert(fleet.Control(http.MethodGet, "http://"+address+"/metrics", nil, &all), qt.IsNil)
+	return all[name].Count
+}
+
+// ExpectedText is the whole text that every engine gives for a question.
+func ExpectedText(question string, tokens int) string {
+	prompt := prefix.Render([]prefix.Message{{Role: "user", Content: question}})
+	return engine.Text(prompt, 0, tokens)
+}
+
+func (d *Driver) showLogs() {
+	logs, _ := filepath.Glob(filepath.Join(filepath.Dir(d.Fleet.Process("platform").LogFile), "*.log"))
+	for _, file := range logs {
+		if content := tail(file); content != "" {
+			d.Logf("--- %s\n%s", strings.TrimSuffix(filepath.Base(file), ".log"), content)
+		}
+	}
+}
+
+// AwaitPriority waits until a daemon has an allowance of that priority in
+// force.
+func (d *Driver) AwaitPriority(daemon string, priority int) *Driver {
+	d.Helper()
+	err := fleet.Await(daemon, "taking over the amendment", patience, func() bool {
+		plans, err := fleet.Plans(d.daemons[daemon])
+		return err == nil && len(plans.Allowances) > 0 && plans.Allowances[0].Priority == priority
+	})
+	d.Assert(err, qt.IsNil)
+	return d
+}
--- /dev/null
+++ b/e2e/runner_test.go
@@ -0,0 +1,94 @@
+package e2e_test
+
+import (
+	"fmt"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cranberrywalk/cranberrywalk/e2e"
+	"github.com/cranberrywalk/cranberrywalk/standin/engine"
+	"github.com/cranberrywalk/cranberrywalk/standin/relay"
+)
+
+const tokens = 60
+
+// onlyOn makes sure that a first stream runs on a known runner: the second one
+// starts once the stream has begun.
+func onlyOn(d *e2e.Driver, first, second, question string) *e2e.Call {
+	d.Runners(e2e.ZoneA, first).Daemon(e2e.ZoneA, "entry-a-1").Publish(1)
+	call := d.Chat("entry-a-1", question, tokens).AwaitEvents(5)
+	d.Runners(e2e.ZoneB, second).AwaitServing("entry-a-1", 2)
+	return call
+}
+
+func runnerReclaimed(d *e2e.Driver) {
+	question := "What does grade 4 miss today?"
+	call := onlyOn(d, "runner-a-1", "runner-b-1", question)
+
+	d.Reclaim(500*time.Millisecond, "runner-a-1")
+
+	call.AssertWhole(question, tokens)
+	d.Assert(d.Metric("entry-a-1", "RequestsMoved"), qt.Equals, int64(1))
+}
+
+func runnerDies(d *e2e.Driver) {
+	question := "Which grades does the substitute know?"
+	call := onlyOn(d, "runner-a-1", "runner-b-1", question)
+
+	d.Kill("runner-a-1")
+
+	call.AssertWhole(question, tokens)
+}
+
+func zoneReclaimed(d *e2e.Driver) {
+	d.Runners(e2e.ZoneA, "runner-a-1", "runner-a-2").Runners(e2e.ZoneB, "runner-b-1", "runner-b-2").
+		PlainService(e2e.ZoneA, "service-a-1", 300*time.Millisecond).
+		Daemon(e2e.ZoneA, "entry-a-1").Daemon(e2e.ZoneB, "entry-b-1").Publish(5)
+	var chats []*e2e.Call
+	for i := range 16 {
+		entry := []string{"entry-a-1", "entry-b-1"}[i%2]
+		chats = append(chats, d.Chat(entry, fmt.Sprintf("question %d", i), tokens))
+	}
+	for _, chat := range chats {
+		chat.AwaitEvents(2)
+	}
+	confirmation := d.Confirm("entry-b-1", "confirmed-in-the-wave")
+	d.AwaitRuns("service-a-1", "confirmed-in-the-wave", 1)
+
+	d.Reclaim(time.Second, "runner-a-1", "runner-a-2", "service-a-1")
+
+	for i, chat := range chats {
+		chat.AssertWhole(fmt.Sprintf("question %d", i), tokens)
+	}
+	d.Assert(confirmation.Answer().Outcome, qt.Equals, "Answered")
+	d.Chat("entry-a-1", "after the wave", tokens).AssertWhole("after the wave", tokens)
+}
+
+func connectionSilent(d *e2e.Driver) {
+	d.RelayedRunner(e2e.ZoneA, "runner-a-1").Daemon(e2e.ZoneA, "entry-a-1").Publish(1)
+	question := "Is the sander back in Macon?"
+	call := d.Chat("entry-a-1", question, tokens).AwaitEvents(5)
+	d.Runners(e2e.ZoneB, "runner-b-1").AwaitServing("entry-a-1", 2)
+
+	d.Link("runner-a-1", relay.ModeSilent)
+
+	call.AssertWhole(question, tokens)
+}
+
+func requestCrashes(d *e2e.Driver) {
+	runners := []string{"runner-a-1", "runner-a-2", "runner-b-1", "runner-b-2"}
+	d.Runners(e2e.ZoneA, runners[:2]...).Runners(e2e.ZoneB, runners[2:]...).
+		Daemon(e2e.ZoneA, "entry-a-1").Daemon(e2e.ZoneB, "entry-b-1").Publish(4)
+	for _, runner := range runners {
+		d.Faults(runner, engine.Faults{Poison: "poison"})
+	}
+
+	first := d.Chat("entry-a-1", "poison", tokens).Answer()
+	again := d.Chat("entry-b-1", "poison", tokens).Answer()
+
+	d.Assert(first.Outcome, qt.Not(qt.Equals), "Answered")
+	d.Assert(again.Status, qt.Equals, 422, qt.Commentf("%s", again.Text))
+	d.Assert(d.Metric("entry-a-1", "roster.BackendGone"), qt.Equals, int64(0))
+	d.Chat("entry-b-1", "harmless", tokens).AssertWhole("harmless", tokens)
+}
--- a/fleet/await.go
+++ b/fleet/await.go
@@ -63,9 +63,8 @@
 
 // Runs asks the stand-in of a plain service what it ran.
 func (f *Fleet) Runs(service string) (Runs, error) {
-	vm, _ := f.VM(service)
 	var runs Runs
-	err := Control(http.MethodGet, "http://"+vm.Address+"/control/runs", nil, &runs)
+	err := Control(http.MethodGet, f.controlURL(service)+"/control/runs", nil, &runs)
 	return runs, err
 }
 
--- a/fleet/backend.go
+++ b/fleet/backend.go
@@ -15,6 +15,8 @@
 	Service string
 	// Flags are further flags of the stand-in.
 	Flags []string
+	// Relayed puts a relay before the backend server, which Relay returns.
+	Relayed bool
 }
 
 // StartBackend starts the stand-in of a backend server and adds its VM to the
@@ -40,6 +42,12 @@
 	if _, err := f.run(b.Name, "standin", nil, append(flags, b.Flags...)...); err != nil {
 		return platform.VM{}, err
 	}
+	f.setControl(b.Name, "http://"+address)
+	if b.Relayed {
+		if vm.Address, err = f.addRelay(b.Name, address); err != nil {
+			return platform.VM{}, err
+		}
+	}
 	return vm, f.addVM(vm)
 }
 
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -41,9 +41,28 @@
 	return Control(http.MethodPost, f.PlatformURL+"/notices", body, nil)
 }
 
-// SetFaults switches faults of a stand-in; body is its typed faults message.
-func SetFaults(baseURL string, body any) error {
-	return Control(http.MethodPost, baseURL+"/control/faults", body, nil)
+// SetFaults switches the faults of a stand-in; body is its faults message. The
+// name platform stands for the log service, and cloud for the cloud API and
+// the VM list.
+func (f *Fleet) SetFaults(name string, body any) error {
+	path := "/control/faults"
+	if name == "cloud" {
+		name, path = "platform", "/cloud/control/faults"
+	}
+	return Control(http.MethodPost, f.controlURL(name)+path, body, nil)
+}
+
+func (f *Fleet) setControl(name, url string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.controls[name] = url
+}
+
+// controlURL returns the base URL of a stand-in, past any relay.
+func (f *Fleet) controlURL(name string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.controls[name]
 }
 
 // Control sends a JSON message and reads a JSON answer into out unless out is
--- a/fleet/daemon.go
+++ b/fleet/daemon.go
@@ -13,9 +13,10 @@
 	Zone string
 	// Settings are further lines of the settings file, by section.
 	Settings map[string][]string
-	// PlatformURL replaces the fleet's own when it is not empty, for
-	// example by the address of a relay.
-	PlatformURL string
+	// Relayed puts relays before the daemon's peer listener and before the
+	// platform as the daemon sees it. Relay returns them under the daemon's
+	// name with PeerSide and PlatformSide.
+	Relayed bool
 	// Environment holds further variables, for example GOMAXPROCS=1.
 	Environment []string
 }
@@ -33,7 +34,7 @@
 			Name: d.Name, Role: platform.RoleEntry, Region: f.options.Region, Zone: d.Zone,
 			Address: addresses[0], PeerAddress: addresses[1], AdminAddress: addresses[2],
 		}
-		if err := f.addVM(vm); err != nil {
+		if vm, err = f.listDaemon(d, vm); err != nil {
 			return platform.VM{}, err
 		}
 	}
@@ -45,6 +46,23 @@
 	return vm, err
 }
 
+// listDaemon puts a new daemon on the VM list, behind its relays if it has
+// any, and notes where it listens for peers itself.
+func (f *Fleet) listDaemon(d Daemon, vm platform.VM) (platform.VM, error) {
+	f.setControl(d.Name+PeerSide, vm.PeerAddress)
+	if d.Relayed {
+		var err error
+		if vm.PeerAddress, err = f.addRelay(d.Name+PeerSide, vm.PeerAddress); err != nil {
+			return platform.VM{}, err
+		}
+		address := strings.TrimPrefix(f.PlatformURL, "http://")
+		if _, err = f.addRelay(d.Name+PlatformSide, address); err != nil {
+			return platform.VM{}, err
+		}
+	}
+	return vm, f.addVM(vm)
+}
+
 // SettingsPath returns the settings file of a daemon that was started.
 func (f *Fleet) SettingsPath(daemon string) string {
 	return fmt.Sprintf("%s/%s.ini", f.options.Dir, daemon)
@@ -52,8 +70,8 @@
 
 func (f *Fleet) settingsFile(d Daemon, vm platform.VM) string {
 	base := f.PlatformURL
-	if d.PlatformURL != "" {
-		base = d.PlatformURL
+	if r := f.Relay(d.Name + PlatformSide); r != nil {
+		base = "http://" + r.Address()
 	}
 	var text strings.Builder
 	section := func(name string, lines ...string) {
@@ -65,7 +83,7 @@
 	}
 	section("Daemon", "Name = "+vm.Name, "Region = "+vm.Region, "Zone = "+vm.Zone)
 	section("Callers", "Address = "+vm.Address)
-	section("Peers", "Address = "+vm.PeerAddress)
+	section("Peers", "Address = "+f.controlURL(d.Name+PeerSide))
 	section("Admin", "Address = "+vm.AdminAddress)
 	section("Platform", "Log = "+base, "VMList = "+base, "Cloud = "+base, "WeightStore = "+base)
 	for _, name := range []string{"Claims", "Backends", "Retries", "Routing", "Timeline"} {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/standin/relay"
 )
 
 const (
@@ -44,11 +45,15 @@
 	processes []*Process
 	// vms is the VM list as the platform's stand-in has it.
 	vms []platform.VM
+	// relays are the relays by what stands behind them.
+	relays map[string]*relay.Relay
+	// controls are the base URLs of the stand-ins' control interfaces.
+	controls map[string]string
 }
 
 // New starts the platform's stand-in.
 func New(options Options) (*Fleet, error) {
-	f := &Fleet{options: options}
+	f := &Fleet{options: options, relays: make(map[string]*relay.Relay), controls: make(map[string]string)}
 	address, err := FreeAddress()
 	if err != nil {
 		return nil, err
@@ -58,6 +63,7 @@
 		return nil, err
 	}
 	f.PlatformURL = "http://" + address
+	f.setControl("platform", f.PlatformURL)
 	return f, nil
 }
 
@@ -126,6 +132,7 @@
 			process.kill()
 		}
 	}
+	f.closeRelays()
 	return failed
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -66,6 +66,7 @@
 // Claims configures the agreement on non-idempotent requests with a key.
 type Claims struct {
 	FlushInterval time.Duration `min:"1ms" doc:"Time for which claims are gathered into one append."`
+	Timeout       time.Duration `min:"50ms" doc:"Longest time for one claim. A request whose claim takes longer is given up at once."`
 	KeyLifetime   time.Duration `min:"1m" doc:"Time for which a key stays claimed. It has to be below the retention of the log service."`
 	MaxClaims     int           `min:"1" doc:"Most claims within one key lifetime, over all daemons; further ones are refused. The same at all daemons."`
 	AnswerBytes   int           `min:"1024" doc:"Memory for recent answers that other daemons may ask for, in bytes."`
@@ -125,6 +126,7 @@
 		},
 		Claims: Claims{
 			FlushInterval: 5 * time.Millisecond,
+			Timeout:       3 * time.Second,
 			KeyLifetime:   24 * time.Hour,
 			MaxClaims:     100_000,
 			AnswerBytes:   8 << 20,
