Let the cost of load grow smoothly past the latency target

A larger weight for recomputed tokens only moved the point where that begins.

The cost of load is now a power of the time between tokens over its target, without a step; waiting has a cost of its own; and the rendezvous order decides among all runners whose cost is near the lowest.

The Trust is left: its daemons still follow old digests to the same runner.

--- a/route/policy.go
+++ b/route/policy.go
@@ -19,7 +19,7 @@
 		Runner:     v.slots[at].runner.Name,
 		Uncached:   estimate.uncached,
 		FirstToken: time.Duration(estimate.firstToken * float64(time.Second)),
-		Load:       estimate.load,
+		Load:       max(estimate.firstLoad, estimate.betweenLoad),
 		slot:       at,
 	}
 }
@@ -36,10 +36,9 @@
 	uncached int
 	// firstToken is the time to first token in seconds.
 	firstToken float64
-	// step is the time between tokens in seconds.
-	step float64
-	// load is the larger ratio of the two times to their targets.
-	load float64
+	// firstLoad and betweenLoad are the ratios of the two times to their
+	// targets; 0 without a target.
+	firstLoad, betweenLoad float64
 }
 
 // estimate predicts what call meets at the runner of a slot. The scratch
@@ -53,17 +52,16 @@
 	wait := speed.prefillSeconds(slot.own.queued + slot.peers.queued + float64(uncached))
 	result := estimate{
 		uncached:   uncached,
-		step:       step,
 		firstToken: wait + step/2,
 	}
 	if slot.runner.Zone != v.options.Zone {
 		result.firstToken += v.options.ZoneDelay.Seconds()
 	}
 	if call.FirstToken > 0 {
-		result.load = result.firstToken / call.FirstToken.Seconds()
+		result.firstLoad = result.firstToken / call.FirstToken.Seconds()
 	}
 	if call.BetweenTokens > 0 {
-		result.load = max(result.load, result.step/call.BetweenTokens.Seconds())
+		result.betweenLoad = step / call.BetweenTokens.Seconds()
 	}
 	return result
 }
--- a/route/score.go
+++ b/route/score.go
@@ -5,34 +5,47 @@
 	"time"
 )
 
-// Score is the policy that holds the plan's latency target as a constraint
-// and under it chooses the lowest weighted cost of price, recomputed prompt
-// tokens and load. Its unit of cost is a second of a runner's time.
+// Score is the policy that chooses the lowest weighted cost of recomputed
+// prompt tokens, price, expected wait and load, where the load includes the
+// plan's latency target. Its unit of cost is a second of a runner's time.
+//
+// The cost of load has no step at the target: if all runners are above it,
+// recomputing still costs what it did, so that an overload does not grow by
+// prompts that are sent away from their caches.
 type Score struct {
-	// Margin is the share of the latency target above which a runner is
-	// taken only when all others are above it too.
-	Margin float64
-	// LoadCost is the cost of a runner at the margin; it grows with the
-	// square of the load.
+	// LoadCost is the cost of a runner whose time between tokens is at its
+	// target; it grows with the sixth power of the load.
 	LoadCost float64
+	// WaitCost is the cost of each second of waiting before the prefill.
+	WaitCost float64
+	// Margin is the share of the target for the first token above which
+	// LateCost counts.
+	Margin float64
+	// LateCost is the cost of a time to first token of a whole target above
+	// the margin.
+	LateCost float64
 	// PriceSeconds is the work that the price of a runner is charged for.
 	PriceSeconds float64
-	// AffinityCost is the cost that is accepted to send a prompt to the
-	// first runner of its rendezvous order, where the daemons meet.
+	// AffinityCost is the cost above the lowest one that is accepted to send
+	// a prompt to the first such runner of its rendezvous order. Daemons
+	// with different prompts spread over these runners, and daemons with the
+	// same prompt meet at one.
 	AffinityCost float64
 	// KeyBlocks is the number of first blocks that make the rendezvous key.
 	KeyBlocks int
-	// Limits are the loads above which calls of the lowest and of the
-	// highest priority are refused. Priorities between them are spread
-	// evenly.
+	// LowestLimit and HighestLimit are the loads above which calls of the
+	// lowest and of the highest priority are refused. Priorities between
+	// them are spread evenly.
 	LowestLimit, HighestLimit float64
 }
 
 // NewScore returns the policy with its default settings.
 func NewScore() *Score {
 	return &Score{
+		LoadCost:     0.3,
+		WaitCost:     0.2,
 		Margin:       0.85,
-		LoadCost:     0.05,
+		LateCost:     1,
 		PriceSeconds: 0.005,
 		AffinityCost: 0.02,
 		KeyBlocks:    8,
@@ -41,10 +54,6 @@
 	}
 }
 
-// excessCost is the cost of a whole latency target above the margin. It
-// exceeds every other cost.
-const excessCost = 100
-
 // Name implements Policy.
 func (s *Score) Name() string { return "score" }
 
@@ -68,39 +77,50 @@
 	return decision, nil
 }
 
-// best returns the slot of the lowest cost, or -1 when none is allowed.
+// best returns the slot of the call's runner, or -1 when none is allowed.
 func (s *Score) best(call *Call, view *View) int {
-	key := rendezvousKey(call, s.KeyBlocks)
-	best, first := -1, -1
-	lowest, firstCost := math.Inf(1), math.Inf(1)
-	var highest uint64
+	lowest := math.Inf(1)
 	for at := range view.slots {
-		slot := &view.slots[at]
-		if slot.runner.Name == "" || !call.allows(&slot.runner) {
+		view.costs[at] = math.Inf(1)
+		if !view.usable(call, at) {
 			continue
 		}
 		estimate := view.estimate(call, at)
-		cost := s.cost(call, &slot.runner, &estimate, &view.options.Speed)
-		if cost < lowest {
-			best, lowest = at, cost
+		view.costs[at] = s.cost(call, &view.slots[at].runner, &estimate, &view.options.Speed)
+		lowest = min(lowest, view.costs[at])
+	}
+	if math.IsInf(lowest, 1) {
+		return -1
+	}
+	return view.firstBelow(rendezvousKey(call, s.KeyBlocks), lowest+s.AffinityCost)
+}
+
+// firstBelow returns the first slot in the rendezvous order of key whose cost
+// is at most most.
+func (v *View) firstBelow(key uint64, most float64) int {
+	first := -1
+	var highest uint64
+	for at := range v.slots {
+		if v.costs[at] > most {
+			continue
 		}
-		if weight := mix(key ^ slot.hash); estimate.load <= s.Margin && weight > highest {
-			first, firstCost, highest = at, cost, weight
+		if weight := mix(key ^ v.slots[at].hash); first < 0 || weight > highest {
+			first, highest = at, weight
 		}
 	}
-	if first >= 0 && firstCost-lowest <= s.AffinityCost {
-		return first
-	}
-	return best
+	return first
 }
 
 // cost returns the weighted cost of a call at a runner.
 func (s *Score) cost(call *Call, runner *Runner, e *estimate, speed *Speed) float64 {
-	cost := speed.prefillSeconds(float64(e.uncached)) * (1 + call.RecomputeWeight)
+	prefill := speed.prefillSeconds(float64(e.uncached))
+	square := e.betweenLoad * e.betweenLoad
+	cost := prefill * (1 + call.RecomputeWeight)
 	cost += call.CostWeight * runner.Price * s.PriceSeconds
-	cost += s.LoadCost * (e.load / s.Margin) * (e.load / s.Margin)
-	if e.load > s.Margin {
-		cost += excessCost * (e.load - s.Margin)
+	cost += s.LoadCost * square * square * square
+	cost += s.WaitCost * (e.firstToken - prefill)
+	if e.firstLoad > s.Margin {
+		cost += s.LateCost * (e.firstLoad - s.Margin)
 	}
 	return cost
 }
--- a/route/view.go
+++ b/route/view.go
@@ -59,6 +59,8 @@
 
 	// depths is scratch space of one decision: the cached blocks by slot.
 	depths []int32
+	// costs is scratch space of one decision: the cost by slot.
+	costs []float64
 }
 
 // slot is what the view knows of one runner.
@@ -146,6 +148,7 @@
 	if at == len(v.slots) {
 		v.slots = append(v.slots, slot{})
 		v.depths = append(v.depths, 0)
+		v.costs = append(v.costs, 0)
 	}
 	v.slots[at] = slot{
 		runner:     runner,
