Keep daemons from following old digests to the same runner

A runner's own calls now count four times their deviation from the mean, as the peers do alike, and the peers' calls count half of theirs. Prompts that wait for peers no longer count: they are prefilled before a digest arrives. With the herd gone, the load may cost less and waiting more.

--- a/route/policy.go
+++ b/route/policy.go
@@ -24,10 +24,28 @@
 	}
 }
 
-// match fills the scratch space with the cached depth of each slot.
+// match fills the scratch space for a decision: the cached depth of each slot
+// and the mean calls in flight.
 func (v *View) match(call *Call) {
 	clear(v.depths)
 	v.holders.Match(call.Blocks, v.depths)
+	var own, peers, runners float64
+	for at := range v.slots {
+		if v.usable(call, at) {
+			own += v.slots[at].own.streams
+			peers += v.slots[at].peers.streams
+			runners++
+		}
+	}
+	v.ownMean, v.peerMean = own/max(1, runners), peers/max(1, runners)
+}
+
+// expectedStreams estimates the calls in flight at a runner.
+func (v *View) expectedStreams(s *slot) float64 {
+	gain := min(v.options.OwnGain, float64(1+len(v.peers)))
+	own := v.ownMean + gain*(s.own.streams-v.ownMean)
+	peers := v.peerMean + v.options.PeerGain*(s.peers.streams-v.peerMean)
+	return max(0, own+peers)
 }
 
 // estimate is what a call is expected to meet at a runner.
@@ -42,14 +60,15 @@
 }
 
 // estimate predicts what call meets at the runner of a slot. The scratch
-// space has to hold the depths of the call.
+// space has to be filled by match. The prompts that wait for peers do not
+// count: they are prefilled before their digests arrive.
 func (v *View) estimate(call *Call, at int) estimate {
 	slot := &v.slots[at]
 	speed := &v.options.Speed
 	uncached := call.PromptTokens - cachedTokens(v.depths[at], call.PromptTokens)
 	share := speed.prefillSeconds(slot.own.rate + slot.peers.rate)
-	step := speed.stepSeconds(slot.own.streams+slot.peers.streams+1, share)
-	wait := speed.prefillSeconds(slot.own.queued + slot.peers.queued + float64(uncached))
+	step := speed.stepSeconds(v.expectedStreams(slot)+1, share)
+	wait := speed.prefillSeconds(slot.own.queued + float64(uncached))
 	result := estimate{
 		uncached:   uncached,
 		firstToken: wait + step/2,
--- a/route/score.go
+++ b/route/score.go
@@ -42,12 +42,12 @@
 // NewScore returns the policy with its default settings.
 func NewScore() *Score {
 	return &Score{
-		LoadCost:     0.3,
-		WaitCost:     0.2,
+		LoadCost:     0.1,
+		WaitCost:     1,
 		Margin:       0.85,
 		LateCost:     1,
 		PriceSeconds: 0.005,
-		AffinityCost: 0.02,
+		AffinityCost: 0.03,
 		KeyBlocks:    8,
 		LowestLimit:  0.95,
 		HighestLimit: 1.5,
--- a/route/score_test.go
+++ b/route/score_test.go
@@ -155,6 +155,27 @@
 	c.Assert(report.Loads[0].QueuedTokens, qt.Equals, 0)
 }
 
+func TestOldDigestsDrawNotAllCallsToOneRunner(t *testing.T) {
+	c := qt.New(t)
+	view, peer := newView(4), newView(4)
+	for seed := range uint64(40) {
+		decision, flights := send(c, peer, newCall(seed, 2), 1)
+		if decision.Runner == "runner-0" {
+			peer.Ended(&flights[0], start)
+			continue
+		}
+		peer.FirstToken(&flights[0])
+	}
+	view.Digest(peer.Report("daemon-1", start))
+	used := map[string]int{}
+	for seed := range uint64(20) {
+		decision, flights := send(c, view, newCall(100+seed, 2), 1)
+		view.FirstToken(&flights[0])
+		used[decision.Runner]++
+	}
+	c.Assert(used["runner-0"] < 15, qt.IsTrue, qt.Commentf("%v", used))
+}
+
 func TestFlightOfRemovedRunnerIsIgnored(t *testing.T) {
 	c := qt.New(t)
 	view := newView(1)
--- a/route/view.go
+++ b/route/view.go
@@ -20,6 +20,11 @@
 	ZoneDelay time.Duration
 	// KnownBlocks bounds the prompt blocks whose holders are remembered.
 	KnownBlocks int
+	// OwnGain and PeerGain are how much of a runner's deviation from the mean
+	// calls in flight counts. Own calls are known exactly and the peers do
+	// alike, so they count more than once. The peers' calls are old, and all
+	// daemons see the same ones, so they count less.
+	OwnGain, PeerGain float64
 	// RateTime is the time constant of the measured rates.
 	RateTime time.Duration
 }
@@ -31,6 +36,8 @@
 		Speed:       DefaultSpeed(),
 		ZoneDelay:   3 * time.Millisecond,
 		KnownBlocks: 32_768,
+		OwnGain:     4,
+		PeerGain:    0.5,
 		RateTime:    4 * time.Second,
 	}
 }
@@ -61,6 +68,9 @@
 	depths []int32
 	// costs is scratch space of one decision: the cost by slot.
 	costs []float64
+	// ownMean and peerMean are the mean calls in flight at the runners that
+	// are allowed for the decision.
+	ownMean, peerMean float64
 }
 
 // slot is what the view knows of one runner.
