--- /dev/null
+++ b/peer/bytes_test.go
@@ -0,0 +1,117 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/telemetry"
+	"github.com/cranberrywalk/cranberrywalk/timeline"
+)
+
+// reporting is a daemon that only reports loads.
+type reporting struct{ loads []BackendLoad }
+
+func (r *reporting) Digest() Digest                  { return Digest{Loads: r.loads} }
+func (r *reporting) Merge(Digest)                    {}
+func (r *reporting) Configuration() ([]byte, uint64) { return nil, 0 }
+func (r *reporting) Install([]byte, uint64) error    { return nil }
+func (r *reporting) Answer(context.Context, string) (Answer, error) {
+	return Answer{Header: http.Header{}}, nil
+}
+
+// zone is a zone of meshes on loopback whose rounds the benchmark drives.
+type zone struct {
+	fake      clock.Clock
+	random    *rand.Rand
+	common    telemetry.Common
+	meshes    []*Mesh
+	reporters []*reporting
+	runners   int
+	stop      context.CancelFunc
+}
+
+func newZone(b *testing.B, daemons, runners int) *zone {
+	z := &zone{random: rand.New(rand.NewPCG(1, 1)), runners: runners, common: telemetry.NewCommon()}
+	z.common.Clock = clock.NewFake(time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC))
+	ctx, stop := context.WithCancel(context.Background())
+	z.stop = stop
+	var vms []platform.VM
+	for i := range runners {
+		vms = append(vms, platform.VM{Name: fmt.Sprint("runner-deep-south-a-", i), Role: platform.RoleRunner})
+	}
+	for i := range daemons {
+		identity := Identity{
+			Daemon: fmt.Sprint("entry-deep-south-a-", i), Zone: "deep-south-a", Region: "deep-south",
+			Incarnation: fmt.Sprintf("%026d", i),
+		}
+		reporter := &reporting{}
+		mesh := New(z.common, DefaultOptions(identity, "127.0.0.1:0", uint64(i)), timeline.NewClock(z.common), reporter)
+		qt.Assert(b, mesh.Listen(), qt.IsNil)
+		z.meshes = append(z.meshes, mesh)
+		z.reporters = append(z.reporters, reporter)
+		vms = append(vms, platform.VM{
+			Name: identity.Daemon, Role: platform.RoleEntry, Zone: identity.Zone, Region: identity.Region,
+			PeerAddress: mesh.Address(),
+		})
+		go mesh.serve(ctx)
+	}
+	for _, mesh := range z.meshes {
+		mesh.SetVMs(vms)
+	}
+	return z
+}
+
+// step changes the loads and lets every daemon carry out one round.
+func (z *zone) step(ctx context.Context) {
+	z.common.Clock.(interface{ Advance(time.Duration) }).Advance(z.meshes[0].options.Interval)
+	for i, mesh := range z.meshes {
+		z.reporters[i].loads = nil
+		for runner := i; runner < z.runners; runner += len(z.meshes) {
+			z.reporters[i].loads = append(z.reporters[i].loads, BackendLoad{
+				Backend: fmt.Sprint("runner-deep-south-a-", runner),
+				Running: z.random.IntN(16), Queued: z.random.IntN(4), QueuedTokens: z.random.IntN(8000),
+			})
+		}
+		mesh.Tell()
+	}
+	for _, mesh := range z.meshes {
+		for _, peer := range mesh.core.Round(z.common.Clock.Now()) {
+			mesh.exchangeWith(ctx, peer)
+		}
+	}
+}
+
+// BenchmarkExchangeBytes prints what the exchanges of a zone cost while every
+// runner's load changes all the time.
+func BenchmarkExchangeBytes(b *testing.B) {
+	for _, size := range []struct{ daemons, runners int }{
+		{7, 24}, {7, 53}, {7, 107}, {14, 107}, {28, 24}, {28, 53}, {28, 107}, {28, 214}, {56, 107},
+	} {
+		b.Run(fmt.Sprintf("Daemons=%d/Runners=%d", size.daemons, size.runners), func(b *testing.B) {
+			z := newZone(b, size.daemons, size.runners)
+			defer z.stop()
+			ctx := context.Background()
+			for range 20 {
+				z.step(ctx)
+			}
+			sent := metrics.GetOrRegisterCounter(CounterSent, z.common.Metrics)
+			before, steps := sent.Count(), 0
+			for b.Loop() {
+				z.step(ctx)
+				steps++
+			}
+			perRound := float64(sent.Count()-before) / float64(steps*size.daemons)
+			b.ReportMetric(perRound, "B/exchange")
+			b.ReportMetric(perRound/z.meshes[0].options.Interval.Seconds(), "B/s/daemon")
+		})
+	}
+}
--- a/peer/gossip/core.go
+++ b/peer/gossip/core.go
@@ -12,10 +12,12 @@
 const (
 	// Interval is the time between the rounds of a daemon.
 	Interval = 500 * time.Millisecond
-	// NeighbourRounds and RemoteRounds say in which rounds a daemon also
-	// talks to one of another zone and to one of another region.
+	// NeighbourRounds is the number of rounds from one exchange with a
+	// daemon of another zone to the next.
 	NeighbourRounds = 4
-	RemoteRounds    = 10
+	// RemoteRounds is the number of rounds from one exchange with a daemon
+	// of another region to the next.
+	RemoteRounds = 10
 	// TellFanout is the number of peers to which a daemon sends an urgent
 	// notice at once; each of them does the same when the notice is new to
 	// it.
--- /dev/null
+++ b/peer/gossip/core_test.go
@@ -0,0 +1,125 @@
+package gossip_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cranberrywalk/cranberrywalk/peer/gossip"
+)
+
+// across returns a cut between the daemons that are listed and all others.
+func across(oneWay bool, listed ...string) func(from, to string) bool {
+	side := make(map[string]bool)
+	for _, name := range listed {
+		side[name] = true
+	}
+	return func(from, to string) bool {
+		if oneWay {
+			return side[from] && !side[to]
+		}
+		return side[from] != side[to]
+	}
+}
+
+func TestAllConvergeAfterFaults(t *testing.T) {
+	for _, scenario := range []struct {
+		name          string
+		cut           func(from, to string) bool
+		lost, doubled float64
+	}{
+		{name: "no fault"},
+		{name: "partition both ways", cut: across(false, "D0", "D1", "D2", "D3")},
+		{name: "partition one way", cut: across(true, "D0", "D1", "D2", "D3")},
+		{name: "one daemon alone", cut: across(false, "D5")},
+		{name: "lost and doubled messages", lost: 0.3, doubled: 0.3},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			c := qt.New(t)
+			for seed := range uint64(10) {
+				n := newNetwork(seed, 9, 1)
+				if scenario.cut != nil {
+					n.cut = scenario.cut
+				}
+				n.lost, n.doubled = scenario.lost, scenario.doubled
+				for i := range 40 {
+					n.setLoad(n.names[i%9], "R1", i)
+					n.step()
+				}
+				n.own["D0"].Leaving = []gossip.Leaving{{VM: "R0", Deadline: n.now.Add(time.Minute)}}
+				n.own["D8"].Suspects = []gossip.Suspect{{Fingerprint: 7, Crashes: 2, Expires: n.now.Add(time.Hour)}}
+				n.step()
+
+				n.cut = func(string, string) bool { return false }
+				n.lost, n.doubled = 0, 0
+				steps := n.stepsUntil(60, func() bool { return n.loadsAgree() && n.knowLeaving("R0") == 8 })
+
+				c.Check(steps < 60, qt.IsTrue, qt.Commentf("seed %d", seed))
+				c.Check(n.regressions, qt.Equals, 0)
+				c.Check(n.views["D0"].suspects[7], qt.Equals, 2)
+			}
+		})
+	}
+}
+
+func TestLeavingReachesAllWithinAFewRounds(t *testing.T) {
+	for _, scenario := range []struct {
+		name           string
+		daemons, zones int
+		rounds         int
+	}{
+		{name: "today", daemons: 7, zones: 4, rounds: 1},
+		{name: "one zone", daemons: 28, zones: 1, rounds: 4},
+		{name: "four zones", daemons: 112, zones: 4, rounds: 6},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			c := qt.New(t)
+			for seed := range uint64(10) {
+				n := newNetwork(seed, scenario.daemons, scenario.zones)
+				n.step()
+				n.own["D0"].Leaving = []gossip.Leaving{{VM: "R0"}}
+				steps := n.stepsUntil(20, func() bool { return n.knowLeaving("R0") == scenario.daemons-1 })
+				c.Check(steps <= scenario.rounds, qt.IsTrue, qt.Commentf("seed %d took %d rounds", seed, steps))
+			}
+		})
+	}
+}
+
+func TestRestartedReporterWithSlowClockIsHeard(t *testing.T) {
+	c := qt.New(t)
+	n := newNetwork(1, 3, 1)
+	n.setLoad("D0", "R1", 5)
+	n.stepsUntil(20, n.loadsAgree)
+
+	self := gossip.Identity{Daemon: "D0", Zone: "Zone0", Region: "Region"}
+	restarted := gossip.New(self, n.random)
+	slow := n.now.Add(-time.Minute)
+	restarted.Publish(gossip.Digest{Loads: []gossip.BackendLoad{{Backend: "R1", InFlight: 1}}}, slow)
+	ask := n.cores["D1"].Request("D0", n.stamp())
+	reply, _ := restarted.Reply(ask, n.stamp(), slow)
+	news := n.cores["D1"].Receive(reply, n.now)
+
+	c.Assert(news.Loads, qt.HasLen, 1)
+	c.Assert(news.Loads[0].InFlight, qt.Equals, 1)
+}
+
+func TestUnreachablePeerIsCalledLessOften(t *testing.T) {
+	c := qt.New(t)
+	n := newNetwork(1, 2, 1)
+	calls := 0
+	n.cut = func(_, to string) bool {
+		if to == "D1" {
+			calls++
+		}
+		return true
+	}
+	for range 120 {
+		n.step()
+	}
+	c.Assert(calls < 12, qt.IsTrue, qt.Commentf("%d calls in a minute", calls))
+
+	n.cut = func(string, string) bool { return false }
+	n.setLoad("D1", "R1", 3)
+	c.Assert(n.stepsUntil(40, n.loadsAgree) < 40, qt.IsTrue)
+}
--- /dev/null
+++ b/peer/gossip/network_test.go
@@ -0,0 +1,197 @@
+package gossip_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/peer/gossip"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/timeline"
+)
+
+// network is a mesh of cores in memory. Every step is one round of all.
+type network struct {
+	random *rand.Rand
+	now    time.Time
+	names  []string
+	cores  map[string]*gossip.Core
+	own    map[string]*gossip.Digest
+	views  map[string]*view
+	// cut reports whether a message from one daemon to another is lost.
+	cut func(from, to string) bool
+	// lost and doubled are the shares of messages that are lost and doubled.
+	lost, doubled float64
+	// urgent holds the daemons that have notices to push.
+	urgent []string
+	// regressions counts loads that were replaced by older ones.
+	regressions int
+}
+
+// view is what a daemon was told.
+type view struct {
+	loads    map[string]gossip.BackendLoad
+	leaving  map[string]time.Time
+	suspects map[uint64]int
+}
+
+// newNetwork returns daemons D0, D1, … that are spread over zones, and the
+// runners R0 to R9.
+func newNetwork(seed uint64, daemons, zones int) *network {
+	n := &network{
+		random: rand.New(rand.NewPCG(seed, 1)),
+		now:    time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC),
+		cores:  make(map[string]*gossip.Core),
+		own:    make(map[string]*gossip.Digest),
+		views:  make(map[string]*view),
+		cut:    func(string, string) bool { return false },
+	}
+	var vms []platform.VM
+	for i := range 10 {
+		vms = append(vms, platform.VM{Name: fmt.Sprint("R", i), Role: platform.RoleRunner, Region: "Region"})
+	}
+	for i := range daemons {
+		name, zone := fmt.Sprint("D", i), fmt.Sprint("Zone", i%zones)
+		vms = append(vms, platform.VM{Name: name, Role: platform.RoleEntry, Zone: zone, Region: "Region"})
+		n.names = append(n.names, name)
+		n.start(name, zone)
+	}
+	for _, core := range n.cores {
+		core.SetVMs(vms)
+	}
+	return n
+}
+
+// start gives the daemon a core that knows nothing.
+func (n *network) start(name, zone string) {
+	identity := gossip.Identity{Daemon: name, Zone: zone, Region: "Region"}
+	n.cores[name] = gossip.New(identity, rand.New(rand.NewPCG(n.random.Uint64(), 2)))
+	n.own[name] = &gossip.Digest{}
+	n.views[name] = &view{
+		loads:    make(map[string]gossip.BackendLoad),
+		leaving:  make(map[string]time.Time),
+		suspects: make(map[uint64]int),
+	}
+}
+
+// step lets every daemon publish its facts and carry out one round.
+func (n *network) step() {
+	n.now = n.now.Add(gossip.Interval)
+	for _, name := range n.names {
+		if n.cores[name].Publish(*n.own[name], n.now) {
+			n.urgent = append(n.urgent, name)
+		}
+	}
+	n.push()
+	for _, name := range n.names {
+		for _, peer := range n.cores[name].Round(n.now) {
+			n.exchange(name, peer.Name)
+		}
+	}
+	n.push()
+}
+
+// push carries out the urgent notices and those that they cause.
+func (n *network) push() {
+	for len(n.urgent) > 0 {
+		name := n.urgent[0]
+		n.urgent = n.urgent[1:]
+		for _, peer := range n.cores[name].Urgent(n.now) {
+			message := n.cores[name].Request(peer.Name, n.stamp())
+			message.Known = nil
+			n.deliver(name, peer.Name, func() { n.hear(peer.Name, n.cores[peer.Name].Receive(message, n.now)) })
+		}
+	}
+}
+
+func (n *network) exchange(from, to string) {
+	request := n.cores[from].Request(to, n.stamp())
+	answered := false
+	n.deliver(from, to, func() {
+		reply, news := n.cores[to].Reply(request, n.stamp(), n.now)
+		n.hear(to, news)
+		n.deliver(to, from, func() {
+			answered = true
+			n.hear(from, n.cores[from].Receive(reply, n.now))
+		})
+	})
+	if !answered {
+		n.cores[from].Failed(to, n.now)
+	}
+}
+
+// deliver runs arrive for each time that the message arrives.
+func (n *network) deliver(from, to string, arrive func()) {
+	if n.cut(from, to) || n.random.Float64() < n.lost {
+		return
+	}
+	arrive()
+	if n.random.Float64() < n.doubled {
+		arrive()
+	}
+}
+
+// hear adds news to the daemon's view.
+func (n *network) hear(name string, news gossip.Digest) {
+	view := n.views[name]
+	for _, load := range news.Loads {
+		key := load.Reporter + "/" + load.Backend
+		if load.Version <= view.loads[key].Version {
+			n.regressions++
+		}
+		view.loads[key] = load
+	}
+	for _, leaving := range news.Leaving {
+		view.leaving[leaving.VM] = leaving.Deadline
+	}
+	for _, suspect := range news.Suspects {
+		view.suspects[suspect.Fingerprint] = max(view.suspects[suspect.Fingerprint], suspect.Crashes)
+	}
+	if len(news.Leaving)+len(news.Suspects) > 0 {
+		n.urgent = append(n.urgent, name)
+	}
+}
+
+// setLoad makes a daemon report that many requests at a runner.
+func (n *network) setLoad(name, backend string, inFlight int) {
+	n.own[name].Loads = []gossip.BackendLoad{{Backend: backend, InFlight: inFlight}}
+}
+
+// loadsAgree reports whether every daemon holds the last load of every other.
+func (n *network) loadsAgree() bool {
+	for name, view := range n.views {
+		for reporter, own := range n.own {
+			for _, load := range own.Loads {
+				held := view.loads[reporter+"/"+load.Backend]
+				if reporter != name && held.InFlight != load.InFlight {
+					return false
+				}
+			}
+		}
+	}
+	return true
+}
+
+// knowLeaving counts the daemons that were told that the VM is leaving.
+func (n *network) knowLeaving(vm string) int {
+	count := 0
+	for _, view := range n.views {
+		if _, known := view.leaving[vm]; known {
+			count++
+		}
+	}
+	return count
+}
+
+// stepsUntil runs steps until reached, at most limit.
+func (n *network) stepsUntil(limit int, reached func() bool) int {
+	for steps := range limit {
+		if reached() {
+			return steps
+		}
+		n.step()
+	}
+	return limit
+}
+
+func (n *network) stamp() timeline.Stamp { return timeline.Stamp{Wall: n.now.UnixMilli()} }
