Charge a time between tokens above the target

A time between tokens above 0.95 of its target now costs as much as a late first token does, so that recomputing becomes the cheaper way.

--- a/route/score.go
+++ b/route/score.go
@@ -18,11 +18,9 @@
 	LoadCost float64
 	// WaitCost is the cost of each second of waiting before the prefill.
 	WaitCost float64
-	// Margin is the share of the target for the first token above which
-	// LateCost counts.
+	// Margin is the share of the targets above which LateCost counts.
 	Margin float64
-	// LateCost is the cost of a time to first token of a whole target above
-	// the margin.
+	// LateCost is the cost of a time of a whole target above the margin.
 	LateCost float64
 	// PriceSeconds is the work that the price of a runner is charged for.
 	PriceSeconds float64
@@ -44,8 +42,8 @@
 	return &Score{
 		LoadCost:     0.1,
 		WaitCost:     1,
-		Margin:       0.85,
-		LateCost:     1,
+		Margin:       0.95,
+		LateCost:     2,
 		PriceSeconds: 0.005,
 		AffinityCost: 0.03,
 		KeyBlocks:    8,
@@ -119,9 +117,8 @@
 	cost += call.CostWeight * runner.Price * s.PriceSeconds
 	cost += s.LoadCost * square * square * square
 	cost += s.WaitCost * (e.firstToken - prefill)
-	if e.firstLoad > s.Margin {
-		cost += s.LateCost * (e.firstLoad - s.Margin)
-	}
+	cost += s.LateCost * max(0, e.firstLoad-s.Margin)
+	cost += s.LateCost * max(0, e.betweenLoad-s.Margin)
 	return cost
 }
 
