Shrink the exchange, coalesce notices and test silent and killed peers

A wave of notices caused a push for each one. Calls over silent connections and to restarted peers were not tested.

Change: daemons with the same group (compared by a hash) leave out the reporters' names; only reporters of the group are kept; in a group of more than 16 the own report is renewed every second. Urgent notices go out at most every 50 ms, together, and a peer gets only those that it was not told. Notices expire at the same moment everywhere, so that they cannot be revived. A newer configuration is fetched 300 ms after it was heard of, unless the daemon has read it from the log by then.

--- a/peer/bytes_test.go
+++ b/peer/bytes_test.go
@@ -30,7 +30,6 @@
 
 // zone is a zone of meshes on loopback whose rounds the benchmark drives.
 type zone struct {
-	fake      clock.Clock
 	random    *rand.Rand
 	common    telemetry.Common
 	meshes    []*Mesh
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -38,9 +38,12 @@
 		ConfigurationOffset: message.ConfigurationOffset,
 		Draining:            message.Draining,
 		NoticesHash:         message.NoticesHash,
+		GroupHash:           message.GroupHash,
 	}
 	for _, known := range message.Known {
-		digest.KnownReporters = append(digest.KnownReporters, uint32(known.Reporter))
+		if !message.Compact {
+			digest.KnownReporters = append(digest.KnownReporters, uint32(known.Reporter))
+		}
 		digest.KnownAges = append(digest.KnownAges, age(wall, known.Version))
 	}
 	for _, report := range message.Reports {
@@ -68,13 +71,15 @@
 		ConfigurationOffset: digest.GetConfigurationOffset(),
 		Draining:            digest.GetDraining(),
 		NoticesHash:         digest.GetNoticesHash(),
+		GroupHash:           digest.GetGroupHash(),
 	}
-	ages := digest.GetKnownAges()
-	for i, reporter := range digest.GetKnownReporters() {
-		if i < len(ages) {
-			known := gossip.Known{Reporter: gossip.ID(reporter), Version: version(stamp.Wall, ages[i])}
-			message.Known = append(message.Known, known)
+	message.Compact = len(digest.GetKnownReporters()) == 0
+	for i, age := range digest.GetKnownAges() {
+		known := gossip.Known{
+			Reporter: gossip.ID(at(digest.GetKnownReporters(), i)),
+			Version:  version(stamp.Wall, age),
 		}
+		message.Known = append(message.Known, known)
 	}
 	for _, report := range digest.GetReports() {
 		message.Reports = append(message.Reports, decodeReport(report, stamp.Wall))
--- a/peer/fake_test.go
+++ b/peer/fake_test.go
@@ -1,76 +1,223 @@
-package peer_test
+package peer
 
 import (
 	"context"
+	"net"
 	"sync"
+	"testing"
+	"time"
 
-	"github.com/cranberrywalk/cranberrywalk/peer"
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/goleak"
+
+	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/telemetry"
+	"github.com/cranberrywalk/cranberrywalk/timeline"
 )
 
-// handler is a fake daemon around a mesh.
-type handler struct {
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakeHandler is the other parts of a daemon.
+type fakeHandler struct {
 	mutex    sync.Mutex
-	own      peer.Digest
+	own      Digest
+	news     []Digest
 	snapshot []byte
 	offset   uint64
-	answers  map[string]peer.Answer
-	// news receives every digest that the mesh hands over and that holds
-	// facts about others.
-	news chan peer.Digest
-	// installed receives the offsets of installed configurations.
-	installed chan uint64
-}
-
-func newHandler() *handler {
-	return &handler{
-		answers:   make(map[string]peer.Answer),
-		news:      make(chan peer.Digest, 64),
-		installed: make(chan uint64, 64),
-	}
+	answers  map[string]Answer
 }
 
-func (h *handler) change(change func(*handler)) {
+func (h *fakeHandler) Digest() Digest {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	change(h)
+	own := h.own
+	own.ConfigurationOffset = h.offset
+	return own
 }
 
-func (h *handler) Digest() peer.Digest {
+func (h *fakeHandler) Merge(news Digest) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	own := h.own
-	own.ConfigurationOffset = h.offset
-	return own
+	h.news = append(h.news, news)
 }
 
-func (h *handler) Merge(news peer.Digest) {
-	if news.IsEmpty() {
-		return
-	}
-	select {
-	case h.news <- news:
-	default:
+// last returns the newest digest that the mesh handed over.
+func (h *fakeHandler) last() Digest {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.news[len(h.news)-1]
+}
+
+// told reports whether the mesh has handed over that the VM is leaving.
+func (h *fakeHandler) told(vm string) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	for _, news := range h.news {
+		for _, leaving := range news.Leaving {
+			if leaving.VM == vm {
+				return true
+			}
+		}
 	}
+	return false
 }
 
-func (h *handler) Configuration() ([]byte, uint64) {
+func (h *fakeHandler) Configuration() ([]byte, uint64) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	return h.snapshot, h.offset
 }
 
-func (h *handler) Install(snapshot []byte, offset uint64) error {
-	h.change(func(h *handler) { h.snapshot, h.offset = snapshot, offset })
-	h.installed <- offset
+func (h *fakeHandler) Install(snapshot []byte, offset uint64) error {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.snapshot, h.offset = snapshot, offset
 	return nil
 }
 
-func (h *handler) Answer(_ context.Context, key string) (peer.Answer, error) {
+func (h *fakeHandler) Answer(_ context.Context, key string) (Answer, error) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	answer, known := h.answers[key]
-	if !known {
-		return peer.Answer{State: peer.NotFound}, nil
+	if answer, known := h.answers[key]; known {
+		return answer, nil
+	}
+	return Answer{State: NotFound}, nil
+}
+
+// daemon is a mesh on loopback. It starts no rounds, so that the test carries
+// out the exchanges.
+type daemon struct {
+	*Mesh
+	handler *fakeHandler
+	events  *recorder
+	vm      platform.VM
+	// kill stops the mesh without a word to its peers.
+	kill func()
+}
+
+func startDaemon(c *qt.C, fake clock.Clock, name, incarnation, address string) *daemon {
+	common := telemetry.NewCommon()
+	common.Clock = fake
+	d := &daemon{handler: &fakeHandler{answers: make(map[string]Answer)}, events: &recorder{}}
+	common.Events = d.events
+	identity := Identity{Daemon: name, Zone: "ZoneA", Region: "Region", Incarnation: incarnation}
+	options := DefaultOptions(identity, address, 1)
+	options.Interval = time.Hour
+	d.Mesh = New(common, options, timeline.NewClock(common), d.handler)
+	c.Assert(d.Listen(), qt.IsNil)
+	d.vm = entryVM(name, d.Address())
+	ctx, cancel := context.WithCancel(context.Background())
+	go d.Run(ctx)
+	d.kill = func() {
+		cancel()
+		<-d.Done()
+	}
+	c.Cleanup(d.kill)
+	return d
+}
+
+func entryVM(name, address string) platform.VM {
+	return platform.VM{
+		Name: name, Role: platform.RoleEntry, Zone: "ZoneA", Region: "Region", PeerAddress: address,
+	}
+}
+
+// list tells all daemons about all of them and about the runner R1.
+func list(daemons ...*daemon) {
+	vms := []platform.VM{{Name: "R1", Role: platform.RoleRunner, Zone: "ZoneA", Region: "Region"}}
+	for _, d := range daemons {
+		vms = append(vms, d.vm)
 	}
-	return answer, nil
+	for _, d := range daemons {
+		d.SetVMs(vms)
+	}
+}
+
+// recorder keeps the kinds of events.
+type recorder struct {
+	mutex sync.Mutex
+	kinds []string
+}
+
+func (r *recorder) Record(event telemetry.Event) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.kinds = append(r.kinds, event.Kind)
+}
+
+// relay forwards connections to an address until it is silenced. Connections
+// that were open then stay open and carry nothing; new ones work.
+type relay struct {
+	listener net.Listener
+	target   string
+	// swallowed gets a value when a silent connection has swallowed bytes.
+	swallowed chan struct{}
+
+	mutex sync.Mutex
+	// silent is closed to silence the connections that are open.
+	silent chan struct{}
+}
+
+func startRelay(c *qt.C, target string) *relay {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	r := &relay{
+		listener: listener, target: target, swallowed: make(chan struct{}, 16), silent: make(chan struct{}),
+	}
+	c.Cleanup(func() { _ = listener.Close() })
+	go r.accept()
+	return r
+}
+
+func (r *relay) accept() {
+	for {
+		near, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		far, err := net.Dial("tcp", r.target)
+		if err != nil {
+			_ = near.Close()
+			continue
+		}
+		r.mutex.Lock()
+		silent := r.silent
+		r.mutex.Unlock()
+		go r.forward(near, far, silent)
+		go r.forward(far, near, silent)
+	}
+}
+
+func (r *relay) forward(from, to net.Conn, silent <-chan struct{}) {
+	defer func() {
+		_ = from.Close()
+		_ = to.Close()
+	}()
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		select {
+		case <-silent:
+			r.swallowed <- struct{}{}
+		default:
+			_, _ = to.Write(buffer[:n])
+		}
+	}
+}
+
+// silence makes the open connections carry nothing any more.
+func (r *relay) silence() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	close(r.silent)
+	r.silent = make(chan struct{})
+}
+
+func newFake() *clockwork.FakeClock {
+	return clock.NewFake(time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC))
 }
--- a/peer/fetch.go
+++ b/peer/fetch.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cranberrywalk/cranberrywalk/clock"
 	"github.com/cranberrywalk/cranberrywalk/peer/peerpb"
 	"github.com/cranberrywalk/cranberrywalk/platform"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
@@ -14,6 +15,9 @@
 	// fetchPeers bounds the peers that a starting daemon asks for a
 	// configuration.
 	fetchPeers = 16
+	// fetchDelay leaves the daemon time to read a newer configuration from
+	// the log itself.
+	fetchDelay = 300 * time.Millisecond
 	// AnswerWait bounds one call for a recorded answer. An answer that takes
 	// longer is asked for again.
 	AnswerWait = 2 * time.Second
@@ -73,12 +77,22 @@
 		case <-ctx.Done():
 			return
 		case peer := <-m.fetches.Values():
-			m.fetchFrom(ctx, peer)
+			if clock.Sleep(ctx, m.common.Clock, fetchDelay) == nil {
+				m.fetchFrom(ctx, peer)
+			}
 		}
 	}
 }
 
+// fetchFrom gets the configuration of a peer unless the daemon has caught up
+// with it.
 func (m *Mesh) fetchFrom(ctx context.Context, peer platform.VM) {
+	m.mutex.Lock()
+	newest := m.newest
+	m.mutex.Unlock()
+	if _, offset := m.handler.Configuration(); newest <= offset {
+		return
+	}
 	reply, err := m.configuration(ctx, peer)
 	if err != nil {
 		m.failed(ctx, peer, err)
--- a/peer/gossip/core.go
+++ b/peer/gossip/core.go
@@ -37,6 +37,8 @@
 	draining bool
 	// round counts the calls of Round.
 	round int
+	// published is when the daemon's own reports were last renewed.
+	published time.Time
 }
 
 // Call is a message to be sent to a peer.
@@ -60,6 +62,7 @@
 // SetVMs replaces the VMs that the roster lists.
 func (c *Core) SetVMs(vms []platform.VM) {
 	c.members.set(vms)
+	c.reports.retain(c.members.isReporter)
 }
 
 // Publish replaces the daemon's own facts. It reports whether there are urgent
@@ -68,7 +71,10 @@
 	c.offset = max(c.offset, own.ConfigurationOffset)
 	urgent := own.Draining != c.draining
 	c.draining = own.Draining
-	c.reports.reporter(NewID(c.self.Daemon)).publish(own, now)
+	if now.Sub(c.published) >= c.publishInterval() {
+		c.published = now
+		c.reports.reporter(NewID(c.self.Daemon)).publish(own, now)
+	}
 	for _, leaving := range own.Leaving {
 		urgent = c.notices.announce(leaving, now) || urgent
 	}
@@ -79,6 +85,15 @@
 	return urgent
 }
 
+// publishInterval returns the least time between two versions of the own
+// reports. In a large group each version costs more and is less urgent.
+func (c *Core) publishInterval() time.Duration {
+	if len(c.members.group) > WideGroupDaemons {
+		return 2*Interval - Interval/4
+	}
+	return Interval - Interval/4
+}
+
 // Round returns the peers to exchange with now.
 func (c *Core) Round(now time.Time) []platform.VM {
 	c.reports.expire(now)
@@ -109,26 +124,64 @@
 	}
 	message.Leaving, message.Suspects = c.notices.after(member.told)
 	if slices.Contains(c.members.group, member) {
-		message.Known = c.reports.known()
+		message.Known = c.reports.known(c.members.groupIDs)
+		message.Compact = member.sameGroup
 	}
 	return message
 }
 
+// Delivered notes that a peer has received a request.
+func (c *Core) Delivered(peer string, request Message) {
+	if member := c.members.byName[peer]; member != nil {
+		member.told = max(member.told, request.Sequence)
+	}
+}
+
 // Reply merges the message that opened an exchange and returns the answer to
 // it with what was new.
 func (c *Core) Reply(request Message, stamp timeline.Stamp, now time.Time) (Message, Digest) {
 	news := c.Receive(request, now)
 	reply := c.message(stamp)
-	if len(request.Known) > 0 {
-		c.outgrow(request.Known, now)
-		reply.Reports = c.reports.newer(request.Known)
+	if known := c.expand(request); len(known) > 0 {
+		c.outgrow(known, now)
+		reply.Reports = c.reports.newer(known)
 	}
 	if request.NoticesHash != reply.NoticesHash {
-		reply.Leaving, reply.Suspects = c.notices.after(0)
+		reply.Leaving, reply.Suspects = c.untold(request.Sender.Daemon)
 	}
 	return reply, news
 }
 
+// expand returns the known versions of a request with their reporters. It
+// returns none when the reporters were left out and the groups differ.
+func (c *Core) expand(request Message) []Known {
+	if !request.Compact {
+		return request.Known
+	}
+	if request.GroupHash != c.members.groupHash || len(request.Known) != len(c.members.groupIDs) {
+		return nil
+	}
+	known := slices.Clone(request.Known)
+	for i, id := range c.members.groupIDs {
+		known[i].Reporter = id
+	}
+	return known
+}
+
+// untold returns the notices that a peer with another hash lacks. When it
+// should have all of them, it has lost some, and all are repeated.
+func (c *Core) untold(peer string) ([]Leaving, []Suspect) {
+	var told uint64
+	if member := c.members.byName[peer]; member != nil {
+		told = member.told
+	}
+	leaving, suspects := c.notices.after(told)
+	if len(leaving)+len(suspects) == 0 {
+		return c.notices.after(0)
+	}
+	return leaving, suspects
+}
+
 // Receive merges a message and returns what was new in it.
 func (c *Core) Receive(message Message, now time.Time) Digest {
 	news := Digest{
@@ -149,7 +202,7 @@
 		}
 	}
 	if member := c.members.byName[message.Sender.Daemon]; member != nil {
-		member.reached()
+		member.sameGroup = message.GroupHash == c.members.groupHash
 		if message.NoticesHash == c.notices.hash() {
 			member.told = c.notices.sequence
 		}
@@ -192,11 +245,12 @@
 // Nearest returns up to most daemons, near ones first.
 func (c *Core) Nearest(most int) []platform.VM { return c.members.nearest(most, c.random) }
 
-// SetOffset raises the offset of the daemon's configuration.
-func (c *Core) SetOffset(offset uint64) { c.offset = max(c.offset, offset) }
-
-// Offset returns the offset of the daemon's configuration.
-func (c *Core) Offset() uint64 { return c.offset }
+// Reached notes that a message of a peer has arrived and reports whether calls
+// to it had failed before.
+func (c *Core) Reached(peer string) bool {
+	member := c.members.byName[peer]
+	return member != nil && member.reached()
+}
 
 func (c *Core) message(stamp timeline.Stamp) Message {
 	return Message{
@@ -204,23 +258,23 @@
 		Stamp:               stamp,
 		ConfigurationOffset: c.offset,
 		Draining:            c.draining,
+		GroupHash:           c.members.groupHash,
 		NoticesHash:         c.notices.hash(),
+		Sequence:            c.notices.sequence,
 	}
 }
 
-// receiveReports merges reports and adds what was new to news. Facts about
-// VMs that the roster does not list yet are kept but not handed out.
+// receiveReports merges the reports of the group and adds what was new to
+// news. Facts about backend servers that the roster does not list yet are kept
+// but not handed out.
 func (c *Core) receiveReports(received []Report, news *Digest, now time.Time) {
 	self := NewID(c.self.Daemon)
 	for _, report := range received {
-		if report.Reporter == self {
+		if report.Reporter == self || !c.members.isReporter(report.Reporter) {
 			continue
 		}
 		loads, demands := c.reports.reporter(report.Reporter).merge(report, now)
 		name := c.members.names[report.Reporter]
-		if name == "" {
-			continue
-		}
 		for _, load := range loads {
 			if backend := c.members.names[load.Backend]; backend != "" {
 				news.Loads = append(news.Loads, backendLoad(load, backend, name, report.Version))
--- a/peer/gossip/core_test.go
+++ b/peer/gossip/core_test.go
@@ -94,6 +94,7 @@
 
 	self := gossip.Identity{Daemon: "D0", Zone: "Zone0", Region: "Region"}
 	restarted := gossip.New(self, n.random)
+	restarted.SetVMs(n.vms)
 	slow := n.now.Add(-time.Minute)
 	restarted.Publish(gossip.Digest{Loads: []gossip.BackendLoad{{Backend: "R1", InFlight: 1}}}, slow)
 	ask := n.cores["D1"].Request("D0", n.stamp())
--- a/peer/gossip/members.go
+++ b/peer/gossip/members.go
@@ -1,10 +1,14 @@
 package gossip
 
 import (
+	"cmp"
+	"encoding/binary"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/cranberrywalk/cranberrywalk/platform"
 )
 
@@ -28,6 +32,8 @@
 	retryAt time.Time
 	// told is the sequence of the last notice that the peer holds.
 	told uint64
+	// sameGroup says that the peer's last message had the group's hash.
+	sameGroup bool
 }
 
 // members holds the other daemons, ordered by name.
@@ -40,6 +46,10 @@
 	neighbours []*member
 	remotes    []*member
 	byName     map[string]*member
+	// groupIDs holds the IDs of the group and of the daemon itself, in
+	// rising order, and groupHash their hash.
+	groupIDs  []ID
+	groupHash uint32
 	// names maps IDs to the names of all listed VMs.
 	names map[ID]string
 }
@@ -57,7 +67,7 @@
 	before := m.byName
 	*m = newMembers(m.self)
 	daemons := slices.Clone(vms)
-	slices.SortFunc(daemons, func(a, b platform.VM) int { return compareNames(a.Name, b.Name) })
+	slices.SortFunc(daemons, func(a, b platform.VM) int { return cmp.Compare(a.Name, b.Name) })
 	wide := countRegion(daemons, m.self.Region) <= WideGroupDaemons
 	for _, vm := range daemons {
 		m.names[NewID(vm.Name)] = vm.Name
@@ -65,6 +75,27 @@
 			m.add(vm, before[vm.Name], wide)
 		}
 	}
+	m.sumGroup()
+}
+
+// sumGroup lists and hashes the daemons of the group.
+func (m *members) sumGroup() {
+	m.groupIDs = []ID{NewID(m.self.Daemon)}
+	for _, member := range m.group {
+		m.groupIDs = append(m.groupIDs, NewID(member.vm.Name))
+	}
+	slices.Sort(m.groupIDs)
+	var encoded []byte
+	for _, id := range m.groupIDs {
+		encoded = binary.LittleEndian.AppendUint32(encoded, uint32(id))
+	}
+	m.groupHash = uint32(xxhash.Sum64(encoded))
+}
+
+// isReporter reports whether the daemon with the ID belongs to the group.
+func (m *members) isReporter(id ID) bool {
+	_, found := slices.BinarySearch(m.groupIDs, id)
+	return found
 }
 
 func (m *members) add(vm platform.VM, known *member, wide bool) {
@@ -108,10 +139,12 @@
 	m.retryAt = now.Add(delay + jitter)
 }
 
-// reached clears what failures left behind.
-func (m *member) reached() {
+// reached clears what failures left behind and reports whether there was any.
+func (m *member) reached() bool {
+	found := m.failures > 0
 	m.failures = 0
 	m.retryAt = time.Time{}
+	return found
 }
 
 func countRegion(vms []platform.VM, region string) int {
@@ -124,16 +157,6 @@
 	return count
 }
 
-func compareNames(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // nearest returns up to most daemons: first random ones of the group, then of
 // the other zones, then of other regions.
 func (m *members) nearest(most int, random *rand.Rand) []platform.VM {
--- a/peer/gossip/message.go
+++ b/peer/gossip/message.go
@@ -19,9 +19,15 @@
 	Stamp               timeline.Stamp
 	ConfigurationOffset uint64
 	Draining            bool
-	// Known tells how far the sender knows each reporter. It is set in a
-	// request to a daemon of the same group and asks for what is newer.
+	// GroupHash is the hash of the names of the sender's group. Daemons with
+	// equal hashes list the reporters in the same order.
+	GroupHash uint32
+	// Known tells how far the sender knows each reporter of its group. It is
+	// set in a request to a daemon of the group and asks for what is newer.
 	Known []Known
+	// Compact says that the reporters in Known are left out, since the
+	// receiver has the same group.
+	Compact bool
 	// Reports hold facts of reporters of the sender's group.
 	Reports []Report
 	Leaving []Leaving
@@ -30,6 +36,9 @@
 	// NoticesHash is the hash of all Leaving and Suspects that the sender
 	// holds. Daemons with equal hashes hold the same ones.
 	NoticesHash uint64
+	// Sequence is the sender's number of the last notice that it holds. It
+	// does not leave the sender.
+	Sequence uint64
 }
 
 // Known says that all facts of a reporter up to a version are known.
--- a/peer/gossip/network_test.go
+++ b/peer/gossip/network_test.go
@@ -15,6 +15,7 @@
 	random *rand.Rand
 	now    time.Time
 	names  []string
+	vms    []platform.VM
 	cores  map[string]*gossip.Core
 	own    map[string]*gossip.Digest
 	views  map[string]*view
@@ -56,6 +57,7 @@
 		n.names = append(n.names, name)
 		n.start(name, zone)
 	}
+	n.vms = vms
 	for _, core := range n.cores {
 		core.SetVMs(vms)
 	}
@@ -99,7 +101,10 @@
 		for _, peer := range n.cores[name].Urgent(n.now) {
 			message := n.cores[name].Request(peer.Name, n.stamp())
 			message.Known = nil
-			n.deliver(name, peer.Name, func() { n.hear(peer.Name, n.cores[peer.Name].Receive(message, n.now)) })
+			n.deliver(name, peer.Name, func() {
+				n.hear(peer.Name, n.cores[peer.Name].Receive(message, n.now))
+				n.cores[name].Delivered(peer.Name, message)
+			})
 		}
 	}
 }
@@ -108,10 +113,13 @@
 	request := n.cores[from].Request(to, n.stamp())
 	answered := false
 	n.deliver(from, to, func() {
+		n.cores[to].Reached(from)
 		reply, news := n.cores[to].Reply(request, n.stamp(), n.now)
 		n.hear(to, news)
 		n.deliver(to, from, func() {
 			answered = true
+			n.cores[from].Delivered(to, request)
+			n.cores[from].Reached(to)
 			n.hear(from, n.cores[from].Receive(reply, n.now))
 		})
 	})
--- a/peer/gossip/notices.go
+++ b/peer/gossip/notices.go
@@ -7,8 +7,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// LeavingLifetime is how long a leaving notice is passed on after its
-// deadline, or after it was learned when it has none.
+// LeavingLifetime is how long at least a leaving notice is passed on after its
+// deadline, or after it was announced when it has none.
 const LeavingLifetime = 10 * time.Minute
 
 // suspectKey identifies what one daemon saw of one request.
@@ -47,23 +47,32 @@
 	if known && !isEarlier(leaving.Deadline, old.value.Deadline) {
 		return false
 	}
-	leaving.Expires = now.Add(LeavingLifetime)
-	if leaving.Deadline.After(now) {
-		leaving.Expires = leaving.Deadline.Add(LeavingLifetime)
-	}
+	leaving.Expires = leavingExpiry(leaving.Deadline, now)
 	return n.addLeaving(leaving, now)
 }
 
-// addLeaving stores a leaving notice and reports whether it is new. The
-// earliest known deadline and the latest expiry hold.
+// leavingExpiry returns when a notice is no longer passed on. Multiples of the
+// lifetime make it the same for daemons that announce the same VM.
+func leavingExpiry(deadline, now time.Time) time.Time {
+	from := now
+	if deadline.After(now) {
+		from = deadline
+	}
+	return from.Truncate(LeavingLifetime).Add(2 * LeavingLifetime)
+}
+
+// addLeaving stores a leaving notice and reports whether the VM or an earlier
+// deadline is new. The earliest known deadline and the latest expiry hold.
 func (n *notices) addLeaving(leaving Leaving, now time.Time) bool {
 	leaving.Deadline = toMilliseconds(leaving.Deadline)
 	leaving.Expires = toMilliseconds(leaving.Expires)
 	if !leaving.Expires.After(now) {
 		return false
 	}
-	if old, known := n.leaving[leaving.VM]; known {
-		if !isEarlier(leaving.Deadline, old.value.Deadline) {
+	old, known := n.leaving[leaving.VM]
+	earlier := isEarlier(leaving.Deadline, old.value.Deadline)
+	if known {
+		if !earlier {
 			leaving.Deadline = old.value.Deadline
 		}
 		if old.value.Expires.After(leaving.Expires) {
@@ -75,7 +84,7 @@
 	}
 	n.sequence++
 	n.leaving[leaving.VM] = notice[Leaving]{value: leaving, sequence: n.sequence}
-	return true
+	return !known || earlier
 }
 
 // addSuspect stores what a daemon saw of a request and reports whether it is
--- a/peer/gossip/publish.go
+++ b/peer/gossip/publish.go
@@ -11,7 +11,6 @@
 	if changed {
 		r.version = version
 	}
-	r.advanced = now
 }
 
 func (r *reporter) publishLoads(own []BackendLoad, version uint64, now time.Time) bool {
--- a/peer/gossip/reports.go
+++ b/peer/gossip/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -12,8 +13,6 @@
 	RefreshInterval = 15 * time.Second
 	// FactLifetime is how long a fact holds that is not repeated.
 	FactLifetime = 40 * time.Second
-	// ReporterLifetime is how long a silent reporter is remembered.
-	ReporterLifetime = 10 * time.Minute
 )
 
 // fact is a value as of a version of its reporter.
@@ -28,10 +27,8 @@
 type reporter struct {
 	// version is the highest one up to which all facts are known.
 	version uint64
-	// advanced is the local time at which version last rose.
-	advanced time.Time
-	loads    map[ID]fact[Load]
-	demands  map[string]fact[PlanRate]
+	loads   map[ID]fact[Load]
+	demands map[string]fact[PlanRate]
 }
 
 func newReporter() *reporter {
@@ -53,32 +50,37 @@
 	return known
 }
 
-// known returns how far each reporter is known, ordered by reporter.
-func (r reports) known() []Known {
-	known := make([]Known, 0, len(r))
-	for id, reporter := range r {
-		known = append(known, Known{Reporter: id, Version: reporter.version})
+// known returns how far each reporter of the group is known, in its order.
+func (r reports) known(group []ID) []Known {
+	known := make([]Known, 0, len(group))
+	for _, id := range group {
+		entry := Known{Reporter: id}
+		if reporter, ok := r[id]; ok {
+			entry.Version = reporter.version
+		}
+		known = append(known, entry)
 	}
-	slices.SortFunc(known, func(a, b Known) int { return cmp.Compare(a.Reporter, b.Reporter) })
 	return known
 }
 
 // newer returns the reports that a daemon lacks which knows the given ones.
+// Reporters that it does not name are left out.
 func (r reports) newer(known []Known) []Report {
-	versions := make(map[ID]uint64, len(known))
-	for _, entry := range known {
-		versions[entry.Reporter] = entry.Version
-	}
 	var missing []Report
-	for id, reporter := range r {
-		if base := versions[id]; base < reporter.version {
-			missing = append(missing, reporter.since(id, base))
+	for _, entry := range known {
+		reporter, ok := r[entry.Reporter]
+		if ok && entry.Version < reporter.version {
+			missing = append(missing, reporter.since(entry.Reporter, entry.Version))
 		}
 	}
-	slices.SortFunc(missing, func(a, b Report) int { return cmp.Compare(a.Reporter, b.Reporter) })
 	return missing
 }
 
+// retain drops the reporters that are not wanted.
+func (r reports) retain(wanted func(ID) bool) {
+	maps.DeleteFunc(r, func(id ID, _ *reporter) bool { return !wanted(id) })
+}
+
 // since returns the facts that changed after base.
 func (r *reporter) since(id ID, base uint64) Report {
 	report := Report{Reporter: id, Base: base, Version: r.version}
@@ -114,7 +116,6 @@
 	}
 	if report.Base <= r.version && report.Version > r.version {
 		r.version = report.Version
-		r.advanced = now
 	}
 	return loads, demands
 }
@@ -127,14 +128,11 @@
 	return true
 }
 
-// expire removes facts that were not repeated and reporters that are silent.
+// expire removes the facts that were not repeated.
 func (r reports) expire(now time.Time) {
-	for id, reporter := range r {
+	for _, reporter := range r {
 		expireFacts(reporter.loads, now)
 		expireFacts(reporter.demands, now)
-		if now.Sub(reporter.advanced) > ReporterLifetime {
-			delete(r, id)
-		}
 	}
 }
 
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -29,6 +29,8 @@
 	exchanges *ring.Ring[platform.VM]
 	notices   *ring.Ring[platform.VM]
 	fetches   *ring.Ring[platform.VM]
+	// spreads holds at most one wish to push urgent notices.
+	spreads *ring.Ring[struct{}]
 
 	listener net.Listener
 	done     chan struct{}
@@ -38,6 +40,9 @@
 	core *gossip.Core
 	// peers holds the listed entry VMs by name; guarded by mutex.
 	peers map[string]platform.VM
+	// newest is the highest offset of a configuration that a peer was heard
+	// to have; guarded by mutex.
+	newest uint64
 	// seen holds the process that was last heard of on each VM; guarded by
 	// mutex.
 	seen map[string]seenProcess
@@ -55,6 +60,7 @@
 		exchanges: ring.New[platform.VM]("peer exchanges", contactCapacity),
 		notices:   ring.New[platform.VM]("peer notices", contactCapacity),
 		fetches:   ring.New[platform.VM]("peer fetches", 1),
+		spreads:   ring.New[struct{}]("peer spreads", 1),
 		done:      make(chan struct{}),
 		core:      gossip.New(options.Identity, random),
 		peers:     make(map[string]platform.VM),
@@ -82,7 +88,7 @@
 	defer close(m.done)
 	defer m.client.close()
 	var duties sync.WaitGroup
-	for _, duty := range []func(context.Context){m.serve, m.rounds, m.exchange, m.notify, m.fetch} {
+	for _, duty := range []func(context.Context){m.serve, m.rounds, m.exchange, m.push, m.notify, m.fetch} {
 		duties.Go(func() { duty(ctx) })
 	}
 	duties.Wait()
--- a/peer/rounds.go
+++ b/peer/rounds.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"time"
 
+	"github.com/cranberrywalk/cranberrywalk/clock"
 	"github.com/cranberrywalk/cranberrywalk/peer/gossip"
 	"github.com/cranberrywalk/cranberrywalk/peer/peerpb"
 	"github.com/cranberrywalk/cranberrywalk/platform"
@@ -10,6 +12,9 @@
 	"github.com/cranberrywalk/cranberrywalk/timeline"
 )
 
+// pushInterval is the least time between two pushes of urgent notices.
+const pushInterval = 50 * time.Millisecond
+
 // seenProcess is a process that a message came from.
 type seenProcess struct {
 	incarnation string
@@ -45,7 +50,8 @@
 }
 
 func (m *Mesh) exchangeWith(ctx context.Context, peer platform.VM) {
-	request := m.request(peer)
+	sent := m.request(peer)
+	request := encodeMessage(sent)
 	var reply *peerpb.Digest
 	err := m.client.call(ctx, peer, "Exchange", m.options.CallTimeout,
 		func(ctx context.Context, client peerpb.DRPCPeerClient) (err error) {
@@ -56,6 +62,7 @@
 		m.failed(ctx, peer, err)
 		return
 	}
+	m.delivered(peer, sent)
 	m.receive(decodeMessage(reply))
 }
 
@@ -65,8 +72,9 @@
 }
 
 func (m *Mesh) notifyPeer(ctx context.Context, peer platform.VM) {
-	request := m.request(peer)
-	request.KnownReporters, request.KnownAges = nil, nil
+	sent := m.request(peer)
+	sent.Known = nil
+	request := encodeMessage(sent)
 	var receipt *peerpb.Receipt
 	err := m.client.call(ctx, peer, "Tell", m.options.CallTimeout,
 		func(ctx context.Context, client peerpb.DRPCPeerClient) (err error) {
@@ -77,25 +85,46 @@
 		m.failed(ctx, peer, err)
 		return
 	}
+	m.delivered(peer, sent)
 	identity, stamp := decodeSender(receipt.GetSender())
 	m.notice(identity, stamp)
 }
 
-// spread sends the urgent notices to some peers.
-func (m *Mesh) spread() {
-	m.mutex.Lock()
-	peers := m.core.Urgent(m.common.Clock.Now())
-	m.mutex.Unlock()
-	for _, peer := range peers {
-		m.enqueue(m.notices, peer)
+// spread has the urgent notices sent. Several that come at once go out in the
+// same messages.
+func (m *Mesh) spread() { _ = m.spreads.Put(struct{}{}) }
+
+// push sends the urgent notices to some peers, at most once in pushInterval.
+func (m *Mesh) push(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.spreads.Values():
+		}
+		m.mutex.Lock()
+		peers := m.core.Urgent(m.common.Clock.Now())
+		m.mutex.Unlock()
+		for _, peer := range peers {
+			m.enqueue(m.notices, peer)
+		}
+		if clock.Sleep(ctx, m.common.Clock, pushInterval) != nil {
+			return
+		}
 	}
 }
 
-func (m *Mesh) request(peer platform.VM) *peerpb.Digest {
+func (m *Mesh) request(peer platform.VM) gossip.Message {
 	stamp := m.stamps.Now()
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return encodeMessage(m.core.Request(peer.Name, stamp))
+	return m.core.Request(peer.Name, stamp)
+}
+
+func (m *Mesh) delivered(peer platform.VM, request gossip.Message) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.core.Delivered(peer.Name, request)
 }
 
 // receive merges a message that asks for no answer.
@@ -118,6 +147,9 @@
 	if news.ConfigurationOffset <= offset {
 		return
 	}
+	m.mutex.Lock()
+	m.newest = max(m.newest, news.ConfigurationOffset)
+	m.mutex.Unlock()
 	if peer, err := m.peer(news.Daemon); err == nil {
 		_ = m.fetches.Put(peer)
 	}
@@ -127,17 +159,26 @@
 func (m *Mesh) notice(sender gossip.Identity, stamp timeline.Stamp) {
 	m.stamps.Observe(stamp)
 	m.mutex.Lock()
-	defer m.mutex.Unlock()
+	found := m.core.Reached(sender.Daemon)
 	old, known := m.seen[sender.Daemon]
-	if known && stamp.Before(old.stamp) {
-		return
+	newest := !known || !stamp.Before(old.stamp)
+	if newest {
+		m.seen[sender.Daemon] = seenProcess{incarnation: sender.Incarnation, stamp: stamp}
+	}
+	m.mutex.Unlock()
+	if known && newest && old.incarnation != sender.Incarnation {
+		m.record("PeerRestarted", sender.Daemon)
 	}
-	m.seen[sender.Daemon] = seenProcess{incarnation: sender.Incarnation, stamp: stamp}
-	if known && old.incarnation != sender.Incarnation {
-		m.common.Events.Record(telemetry.Event{Kind: "PeerRestarted", Detail: sender.Daemon})
+	if found {
+		m.common.Log.Info("peer found", "Peer", sender.Daemon)
+		m.record("PeerFound", sender.Daemon)
 	}
 }
 
+func (m *Mesh) record(kind, peer string) {
+	m.common.Events.Record(telemetry.Event{Kind: kind, Detail: peer})
+}
+
 // failed notes a failed call. A call that the daemon's own stop ended says
 // nothing about the peer.
 func (m *Mesh) failed(ctx context.Context, peer platform.VM, cause error) {
@@ -149,6 +190,6 @@
 	m.mutex.Unlock()
 	if first {
 		m.common.Log.Info("peer lost", "Peer", peer.Name, "Cause", cause)
-		m.common.Events.Record(telemetry.Event{Kind: "PeerLost", Detail: peer.Name})
+		m.record("PeerLost", peer.Name)
 	}
 }
