Bound silence only while bytes are waited for

The bound on silence ran on while an answer was passed on to a caller that reads slowly, so that a working backend server was taken for a silent one and its stream was started again elsewhere. The bound now runs from the request to the first event, and then only inside each read. A longer bound was ruled out: a caller may be slower than any.

A target that was chosen for a move and is not used is now reported to the chooser as begun and cancelled, so that the chooser can forget it.

--- a/backend/answer.go
+++ b/backend/answer.go
@@ -7,9 +7,6 @@
 	"io"
 	"net/http"
 	"sync/atomic"
-	"time"
-
-	"github.com/jonboulle/clockwork"
 )
 
 // Answer is an exchange whose answer has begun.
@@ -23,24 +20,21 @@
 	// reused is true when the connection had served an earlier call.
 	reused atomic.Bool
 	// reader is set by the first call of Next.
-	reader *bufio.Reader
-	// silence fires when no byte came for the bound.
-	silence clockwork.Timer
-	bound   time.Duration
+	reader  *bufio.Reader
+	silence *silence
 	// bytes counts what was read of the body.
 	bytes int
 }
 
 func (l *Link) newAnswer(ctx context.Context, call Call) *Answer {
-	a := &Answer{link: l, call: call, bound: l.options.WholeSilence}
+	a := &Answer{link: l, call: call}
+	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	bound := l.options.WholeSilence
 	if call.Stream {
-		a.bound = l.options.StreamSilence
+		bound = l.options.StreamSilence
 	}
-	a.ctx, a.cancel = context.WithCancelCause(ctx)
-	a.gate = &gate{single: !call.Idempotent}
-	timer := l.Clock.AfterFunc(a.bound, a.onSilence)
-	a.silence = timer
-	a.gate.onRead = func() { timer.Reset(a.bound) }
+	a.silence = newSilence(l.Clock, bound, a.onSilence)
+	a.gate = &gate{single: !call.Idempotent, onRead: a.silence.heard}
 	return a
 }
 
@@ -52,7 +46,7 @@
 
 // fail ends the exchange, closes its connection and returns the fault.
 func (a *Answer) fail(kind FaultKind, cause error) error {
-	a.silence.Stop()
+	a.silence.pause()
 	written := a.gate.abort()
 	var silent *SilentError
 	switch ended := context.Cause(a.ctx); {
@@ -87,7 +81,7 @@
 
 // finish ends the exchange after its end.
 func (a *Answer) finish() {
-	a.silence.Stop()
+	a.silence.pause()
 	a.gate.release()
 	_ = a.response.Body.Close()
 	a.cancel(nil)
@@ -107,6 +101,7 @@
 	if !a.delimited() {
 		return nil, a.fail(Truncated, &UndelimitedError{})
 	}
+	a.silence.listen()
 	body, err := io.ReadAll(io.LimitReader(a.response.Body, int64(a.link.options.MaxAnswerBytes)+1))
 	if err != nil {
 		return nil, a.fail(Truncated, err)
--- a/backend/link.go
+++ b/backend/link.go
@@ -148,6 +148,7 @@
 	if err != nil {
 		return nil, a.fail(Malformed, err)
 	}
+	a.silence.listen()
 	transport := l.pooled
 	if call.Fresh || !call.Idempotent {
 		transport = l.fresh
--- a/backend/stream.go
+++ b/backend/stream.go
@@ -83,7 +83,9 @@
 		body := io.LimitReader(a.response.Body, int64(a.link.options.MaxAnswerBytes)+1)
 		a.reader = bufio.NewReaderSize(body, streamBuffer)
 	}
+	a.silence.listen()
 	payload, err := a.nextPayload()
+	a.silence.pause()
 	if err != nil {
 		var length *LengthError
 		if errors.As(err, &length) {
@@ -139,6 +141,7 @@
 // pool when its body ends there; otherwise it is closed, so that what comes
 // behind cannot reach another request.
 func (a *Answer) drain() {
+	a.silence.listen()
 	a.link.drains.Go(func() {
 		rest, err := io.ReadAll(io.LimitReader(a.reader, 1))
 		if err != nil || len(rest) > 0 {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -50,7 +50,8 @@
 	// Choose returns the backend server for the next attempt, other than the
 	// excluded ones. It fails with a *NoBackendError or an *OverloadError.
 	Choose(r request.Request, excluded []string, now time.Time) (Target, error)
-	// Began and Ended are called once for each attempt.
+	// Began and Ended are called once for each target that Choose returned,
+	// also for one that is not used.
 	Began(target Target, r request.Request)
 	Ended(target Target, r request.Request, seen Observation)
 }
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -194,3 +194,21 @@
 	c.Assert((<-ended).Outcome, qt.Equals, request.Answered)
 	<-b.Done()
 }
+
+func TestSlowCallerIsNoSilenceOfTheBackend(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(t, behaviour{fault: "slow", late: true}, behaviour{})
+	w := &caller{}
+	w.onChunk = func(count int) {
+		if count == 1+faultTokens {
+			b.clock.Advance(time.Minute)
+			close(b.backends[0].release)
+		}
+	}
+	r := chat(b.clock.Now()).WithDeadline(b.clock.Now().Add(time.Hour))
+
+	b.Do(context.Background(), r, w)
+
+	checkInvariants(c, b, r, w)
+	c.Assert(b.requests(), qt.Equals, 1)
+}
--- a/dispatch/flight.go
+++ b/dispatch/flight.go
@@ -92,6 +92,9 @@
 		f.deadline.Stop()
 	}
 	f.cancel(nil)
+	if next := f.takeNext(); next != nil {
+		f.discard(*next)
+	}
 	f.leave(f)
 }
 
--- a/dispatch/matrix_test.go
+++ b/dispatch/matrix_test.go
@@ -76,12 +76,22 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	w := &caller{}
 	stopped := make(chan struct{})
+	passed := make(chan struct{})
+	if !cell.late || !r.Stream {
+		close(passed)
+	} else {
+		w.onChunk = func(count int) {
+			if count == 1+faultTokens {
+				close(passed)
+			}
+		}
+	}
 	go func() {
 		defer close(stopped)
-		b.cause(ctx, cell.fault, r, cancel)
+		b.cause(ctx, cell.fault, r, passed, cancel)
 	}()
-	w := &caller{}
 
 	result := b.Do(ctx, r, w)
 
@@ -96,16 +106,21 @@
 }
 
 // cause lets the fault happen once a backend server has left the request
-// without an answer.
-func (b *bench) cause(ctx context.Context, fault string, r request.Request, cancel func()) {
+// without an answer and the caller has what came before.
+func (b *bench) cause(ctx context.Context, fault string, r request.Request, passed chan struct{}, cancel func()) {
 	first := b.backends[0]
 	select {
 	case <-first.hung:
 	case <-ctx.Done():
 		return
 	}
+	<-passed
 	switch fault {
 	case "silent":
+		// The deadline and the bound on silence are running.
+		if b.clock.BlockUntilContext(ctx, 2) != nil {
+			return
+		}
 		b.clock.Advance(time.Minute)
 	case "slow":
 		b.clock.Advance(5 * time.Second)
--- a/dispatch/move.go
+++ b/dispatch/move.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "context"
+import (
+	"context"
+
+	"github.com/cranberrywalk/cranberrywalk/backend"
+)
 
 // Move makes the streams of a backend server that is leaving continue
 // elsewhere, and returns their number. A stream for which there is no other
@@ -44,9 +48,18 @@
 	if err != nil {
 		return false
 	}
+	if !f.stopFor(backendName, target) {
+		f.discard(target)
+		return false
+	}
+	return true
+}
+
+// stopFor ends the current attempt, if it is still there, to go on at target.
+func (f *flight) stopFor(backendName string, target Target) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.stop == nil || f.target.Name != backendName {
+	if f.stop == nil || f.next != nil || f.target.Name != backendName {
 		return false
 	}
 	f.next = &target
@@ -54,6 +67,12 @@
 	return true
 }
 
+// discard tells the chooser that a target is not used.
+func (f *flight) discard(target Target) {
+	f.Chooser.Began(target, f.request)
+	f.Chooser.Ended(target, f.request, Observation{Fault: backend.Cancelled})
+}
+
 // startAttempt makes the attempt known to Move.
 func (f *flight) startAttempt(target Target, stop context.CancelCauseFunc) {
 	f.mu.Lock()
