Test the roster by properties and make its changes cheap

Change: members are kept in one sorted slice of pointers, and the index holds positions that depend on the list alone, so that a notice or a failure copies pointers only. IsUsable and Leaving answer the two frequent questions without copying members. Gossip: a report with a gap is asked for again, a restarted daemon learns all notices, daemons with different lists still exchange reports.

--- a/peer/gossip/core_test.go
+++ b/peer/gossip/core_test.go
@@ -1,6 +1,7 @@
 package gossip_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -105,6 +106,55 @@
 	c.Assert(news.Loads[0].InFlight, qt.Equals, 1)
 }
 
+func TestReportWithGapIsAskedForAgain(t *testing.T) {
+	c := qt.New(t)
+	n := newNetwork(1, 2, 1)
+	late := gossip.Message{Reports: []gossip.Report{{
+		Reporter: gossip.NewID("D1"), Base: 5, Version: 9,
+		Loads: []gossip.Load{{Backend: gossip.NewID("R1"), InFlight: 2}},
+	}}}
+
+	news := n.cores["D0"].Receive(late, n.now)
+
+	c.Assert(news.Loads, qt.HasLen, 1)
+	for _, known := range n.cores["D0"].Request("D1", n.stamp()).Known {
+		c.Check(known.Version, qt.Equals, uint64(0))
+	}
+}
+
+func TestRestartedDaemonLearnsAllNotices(t *testing.T) {
+	c := qt.New(t)
+	n := newNetwork(1, 4, 1)
+	n.own["D0"].Leaving = []gossip.Leaving{{VM: "R0"}}
+	n.stepsUntil(10, func() bool { return n.knowLeaving("R0") == 3 })
+	n.own["D0"].Leaving = nil
+
+	n.start("D3", "Zone0")
+	n.cores["D3"].SetVMs(n.vms)
+	n.exchange("D3", "D1")
+
+	c.Assert(n.knowLeaving("R0"), qt.Equals, 3)
+}
+
+func TestDaemonsWithDifferentListsExchangeReports(t *testing.T) {
+	c := qt.New(t)
+	n := newNetwork(1, 5, 1)
+	n.step()
+	old := slices.Clone(n.vms)
+	old[len(old)-1].Name = "D9"
+	for _, lagging := range []string{"D0", "D1"} {
+		n.cores[lagging].SetVMs(old)
+	}
+	for i, name := range n.names {
+		n.setLoad(name, "R1", i+1)
+	}
+	n.stepsUntil(20, func() bool { return false })
+
+	c.Assert(n.views["D0"].loads["D3/R1"].InFlight, qt.Equals, 4)
+	c.Assert(n.views["D3"].loads["D0/R1"].InFlight, qt.Equals, 1)
+	c.Assert(n.views["D2"].loads["D4/R1"].InFlight, qt.Equals, 5)
+}
+
 func TestUnreachablePeerIsCalledLessOften(t *testing.T) {
 	c := qt.New(t)
 	n := newNetwork(1, 2, 1)
--- a/peer/gossip/network_test.go
+++ b/peer/gossip/network_test.go
@@ -110,6 +110,10 @@
 }
 
 func (n *network) exchange(from, to string) {
+	if n.cores[to] == nil {
+		n.cores[from].Failed(to, n.now)
+		return
+	}
 	request := n.cores[from].Request(to, n.stamp())
 	answered := false
 	n.deliver(from, to, func() {
--- a/roster/health.go
+++ b/roster/health.go
@@ -3,10 +3,11 @@
 import "time"
 
 func (e Failed) apply(r Roster, now time.Time) (Roster, []Effect) {
-	member, listed := r.members[e.VM]
-	if !listed || member.State == Leaving {
+	known, listed := r.member(e.VM)
+	if !listed || known.State == Leaving {
 		return r, nil
 	}
+	member := *known
 	member.failures++
 	member.answers = 0
 	if member.failures < FailuresToSuspect {
@@ -22,10 +23,11 @@
 }
 
 func (e Answered) apply(r Roster, now time.Time) (Roster, []Effect) {
-	member, listed := r.members[e.VM]
-	if !listed || member.State == Leaving || member.failures == 0 {
+	known, listed := r.member(e.VM)
+	if !listed || known.State == Leaving || known.failures == 0 {
 		return r, nil
 	}
+	member := *known
 	if member.State == Serving {
 		member.failures = 0
 		return r.with(member), nil
@@ -42,10 +44,11 @@
 }
 
 func (e Probed) apply(r Roster, now time.Time) (Roster, []Effect) {
-	member, listed := r.members[e.VM]
-	if !listed || member.State != Suspected {
+	known, listed := r.member(e.VM)
+	if !listed || known.State != Suspected {
 		return r, nil
 	}
+	member := *known
 	member.ProbeAt = now.Add(ProbeTimeout)
 	return r.with(member), nil
 }
--- a/roster/index.go
+++ b/roster/index.go
@@ -1,103 +1,117 @@
 package roster
 
 import (
-	"maps"
 	"slices"
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/platform"
 )
 
-// index groups the members for queries. It is built once for each roster and
-// never changed, and its slices are handed out as they are.
+// index holds the positions of the members in a roster. It depends on what the
+// list says about the VMs only, and it is never changed.
 type index struct {
-	// serving holds the backend servers that get new work, by name.
-	serving []platform.VM
-	// byModel and byService hold the same VMs by what they run.
-	byModel   map[string][]platform.VM
-	byService map[string][]platform.VM
-	// suspected holds the backend servers that may be probed, by name.
-	suspected []Member
-	// peers holds the entry VMs that are not leaving, by name.
-	peers []platform.VM
+	byName    map[string]int
+	byModel   map[string][]int
+	byService map[string][]int
+	// backends and peers hold the backend servers and the entry VMs.
+	backends []int
+	peers    []int
 }
 
-func newIndex(members map[string]Member) *index {
+func newIndex(members []*Member) *index {
 	built := &index{
-		byModel:   make(map[string][]platform.VM),
-		byService: make(map[string][]platform.VM),
+		byName:    make(map[string]int, len(members)),
+		byModel:   make(map[string][]int),
+		byService: make(map[string][]int),
 	}
-	for _, name := range slices.Sorted(maps.Keys(members)) {
-		built.add(members[name])
+	for position, member := range members {
+		built.add(position, member.VM)
 	}
 	return built
 }
 
-func (i *index) add(member Member) {
-	switch {
-	case member.VM.Role == platform.RoleEntry:
-		i.peers = append(i.peers, member.VM)
-	case member.State == Suspected:
-		i.suspected = append(i.suspected, member)
-	case member.State == Serving:
-		i.addServing(member.VM)
+func (i *index) add(position int, vm platform.VM) {
+	i.byName[vm.Name] = position
+	if vm.Role == platform.RoleEntry {
+		i.peers = append(i.peers, position)
+		return
 	}
-}
-
-func (i *index) addServing(vm platform.VM) {
-	i.serving = append(i.serving, vm)
+	i.backends = append(i.backends, position)
 	for _, model := range vm.Models {
-		i.byModel[model] = append(i.byModel[model], vm)
+		i.byModel[model] = append(i.byModel[model], position)
 	}
 	if vm.Service != "" {
-		i.byService[vm.Service] = append(i.byService[vm.Service], vm)
+		i.byService[vm.Service] = append(i.byService[vm.Service], position)
 	}
 }
 
-// Usable returns the backend servers that may get new work: the serving ones,
-// and each suspected one whose next probe is due. The caller does not change
-// the slice.
-func (r Roster) Usable(now time.Time) []platform.VM {
-	return r.withProbes(r.index.serving, now, func(platform.VM) bool { return true })
+// IsUsable reports whether the member may get new work: it is serving, or it
+// is suspected and its next probe is due.
+func (m *Member) IsUsable(now time.Time) bool {
+	switch m.State {
+	case Serving:
+		return true
+	case Suspected:
+		return !now.Before(m.ProbeAt)
+	}
+	return false
 }
 
-// Runners returns the usable runners that serve the model.
+// IsUsable reports whether the VM may get new work.
+func (r Roster) IsUsable(vm string, now time.Time) bool {
+	member, listed := r.member(vm)
+	return listed && member.IsUsable(now)
+}
+
+// Usable returns the backend servers that may get new work, by name.
+func (r Roster) Usable(now time.Time) []platform.VM { return r.usable(r.index.backends, now) }
+
+// Runners returns the usable runners that serve the model, by name.
 func (r Roster) Runners(model string, now time.Time) []platform.VM {
-	return r.withProbes(r.index.byModel[model], now, func(vm platform.VM) bool {
-		return slices.Contains(vm.Models, model)
-	})
+	return r.usable(r.index.byModel[model], now)
 }
 
-// Services returns the usable VMs that run the plain service.
+// Services returns the usable VMs that run the plain service, by name.
 func (r Roster) Services(service string, now time.Time) []platform.VM {
-	return r.withProbes(r.index.byService[service], now, func(vm platform.VM) bool {
-		return vm.Service == service
-	})
+	return r.usable(r.index.byService[service], now)
 }
 
-// withProbes adds the suspected VMs that may be probed now.
-func (r Roster) withProbes(serving []platform.VM, now time.Time, wanted func(platform.VM) bool) []platform.VM {
-	usable := serving
-	for _, member := range r.index.suspected {
-		if now.Before(member.ProbeAt) || !wanted(member.VM) {
-			continue
+func (r Roster) usable(positions []int, now time.Time) []platform.VM {
+	var usable []platform.VM
+	for _, position := range positions {
+		if member := r.members[position]; member.IsUsable(now) {
+			usable = append(usable, member.VM)
 		}
-		usable = append(slices.Clip(usable), member.VM)
 	}
-	return usable
+	return slices.Clip(usable)
 }
 
 // Backends returns all listed backend servers with their states, by name.
 func (r Roster) Backends() []Member {
-	var backends []Member
-	for _, name := range slices.Sorted(maps.Keys(r.members)) {
-		if member := r.members[name]; member.VM.Role != platform.RoleEntry {
-			backends = append(backends, member)
-		}
+	backends := make([]Member, 0, len(r.index.backends))
+	for _, position := range r.index.backends {
+		backends = append(backends, *r.members[position])
 	}
 	return backends
 }
 
+// Leaving returns the listed backend servers that are leaving, by name.
+func (r Roster) Leaving() []Member {
+	var leaving []Member
+	for _, position := range r.index.backends {
+		if member := r.members[position]; member.State == Leaving {
+			leaving = append(leaving, *member)
+		}
+	}
+	return leaving
+}
+
 // Peers returns the listed entry VMs, by name, also those that are leaving:
 // they still serve their peers until they stop.
-func (r Roster) Peers() []platform.VM { return r.index.peers }
+func (r Roster) Peers() []platform.VM {
+	peers := make([]platform.VM, 0, len(r.index.peers))
+	for _, position := range r.index.peers {
+		peers = append(peers, r.members[position].VM)
+	}
+	return peers
+}
--- a/roster/leaving.go
+++ b/roster/leaving.go
@@ -28,10 +28,11 @@
 		expires = deadline.Add(ReportRetention)
 	}
 	r.reports[vm] = report{deadline: deadline, expires: expires}
-	member, listed := r.members[vm]
-	if !listed {
+	listed, ok := r.member(vm)
+	if !ok {
 		return r, nil
 	}
+	member := *listed
 	var effects []Effect
 	if member.State != Leaving {
 		effects = append(effects, Effect{Kind: Left, VM: member.VM, Deadline: deadline})
--- a/roster/list.go
+++ b/roster/list.go
@@ -18,27 +18,33 @@
 	if r.reports == nil {
 		r.reports = make(map[string]report)
 	}
-	before := r.members
-	r.members = make(map[string]Member, len(e.Snapshot.VMs))
+	before := r
+	r.members = make([]*Member, 0, len(e.Snapshot.VMs))
 	var effects []Effect
 	for _, vm := range e.Snapshot.VMs {
 		member, changed := r.list(vm, before, now)
-		r.members[vm.Name] = member
+		r.members = append(r.members, &member)
 		effects = append(effects, changed...)
 	}
+	slices.SortFunc(r.members, func(a, b *Member) int { return cmp.Compare(a.VM.Name, b.VM.Name) })
+	r.members = slices.CompactFunc(r.members, func(a, b *Member) bool { return a.VM.Name == b.VM.Name })
+	r.index = newIndex(r.members)
 	effects = append(effects, r.dropped(before)...)
 	r.forget(now)
-	r.index = newIndex(r.members)
 	return r, effects
 }
 
 // list returns the member for a listed VM. It joins what the list says with
 // what was known before.
-func (r Roster) list(vm platform.VM, before map[string]Member, now time.Time) (Member, []Effect) {
+func (r Roster) list(vm platform.VM, before Roster, now time.Time) (Member, []Effect) {
 	if _, reported := r.reports[vm.Name]; vm.Leaving && !reported {
 		r.reports[vm.Name] = report{expires: now.Add(ReportRetention)}
 	}
-	member, known := before[vm.Name]
+	var member Member
+	old, known := before.member(vm.Name)
+	if known {
+		member = *old
+	}
 	member.VM = vm
 	var effects []Effect
 	if !known {
@@ -58,23 +64,22 @@
 
 // dropped returns the effects of VMs that are no longer listed and removes
 // their reports.
-func (r Roster) dropped(before map[string]Member) []Effect {
+func (r Roster) dropped(before Roster) []Effect {
 	var effects []Effect
-	for name, member := range before {
-		if _, listed := r.members[name]; listed {
+	for _, member := range before.members {
+		if _, listed := r.member(member.VM.Name); listed {
 			continue
 		}
-		delete(r.reports, name)
+		delete(r.reports, member.VM.Name)
 		effects = append(effects, Effect{Kind: Removed, VM: member.VM})
 	}
-	slices.SortFunc(effects, func(a, b Effect) int { return cmp.Compare(a.VM.Name, b.VM.Name) })
 	return effects
 }
 
 // forget removes expired reports about VMs that are not listed.
 func (r Roster) forget(now time.Time) {
 	maps.DeleteFunc(r.reports, func(name string, report report) bool {
-		_, listed := r.members[name]
+		_, listed := r.member(name)
 		return !listed && now.After(report.expires)
 	})
 }
--- /dev/null
+++ b/roster/property_test.go
@@ -0,0 +1,146 @@
+package roster_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/roster"
+)
+
+// history draws versions of a VM list as a platform makes them: VMs come, start
+// to leave and go, and no name comes back.
+func history(t *rapid.T) []roster.Listed {
+	live := make(map[string]platform.VM)
+	var versions []roster.Listed
+	names := 0
+	for version := range rapid.IntRange(1, 8).Draw(t, "versions") {
+		for range rapid.IntRange(0, 2).Draw(t, "arrivals") {
+			vm := runner(fmt.Sprint("R", names))
+			names++
+			live[vm.Name] = vm
+		}
+		for _, name := range slices.Sorted(maps.Keys(live)) {
+			switch rapid.IntRange(0, 5).Draw(t, "fate") {
+			case 0:
+				delete(live, name)
+			case 1:
+				leaving := live[name]
+				leaving.Leaving = true
+				live[name] = leaving
+			}
+		}
+		vms := slices.Collect(maps.Values(live))
+		versions = append(versions, listed(uint64(version+1), vms...))
+	}
+	return versions
+}
+
+// reports draws notices and peers' reports about some VMs.
+func reports(t *rapid.T) []roster.Event {
+	var events []roster.Event
+	for range rapid.IntRange(0, 8).Draw(t, "reports") {
+		name := fmt.Sprint("R", rapid.IntRange(0, 3).Draw(t, "vm"))
+		deadline := start.Add(time.Duration(rapid.IntRange(1, 3).Draw(t, "minutes")) * time.Minute)
+		if rapid.Bool().Draw(t, "notice") {
+			events = append(events, roster.Noticed{Notice: platform.Notice{VM: name, Deadline: deadline}})
+		} else {
+			events = append(events, roster.Reported{VM: name})
+		}
+	}
+	return events
+}
+
+// disordered draws an order of the events in which some come twice.
+func disordered(t *rapid.T, events []roster.Event) []roster.Event {
+	if len(events) == 0 {
+		return nil
+	}
+	doubled := rapid.SliceOfN(rapid.SampledFrom(events), 0, 4).Draw(t, "doubled")
+	return rapid.Permutation(slices.Concat(events, doubled)).Draw(t, "order")
+}
+
+// outcome is what a roster says about every listed VM.
+func outcome(r roster.Roster) []string {
+	var lines []string
+	for _, member := range r.Backends() {
+		lines = append(lines, fmt.Sprint(member.VM.Name, member.State, member.Deadline.Unix()))
+	}
+	return append(lines, fmt.Sprint("usable", names(r.Usable(start))))
+}
+
+func TestSourcesConvergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		versions := history(t)
+		events := reports(t)
+		for _, version := range versions {
+			events = append(events, version)
+		}
+		// Every daemon ends up with the newest version; which of the older
+		// ones it sees differs.
+		newest := versions[len(versions)-1]
+		first, _, _ := script(append(disordered(t, events), newest)...)
+		second, _, _ := script(append(disordered(t, events), newest)...)
+
+		if a, b := outcome(first), outcome(second); !slices.Equal(a, b) {
+			t.Fatalf("%v and %v", a, b)
+		}
+	})
+}
+
+func TestLeavingIsFinalAndOnlyTheListBringsIn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var events []roster.Event
+		for _, version := range history(t) {
+			events = append(events, version)
+		}
+		events = append(events, reports(t)...)
+		for range rapid.IntRange(0, 12).Draw(t, "results") {
+			name := fmt.Sprint("R", rapid.IntRange(0, 2).Draw(t, "vm"))
+			events = append(events, rapid.SampledFrom([]roster.Event{
+				roster.Failed{VM: name}, roster.Answered{VM: name}, roster.Probed{VM: name},
+			}).Draw(t, "result"))
+		}
+		r, now := roster.New(), start
+		left, everListed := make(map[string]bool), make(map[string]bool)
+		for _, event := range disordered(t, events) {
+			now = now.Add(time.Second)
+			var effects []roster.Effect
+			r, effects = r.Apply(event, now)
+			if version, ok := event.(roster.Listed); ok {
+				note(everListed, version.Snapshot.VMs)
+			}
+			for _, effect := range effects {
+				if effect.Kind == roster.Left && left[effect.VM.Name] {
+					t.Fatalf("%s left twice", effect.VM.Name)
+				}
+				left[effect.VM.Name] = left[effect.VM.Name] || effect.Kind == roster.Left
+			}
+			for _, name := range names(r.Usable(now.Add(time.Hour))) {
+				if left[name] || !everListed[name] {
+					t.Fatalf("%s is usable after %T", name, event)
+				}
+			}
+		}
+	})
+}
+
+func note(names map[string]bool, vms []platform.VM) {
+	for _, vm := range vms {
+		names[vm.Name] = true
+	}
+}
+
+func TestReportsAboutUnlistedVMsAreForgotten(t *testing.T) {
+	c := qt.New(t)
+	r, _, now := script(roster.Noticed{Notice: platform.Notice{VM: "A"}})
+	c.Assert(r.Member("A").State, qt.Equals, roster.Leaving)
+	r, _ = r.Apply(listed(1, runner("B")), now.Add(2*roster.ReportRetention))
+	c.Assert(r.Member("A").State, qt.Equals, roster.Gone)
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -8,7 +8,7 @@
 package roster
 
 import (
-	"maps"
+	"slices"
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/platform"
@@ -76,13 +76,16 @@
 // and readers may keep the old one.
 type Roster struct {
 	version uint64
-	// members holds the listed VMs by name.
-	members map[string]Member
+	// members holds the listed VMs, ordered by name. A change of one of them
+	// replaces the slice and the pointer.
+	members []*Member
+	// index finds the members; it is replaced with every version of the
+	// list.
+	index *index
 	// reports holds what notices, peers and the list have said about leaving
 	// VMs, also about VMs that are not listed yet. Reports of listed VMs are
 	// never removed.
 	reports map[string]report
-	index   *index
 }
 
 // New returns an empty roster.
@@ -101,8 +104,8 @@
 // Member returns what is known about a VM. A VM that is not listed has the
 // state Gone, or Leaving when it was reported ahead of the list.
 func (r Roster) Member(vm string) Member {
-	if member, listed := r.members[vm]; listed {
-		return member
+	if member, listed := r.member(vm); listed {
+		return *member
 	}
 	if report, reported := r.reports[vm]; reported {
 		return Member{VM: platform.VM{Name: vm}, State: Leaving, Deadline: report.deadline}
@@ -113,10 +116,17 @@
 // Len returns the number of listed VMs.
 func (r Roster) Len() int { return len(r.members) }
 
-// with returns the roster with one member replaced.
+func (r Roster) member(vm string) (*Member, bool) {
+	position, listed := r.index.byName[vm]
+	if !listed {
+		return nil, false
+	}
+	return r.members[position], true
+}
+
+// with returns the roster with one listed member replaced.
 func (r Roster) with(member Member) Roster {
-	r.members = maps.Clone(r.members)
-	r.members[member.VM.Name] = member
-	r.index = newIndex(r.members)
+	r.members = slices.Clone(r.members)
+	r.members[r.index.byName[member.VM.Name]] = &member
 	return r
 }
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -85,6 +85,20 @@
 		events:  []roster.Event{listed(1, a, b), roster.Reported{VM: "A"}, listed(2, a, leavingB)},
 		effects: []roster.EffectKind{roster.Arrived, roster.Arrived, roster.Left, roster.Left},
 		state:   roster.Leaving,
+	}, {
+		name: "results of requests do not restore a leaving VM",
+		events: []roster.Event{
+			listed(1, a, b), notice, failed, failed, failed, roster.Answered{VM: "A"}, roster.Answered{VM: "A"},
+		},
+		usable:  []string{"B"},
+		effects: []roster.EffectKind{roster.Arrived, roster.Arrived, roster.Left},
+		state:   roster.Leaving,
+	}, {
+		name:    "a VM that has left is gone",
+		events:  []roster.Event{listed(1, a, b), notice, listed(2, b)},
+		usable:  []string{"B"},
+		effects: []roster.EffectKind{roster.Arrived, roster.Arrived, roster.Left, roster.Removed},
+		state:   roster.Gone,
 	}, {
 		name:    "failures in a row raise suspicion",
 		events:  []roster.Event{listed(1, a, b), failed, failed, failed},
