Tell other zones the sums of their loads, and shorten messages

Cause: in a region with more than 16 daemons, other zones heard nothing about the load of a zone. Messages named the sender's zone and region to peers that list it.

Change: an exchange outside the group carries the sums by zone and model or plain service (backend servers that are not leaving, running, queued, queued tokens).

Ruled out: passing the loads of single runners between the zones of a large region, which would cost three times the bytes.

--- a/peer/codec.go
+++ b/peer/codec.go
@@ -10,6 +10,9 @@
 	"github.com/cranberrywalk/cranberrywalk/timeline"
 )
 
+// tokenUnit is the unit in which queued tokens are sent.
+const tokenUnit = 64
+
 func encodeSender(identity gossip.Identity, stamp timeline.Stamp) *peerpb.Sender {
 	return &peerpb.Sender{
 		Daemon:      identity.Daemon,
@@ -49,6 +52,9 @@
 	for _, report := range message.Reports {
 		digest.Reports = append(digest.Reports, encodeReport(report, wall))
 	}
+	for _, summary := range message.Summaries {
+		digest.Summaries = append(digest.Summaries, encodeSummary(summary))
+	}
 	for _, leaving := range message.Leaving {
 		digest.Leaving = append(digest.Leaving, &peerpb.Leaving{
 			Vm: leaving.VM, Deadline: milliseconds(leaving.Deadline), Expires: milliseconds(leaving.Expires),
@@ -84,6 +90,9 @@
 	for _, report := range digest.GetReports() {
 		message.Reports = append(message.Reports, decodeReport(report, stamp.Wall))
 	}
+	for _, summary := range digest.GetSummaries() {
+		message.Summaries = append(message.Summaries, decodeSummary(summary))
+	}
 	for _, leaving := range digest.GetLeaving() {
 		message.Leaving = append(message.Leaving, gossip.Leaving{
 			VM: leaving.GetVm(), Deadline: moment(leaving.GetDeadline()), Expires: moment(leaving.GetExpires()),
@@ -108,7 +117,7 @@
 		encoded.InFlight = append(encoded.InFlight, load.InFlight)
 		encoded.Running = append(encoded.Running, load.Running)
 		encoded.Queued = append(encoded.Queued, load.Queued)
-		encoded.QueuedTokens = append(encoded.QueuedTokens, load.QueuedTokens)
+		encoded.QueuedTokens = append(encoded.QueuedTokens, (load.QueuedTokens+tokenUnit-1)/tokenUnit)
 	}
 	encoded.InFlight = omitZeros(encoded.InFlight)
 	encoded.Running = omitZeros(encoded.Running)
@@ -131,7 +140,7 @@
 			InFlight:     at(encoded.GetInFlight(), i),
 			Running:      at(encoded.GetRunning(), i),
 			Queued:       at(encoded.GetQueued(), i),
-			QueuedTokens: at(encoded.GetQueuedTokens(), i),
+			QueuedTokens: at(encoded.GetQueuedTokens(), i) * tokenUnit,
 		})
 	}
 	for _, demand := range encoded.GetDemands() {
@@ -140,6 +149,30 @@
 	return report
 }
 
+func encodeSummary(summary gossip.Summary) *peerpb.Summary {
+	return &peerpb.Summary{
+		Zone:         summary.Zone,
+		Model:        summary.Model,
+		Service:      summary.Service,
+		Backends:     uint32(summary.Backends),
+		Running:      uint32(summary.Running),
+		Queued:       uint32(summary.Queued),
+		QueuedTokens: uint32(summary.QueuedTokens),
+	}
+}
+
+func decodeSummary(summary *peerpb.Summary) gossip.Summary {
+	return gossip.Summary{
+		Zone:         summary.GetZone(),
+		Model:        summary.GetModel(),
+		Service:      summary.GetService(),
+		Backends:     int(summary.GetBackends()),
+		Running:      int(summary.GetRunning()),
+		Queued:       int(summary.GetQueued()),
+		QueuedTokens: int(summary.GetQueuedTokens()),
+	}
+}
+
 func encodeAnswer(answer Answer, sender *peerpb.Sender) *peerpb.AnswerReply {
 	reply := &peerpb.AnswerReply{
 		Sender:  sender,
--- a/peer/gossip/core_test.go
+++ b/peer/gossip/core_test.go
@@ -106,6 +106,21 @@
 	c.Assert(news.Loads[0].InFlight, qt.Equals, 1)
 }
 
+func TestOtherZonesOfALargeRegionGetSummariesOnly(t *testing.T) {
+	c := qt.New(t)
+	n := newNetwork(1, 20, 2)
+	n.setLoad("D0", "R0", 3)
+	n.setLoad("D2", "R2", 4)
+	n.own["D4"].Leaving = []gossip.Leaving{{VM: "R8"}}
+	n.stepsUntil(40, func() bool { return n.views["D1"].zones["Zone0"].Running == 7 })
+
+	c.Assert(n.views["D1"].zones["Zone0"], qt.Equals, gossip.Summary{
+		Zone: "Zone0", Model: "Small", Backends: 4, Running: 7,
+	})
+	c.Assert(n.views["D1"].loads, qt.HasLen, 0)
+	c.Assert(n.views["D4"].loads, qt.HasLen, 2)
+}
+
 func TestReportWithGapIsAskedForAgain(t *testing.T) {
 	c := qt.New(t)
 	n := newNetwork(1, 2, 1)
--- a/peer/gossip/digest.go
+++ b/peer/gossip/digest.go
@@ -31,10 +31,12 @@
 	ConfigurationOffset uint64
 	// Draining says that the sender is about to stop.
 	Draining bool
-	Loads    []BackendLoad
-	Leaving  []Leaving
-	Suspects []Suspect
-	Demands  []Demand
+	// Summaries are the newest loads of another zone.
+	Summaries []Summary
+	Loads     []BackendLoad
+	Leaving   []Leaving
+	Suspects  []Suspect
+	Demands   []Demand
 }
 
 // BackendLoad is what one daemon reports about one backend server.
@@ -55,6 +57,20 @@
 	QueuedTokens int
 }
 
+// Summary is the load of one model or plain service in a zone.
+type Summary struct {
+	Zone string
+	// Model and Service are the model or the plain service; one is empty.
+	Model   string
+	Service string
+	// Backends counts the backend servers that are not leaving.
+	Backends int
+	// Running, Queued and QueuedTokens are sums over the backend servers.
+	Running      int
+	Queued       int
+	QueuedTokens int
+}
+
 // Leaving says that a VM is leaving.
 type Leaving struct {
 	VM string
@@ -89,7 +105,7 @@
 }
 
 // IsEmpty reports whether the digest holds no facts about others than its
-// sender.
+// sender and the load of its zone.
 func (d Digest) IsEmpty() bool {
 	return len(d.Loads) == 0 && len(d.Leaving) == 0 && len(d.Suspects) == 0 && len(d.Demands) == 0
 }
--- a/peer/gossip/members.go
+++ b/peer/gossip/members.go
@@ -34,6 +34,8 @@
 	told uint64
 	// given is the version of the daemon's own report that the peer holds.
 	given uint64
+	// inGroup says that the peer belongs to the group.
+	inGroup bool
 	// sameGroup says that the peer's last message had the group's hash.
 	sameGroup bool
 }
@@ -52,6 +54,8 @@
 	// rising order, and groupHash their hash.
 	groupIDs  []ID
 	groupHash uint32
+	// backends holds the backend servers in the zones of the group.
+	backends []platform.VM
 	// names maps IDs to the names of all listed VMs.
 	names map[ID]string
 }
@@ -73,7 +77,10 @@
 	wide := countRegion(daemons, m.self.Region) <= WideGroupDaemons
 	for _, vm := range daemons {
 		m.names[NewID(vm.Name)] = vm.Name
-		if vm.Role == platform.RoleEntry && vm.Name != m.self.Daemon {
+		switch {
+		case vm.Role != platform.RoleEntry && m.isNear(vm, wide):
+			m.backends = append(m.backends, vm)
+		case vm.Role == platform.RoleEntry && vm.Name != m.self.Daemon:
 			m.add(vm, before[vm.Name], wide)
 		}
 	}
@@ -105,17 +112,23 @@
 		known = &member{}
 	}
 	known.vm = vm
+	known.inGroup = m.isNear(vm, wide)
 	m.byName[vm.Name] = known
 	switch {
+	case known.inGroup:
+		m.group = append(m.group, known)
 	case vm.Region != m.self.Region:
 		m.remotes = append(m.remotes, known)
-	case wide || vm.Zone == m.self.Zone:
-		m.group = append(m.group, known)
 	default:
 		m.neighbours = append(m.neighbours, known)
 	}
 }
 
+// isNear reports whether a VM is in a zone of the group.
+func (m *members) isNear(vm platform.VM, wide bool) bool {
+	return vm.Region == m.self.Region && (wide || vm.Zone == m.self.Zone)
+}
+
 // pick returns a random member that may be called now, or nil.
 func pick(from []*member, random *rand.Rand, now time.Time) *member {
 	var callable []*member
--- a/peer/gossip/message.go
+++ b/peer/gossip/message.go
@@ -15,6 +15,8 @@
 
 // Message is what one daemon sends to another.
 type Message struct {
+	// Sender lacks the zone and the region when the receiver lists the
+	// sender.
 	Sender              Identity
 	Stamp               timeline.Stamp
 	ConfigurationOffset uint64
@@ -28,6 +30,9 @@
 	// Compact says that the reporters in Known are left out, since the
 	// receiver has the same group.
 	Compact bool
+	// Summaries hold the loads of the sender's group, for a receiver outside
+	// of it.
+	Summaries []Summary
 	// Reports hold facts of reporters of the sender's group.
 	Reports []Report
 	Leaving []Leaving
--- a/peer/handler.go
+++ b/peer/handler.go
@@ -21,6 +21,8 @@
 	BackendLoad = gossip.BackendLoad
 	// Leaving says that a VM is leaving.
 	Leaving = gossip.Leaving
+	// Summary is the load of one model or plain service in a zone.
+	Summary = gossip.Summary
 	// Suspect is a request that crashed backend servers.
 	Suspect = gossip.Suspect
 	// Demand is the rate of requests for one plan at one daemon.
