--- a/measure/report.go
+++ b/measure/report.go
@@ -21,6 +21,7 @@
 	surgeTable(seeds).print(w)
 	serviceTable(seeds).print(w)
 	nightTable(seeds).print(w)
+	limitTable(seeds).print(w)
 }
 
 // boundedLoad is the usual bound of hashing with bounded loads.
