--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GOLANGCI_LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 BIN := bin
 
-.PHONY: all build test race lint format demo bench clean
+.PHONY: all build test race lint format demo bench matrix measure soak clean
 
 all: build
 
@@ -25,6 +25,18 @@
 demo: build
 	./$(BIN)/demo
 
+# Runs the fault matrix and prints its table.
+matrix:
+	go run ./cmd/matrix
+
+# Prints the tables of the routing policies and of the limits.
+measure:
+	go run ./cmd/measure
+
+# Runs the property tests with other seeds and many more steps.
+soak:
+	go test ./claim ./plan ./request ./roster ./ledger -rapid.checks=20000 -timeout 60m
+
 # Prints what a daemon adds to a request, and what it takes of the machine.
 bench: build
 	./$(BIN)/bench
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -171,11 +171,16 @@
 	return options
 }
 
+// headerSlack is the factor by which the HTTP server reads larger headers than
+// callers may send.
+const headerSlack = 4
+
 // addListeners adds the HTTP servers.
 func (d *Daemon) addListeners() {
 	s := d.settings
 	options := front.Options{
 		MaxBodyBytes:    s.Callers.MaxBodyBytes,
+		MaxHeaderBytes:  s.Callers.MaxHeaderBytes,
 		MaxInFlight:     s.Callers.MaxInFlight,
 		DefaultDeadline: s.Callers.DefaultDeadline,
 	}
@@ -184,7 +189,8 @@
 		Addr:              s.Callers.Address,
 		Handler:           callers.Handler(),
 		ReadHeaderTimeout: s.Callers.ReadTimeout,
-		MaxHeaderBytes:    s.Callers.MaxHeaderBytes,
+		// The front answers headers up to this bound with a typed problem.
+		MaxHeaderBytes: headerSlack * s.Callers.MaxHeaderBytes,
 	}
 	operators := admin.New(d.Common, admin.Sources{
 		Ready:    d.Ready,
--- a/e2e/driver.go
+++ b/e2e/driver.go
@@ -17,15 +17,17 @@
 	"github.com/cranberrywalk/cranberrywalk/standin/relay"
 )
 
+// The VMs of the scenarios are in these places, and the demonstration's plan
+// may use this model and this service.
 const (
-	// Region, ZoneA and ZoneB are where the VMs of the scenarios are.
-	Region = "mn-central"
-	ZoneA  = "mn-central-a"
-	ZoneB  = "mn-central-b"
-	// Model and Service are what the demonstration's plan may use.
+	Region  = "mn-central"
+	ZoneA   = "mn-central-a"
+	ZoneB   = "mn-central-b"
 	Model   = "teaching-documents"
 	Service = "placements"
+)
 
+const (
 	customerKey = "demo-key"
 	listsDir    = "../examples/demo/"
 	// patience bounds every wait for something that has to happen. It is not
--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -50,7 +50,8 @@
 	if err != nil {
 		panic(err)
 	}
-	defer os.RemoveAll(dir)
+	// A directory that stays behind does no harm.
+	defer func() { _ = os.RemoveAll(dir) }()
 	build := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "..", "../cmd/standin")
 	if output, err := build.CombinedOutput(); err != nil {
 		panic(string(output))
--- a/front/classify.go
+++ b/front/classify.go
@@ -53,6 +53,7 @@
 	var (
 		unknown *plan.UnknownCustomerError
 		missing *KeyMissingError
+		header  *HeaderTooLargeError
 		read    *BodyReadError
 		route   *RouteError
 		method  *MethodError
@@ -61,6 +62,9 @@
 	case errors.As(err, &unknown), errors.As(err, &missing):
 		p.set("UnknownCustomer", http.StatusUnauthorized, "The request has no valid key")
 		p.Field = "Authorization"
+	case errors.As(err, &header):
+		p.set("HeaderTooLarge", http.StatusRequestHeaderFieldsTooLarge, "The header is too large")
+		p.Field = "header"
 	case errors.As(err, &read):
 		p.set("BodyUnreadable", http.StatusBadRequest, "The body could not be read")
 		p.Field = "body"
--- a/front/errors.go
+++ b/front/errors.go
@@ -35,6 +35,17 @@
 	return fmt.Sprintf("the body is larger than %d bytes", e.Limit)
 }
 
+// HeaderTooLargeError says that a request's header is above the limit.
+type HeaderTooLargeError struct {
+	// Limit is in bytes.
+	Limit int
+}
+
+// Error implements error.
+func (e *HeaderTooLargeError) Error() string {
+	return fmt.Sprintf("the header is larger than %d bytes", e.Limit)
+}
+
 // BodyReadError says that the caller's connection failed in the body.
 type BodyReadError struct {
 	Cause error
--- a/front/front.go
+++ b/front/front.go
@@ -37,7 +37,9 @@
 
 // Options bound what callers may send.
 type Options struct {
-	MaxBodyBytes    int
+	MaxBodyBytes int
+	// MaxHeaderBytes bounds the names and values of all header fields.
+	MaxHeaderBytes  int
 	MaxInFlight     int
 	DefaultDeadline time.Duration
 }
@@ -91,6 +93,10 @@
 			return
 		}
 		defer f.inFlight.Add(-1)
+		if err := f.checkHeader(r.Header); err != nil {
+			f.writeProblem(w, problemOf(err), id)
+			return
+		}
 		accepted, err := f.accept(id, kind, r)
 		if err != nil {
 			f.writeProblem(w, problemOf(err), id)
@@ -109,6 +115,19 @@
 	return nil
 }
 
+func (f *Front) checkHeader(header http.Header) error {
+	size := 0
+	for name, values := range header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	if size > f.options.MaxHeaderBytes {
+		return &HeaderTooLargeError{Limit: f.options.MaxHeaderBytes}
+	}
+	return nil
+}
+
 // serve carries an accepted request to its end.
 func (f *Front) serve(w http.ResponseWriter, r *http.Request, accepted request.Request) {
 	writer := &answerWriter{response: w, requestID: accepted.ID, isStream: accepted.Stream}
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -96,7 +96,7 @@
 func send(c *qt.C, f *fakeDispatcher, configuration fixed, sent call) reply {
 	common := telemetry.NewCommon()
 	common.Clock = clock.NewFake(noon)
-	options := front.Options{MaxBodyBytes: 1024, MaxInFlight: 2, DefaultDeadline: time.Minute}
+	options := front.Options{MaxBodyBytes: 1024, MaxHeaderBytes: 1024, MaxInFlight: 2, DefaultDeadline: time.Minute}
 	handler := front.New(common, options, configuration, fakeAdmitter{refused: "Limited"}, f).Handler()
 	r := httptest.NewRequest(sent.method, sent.path, strings.NewReader(sent.body))
 	for name, values := range sent.header {
@@ -140,6 +140,7 @@
 		{"two answers", call{"POST", chatPath, "good", `{"model": "notes", "n": 2, "messages": [{"role": "user"}]}`, nil}, 400, "InvalidField", "n", ""},
 		{"no prompt", call{"POST", "/v1/completions", "good", `{"model": "notes"}`, nil}, 400, "InvalidField", "prompt", ""},
 		{"oversized body", call{"POST", chatPath, "good", strings.Repeat("x", 2000), nil}, 413, "BodyTooLarge", "body", ""},
+		{"oversized header", call{"POST", chatPath, "good", chat, http.Header{"X-Note": {strings.Repeat("x", 1024)}}}, 431, "HeaderTooLarge", "header", ""},
 		{"model outside the plan", call{"POST", "/v1/completions", "good", `{"model": "other", "prompt": "x"}`, nil}, 403, "Forbidden", "Models", "Desk"},
 		{"service outside the plan", call{"POST", "/services/loans/x", "good", "", nil}, 403, "Forbidden", "Services", "Desk"},
 		{"plan without allowance", call{"POST", chatPath, "no-allowance", chat, nil}, 403, "NoAllowance", "", "Bare"},
