Cause every fault at every step, and check what always holds

The packages test their own steps, but nothing caused each fault at each step of a request and of a configuration over the parts together.

The matrix runs the real dispatcher, link, ledger, answer store, roster, gossip, publisher, follower and snapshotter of three daemons in one process, over a fake log, fake network and backend servers on loopback, on a fake clock. A step of a request is reached by a hook in the fakes, so a fault strikes exactly there. One checker reads the record after every case. Whole processes were ruled out for this: they can't be stopped at a step, and their verdict would depend on time.

A runner that crashes after the last token of a stream and before its end counts as a whole answer, which clears the fingerprint, so that the same request crashes a third runner.

--- /dev/null
+++ b/matrix/doubles.go
@@ -0,0 +1,89 @@
+package matrix
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/answer"
+	"github.com/cranberrywalk/cranberrywalk/backend"
+	"github.com/cranberrywalk/cranberrywalk/claim"
+	"github.com/cranberrywalk/cranberrywalk/dispatch"
+	"github.com/cranberrywalk/cranberrywalk/request"
+	"github.com/cranberrywalk/cranberrywalk/roster"
+)
+
+// nodeClaimer claims on the ledger of the daemon.
+type nodeClaimer struct{ node *node }
+
+// Claim implements dispatch.Claimer.
+func (c *nodeClaimer) Claim(ctx context.Context, key claim.Key, fingerprint uint64) (dispatch.Verdict, error) {
+	verdict, err := c.node.ledger.Claim(ctx, key, fingerprint)
+	if err != nil {
+		return dispatch.Verdict{}, err
+	}
+	return dispatch.Verdict{Won: verdict.Won, Claim: verdict.Claim, Winner: verdict.Winner}, nil
+}
+
+// Release implements dispatch.Claimer.
+func (c *nodeClaimer) Release(ctx context.Context, own claim.Claim) error {
+	return c.node.ledger.Release(ctx, own)
+}
+
+// nodeRelayer asks the answer store of the winner over the network.
+type nodeRelayer struct{ node *node }
+
+// Relay implements dispatch.Relayer.
+func (r *nodeRelayer) Relay(ctx context.Context, winner claim.Claim) (answer.Answer, error) {
+	world := r.node.world
+	other := world.node(winner.Daemon)
+	if other == nil || other.isSilent() || !world.reaches(r.node, other) || !world.reaches(other, r.node) {
+		return answer.Answer{}, &UnreachableError{From: r.node.name, To: winner.Daemon}
+	}
+	return other.answers.Wait(ctx, winner.Key)
+}
+
+// nodeChooser offers the usable backend servers of the roster in order, those
+// of the own zone first.
+type nodeChooser struct{ node *node }
+
+// Choose implements dispatch.Chooser.
+func (c *nodeChooser) Choose(r request.Request, excluded []string, now time.Time) (dispatch.Target, error) {
+	c.node.world.reachAt(c.node, StepChoose)
+	if c.node.isDead() {
+		return dispatch.Target{}, &dispatch.NoBackendError{Target: r.Target(), Reason: "the daemon is dead"}
+	}
+	for _, candidate := range c.node.world.runnersFrom(c.node.zone) {
+		if c.node.isUsable(candidate.name, now) && !slices.Contains(excluded, candidate.name) {
+			return candidate.target(), nil
+		}
+	}
+	return dispatch.Target{}, &dispatch.NoBackendError{Target: r.Target(), Reason: "none is usable"}
+}
+
+func (n *node) isUsable(vm string, now time.Time) bool {
+	member := n.member(vm)
+	switch member.State {
+	case roster.Serving:
+		return true
+	case roster.Suspected:
+		return !now.Before(member.ProbeAt)
+	case roster.Leaving:
+		return n.world.options.ignoresLeaving
+	}
+	return false
+}
+
+// Began implements dispatch.Chooser.
+func (c *nodeChooser) Began(dispatch.Target, request.Request) {}
+
+// Ended implements dispatch.Chooser.
+func (c *nodeChooser) Ended(target dispatch.Target, _ request.Request, seen dispatch.Observation) {
+	switch seen.Fault {
+	case "":
+		c.node.apply(roster.Answered{VM: target.Name})
+	case backend.Cancelled:
+	default:
+		c.node.apply(roster.Failed{VM: target.Name})
+	}
+}
--- /dev/null
+++ b/matrix/log.go
@@ -0,0 +1,199 @@
+package matrix
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+)
+
+// logFault is what happens to an operation on the log.
+type logFault int
+
+const (
+	// logWorks lets operations through.
+	logWorks logFault = iota
+	// logRefuses fails operations, which have no effect then.
+	logRefuses
+	// logHangs holds operations until the fault changes. Those that are given
+	// up before have no effect.
+	logHangs
+	// logHangsLate is logHangs with appends that take effect all the same.
+	logHangsLate
+	// logLosesAnswer lets an append take effect and loses its answer.
+	logLosesAnswer
+	// logLosesRequest drops an append and leaves the caller in doubt.
+	logLosesRequest
+)
+
+// fakeLog is the log service.
+type fakeLog struct {
+	clock clock.Clock
+
+	mu      sync.Mutex
+	streams map[string]*stream
+	fault   logFault
+	// next has the faults of the following appends, before fault applies.
+	next []logFault
+	// changed is closed and replaced on every change.
+	changed chan struct{}
+	// waiting gets a value when an append waits in vain.
+	waiting chan struct{}
+}
+
+// stream is one sequence of records.
+type stream struct {
+	first   uint64
+	records []platform.Record
+}
+
+func newFakeLog(c clock.Clock) *fakeLog {
+	return &fakeLog{
+		clock: c, streams: make(map[string]*stream),
+		changed: make(chan struct{}), waiting: make(chan struct{}, 64),
+	}
+}
+
+// change applies a change under the lock and wakes all that wait.
+func (f *fakeLog) change(apply func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	apply()
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// set makes the fault apply to all operations from now on.
+func (f *fakeLog) set(fault logFault) { f.change(func() { f.fault = fault }) }
+
+// queue sets the faults of the following appends.
+func (f *fakeLog) queue(faults ...logFault) { f.change(func() { f.next = append(f.next, faults...) }) }
+
+// trim removes the records below an offset.
+func (f *fakeLog) trim(name string, first uint64) {
+	f.change(func() {
+		s := f.stream(name)
+		s.records = s.records[first-s.first:]
+		s.first = first
+	})
+}
+
+// stream is called with mu held.
+func (f *fakeLog) stream(name string) *stream {
+	s := f.streams[name]
+	if s == nil {
+		s = &stream{}
+		f.streams[name] = s
+	}
+	return s
+}
+
+// Append implements platform.Log.
+func (f *fakeLog) Append(ctx context.Context, name string, payloads [][]byte) (uint64, error) {
+	fault, err := f.admit(ctx, true)
+	if err != nil {
+		return 0, err
+	}
+	var offset uint64
+	f.change(func() {
+		s := f.stream(name)
+		offset = s.first + uint64(len(s.records))
+		if fault == logLosesRequest {
+			return
+		}
+		for i, payload := range payloads {
+			s.records = append(s.records, platform.Record{
+				Offset: offset + uint64(i), Payload: payload, Time: f.clock.Now(),
+			})
+		}
+	})
+	if fault != logWorks {
+		return 0, &platform.UncertainError{Service: "log"}
+	}
+	return offset, nil
+}
+
+// admit waits while operations hang, and returns the fault of this one.
+func (f *fakeLog) admit(ctx context.Context, isAppend bool) (logFault, error) {
+	for {
+		f.mu.Lock()
+		fault, changed := f.fault, f.changed
+		if isAppend && fault == logWorks && len(f.next) > 0 {
+			fault, f.next = f.next[0], f.next[1:]
+		}
+		f.mu.Unlock()
+		if !isAppend && fault >= logLosesAnswer {
+			fault = logWorks
+		}
+		switch fault {
+		case logRefuses:
+			return fault, &platform.UnavailableError{Service: "log"}
+		case logHangs, logHangsLate:
+			f.signalWaiting()
+		default:
+			return fault, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			if isAppend && fault == logHangsLate {
+				return logLosesAnswer, nil
+			}
+			return fault, &platform.UncertainError{Service: "log", Cause: ctx.Err()}
+		}
+	}
+}
+
+// signalWaiting tells the case that an append waits.
+func (f *fakeLog) signalWaiting() {
+	select {
+	case f.waiting <- struct{}{}:
+	default:
+	}
+}
+
+// Read implements platform.Log. In an outage, a read that may wait does so until
+// the next change, so that readers do not spin.
+func (f *fakeLog) Read(ctx context.Context, name string, from uint64, limit int, wait time.Duration) (platform.Batch, error) {
+	timer := f.clock.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		f.mu.Lock()
+		batch, err := f.read(name, from, limit)
+		fault, changed := f.fault, f.changed
+		f.mu.Unlock()
+		down := fault == logRefuses || fault == logHangs || fault == logHangsLate
+		if down && wait == 0 && fault == logRefuses {
+			return platform.Batch{}, &platform.UnavailableError{Service: "log"}
+		}
+		if !down && (err != nil || len(batch.Records) > 0 || wait == 0) {
+			return batch, err
+		}
+		select {
+		case <-changed:
+		case <-timer.Chan():
+			if !down {
+				return batch, err
+			}
+		case <-ctx.Done():
+			return platform.Batch{}, &platform.UnavailableError{Service: "log", Cause: ctx.Err()}
+		}
+	}
+}
+
+// read is called with mu held.
+func (f *fakeLog) read(name string, from uint64, limit int) (platform.Batch, error) {
+	s := f.stream(name)
+	if from < s.first {
+		return platform.Batch{}, &platform.TrimmedError{Stream: name, From: from, First: s.first}
+	}
+	next := s.first + uint64(len(s.records))
+	batch := platform.Batch{First: s.first, Next: next}
+	if from < next {
+		rest := s.records[from-s.first:]
+		batch.Records = append(batch.Records, rest[:min(limit, len(rest))]...)
+	}
+	return batch, nil
+}
--- /dev/null
+++ b/matrix/node.go
@@ -0,0 +1,222 @@
+package matrix
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+
+	"github.com/cranberrywalk/cranberrywalk/answer"
+	"github.com/cranberrywalk/cranberrywalk/backend"
+	"github.com/cranberrywalk/cranberrywalk/configuration"
+	"github.com/cranberrywalk/cranberrywalk/dispatch"
+	"github.com/cranberrywalk/cranberrywalk/ledger"
+	"github.com/cranberrywalk/cranberrywalk/peer/gossip"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/retry"
+	"github.com/cranberrywalk/cranberrywalk/roster"
+	"github.com/cranberrywalk/cranberrywalk/suspect"
+	"github.com/cranberrywalk/cranberrywalk/telemetry"
+)
+
+// region is where all VMs of a case are.
+const region = "region-1"
+
+// node is one daemon.
+type node struct {
+	telemetry.Common
+	world      *World
+	name       string
+	zone       string
+	log        *nodeLog
+	link       *backend.Link
+	dispatcher *dispatch.Dispatcher
+	answers    *answer.Store
+	suspects   *suspect.Book
+	ledger     *ledger.Ledger
+	// stopLedger ends the goroutines of the ledger.
+	stopLedger context.CancelFunc
+	// configuration is nil in the cases of requests.
+	configuration *configuration.Follower
+	// stopConfiguration ends the goroutines of the configuration.
+	stopConfiguration context.CancelFunc
+
+	// mu guards what follows.
+	mu     sync.Mutex
+	roster roster.Roster
+	gossip *gossip.Core
+	// crashes holds the crashes that this daemon itself has seen.
+	crashes map[uint64]gossip.Suspect
+	// dead never goes back to false.
+	dead bool
+	// paused daemons answer nobody.
+	paused bool
+}
+
+// options are the protections that a test may take away.
+type options struct {
+	// claimer wraps the claimer of every daemon, when it is set.
+	claimer func(dispatch.Claimer) dispatch.Claimer
+	// ignoresLeaving makes the choice of backend servers overlook notices.
+	ignoresLeaving bool
+	// suspects are the options of the books of crashes.
+	suspects suspect.Options
+}
+
+func newNode(w *World, name, zone string, seed uint64) *node {
+	n := &node{
+		Common: telemetry.NewCommon(), world: w, name: name, zone: zone,
+		roster: roster.New(), crashes: make(map[uint64]gossip.Suspect),
+	}
+	n.Common = w.common()
+	n.log = &nodeLog{fakeLog: w.log, node: n}
+	n.gossip = gossip.New(gossip.Identity{Daemon: name, Zone: zone, Region: region, Incarnation: "1"}, rand.New(rand.NewPCG(seed, 1)))
+	n.link = backend.New(n.Common, backend.DefaultOptions())
+	n.answers = answer.New(n.Common, answer.DefaultOptions())
+	n.suspects = suspect.New(w.options.suspects)
+	n.addLedger()
+	n.addDispatcher(seed)
+	return n
+}
+
+// addLedger starts the ledger. It has no waits of its own, so that a case
+// depends on the events of the fakes only.
+func (n *node) addLedger() {
+	options := ledger.DefaultOptions()
+	options.Daemon, options.Incarnation = n.name, "1"
+	options.FlushInterval, options.RetryMin, options.RetryMax = 0, 0, 0
+	n.ledger = ledger.New(n.Common, n.log, options)
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stopLedger = cancel
+	go n.ledger.Run(ctx)
+}
+
+func (n *node) addDispatcher(seed uint64) {
+	options := dispatch.DefaultOptions()
+	options.Daemon, options.Incarnation = n.name, "1"
+	var claimer dispatch.Claimer = &nodeClaimer{node: n}
+	if n.world.options.claimer != nil {
+		claimer = n.world.options.claimer(claimer)
+	}
+	n.dispatcher = dispatch.New(n.Common, dispatch.Parts{
+		Link: n.link, Chooser: &nodeChooser{node: n}, Claimer: claimer, Relayer: &nodeRelayer{node: n},
+		Answers: n.answers, Suspects: n.suspects, OnSuspect: n.crashSeen,
+		Budget:  retry.NewBudget(retry.DefaultBudgetOptions(), n.Clock.Now()),
+		Backoff: retry.NewBackoff(retry.BackoffOptions{}, rand.NewPCG(seed, 2)),
+	}, options)
+}
+
+// crashSeen notes a crash that this daemon has seen, for its peers.
+func (n *node) crashSeen(entry suspect.Entry) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	seen := n.crashes[entry.Fingerprint]
+	seen.Fingerprint, seen.Reporter, seen.Expires = entry.Fingerprint, n.name, entry.Expires
+	seen.Crashes++
+	n.crashes[entry.Fingerprint] = seen
+}
+
+// apply changes the roster and moves the streams of backend servers that
+// have become leaving.
+func (n *node) apply(event roster.Event) {
+	n.mu.Lock()
+	next, effects := n.roster.Apply(event, n.Clock.Now())
+	n.roster = next
+	n.mu.Unlock()
+	for _, effect := range effects {
+		if effect.Kind == roster.Left {
+			n.dispatcher.Move(effect.VM.Name)
+		}
+	}
+}
+
+func (n *node) member(vm string) roster.Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.roster.Member(vm)
+}
+
+// digest returns what the daemon tells its peers.
+func (n *node) digest() gossip.Digest {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var digest gossip.Digest
+	for _, r := range n.world.runners {
+		if member := n.roster.Member(r.name); member.State == roster.Leaving {
+			digest.Leaving = append(digest.Leaving, gossip.Leaving{VM: r.name, Deadline: member.Deadline})
+		}
+	}
+	for _, seen := range n.crashes {
+		digest.Suspects = append(digest.Suspects, seen)
+	}
+	return digest
+}
+
+// merge takes what is new from a peer.
+func (n *node) merge(news gossip.Digest) {
+	for _, leaving := range news.Leaving {
+		n.apply(roster.Reported{VM: leaving.VM, Deadline: leaving.Deadline})
+	}
+	for _, seen := range news.Suspects {
+		entry := suspect.Entry{Fingerprint: seen.Fingerprint, Expires: seen.Expires}
+		for i := range min(seen.Crashes, suspect.Threshold) {
+			identity := suspect.Identity(seen.Reporter, strconv.FormatUint(seen.Fingerprint, 16), i)
+			entry.Crashes = append(entry.Crashes, identity)
+		}
+		n.suspects.Merge([]suspect.Entry{entry}, n.Clock.Now())
+	}
+}
+
+// kill ends the daemon in the middle of what it does: from now on it neither
+// writes nor tells anybody anything.
+func (n *node) kill() {
+	n.mu.Lock()
+	n.dead = true
+	n.mu.Unlock()
+	n.stopLedger()
+	if n.configuration != nil {
+		n.stopConfiguration()
+	}
+	n.world.record.with(func() {
+		for _, sending := range n.world.record.Sendings {
+			sending.Lost = sending.Lost || sending.Daemon == n.name && sending.Ends == 0
+		}
+	})
+}
+
+func (n *node) isDead() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dead
+}
+
+func (n *node) isSilent() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dead || n.paused
+}
+
+func (n *node) setPaused(paused bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.paused = paused
+}
+
+// close ends all parts.
+func (n *node) close() {
+	n.stopLedger()
+	<-n.ledger.Done()
+	if n.configuration != nil {
+		n.stopConfiguration()
+		<-n.configuration.Done()
+	}
+	n.link.Close()
+}
+
+// list hands the VM list to the daemon.
+func (n *node) list(version uint64, vms []platform.VM) {
+	n.apply(roster.Listed{Snapshot: platform.VMSnapshot{Version: version, VMs: vms}})
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.gossip.SetVMs(vms)
+}
--- /dev/null
+++ b/matrix/nodelog.go
@@ -0,0 +1,109 @@
+package matrix
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/platform"
+)
+
+// platformCut is how far a daemon is cut off from the log.
+type platformCut int
+
+const (
+	// cutNone lets everything through.
+	cutNone platformCut = iota
+	// cutBoth lets nothing through.
+	cutBoth
+	// cutAnswers lets requests through and loses their answers.
+	cutAnswers
+)
+
+// nodeLog is the log as one daemon reaches it.
+type nodeLog struct {
+	*fakeLog
+	node *node
+
+	mu  sync.Mutex
+	cut platformCut
+	// lost is true once an answer has been lost: the next appends find no
+	// connection that answers.
+	lost bool
+}
+
+func (l *nodeLog) setCut(cut platformCut) {
+	l.change(func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.cut, l.lost = cut, false
+	})
+}
+
+func (l *nodeLog) current() (cut platformCut, lost bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	cut, lost = l.cut, l.lost
+	l.lost = l.lost || cut == cutAnswers
+	return cut, lost
+}
+
+// Append implements platform.Log.
+func (l *nodeLog) Append(ctx context.Context, name string, payloads [][]byte) (uint64, error) {
+	l.node.world.reachAt(l.node, stepOf(name))
+	cut, lost := l.current()
+	switch {
+	case cut == cutBoth:
+		return 0, &platform.UnavailableError{Service: "log"}
+	case cut == cutAnswers && !lost:
+		// The answer is lost, whatever it is.
+		_, _ = l.fakeLog.Append(ctx, name, payloads)
+		return 0, &platform.UncertainError{Service: "log"}
+	case cut == cutAnswers:
+		l.signalWaiting()
+		l.awaitHeal(ctx)
+		return 0, &platform.UncertainError{Service: "log"}
+	}
+	return l.fakeLog.Append(ctx, name, payloads)
+}
+
+// awaitHeal waits until the daemon reaches the log again.
+func (l *nodeLog) awaitHeal(ctx context.Context) {
+	for {
+		l.fakeLog.mu.Lock()
+		changed := l.changed
+		l.fakeLog.mu.Unlock()
+		if !l.isCut() {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Read implements platform.Log.
+func (l *nodeLog) Read(ctx context.Context, name string, from uint64, limit int, wait time.Duration) (platform.Batch, error) {
+	batch, err := l.fakeLog.Read(ctx, name, from, limit, wait)
+	if l.isCut() {
+		l.awaitHeal(ctx)
+		return platform.Batch{}, &platform.UnavailableError{Service: "log"}
+	}
+	return batch, err
+}
+
+func (l *nodeLog) isCut() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cut != cutNone
+}
+
+// stepOf returns the step that an append to a stream stands for.
+func stepOf(name string) Step {
+	if name == claimStream {
+		return StepClaim
+	}
+	return StepSnapshot
+}
--- /dev/null
+++ b/matrix/operator.go
@@ -0,0 +1,155 @@
+package matrix
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/cranberrywalk/cranberrywalk/configuration"
+	"github.com/cranberrywalk/cranberrywalk/logstream"
+	"github.com/cranberrywalk/cranberrywalk/plan"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+)
+
+const (
+	// configurationStream is the stream of the log that operators write to.
+	configurationStream = "Configuration"
+	// appendTimeout bounds the appends of operators and snapshotters.
+	appendTimeout = 2 * time.Second
+	// operatorTimeout is how long an operator waits for a verdict.
+	operatorTimeout = 10 * time.Second
+	// pumpStep is how far the clock moves between two looks at the daemons.
+	pumpStep = 100 * time.Millisecond
+)
+
+// operatorLog is the log as operators reach it.
+type operatorLog struct {
+	*fakeLog
+	world *World
+}
+
+// Append implements platform.Log.
+func (l *operatorLog) Append(ctx context.Context, name string, payloads [][]byte) (uint64, error) {
+	l.world.reach(StepAppend)
+	return l.fakeLog.Append(ctx, name, payloads)
+}
+
+// change is what one operator wants, and how far it has come.
+type change struct {
+	priority int
+	// state is the one that the change was made for. It is read again until
+	// it is known.
+	state   plan.State
+	isRead  bool
+	settled bool
+	verdict plan.Verdict
+}
+
+// payload returns the change itself, the same one each time.
+func (c *change) payload() plan.Change {
+	return plan.Change{
+		Identity: fmt.Sprintf("change-%d", c.priority), Base: c.state.Version(plan.ListAllowances),
+		List: plan.ListAllowances, Kind: plan.KindPublish,
+		Allowances: []plan.Allowance{{Plan: "Desk", Priority: c.priority}},
+	}
+}
+
+func (c *configurationScript) publisher() *configuration.Publisher {
+	log := &operatorLog{fakeLog: c.log, world: c.World}
+	return configuration.NewPublisher(log, logstream.NewPublisher(c.common(), log, appendTimeout), configurationStream)
+}
+
+// read lets an operator read the state in force.
+func (c *configurationScript) read(wanted *change) {
+	c.pump(func(ctx context.Context) {
+		state, err := c.publisher().Read(ctx)
+		wanted.state, wanted.isRead = state, err == nil
+	})
+}
+
+// submit lets an operator try to publish a change. A change without a verdict
+// can be submitted again.
+func (c *configurationScript) submit(wanted *change) {
+	if !wanted.isRead {
+		c.read(wanted)
+	}
+	if !wanted.isRead {
+		return
+	}
+	c.pump(func(ctx context.Context) {
+		verdict, err := c.publisher().Submit(ctx, wanted.state, wanted.payload())
+		wanted.verdict, wanted.settled = verdict, err == nil
+	})
+	if wanted.settled && wanted.verdict.Accepted {
+		c.record.with(func() { c.record.Accepted = append(c.record.Accepted, wanted.priority) })
+	}
+}
+
+// publish makes the next change and submits it once.
+func (c *configurationScript) publish() *change {
+	wanted := c.newChange()
+	c.submit(wanted)
+	return wanted
+}
+
+func (c *configurationScript) newChange() *change {
+	c.record.with(func() { c.priority++ })
+	wanted := &change{priority: c.priority}
+	c.changes = append(c.changes, wanted)
+	return wanted
+}
+
+// race lets two operators publish changes that they have made for the same
+// state, and checks that one of them at most is accepted.
+func (c *configurationScript) race() {
+	one, other := c.newChange(), c.newChange()
+	c.read(one)
+	c.read(other)
+	c.submit(one)
+	c.submit(other)
+	c.raced = append(c.raced, [2]*change{one, other})
+}
+
+// settle lets all operators without a verdict submit again.
+func (c *configurationScript) settle() {
+	for _, wanted := range c.changes {
+		if !wanted.settled {
+			c.submit(wanted)
+		}
+		c.record.expect(wanted.settled, fmt.Sprintf("change %d got no verdict", wanted.priority))
+	}
+	for _, pair := range c.raced {
+		both := pair[0].verdict.Accepted && pair[1].verdict.Accepted
+		c.record.expect(!both, "two changes of the same state were accepted")
+	}
+}
+
+// pump moves the clock on while an operator's call runs.
+func (c *configurationScript) pump(call func(ctx context.Context)) {
+	ctx, cancel := clockwork.WithTimeout(context.Background(), c.Clock, operatorTimeout)
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		call(ctx)
+	}()
+	for {
+		select {
+		case <-done:
+			return
+		case <-time.After(pollInterval):
+			c.Clock.Advance(pumpStep)
+		}
+	}
+}
+
+// publishPlans publishes the plan that all allowances are for.
+func (c *configurationScript) publishPlans() {
+	first := plan.Change{Identity: "plans", List: plan.ListPlans, Kind: plan.KindPublish, Plans: []plan.Plan{{Name: "Desk"}}}
+	verdict, err := c.publisher().Submit(context.Background(), plan.State{}, first)
+	c.record.expect(err == nil && verdict.Accepted, "the plans were not published")
+}
+
+var _ platform.Log = (*operatorLog)(nil)
--- /dev/null
+++ b/matrix/reason.go
@@ -0,0 +1,87 @@
+package matrix
+
+// The reasons why a fault cannot occur at a step.
+const (
+	reasonNoOrders     = "leases and orders are not built yet"
+	reasonNoPlatform   = "a request uses the log for its claim and its release only; both are caused by the claim and choose cells"
+	reasonNoStart      = "a request starts no VM; the refused start shows when a backend server is chosen"
+	reasonNoBackendYet = "no backend server has the request yet"
+	reasonNoConnection = "the step opens no connection"
+	reasonPlanCopied   = "the request carries the allowance that it was accepted with"
+	reasonNoReclaim    = "the step uses no VM that can be reclaimed but the daemon; its death has rows of its own"
+	reasonNoRequest    = "a configuration runs no request"
+	reasonNoLease      = "the configuration has no holder; any daemon does the step at any time"
+	reasonNoWrite      = "the step appends nothing to the log"
+	reasonNoOperators  = "the step follows the verdict, which the order of the log has given"
+	reasonNoPeers      = "the step uses the log and no peer"
+	reasonLogIsCut     = "a boot without the log is the case of the rows of the log"
+	reasonResendless   = "operators repeat a change by its identity, in the row Effect without answer"
+	reasonOperatorOnly = "the step is the operator's own, without a daemon"
+)
+
+// reasons has the reason of each cell that does not run, by row and step.
+// Steps that are missing run a case.
+var reasons = map[Row]map[Step]string{
+	RowReclaimWave:    onConfiguration(reasonNoReclaim),
+	RowRefusedStart:   onConfiguration(reasonNoStart),
+	RowDeathInReclaim: onConfiguration(reasonNoReclaim),
+	RowStoreDown:      {},
+	RowStoreSlow:      {},
+	RowEffectWithoutAnswer: {
+		StepFold: reasonNoWrite, StepSpread: reasonNoWrite, StepBoot: reasonNoWrite,
+	},
+	RowHolderPaused: {
+		StepPublish: reasonOperatorOnly, StepAppend: reasonOperatorOnly,
+	},
+	RowRacingOperators: merge(onRequest(reasonPlanCopied), map[Step]string{
+		StepAccept: reasonPlanCopied, StepSpread: reasonNoOperators, StepBoot: reasonNoOperators,
+	}),
+	RowCrashingRequest: merge(onConfiguration(reasonNoRequest), map[Step]string{
+		StepAccept: reasonNoBackendYet, StepClaim: reasonNoBackendYet, StepChoose: reasonNoBackendYet,
+	}),
+	RowSilentConnection: {
+		StepChoose:  reasonNoConnection,
+		StepPublish: reasonOperatorOnly, StepFold: reasonNoConnection,
+	},
+	RowPeersCutOneWay:      {StepPublish: reasonNoPeers, StepAppend: reasonNoPeers, StepFold: reasonNoPeers, StepSnapshot: reasonNoPeers},
+	RowPeersCutBothWays:    {StepPublish: reasonNoPeers, StepAppend: reasonNoPeers, StepFold: reasonNoPeers, StepSnapshot: reasonNoPeers},
+	RowPlatformCutOneWay:   {StepPublish: reasonOperatorOnly, StepAppend: reasonOperatorOnly},
+	RowPlatformCutBothWays: {StepPublish: reasonOperatorOnly, StepAppend: reasonOperatorOnly},
+	RowStoreDownAndDeath:   {StepPublish: reasonOperatorOnly, StepAppend: reasonOperatorOnly, StepFold: reasonNoWrite},
+	RowEffectAndPause: {
+		StepPublish: reasonOperatorOnly, StepAppend: reasonOperatorOnly,
+		StepFold: reasonNoWrite, StepSpread: reasonNoWrite, StepBoot: reasonNoWrite,
+	},
+	RowReclaimAndSilence: merge(onConfiguration(reasonNoReclaim), map[Step]string{
+		StepAccept: reasonNoBackendYet, StepClaim: reasonNoBackendYet, StepChoose: reasonNoConnection,
+	}),
+	RowCutAndRace:     merge(onRequest(reasonPlanCopied), map[Step]string{StepPublish: reasonOperatorOnly, StepBoot: reasonNoOperators}),
+	RowDeathAndResend: onConfiguration(reasonResendless),
+}
+
+// reasonOf returns why the fault cannot occur at the step, or "".
+func reasonOf(row Row, step Step) string {
+	return reasons[row][step]
+}
+
+func onRequest(reason string) map[Step]string { return on(SubjectRequest, reason) }
+
+func onConfiguration(reason string) map[Step]string { return on(SubjectConfiguration, reason) }
+
+func on(subject Subject, reason string) map[Step]string {
+	all := make(map[Step]string)
+	for _, step := range Steps(subject) {
+		all[step] = reason
+	}
+	return all
+}
+
+func merge(maps ...map[Step]string) map[Step]string {
+	all := make(map[Step]string)
+	for _, one := range maps {
+		for step, reason := range one {
+			all[step] = reason
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/matrix/runner.go
@@ -0,0 +1,220 @@
+package matrix
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+
+	"github.com/cranberrywalk/cranberrywalk/backend"
+	"github.com/cranberrywalk/cranberrywalk/dispatch"
+	"github.com/cranberrywalk/cranberrywalk/prefix"
+	"github.com/cranberrywalk/cranberrywalk/standin/engine"
+)
+
+const (
+	// answerTokens is the length of every model answer.
+	answerTokens = 6
+	// halfTokens is how many tokens come before StepStream.
+	halfTokens = 3
+	// freshPath is the path of the requests that crash nothing.
+	freshPath = "/rosters"
+)
+
+// runner is a backend server on loopback. It answers chats with the text of
+// the engine's stand-in and other requests with the record of the run.
+type runner struct {
+	world   *World
+	name    string
+	zone    string
+	address string
+	server  *http.Server
+	// done is closed when the server has ended.
+	done chan struct{}
+	// stopped is closed when the VM stops.
+	stopped chan struct{}
+
+	mu sync.Mutex
+	// dead never goes back to false.
+	dead bool
+	// crashStep is where every request but those of freshPath ends with a
+	// crash; it is empty when none does.
+	crashStep Step
+	// runs counts the requests that were run.
+	runs int
+}
+
+func newRunner(w *World, name, zone string) (*runner, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &runner{
+		world: w, name: name, zone: zone, address: listener.Addr().String(),
+		done: make(chan struct{}), stopped: make(chan struct{}),
+	}
+	r.server = &http.Server{Handler: r} //nolint:gosec // Only the case itself connects.
+	go func() {
+		defer close(r.done)
+		// The error tells that the case has closed the server.
+		_ = r.server.Serve(listener)
+	}()
+	return r, nil
+}
+
+func (r *runner) target() dispatch.Target {
+	return dispatch.Target{Name: r.name, Zone: r.zone, Address: r.address}
+}
+
+// stop ends the VM with all its connections.
+func (r *runner) stop() {
+	r.mu.Lock()
+	if !r.dead {
+		r.dead = true
+		close(r.stopped)
+	}
+	r.mu.Unlock()
+	_ = r.server.Close()
+	<-r.done
+}
+
+// setCrashes makes requests crash the backend server at a step.
+func (r *runner) setCrashes(step Step) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crashStep = step
+}
+
+func (r *runner) crashesAt(step Step) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.crashStep == step
+}
+
+// ServeHTTP implements http.Handler.
+func (r *runner) ServeHTTP(w http.ResponseWriter, call *http.Request) {
+	body, err := io.ReadAll(call.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	a := &reply{runner: r, w: w, call: call, id: call.Header.Get(backend.RequestIDHeader)}
+	a.run = r.begin(call, body)
+	a.pass(StepDispatch)
+	if strings.HasPrefix(call.URL.Path, "/v1/") {
+		a.chat(body)
+		return
+	}
+	a.confirm()
+}
+
+// begin records that a request is run.
+func (r *runner) begin(call *http.Request, body []byte) Run {
+	r.mu.Lock()
+	r.runs++
+	number := r.runs
+	r.mu.Unlock()
+	run := Run{
+		Runner: r.name, Request: call.Header.Get(backend.RequestIDHeader),
+		Key: call.Header.Get("Idempotency-Key"), Body: string(body),
+	}
+	run.Answer = fmt.Sprintf(`{"Run":"%s/%d","Request":%q}`, r.name, number, run.Request)
+	return r.world.record.addRun(run, r.world.Clock.Now())
+}
+
+// reply writes one answer.
+type reply struct {
+	runner *runner
+	w      http.ResponseWriter
+	call   *http.Request
+	id     string
+	run    Run
+}
+
+// pass calls the hook of the step and crashes where that is set.
+func (a *reply) pass(step Step) {
+	switch a.runner.world.reach(step) {
+	case abort:
+		panic(http.ErrAbortHandler)
+	case hang:
+		a.hang()
+	}
+	if a.runner.crashesAt(step) && a.call.URL.Path != freshPath {
+		a.runner.world.record.addCrash(a.run)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// hang leaves the answer without a further byte until the daemon or the VM
+// has gone.
+func (a *reply) hang() {
+	select {
+	case <-a.call.Context().Done():
+	case <-a.runner.stopped:
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (a *reply) flush() { _ = http.NewResponseController(a.w).Flush() }
+
+// chat writes a stream of tokens from where the continuation starts.
+func (a *reply) chat(body []byte) {
+	prompt, position := parse(body)
+	a.w.Header().Set(backend.RequestIDHeader, a.id)
+	a.w.Header().Set("Content-Type", "text/event-stream")
+	a.flush()
+	a.pass(StepFirstToken)
+	for i := position; i < answerTokens; i++ {
+		if i == max(position, halfTokens) {
+			a.pass(StepStream)
+			a.pass(StepDrain)
+		}
+		a.event(fmt.Sprintf(`"delta":{"content":%q}`, engine.Text(prompt, i, 1)), "")
+	}
+	a.pass(StepAnswer)
+	usage := fmt.Sprintf(`,"usage":{"prompt_tokens":%d,"completion_tokens":%d}`, 10+position, answerTokens-position)
+	a.event(`"delta":{},"finish_reason":"stop"`, usage)
+	_, _ = io.WriteString(a.w, "data: [DONE]\n\n")
+}
+
+func (a *reply) event(choice, rest string) {
+	_, _ = fmt.Fprintf(a.w, "data: {\"id\":\"%s%s\",\"created\":1,\"choices\":[{\"index\":0,%s}]%s}\n\n",
+		backend.ChunkIDPrefix, a.id, choice, rest)
+	a.flush()
+}
+
+// confirm writes the record of the run in two halves.
+func (a *reply) confirm() {
+	a.w.Header().Set(backend.RequestIDHeader, a.id)
+	a.w.Header().Set("Content-Length", fmt.Sprint(len(a.run.Answer)))
+	a.flush()
+	a.pass(StepFirstToken)
+	half := len(a.run.Answer) / 2
+	_, _ = io.WriteString(a.w, a.run.Answer[:half])
+	a.flush()
+	a.pass(StepStream)
+	a.pass(StepDrain)
+	_, _ = io.WriteString(a.w, a.run.Answer[half:len(a.run.Answer)-1])
+	a.flush()
+	a.pass(StepAnswer)
+	_, _ = io.WriteString(a.w, a.run.Answer[len(a.run.Answer)-1:])
+}
+
+// parse returns the original prompt of a chat and how many tokens a
+// continuation follows.
+func parse(body []byte) (prompt []byte, position int) {
+	var call struct {
+		Messages []prefix.Message `json:"messages"`
+	}
+	if json.Unmarshal(body, &call) != nil || len(call.Messages) == 0 {
+		return nil, 0
+	}
+	messages := call.Messages
+	last := messages[len(messages)-1]
+	if last.Role == "assistant" {
+		messages, position = messages[:len(messages)-1], len(strings.Fields(last.Content))
+	}
+	return prefix.Render(messages), position
+}
--- /dev/null
+++ b/matrix/step.go
@@ -0,0 +1,71 @@
+package matrix
+
+// Subject is what passes through steps.
+type Subject string
+
+// The subjects.
+const (
+	SubjectRequest       Subject = "Request"
+	SubjectConfiguration Subject = "Configuration"
+	SubjectOrder         Subject = "Order"
+)
+
+// Step is a column of the table.
+type Step string
+
+// The steps of a request.
+const (
+	// StepAccept is the moment before the dispatcher gets the request.
+	StepAccept Step = "Accept"
+	// StepClaim is the append of the claim.
+	StepClaim Step = "Claim"
+	// StepChoose is the choice of a backend server.
+	StepChoose Step = "Choose"
+	// StepDispatch is when a backend server has read the request.
+	StepDispatch Step = "Dispatch"
+	// StepFirstToken is between the head of the answer and its first piece.
+	StepFirstToken Step = "FirstToken"
+	// StepStream is in the middle of the answer.
+	StepStream Step = "Stream"
+	// StepAnswer is between the last piece of the answer and its end.
+	StepAnswer Step = "Answer"
+	// StepDrain is in the middle of the answer, after the daemon has been
+	// told to stop.
+	StepDrain Step = "Drain"
+)
+
+// The steps of a configuration.
+const (
+	StepPublish  Step = "Publish"
+	StepAppend   Step = "Append"
+	StepFold     Step = "Fold"
+	StepSnapshot Step = "Snapshot"
+	StepSpread   Step = "Spread"
+	StepBoot     Step = "Boot"
+)
+
+// The steps of an order under a lease.
+const (
+	StepLease     Step = "Lease"
+	StepOrder     Step = "Order"
+	StepReconcile Step = "Reconcile"
+)
+
+// Steps returns the steps of a subject in the order of the columns.
+func Steps(subject Subject) []Step {
+	switch subject {
+	case SubjectRequest:
+		return []Step{
+			StepAccept, StepClaim, StepChoose, StepDispatch,
+			StepFirstToken, StepStream, StepAnswer, StepDrain,
+		}
+	case SubjectConfiguration:
+		return []Step{StepPublish, StepAppend, StepFold, StepSnapshot, StepSpread, StepBoot}
+	}
+	return []Step{StepLease, StepOrder, StepReconcile}
+}
+
+// Subjects returns the subjects in the order of the columns.
+func Subjects() []Subject {
+	return []Subject{SubjectRequest, SubjectConfiguration, SubjectOrder}
+}
--- /dev/null
+++ b/matrix/table.go
@@ -0,0 +1,145 @@
+package matrix
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Seed is the seed of the cases in CI.
+const Seed = 1
+
+// State is what is known of a cell.
+type State string
+
+// The states of a cell.
+const (
+	// StateGreen cells have run, and all invariants held.
+	StateGreen State = "Green"
+	// StateRed cells have run, and an invariant did not hold.
+	StateRed State = "Red"
+	// StateImpossible cells have a fault that cannot occur at the step.
+	StateImpossible State = "Impossible"
+	// StateNotBuilt cells concern a part that does not exist yet.
+	StateNotBuilt State = "NotBuilt"
+)
+
+// Cell is a fault at a step.
+type Cell struct {
+	Row     Row
+	Subject Subject
+	Step    Step
+	// Reason says why nothing is run, when Case is empty.
+	Reason string
+	// Case is the name of what is run, or empty.
+	Case string
+	// isBuilt is false when the part that the step belongs to does not exist.
+	isBuilt bool
+	run     func(options options, seed uint64) []error
+}
+
+// Verdict is what became of a cell.
+type Verdict struct {
+	Cell
+	State State
+	// Errors hold the violations of a red cell.
+	Errors []error
+}
+
+// Cells returns all cells, row by row.
+func Cells() []Cell {
+	var cells []Cell
+	for _, row := range Rows() {
+		for _, subject := range Subjects() {
+			for _, step := range Steps(subject) {
+				cells = append(cells, newCell(row, subject, step))
+			}
+		}
+	}
+	return cells
+}
+
+func newCell(row Row, subject Subject, step Step) Cell {
+	cell := Cell{Row: row, Subject: subject, Step: step, isBuilt: subject != SubjectOrder}
+	if !cell.isBuilt {
+		cell.Reason = reasonNoOrders
+		return cell
+	}
+	if cell.Reason = reasonOf(row, step); cell.Reason != "" {
+		return cell
+	}
+	cell.Case = slug(string(row)) + "/" + slug(string(step))
+	if subject == SubjectRequest {
+		cell.run = requestCell(requestFaults[row], step)
+	} else {
+		cell.run = configurationCell(row, step)
+	}
+	return cell
+}
+
+// requestCell runs the fault for every kind of request that has the step.
+func requestCell(fault requestFault, step Step) func(options, uint64) []error {
+	return func(options options, seed uint64) []error {
+		var errs []error
+		for _, kind := range shapes() {
+			if kind.applies(step) {
+				errs = append(errs, runRequest(fault, step, kind, options, seed)...)
+			}
+		}
+		return errs
+	}
+}
+
+// slug returns a name as it stands in the names of cases.
+func slug(name string) string {
+	return strings.ReplaceAll(strings.ReplaceAll(strings.ToLower(name), ",", ""), " ", "-")
+}
+
+// Run runs the case of the cell, if it has one.
+func (c Cell) Run(seed uint64) Verdict { return c.runWith(defaultOptions(), seed) }
+
+func (c Cell) runWith(options options, seed uint64) Verdict {
+	verdict := Verdict{Cell: c, State: StateImpossible}
+	switch {
+	case !c.isBuilt:
+		verdict.State = StateNotBuilt
+	case c.run != nil:
+		verdict.State = StateGreen
+		verdict.Errors = c.run(options, seed)
+	}
+	if len(verdict.Errors) > 0 {
+		verdict.State = StateRed
+	}
+	return verdict
+}
+
+// RunAll runs all cells whose case has the given text in its name, one after
+// the other. Cells without a case are always part of the result.
+func RunAll(filter string, seed uint64) []Verdict {
+	var verdicts []Verdict
+	for _, cell := range Cells() {
+		if cell.Case != "" && !strings.Contains(cell.Case, filter) {
+			continue
+		}
+		verdicts = append(verdicts, cell.Run(seed))
+	}
+	return verdicts
+}
+
+// CheckAll returns a *RedError when a cell is red.
+func CheckAll(verdicts []Verdict) error {
+	var red []string
+	for _, verdict := range verdicts {
+		if verdict.State == StateRed {
+			red = append(red, verdict.Case)
+		}
+	}
+	if len(red) == 0 {
+		return nil
+	}
+	return &RedError{Cells: red}
+}
+
+// String returns the state with the name of the case or the reason.
+func (v Verdict) String() string {
+	return fmt.Sprintf("%s / %s: %s %s%s", v.Row, v.Step, v.State, v.Case, v.Reason)
+}
