Leave a silent read time for its next attempt

An idempotent call whose answer comes in one piece waited for 60 s on a connection that had gone silent, longer than its deadline, so that the retry never came. Its bound on silence is now a third of the time that is left, at least 1 s and at most the setting. Calls that are not idempotent keep the longer bound: they are not sent again, and ending them early would only turn an answer into Unknown. A bound for reused connections alone was ruled out, because a frozen service holds fresh ones just as well.

--- a/backend/answer.go
+++ b/backend/answer.go
@@ -7,8 +7,13 @@
 	"io"
 	"net/http"
 	"sync/atomic"
+	"time"
 )
 
+// attemptsInDeadline is how many attempts of an idempotent call have time
+// before its deadline when all of them go silent.
+const attemptsInDeadline = 3
+
 // Answer is an exchange whose answer has begun.
 type Answer struct {
 	link     *Link
@@ -29,15 +34,24 @@
 func (l *Link) newAnswer(ctx context.Context, call Call) *Answer {
 	a := &Answer{link: l, call: call}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
-	bound := l.options.WholeSilence
-	if call.Stream {
-		bound = l.options.StreamSilence
-	}
-	a.silence = newSilence(l.Clock, bound, a.onSilence)
+	a.silence = newSilence(l.Clock, l.boundOf(call), a.onSilence)
 	a.gate = &gate{single: !call.Idempotent, onRead: a.silence.heard}
 	return a
 }
 
+// boundOf returns the bound on silence. An idempotent call that has gone silent
+// leaves the larger part of its time to the next attempt.
+func (l *Link) boundOf(call Call) time.Duration {
+	if call.Stream {
+		return l.options.StreamSilence
+	}
+	if !call.Idempotent || call.Deadline.IsZero() {
+		return l.options.WholeSilence
+	}
+	share := call.Deadline.Sub(l.Clock.Now()) / attemptsInDeadline
+	return min(max(share, l.options.LeastSilence), l.options.WholeSilence)
+}
+
 // onSilence ends the exchange.
 func (a *Answer) onSilence() {
 	a.cancel(&SilentError{})
--- a/backend/link.go
+++ b/backend/link.go
@@ -36,6 +36,9 @@
 	// WholeSilence bounds the time without a byte in an exchange whose
 	// answer comes in one piece.
 	WholeSilence time.Duration
+	// LeastSilence is the smallest bound that an idempotent call gets for the
+	// sake of its deadline.
+	LeastSilence time.Duration
 	// IdleTimeout is how long an unused connection is kept.
 	IdleTimeout time.Duration
 	// IdleConnections bounds the unused connections to one backend server.
@@ -52,6 +55,7 @@
 		DialTimeout:     time.Second,
 		StreamSilence:   10 * time.Second,
 		WholeSilence:    60 * time.Second,
+		LeastSilence:    time.Second,
 		IdleTimeout:     30 * time.Second,
 		IdleConnections: 4,
 		MaxAnswerBytes:  8 << 20,
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -48,6 +48,36 @@
 	c.Assert(b.requests(), qt.Equals, 1)
 }
 
+func TestTwoDaemonsRunKeyedRequestOnce(t *testing.T) {
+	for _, behave := range []behaviour{{}, {fault: "closed"}, {fault: "truncated", late: true}, {fault: "refused"}} {
+		t.Run(behave.fault, func(t *testing.T) {
+			c := qt.New(t)
+			one, two := newBench(t, behave), newDaemon(t, "entry-2")
+			two.claimer.fakeLog, two.chooser.targets = one.claimer.fakeLog, one.chooser.targets
+			one.others, two.others = two.answers, one.answers
+			r := placement(one.clock.Now()).WithKey("key")
+			results := make(chan dispatch.Result, 2)
+			for _, daemon := range []*bench{one, two} {
+				go func() { results <- daemon.Do(context.Background(), r, &caller{}) }()
+			}
+
+			first, second := <-results, <-results
+
+			c.Assert(one.requests() <= 1, qt.IsTrue)
+			switch behave.fault {
+			case "":
+				c.Assert(first.Outcome, qt.Equals, request.Answered)
+				c.Assert(second.Outcome, qt.Equals, request.Answered)
+			case "refused":
+				c.Assert(one.requests(), qt.Equals, 0)
+			default:
+				c.Assert(first.Outcome, qt.Equals, request.Unknown)
+				c.Assert(second.Outcome, qt.Equals, request.Unknown)
+			}
+		})
+	}
+}
+
 func TestClaimThatIsNotWon(t *testing.T) {
 	winner := claim.Claim{Key: "key", Daemon: "entry-2"}
 	whole := answer.Answer{Outcome: request.Answered, Status: http.StatusCreated, Body: []byte("done")}
@@ -224,3 +254,19 @@
 	c.Assert(w.chunks, qt.DeepEquals, []string{serviceBody})
 	c.Assert(strings.Contains(b.backends[0].bodies[1], "stream"), qt.IsFalse)
 }
+
+func TestSilentReadIsAnsweredWithinItsDeadline(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(t, behaviour{fault: "silent"}, behaviour{})
+	w := &caller{}
+	r := placement(b.clock.Now()).WithIdempotent(true)
+	go func() {
+		<-b.backends[0].hung
+		b.clock.Advance(2 * time.Second)
+	}()
+
+	result := b.Do(context.Background(), r, w)
+
+	c.Assert(result.Outcome, qt.Equals, request.Answered)
+	checkInvariants(c, b, r, w)
+}
