Say Unknown when a request with a key is refused before its dispatch

Cause: the front answered every refusal with the outcome NotRun. A request with an Idempotency-Key may have been run by another daemon under an earlier sending, so that a limit, an invalid field or a daemon that starts could say NotRun of a request that was run.

Ruled out: looking the key up in the claims first, which a daemon can't do before it knows the customer, and which says nothing of idempotent calls.

Change: a refusal of a request with the header has the outcome Unknown. The check of the test of bad input is as strict as before: it now expects the outcome that fits the key.

--- a/front/front.go
+++ b/front/front.go
@@ -80,8 +80,8 @@
 
 // refuse answers requests that no route takes.
 func (f *Front) refuse(err error) http.HandlerFunc {
-	return func(w http.ResponseWriter, _ *http.Request) {
-		f.writeProblem(w, problemOf(err), ulid.Make().String())
+	return func(w http.ResponseWriter, r *http.Request) {
+		f.writeRefusal(w, r, err, ulid.Make().String())
 	}
 }
 
@@ -89,17 +89,17 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		id := ulid.Make().String()
 		if err := f.enter(); err != nil {
-			f.writeProblem(w, problemOf(err), id)
+			f.writeRefusal(w, r, err, id)
 			return
 		}
 		defer f.inFlight.Add(-1)
 		if err := f.checkHeader(r.Header); err != nil {
-			f.writeProblem(w, problemOf(err), id)
+			f.writeRefusal(w, r, err, id)
 			return
 		}
 		accepted, err := f.accept(id, kind, r)
 		if err != nil {
-			f.writeProblem(w, problemOf(err), id)
+			f.writeRefusal(w, r, err, id)
 			return
 		}
 		f.serve(w, r, accepted)
@@ -135,7 +135,13 @@
 	f.Count("front.outcome."+result.Outcome.String(), 1)
 }
 
-func (f *Front) writeProblem(w http.ResponseWriter, p Problem, id string) {
+// writeRefusal answers a request that was not dispatched. Under a key, an
+// earlier sending may have been run by another daemon.
+func (f *Front) writeRefusal(w http.ResponseWriter, r *http.Request, err error, id string) {
+	p := problemOf(err)
+	if len(r.Header.Values(headerIdempotencyKey)) > 0 {
+		p.Outcome = request.Unknown.String()
+	}
 	f.Count("front.problem."+p.Type, 1)
 	p.RequestID = id
 	p.write(w)
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -117,16 +117,26 @@
 
 const chat = `{"model": "notes", "messages": [{"role": "user", "content": "hello"}]}`
 
+type badInput struct {
+	name   string
+	sent   call
+	status int
+	kind   string
+	field  string
+	entry  string
+}
+
+// outcome is NotRun only for requests without a key.
+func (b badInput) outcome() string {
+	if len(b.sent.header["Idempotency-Key"]) > 0 {
+		return "Unknown"
+	}
+	return "NotRun"
+}
+
 func TestBadInputNamesTheField(t *testing.T) {
 	const chatPath = "/v1/chat/completions"
-	scenarios := []struct {
-		name   string
-		sent   call
-		status int
-		kind   string
-		field  string
-		entry  string
-	}{
+	scenarios := []badInput{
 		{"no key", call{"POST", chatPath, "", chat, nil}, 401, "UnknownCustomer", "Authorization", ""},
 		{"unknown customer", call{"POST", chatPath, "bad", chat, nil}, 401, "UnknownCustomer", "Authorization", ""},
 		{"malformed JSON", call{"POST", chatPath, "good", `{"model": `, nil}, 400, "InvalidField", "body", ""},
@@ -162,7 +172,7 @@
 			c.Assert(json.Unmarshal(response.body, &problem), qt.IsNil)
 			c.Assert(response.status, qt.Equals, s.status)
 			c.Assert(response.header.Get("Content-Type"), qt.Equals, "application/problem+json")
-			c.Assert(response.header.Get(front.HeaderOutcome), qt.Equals, "NotRun")
+			c.Assert(response.header.Get(front.HeaderOutcome), qt.Equals, s.outcome())
 			c.Assert([]string{problem.Type, problem.Field, problem.Entry}, qt.DeepEquals, []string{s.kind, s.field, s.entry})
 			c.Assert(response.header.Get("Retry-After") != "", qt.Equals, s.status == 429)
 			c.Assert(f.requests, qt.HasLen, 0)
@@ -170,6 +180,32 @@
 	}
 }
 
+// An earlier sending under the same key may have run through another daemon.
+func TestRefusalOfKeyedRequestIsUnknown(t *testing.T) {
+	scenarios := []struct {
+		name   string
+		bearer string
+		path   string
+		ready  bool
+		status int
+	}{
+		{"limit reached", "limited", "/services/placements/x", true, 403},
+		{"not ready", "good", "/services/placements/x", false, 503},
+		{"service outside the plan", "good", "/services/loans/x", true, 403},
+		{"unknown customer", "bad", "/services/placements/x", true, 401},
+		{"unknown path", "good", "/v2/x", true, 404},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			c := qt.New(t)
+			header := http.Header{"Idempotency-Key": {`"k-1"`}}
+			response := send(c, &fakeDispatcher{script: answered}, fixed{state(), s.ready}, call{"POST", s.path, s.bearer, "", header})
+			c.Assert(response.status, qt.Equals, s.status)
+			c.Assert(response.header.Get(front.HeaderOutcome), qt.Equals, "Unknown")
+		})
+	}
+}
+
 func TestDaemonWithoutConfigurationRefuses(t *testing.T) {
 	c := qt.New(t)
 	response := send(c, &fakeDispatcher{script: answered}, fixed{}, call{"POST", "/v1/chat/completions", "good", chat, nil})
