--- a/ledger/appender.go
+++ b/ledger/appender.go
@@ -5,8 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-
 	"github.com/cranberrywalk/cranberrywalk/claim"
 	"github.com/cranberrywalk/cranberrywalk/clock"
 	"github.com/cranberrywalk/cranberrywalk/platform"
@@ -107,7 +105,7 @@
 
 func (l *Ledger) append(ctx context.Context, payload []byte) error {
 	l.Count("Ledger.Appends", 1)
-	bounded, cancel := clockwork.WithTimeout(ctx, l.Clock, l.options.AppendTimeout)
+	bounded, cancel := l.withTimeout(ctx, l.options.AppendTimeout)
 	defer cancel()
 	_, err := l.log.Append(bounded, l.options.Stream, [][]byte{payload})
 	return err
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -117,3 +117,13 @@
 func (l *Ledger) isOurs(claimed claim.Claim) bool {
 	return claimed.Daemon == l.options.Daemon && claimed.Incarnation == l.options.Incarnation
 }
+
+// withTimeout returns a context that the passed clock ends after d.
+func (l *Ledger) withTimeout(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+	bounded, cancel := context.WithCancel(ctx)
+	timer := l.Clock.AfterFunc(d, cancel)
+	return bounded, func() {
+		timer.Stop()
+		cancel()
+	}
+}
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"runtime"
 	"testing"
 	"time"
 
@@ -37,10 +38,16 @@
 	return &bench{C: qt.New(t), clock: fake, log: newFakeLog(fake)}
 }
 
-// daemon starts a ledger and returns it with the function that kills it.
-func (b *bench) daemon(name string) (*ledger.Ledger, func()) {
+// options are those of a daemon whose reads never time out.
+func options(name string) ledger.Options {
 	options := ledger.DefaultOptions()
-	options.Daemon, options.Incarnation, options.FlushInterval = name, "1", 0
+	options.Daemon, options.Incarnation = name, "1"
+	options.FlushInterval, options.ReadWait = 0, 10_000*time.Hour
+	return options
+}
+
+// start starts a ledger and returns it with the function that kills it.
+func (b *bench) start(options ledger.Options) (*ledger.Ledger, func()) {
 	common := telemetry.Common{Log: klog.Background(), Metrics: metrics.NewRegistry(), Clock: b.clock, Events: telemetry.Discard{}}
 	l := ledger.New(common, b.log, options)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -50,6 +57,12 @@
 		<-l.Done()
 	}
 	b.Cleanup(kill)
+	return l, kill
+}
+
+// daemon starts a ledger and waits until it is ready.
+func (b *bench) daemon(name string) (*ledger.Ledger, func()) {
+	l, kill := b.start(options(name))
 	<-l.Ready()
 	return l, kill
 }
@@ -76,3 +89,26 @@
 	b.Assert(err, qt.IsNil)
 	b.Assert(again.Won, qt.IsTrue)
 }
+
+func TestLedgerIsNotReadyBeforeStreamIsRead(t *testing.T) {
+	b := newBench(t)
+	b.log.with(func(f *fakeLog) { f.readsDown = true })
+	l, _ := b.start(options("one"))
+	ctx := context.Background()
+	for range 3 {
+		// The read times out, then the reader backs off.
+		b.Assert(b.clock.BlockUntilContext(ctx, 1), qt.IsNil)
+		b.clock.Advance(ledger.DefaultOptions().ReadTimeout)
+	}
+	_, err := l.Claim(ctx, key, 7)
+	var notReady *ledger.NotReadyError
+	b.Assert(errors.As(err, &notReady), qt.IsTrue)
+	b.Assert(notReady.Cause, qt.IsNil)
+
+	b.log.with(func(f *fakeLog) { f.readsDown = false })
+	for l.Check() != nil {
+		b.clock.Advance(ledger.DefaultOptions().RetryMin)
+		runtime.Gosched()
+	}
+	<-l.Ready()
+}
--- a/ledger/log_test.go
+++ b/ledger/log_test.go
@@ -18,6 +18,8 @@
 	throttles
 	losesRequest
 	losesAnswer
+	// hangs appends without an answer until the caller gives up.
+	hangs
 )
 
 // fakeLog is a log of one stream whose faults are set by the tests.
@@ -31,7 +33,7 @@
 	// applies.
 	appends []effect
 	rest    effect
-	// readsDown makes reads fail.
+	// readsDown keeps reads without an answer.
 	readsDown bool
 	// changed is closed and replaced on every change.
 	changed chan struct{}
@@ -58,14 +60,15 @@
 }
 
 // Append implements platform.Log.
-func (f *fakeLog) Append(_ context.Context, _ string, payloads [][]byte) (offset uint64, err error) {
+func (f *fakeLog) Append(ctx context.Context, _ string, payloads [][]byte) (offset uint64, err error) {
+	now := works
 	f.with(func(f *fakeLog) {
-		now := f.rest
+		now = f.rest
 		if len(f.appends) > 0 {
 			now, f.appends = f.appends[0], f.appends[1:]
 		}
 		offset = f.first + uint64(len(f.records))
-		if now == works || now == losesAnswer {
+		if now == works || now == losesAnswer || now == hangs {
 			for _, payload := range payloads {
 				f.add(payload)
 			}
@@ -75,9 +78,13 @@
 			throttles:    &platform.ThrottledError{Service: "log"},
 			losesRequest: &platform.UncertainError{Service: "log"},
 			losesAnswer:  &platform.UncertainError{Service: "log"},
+			hangs:        &platform.UncertainError{Service: "log"},
 		}[now]
 		f.tried <- now
 	})
+	if now == hangs {
+		<-ctx.Done()
+	}
 	return offset, err
 }
 
@@ -85,9 +92,10 @@
 func (f *fakeLog) Read(ctx context.Context, _ string, from uint64, limit int, wait time.Duration) (platform.Batch, error) {
 	for {
 		f.mu.Lock()
+		isDown := f.readsDown
 		batch, changed, err := f.read(from, limit)
 		f.mu.Unlock()
-		if err != nil || len(batch.Records) > 0 || wait == 0 {
+		if err != nil || len(batch.Records) > 0 || (wait == 0 && !isDown) {
 			return batch, err
 		}
 		select {
@@ -100,7 +108,7 @@
 
 func (f *fakeLog) read(from uint64, limit int) (platform.Batch, chan struct{}, error) {
 	if f.readsDown {
-		return platform.Batch{}, nil, &platform.UnavailableError{Service: "log"}
+		return platform.Batch{}, f.changed, nil
 	}
 	if from < f.first {
 		return platform.Batch{}, nil, &platform.TrimmedError{Stream: "Claims", From: from, First: f.first}
--- a/ledger/reader.go
+++ b/ledger/reader.go
@@ -5,8 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-
 	"github.com/cranberrywalk/cranberrywalk/claim"
 	"github.com/cranberrywalk/cranberrywalk/clock"
 	"github.com/cranberrywalk/cranberrywalk/platform"
@@ -44,7 +42,7 @@
 	if r.isReady {
 		wait = l.options.ReadWait
 	}
-	bounded, cancel := clockwork.WithTimeout(ctx, l.Clock, wait+l.options.ReadTimeout)
+	bounded, cancel := l.withTimeout(ctx, wait+l.options.ReadTimeout)
 	defer cancel()
 	batch, err := l.log.Read(bounded, l.options.Stream, l.next(), l.options.ReadLimit, wait)
 	var trimmed *platform.TrimmedError
