Carry the demand for plans in the exchanges

Cause: limits that follow demand need the rates of all daemons, with an age, and other zones need at least the sum.

Change: a report holds rates by plan (hash of the name, hundredths of a request a second), sent again when they change by a tenth, at most every second and in groups of more than 16 daemons every four seconds. Other groups get the sum as a report of the group itself, which spreads there like that of a daemon, at most every ten seconds. A handler names every plan that it wants to hear of, also with rate 0. A test now runs the mesh by its own rounds.

--- a/peer/bytes_test.go
+++ b/peer/bytes_test.go
@@ -18,9 +18,15 @@
 )
 
 // reporting is a daemon that only reports loads.
-type reporting struct{ loads []BackendLoad }
+type reporting struct {
+	loads   []BackendLoad
+	leaving []Leaving
+	demands []Demand
+}
 
-func (r *reporting) Digest() Digest                  { return Digest{Loads: r.loads} }
+func (r *reporting) Digest() Digest {
+	return Digest{Loads: r.loads, Leaving: r.leaving, Demands: r.demands}
+}
 func (r *reporting) Merge(Digest)                    {}
 func (r *reporting) Configuration() ([]byte, uint64) { return nil, 0 }
 func (r *reporting) Install([]byte, uint64) error    { return nil }
@@ -80,6 +86,11 @@
 				Running: z.random.IntN(16), Queued: z.random.IntN(4), QueuedTokens: z.random.IntN(8000),
 			})
 		}
+		z.reporters[i].demands = nil
+		for plan := range 5 {
+			demand := Demand{Plan: fmt.Sprint("plan-", plan), Rate: 4 * z.random.Float64()}
+			z.reporters[i].demands = append(z.reporters[i].demands, demand)
+		}
 		mesh.Tell()
 	}
 	for _, mesh := range z.meshes {
@@ -89,8 +100,49 @@
 	}
 }
 
-// BenchmarkExchangeBytes prints what the exchanges of a zone cost while every
-// runner's load changes all the time.
+// push carries out the urgent notices until none is left.
+func (z *zone) push(ctx context.Context) {
+	for pushed := true; pushed; {
+		pushed = false
+		for _, mesh := range z.meshes {
+			if len(mesh.spreads.Drain(1)) == 0 {
+				continue
+			}
+			pushed = true
+			for _, peer := range mesh.core.Urgent(z.common.Clock.Now()) {
+				mesh.notifyPeer(ctx, peer)
+			}
+		}
+	}
+}
+
+// BenchmarkWaveBytes prints what it costs to spread that all runners of a zone
+// are leaving, when one daemon learns it first.
+func BenchmarkWaveBytes(b *testing.B) {
+	for _, daemons := range []int{7, 28, 56} {
+		b.Run(fmt.Sprintf("Daemons=%d/Runners=107", daemons), func(b *testing.B) {
+			var total int64
+			for b.Loop() {
+				z := newZone(b, daemons, 107)
+				z.step(context.Background())
+				sent := metrics.GetOrRegisterCounter(CounterSent, z.common.Metrics)
+				before := sent.Count()
+				for i := range 107 {
+					leaving := Leaving{VM: fmt.Sprint("runner-deep-south-a-", i), Deadline: z.common.Clock.Now()}
+					z.reporters[0].leaving = append(z.reporters[0].leaving, leaving)
+				}
+				z.meshes[0].Tell()
+				z.push(context.Background())
+				total += sent.Count() - before
+				z.stop()
+			}
+			b.ReportMetric(float64(total)/float64(b.N*daemons), "B/daemon")
+		})
+	}
+}
+
+// BenchmarkExchangeBytes prints what the exchanges of a zone cost while the load
+// of every runner and the demand for five plans change all the time.
 func BenchmarkExchangeBytes(b *testing.B) {
 	for _, size := range []struct{ daemons, runners int }{
 		{7, 24}, {7, 53}, {7, 107}, {14, 107}, {28, 24}, {28, 53}, {28, 107}, {28, 214}, {56, 107},
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -124,7 +124,8 @@
 	encoded.Queued = omitZeros(encoded.Queued)
 	encoded.QueuedTokens = omitZeros(encoded.QueuedTokens)
 	for _, demand := range report.Demands {
-		encoded.Demands = append(encoded.Demands, &peerpb.Demand{Plan: demand.Plan, Rate: demand.Rate})
+		encoded.Plans = append(encoded.Plans, uint32(demand.Plan))
+		encoded.Rates = append(encoded.Rates, demand.Rate)
 	}
 	return encoded
 }
@@ -143,8 +144,9 @@
 			QueuedTokens: at(encoded.GetQueuedTokens(), i) * tokenUnit,
 		})
 	}
-	for _, demand := range encoded.GetDemands() {
-		report.Demands = append(report.Demands, gossip.PlanRate{Plan: demand.GetPlan(), Rate: demand.GetRate()})
+	for i, plan := range encoded.GetPlans() {
+		demand := gossip.PlanRate{Plan: gossip.ID(plan), Rate: at(encoded.GetRates(), i)}
+		report.Demands = append(report.Demands, demand)
 	}
 	return report
 }
--- a/peer/fake_test.go
+++ b/peer/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -27,6 +28,8 @@
 	snapshot []byte
 	offset   uint64
 	answers  map[string]Answer
+	// merged gets a value with each digest that the mesh hands over.
+	merged chan struct{}
 }
 
 func (h *fakeHandler) Digest() Digest {
@@ -41,6 +44,23 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.news = append(h.news, news)
+	select {
+	case h.merged <- struct{}{}:
+	default:
+	}
+}
+
+// await returns when the handler was told what is wanted.
+func (h *fakeHandler) await(wanted func(Digest) bool) {
+	for {
+		h.mutex.Lock()
+		found := slices.ContainsFunc(h.news, wanted)
+		h.mutex.Unlock()
+		if found {
+			return
+		}
+		<-h.merged
+	}
 }
 
 // last returns the newest digest that the mesh handed over.
@@ -54,14 +74,14 @@
 func (h *fakeHandler) told(vm string) bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	for _, news := range h.news {
-		for _, leaving := range news.Leaving {
-			if leaving.VM == vm {
-				return true
-			}
-		}
+	return slices.ContainsFunc(h.news, says(vm))
+}
+
+// says returns whether a digest says that the VM is leaving.
+func says(vm string) func(Digest) bool {
+	return func(news Digest) bool {
+		return slices.ContainsFunc(news.Leaving, func(leaving Leaving) bool { return leaving.VM == vm })
 	}
-	return false
 }
 
 func (h *fakeHandler) Configuration() ([]byte, uint64) {
@@ -86,8 +106,8 @@
 	return Answer{State: NotFound}, nil
 }
 
-// daemon is a mesh on loopback. It starts no rounds, so that the test carries
-// out the exchanges.
+// daemon is a mesh on loopback. Its rounds are an hour apart, so that the test
+// carries out the exchanges.
 type daemon struct {
 	*Mesh
 	handler *fakeHandler
@@ -100,7 +120,7 @@
 func startDaemon(c *qt.C, fake clock.Clock, name, incarnation, address string) *daemon {
 	common := telemetry.NewCommon()
 	common.Clock = fake
-	d := &daemon{handler: &fakeHandler{answers: make(map[string]Answer)}, events: &recorder{}}
+	d := &daemon{handler: &fakeHandler{answers: make(map[string]Answer), merged: make(chan struct{}, 1)}, events: &recorder{}}
 	common.Events = d.events
 	identity := Identity{Daemon: name, Zone: "ZoneA", Region: "Region", Incarnation: incarnation}
 	options := DefaultOptions(identity, address, 1)
--- a/peer/gossip/core.go
+++ b/peer/gossip/core.go
@@ -36,6 +36,8 @@
 	draining bool
 	// round counts the calls of Round.
 	round int
+	// plans maps IDs to the names of the plans that the daemon has named.
+	plans map[ID]string
 	// published is when the daemon's own reports were last renewed.
 	published time.Time
 }
@@ -48,6 +50,7 @@
 		members: newMembers(self),
 		reports: make(reports),
 		notices: newNotices(),
+		plans:   make(map[ID]string),
 		round:   random.IntN(NeighbourRounds * RemoteRounds),
 	}
 }
@@ -66,7 +69,10 @@
 	c.draining = own.Draining
 	if now.Sub(c.published) >= c.publishInterval() {
 		c.published = now
-		c.reports.reporter(NewID(c.self.Daemon)).publish(own, now)
+		c.reports.reporter(NewID(c.self.Daemon)).publish(own, c.demandInterval(), now)
+	}
+	for _, demand := range own.Demands {
+		c.plans[NewID(demand.Plan)] = demand.Plan
 	}
 	for _, leaving := range own.Leaving {
 		urgent = c.notices.announce(leaving, now) || urgent
@@ -81,12 +87,19 @@
 // publishInterval returns the least time between two versions of the own
 // reports. In a large group each version costs more and is less urgent.
 func (c *Core) publishInterval() time.Duration {
-	if len(c.members.group) > WideGroupDaemons {
+	if c.members.isLarge() {
 		return 2*Interval - Interval/4
 	}
 	return Interval - Interval/4
 }
 
+func (c *Core) demandInterval() time.Duration {
+	if c.members.isLarge() {
+		return largeDemandInterval
+	}
+	return demandInterval
+}
+
 // Round returns the peers to exchange with now.
 func (c *Core) Round(now time.Time) []platform.VM {
 	c.reports.expire(now)
--- a/peer/gossip/core_test.go
+++ b/peer/gossip/core_test.go
@@ -1,6 +1,7 @@
 package gossip_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -121,6 +122,29 @@
 	c.Assert(n.views["D4"].loads, qt.HasLen, 2)
 }
 
+func TestDemandIsKnownByDaemonInTheGroupAndBySumElsewhere(t *testing.T) {
+	c := qt.New(t)
+	n := newNetwork(1, 20, 2)
+	for _, name := range n.names {
+		n.own[name].Demands = []gossip.Demand{{Plan: "Gold", Rate: 2}}
+	}
+	for range 60 {
+		n.step()
+	}
+	for i, name := range n.names {
+		c.Check(n.views[name].demands, qt.HasLen, 9+1)
+		c.Check(n.views[name].demands[fmt.Sprint("Region/Zone", 1-i%2)], qt.Equals, 20.0)
+	}
+
+	n.cut = across(false, n.names...)
+	n.own["D0"].Demands = []gossip.Demand{{Plan: "Gold", Rate: 2.1}}
+	n.step()
+	c.Check(n.views["D2"].demands["D0"], qt.Equals, 2.0)
+	n.own["D0"].Demands = []gossip.Demand{{Plan: "Gold", Rate: 8}}
+	n.stepsUntil(20, func() bool { return n.views["D2"].demands["D0"] == 8 })
+	c.Check(n.views["D2"].demands["D0"], qt.Equals, 8.0)
+}
+
 func TestReportWithGapIsAskedForAgain(t *testing.T) {
 	c := qt.New(t)
 	n := newNetwork(1, 2, 1)
--- a/peer/gossip/digest.go
+++ b/peer/gossip/digest.go
@@ -36,7 +36,9 @@
 	Loads     []BackendLoad
 	Leaving   []Leaving
 	Suspects  []Suspect
-	Demands   []Demand
+	// Demands name every plan that the daemon wants to hear of, also those
+	// without requests.
+	Demands []Demand
 }
 
 // BackendLoad is what one daemon reports about one backend server.
@@ -92,13 +94,19 @@
 	Expires time.Time
 }
 
-// Demand is the rate of requests for one plan at one daemon.
+// Demand is the rate of requests for one plan at one daemon, or at all daemons
+// of another group.
 type Demand struct {
 	Plan string
-	// Reporter is the daemon that measured the rate; set by the mesh.
+	// Reporter is the daemon that measured the rate; set by the mesh. It is
+	// empty when Group is set.
 	Reporter string
-	// Version rises with each report of the same reporter; set by the mesh.
-	// It is close to the reporter's time in milliseconds since 1970.
+	// Group is the zone or the region whose daemons have the rate together;
+	// set by the mesh. It never names the daemon's own group.
+	Group string
+	// Version rises with each report of the same reporter or group; set by
+	// the mesh. It is close to the sender's time in milliseconds since 1970,
+	// so that the rates of a daemon that was cut off are known to be old.
 	Version uint64
 	// Rate is in requests a second.
 	Rate float64
--- a/peer/gossip/exchange.go
+++ b/peer/gossip/exchange.go
@@ -55,7 +55,7 @@
 	}
 	if known := c.expand(request); len(known) > 0 {
 		c.outgrow(known, now)
-		reply.Reports = c.reports.newer(known)
+		reply.Reports = append(reply.Reports, c.reports.newer(known)...)
 	}
 	if request.NoticesHash != reply.NoticesHash {
 		reply.Leaving, reply.Suspects = c.untold(request.Sender.Daemon)
@@ -71,6 +71,7 @@
 	}
 	if !receiver.inGroup {
 		message.Summaries = c.summaries()
+		message.Reports = c.groupReport(message.Stamp.Wall)
 	}
 }
 
@@ -117,7 +118,7 @@
 		Draining:            message.Draining,
 		Summaries:           message.Summaries,
 	}
-	c.receiveReports(message.Reports, &news, now)
+	c.receiveReports(message.Reports, sender, &news, now)
 	for _, leaving := range message.Leaving {
 		if c.notices.addLeaving(leaving, now) {
 			news.Leaving = append(news.Leaving, leaving)
@@ -137,13 +138,13 @@
 	return news
 }
 
-// receiveReports merges the reports of the group and adds what was new to
-// news. Facts about backend servers that the roster does not list yet are kept
-// but not handed out.
-func (c *Core) receiveReports(received []Report, news *Digest, now time.Time) {
+// receiveReports merges the reports of the group and of other groups and adds
+// what was new to news. Facts about backend servers and plans that are not known yet
+// are kept but not handed out.
+func (c *Core) receiveReports(received []Report, sender *member, news *Digest, now time.Time) {
 	self := NewID(c.self.Daemon)
 	for _, report := range received {
-		if report.Reporter == self || !c.members.isReporter(report.Reporter) {
+		if report.Reporter == self || !c.members.isReporter(report.Reporter) || c.isTooEarly(report, sender) {
 			continue
 		}
 		loads, demands := c.reports.reporter(report.Reporter).merge(report, now)
@@ -154,9 +155,9 @@
 			}
 		}
 		for _, demand := range demands {
-			news.Demands = append(news.Demands, Demand{
-				Plan: demand.Plan, Reporter: name, Version: report.Version, Rate: float64(demand.Rate),
-			})
+			if c.plans[demand.Plan] != "" {
+				news.Demands = append(news.Demands, c.demand(demand, report.Reporter, report.Version))
+			}
 		}
 	}
 }
--- a/peer/gossip/members.go
+++ b/peer/gossip/members.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -50,10 +51,15 @@
 	neighbours []*member
 	remotes    []*member
 	byName     map[string]*member
-	// groupIDs holds the IDs of the group and of the daemon itself, in
-	// rising order, and groupHash their hash.
+	// own is the name of the daemon's group.
+	own string
+	// groupIDs holds the IDs of the reporters: the daemons of the group and
+	// the other groups, in rising order. groupHash is their hash.
 	groupIDs  []ID
 	groupHash uint32
+	// groups maps the IDs of the other groups to their names. A group is a
+	// zone, or a region that is small enough.
+	groups map[ID]string
 	// backends holds the backend servers in the zones of the group.
 	backends []platform.VM
 	// names maps IDs to the names of all listed VMs.
@@ -64,6 +70,7 @@
 	return members{
 		self:   self,
 		byName: make(map[string]*member),
+		groups: make(map[ID]string),
 		names:  map[ID]string{NewID(self.Daemon): self.Daemon},
 	}
 }
@@ -74,25 +81,28 @@
 	*m = newMembers(m.self)
 	daemons := slices.Clone(vms)
 	slices.SortFunc(daemons, func(a, b platform.VM) int { return cmp.Compare(a.Name, b.Name) })
-	wide := countRegion(daemons, m.self.Region) <= WideGroupDaemons
+	counts := countRegions(daemons)
+	m.own = groupName(m.self.Region, m.self.Zone, counts)
 	for _, vm := range daemons {
 		m.names[NewID(vm.Name)] = vm.Name
+		group := groupName(vm.Region, vm.Zone, counts)
 		switch {
-		case vm.Role != platform.RoleEntry && m.isNear(vm, wide):
+		case vm.Role != platform.RoleEntry && group == m.own:
 			m.backends = append(m.backends, vm)
 		case vm.Role == platform.RoleEntry && vm.Name != m.self.Daemon:
-			m.add(vm, before[vm.Name], wide)
+			m.add(vm, before[vm.Name], group)
 		}
 	}
 	m.sumGroup()
 }
 
-// sumGroup lists and hashes the daemons of the group.
+// sumGroup lists and hashes the reporters.
 func (m *members) sumGroup() {
 	m.groupIDs = []ID{NewID(m.self.Daemon)}
 	for _, member := range m.group {
 		m.groupIDs = append(m.groupIDs, NewID(member.vm.Name))
 	}
+	m.groupIDs = slices.AppendSeq(m.groupIDs, maps.Keys(m.groups))
 	slices.Sort(m.groupIDs)
 	var encoded []byte
 	for _, id := range m.groupIDs {
@@ -101,32 +111,41 @@
 	m.groupHash = uint32(xxhash.Sum64(encoded))
 }
 
-// isReporter reports whether the daemon with the ID belongs to the group.
+// isReporter reports whether the ID is that of a daemon of the group or of
+// another group.
 func (m *members) isReporter(id ID) bool {
 	_, found := slices.BinarySearch(m.groupIDs, id)
 	return found
 }
 
-func (m *members) add(vm platform.VM, known *member, wide bool) {
+func (m *members) add(vm platform.VM, known *member, group string) {
 	if known == nil {
 		known = &member{}
 	}
 	known.vm = vm
-	known.inGroup = m.isNear(vm, wide)
+	known.inGroup = group == m.own
 	m.byName[vm.Name] = known
 	switch {
 	case known.inGroup:
 		m.group = append(m.group, known)
+		return
 	case vm.Region != m.self.Region:
 		m.remotes = append(m.remotes, known)
 	default:
 		m.neighbours = append(m.neighbours, known)
 	}
+	m.groups[NewID(group)] = group
 }
 
-// isNear reports whether a VM is in a zone of the group.
-func (m *members) isNear(vm platform.VM, wide bool) bool {
-	return vm.Region == m.self.Region && (wide || vm.Zone == m.self.Zone)
+// isLarge reports whether the group has more daemons than a wide group.
+func (m *members) isLarge() bool { return len(m.group) >= WideGroupDaemons }
+
+// groupName returns the name of the group of a zone.
+func groupName(region, zone string, counts map[string]int) string {
+	if counts[region] <= WideGroupDaemons {
+		return region
+	}
+	return region + "/" + zone
 }
 
 // pick returns a random member that may be called now, or nil.
@@ -162,14 +181,15 @@
 	return found
 }
 
-func countRegion(vms []platform.VM, region string) int {
-	count := 0
+// countRegions counts the daemons of each region.
+func countRegions(vms []platform.VM) map[string]int {
+	counts := make(map[string]int)
 	for _, vm := range vms {
-		if vm.Role == platform.RoleEntry && vm.Region == region {
-			count++
+		if vm.Role == platform.RoleEntry {
+			counts[vm.Region]++
 		}
 	}
-	return count
+	return counts
 }
 
 // nearest returns up to most daemons: first random ones of the group, then of
--- a/peer/gossip/message.go
+++ b/peer/gossip/message.go
@@ -6,11 +6,11 @@
 	"github.com/cranberrywalk/cranberrywalk/timeline"
 )
 
-// ID stands for the name of a VM in messages, where names would take most of
-// the space.
+// ID stands for the name of a VM, a group or a plan in messages, where names
+// would take most of the space.
 type ID uint32
 
-// NewID returns the ID of a VM name.
+// NewID returns the ID of a name.
 func NewID(name string) ID { return ID(xxhash.Sum64String(name)) }
 
 // Message is what one daemon sends to another.
@@ -76,7 +76,7 @@
 
 // PlanRate is the demand for a plan as of the version of its report.
 type PlanRate struct {
-	Plan string
-	// Rate is in requests a second.
-	Rate float32
+	Plan ID
+	// Rate is in hundredths of a request a second.
+	Rate uint32
 }
--- a/peer/gossip/network_test.go
+++ b/peer/gossip/network_test.go
@@ -35,6 +35,7 @@
 	leaving  map[string]time.Time
 	suspects map[uint64]int
 	zones    map[string]gossip.Summary
+	demands  map[string]float64
 }
 
 // newNetwork returns daemons D0, D1, … that are spread over zones, and the
@@ -78,6 +79,7 @@
 		leaving:  make(map[string]time.Time),
 		suspects: make(map[uint64]int),
 		zones:    make(map[string]gossip.Summary),
+		demands:  make(map[string]float64),
 	}
 }
 
@@ -158,6 +160,9 @@
 		}
 		view.loads[key] = load
 	}
+	for _, demand := range news.Demands {
+		view.demands[demand.Reporter+demand.Group] = demand.Rate
+	}
 	for _, summary := range news.Summaries {
 		view.zones[summary.Zone] = summary
 	}
--- a/peer/gossip/publish.go
+++ b/peer/gossip/publish.go
@@ -2,12 +2,25 @@
 
 import "time"
 
+const (
+	// demandInterval is the least time between two rates for a plan, and
+	// largeDemandInterval in a group of more than WideGroupDaemons.
+	demandInterval      = 2*Interval - Interval/4
+	largeDemandInterval = 8*Interval - Interval/4
+	// ratesPerRequest is the number of units of a rate in one request a
+	// second.
+	ratesPerRequest = 100
+	// demandTolerance is the share by which a rate changes before it is
+	// sent again.
+	demandTolerance = 0.1
+)
+
 // publish turns the daemon's own facts into a new version of its own report.
 // It keeps the old version when nothing has changed.
-func (r *reporter) publish(own Digest, now time.Time) {
+func (r *reporter) publish(own Digest, interval time.Duration, now time.Time) {
 	version := max(uint64(now.UnixMilli()), r.version+1)
 	changed := r.publishLoads(own.Loads, version, now)
-	changed = r.publishDemands(own.Demands, version, now) || changed
+	changed = r.publishDemands(own.Demands, interval, version, now) || changed
 	if changed {
 		r.version = version
 	}
@@ -33,15 +46,27 @@
 	return changed
 }
 
-func (r *reporter) publishDemands(own []Demand, version uint64, now time.Time) bool {
+func (r *reporter) publishDemands(own []Demand, interval time.Duration, version uint64, now time.Time) bool {
 	changed := false
 	for _, demand := range own {
-		rate := PlanRate{Plan: demand.Plan, Rate: float32(demand.Rate)}
-		changed = refresh(r.demands, demand.Plan, rate, version, now) || changed
+		rate := PlanRate{Plan: NewID(demand.Plan), Rate: uint32(max(demand.Rate, 0) * ratesPerRequest)}
+		old, ok := r.demands[rate.Plan]
+		if rate.Rate == 0 && old.value.Rate == 0 {
+			continue
+		}
+		if ok && (now.Sub(old.learned) < interval || isClose(rate.Rate, old.value.Rate)) {
+			rate = old.value
+		}
+		changed = refresh(r.demands, rate.Plan, rate, version, now) || changed
 	}
 	return changed
 }
 
+// isClose reports whether two rates differ by too little to send the new one.
+func isClose(a, b uint32) bool {
+	return float64(max(a, b)-min(a, b)) <= demandTolerance*float64(max(a, b))
+}
+
 // refresh stores a fact when it has changed or is due to be repeated.
 func refresh[K, V comparable](facts map[K]fact[V], key K, value V, version uint64, now time.Time) bool {
 	old, ok := facts[key]
--- a/peer/gossip/reports.go
+++ b/peer/gossip/reports.go
@@ -28,13 +28,13 @@
 	// version is the highest one up to which all facts are known.
 	version uint64
 	loads   map[ID]fact[Load]
-	demands map[string]fact[PlanRate]
+	demands map[ID]fact[PlanRate]
 }
 
 func newReporter() *reporter {
 	return &reporter{
 		loads:   make(map[ID]fact[Load]),
-		demands: make(map[string]fact[PlanRate]),
+		demands: make(map[ID]fact[PlanRate]),
 	}
 }
 
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -19,7 +19,9 @@
 	list(a, b)
 
 	b.handler.own.Loads = []BackendLoad{{Backend: "R1", InFlight: 3, QueuedTokens: 700}}
+	a.handler.own.Demands = []Demand{{Plan: "Gold"}}
 	b.handler.own.Demands = []Demand{{Plan: "Gold", Rate: 12.5}}
+	a.Tell()
 	b.Tell()
 	a.exchangeWith(ctx, b.vm)
 
@@ -46,6 +48,24 @@
 	c.Assert(incarnation, qt.Equals, "1")
 }
 
+func TestRunExchangesAndPushesByItself(t *testing.T) {
+	c, ctx, fake := qt.New(t), context.Background(), newFake()
+	a := startDaemon(c, fake, "A", "1", "127.0.0.1:0")
+	b := startDaemon(c, fake, "B", "1", "127.0.0.1:0")
+	list(a, b)
+	b.handler.own.Loads = []BackendLoad{{Backend: "R1", InFlight: 3}}
+
+	c.Assert(fake.BlockUntilContext(ctx, 2), qt.IsNil)
+	fake.Advance(a.options.Interval)
+	a.handler.await(func(news Digest) bool { return len(news.Loads) == 1 })
+
+	b.handler.mutex.Lock()
+	b.handler.own.Leaving = []Leaving{{VM: "R1"}}
+	b.handler.mutex.Unlock()
+	b.Tell()
+	a.handler.await(says("R1"))
+}
+
 func TestConfigurationIsFetchedFromThePeerThatHasIt(t *testing.T) {
 	c, ctx, fake := qt.New(t), context.Background(), newFake()
 	a := startDaemon(c, fake, "A", "1", "127.0.0.1:0")
