--- a/ledger/fault_test.go
+++ b/ledger/fault_test.go
@@ -241,3 +241,22 @@
 		b.log.with(func(*fakeLog) {})
 	}
 }
+
+// A stopping daemon leaves no abandoned claim behind.
+func TestSettleWaitsForReleases(t *testing.T) {
+	b := newBench(t)
+	one, _ := b.daemon("one")
+	b.log.with(func(f *fakeLog) { f.appends = []effect{losesAnswer} })
+	ctx, cancel := context.WithCancel(context.Background())
+	b.log.with(func(f *fakeLog) { f.readsDown = true })
+	answers := claimLater(ctx, one)
+	<-b.log.tried
+	cancel()
+	b.Assert((<-answers).err, qt.ErrorMatches, ".*is not settled.*")
+	b.log.with(func(f *fakeLog) { f.readsDown = false })
+
+	b.pump(1)
+	b.Assert(one.Settle(context.Background()), qt.IsNil)
+	_, held := one.Look(key)
+	b.Assert(held, qt.IsFalse)
+}
--- /dev/null
+++ b/ledger/settle.go
@@ -0,0 +1,25 @@
+package ledger
+
+import (
+	"context"
+
+	"github.com/cranberrywalk/cranberrywalk/clock"
+)
+
+// Settle waits until no claim of this process is unanswered and every
+// release is in the log. A daemon that stops calls it after its last Claim has
+// returned and before it ends Run. It returns ctx's error when that comes first.
+func (l *Ledger) Settle(ctx context.Context) error {
+	for l.isUnsettled() {
+		if err := clock.Sleep(ctx, l.Clock, l.options.RetryMin); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *Ledger) isUnsettled() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.sent) > 0 || len(l.owed) > 0
+}
