Let the price count while the runners are below their targets

The plan's weight for cost had next to no effect: at 40 % load a million of the Trust's calls kept runners busy for 458 units of spend, at weight 0 for 465. A larger price cost the capacity: with three times the price the Trust held 29.2 calls a second instead of 34.1, since cheap runners stayed attractive up to the target. Charging the risk that another prompt is being prefilled brought back 2 calls a second of that and was not kept.

The price now counts in full up to a mean load of 0.55 of the target between tokens and not at all above 0.65, so work moves to expensive runners as far as the targets need it. Plain services do without a price.

The rig prints the spend in a table of its own.

--- a/measure/engine.go
+++ b/measure/engine.go
@@ -34,8 +34,8 @@
 	gone  bool
 	// events collects the cache events since they were last fetched.
 	events []cacheEvent
-	// busyTime sums the times of all steps.
-	busyTime time.Duration
+	// busyTime sums the times of all steps, warmTime those of the warm-up.
+	busyTime, warmTime time.Duration
 	// hooks are called when a call gets its first token and when it ends.
 	onFirst, onEnd func(c *call)
 }
@@ -89,6 +89,9 @@
 func (e *engine) step(length time.Duration, done func()) {
 	e.busy = true
 	e.busyTime += length
+	if e.loop.now < warmUp {
+		e.warmTime = e.busyTime
+	}
 	e.loop.after(length, func() {
 		e.busy = false
 		if !e.gone {
--- a/measure/outcome.go
+++ b/measure/outcome.go
@@ -22,6 +22,9 @@
 	// peak is the ratio of the largest share of calls at a runner to the
 	// mean share.
 	peak float64
+	// spend is the price of the time in which runners were busy, for a
+	// million calls.
+	spend float64
 }
 
 // sum returns the outcome of the calls that arrived from start to end.
@@ -54,12 +57,23 @@
 	result.refused /= all
 	result.recompute = prefilled / bound
 	result.firstToken, result.betweenTokens = percentile(firsts, 0.95), percentile(betweens, 0.95)
+	result.spend = s.busySpend() / all * 1e6
 	for _, calls := range runners {
 		result.peak = max(result.peak, calls/all*float64(len(s.engines)))
 	}
 	return result
 }
 
+// busySpend returns the price of the time in which runners were busy since the
+// warm-up.
+func (s *simulation) busySpend() float64 {
+	var spend float64
+	for _, e := range s.engines {
+		spend += e.info.Price * (e.busyTime - e.warmTime).Hours()
+	}
+	return spend
+}
+
 // count turns a condition into a number.
 func count(condition bool) float64 {
 	if condition {
--- a/measure/report.go
+++ b/measure/report.go
@@ -18,6 +18,7 @@
 		scenarioTable(tenant, seeds).print(w)
 	}
 	weightTable(seeds).print(w)
+	priceTable(seeds).print(w)
 	surgeTable(seeds).print(w)
 	serviceTable(seeds).print(w)
 	nightTable(seeds).print(w)
--- a/route/policy.go
+++ b/route/policy.go
@@ -29,15 +29,19 @@
 func (v *View) match(call *Call) {
 	clear(v.depths)
 	v.holders.Match(call.Blocks, v.depths)
-	var own, peers, runners float64
+	var own, peers, rate, runners float64
 	for at := range v.slots {
 		if v.usable(call, at) {
 			own += v.slots[at].own.streams
 			peers += v.slots[at].peers.streams
+			rate += v.slots[at].own.rate + v.slots[at].peers.rate
 			runners++
 		}
 	}
-	v.ownMean, v.peerMean = own/max(1, runners), peers/max(1, runners)
+	runners = max(1, runners)
+	v.ownMean, v.peerMean = own/runners, peers/runners
+	share := v.options.Speed.prefillSeconds(rate / runners)
+	v.meanStep = v.options.Speed.stepSeconds(v.ownMean+v.peerMean, share)
 }
 
 // expectedStreams estimates the calls in flight at a runner.
--- a/route/score.go
+++ b/route/score.go
@@ -24,6 +24,10 @@
 	LateCost float64
 	// PriceSeconds is the work that the price of a runner is charged for.
 	PriceSeconds float64
+	// FullPriceLoad and NoPriceLoad are the mean loads of the runners up to
+	// which the price counts in full and above which it does not count, so
+	// that work moves to expensive runners as far as the targets need it.
+	FullPriceLoad, NoPriceLoad float64
 	// AffinityCost is the cost above the lowest one that is accepted to send
 	// a prompt to the first such runner of its rendezvous order. Daemons
 	// with different prompts spread over these runners, and daemons with the
@@ -41,23 +45,27 @@
 // NewScore returns the policy with its default settings.
 func NewScore() *Score {
 	return &Score{
-		LoadCost:     0.1,
-		WaitCost:     1,
-		Margin:       0.95,
-		LateCost:     2,
-		PriceSeconds: 0.005,
-		AffinityCost: 0.03,
-		KeyBlocks:    8,
-		LowestLimit:  0.85,
-		HighestLimit: 1.1,
+		LoadCost:      0.1,
+		WaitCost:      1,
+		Margin:        0.95,
+		LateCost:      2,
+		PriceSeconds:  0.03,
+		FullPriceLoad: 0.55,
+		NoPriceLoad:   0.65,
+		AffinityCost:  0.03,
+		KeyBlocks:     8,
+		LowestLimit:   0.85,
+		HighestLimit:  1.1,
 	}
 }
 
 // NewServiceScore returns the policy for plain services. They do not know
-// priorities, so more room is kept for the higher ones.
+// priorities, so more room is kept for the higher ones. Their calls cost too
+// little to wait for a cheap server.
 func NewServiceScore() *Score {
 	s := NewScore()
 	s.LowestLimit = 0.6
+	s.PriceSeconds = 0
 	return s
 }
 
@@ -90,6 +98,7 @@
 // and the lowest load, infinite when there is none.
 func (s *Score) weigh(call *Call, view *View, limit float64) (cost, load float64) {
 	cost, load = math.Inf(1), math.Inf(1)
+	priceSeconds := s.priceSeconds(call, view)
 	for at := range view.slots {
 		view.costs[at] = math.Inf(1)
 		if !view.usable(call, at) {
@@ -100,7 +109,8 @@
 		if estimate.load() > limit {
 			continue
 		}
-		view.costs[at] = s.cost(call, &view.slots[at].runner, &estimate, &view.options.Speed)
+		view.costs[at] = s.cost(call, &estimate, &view.options.Speed)
+		view.costs[at] += priceSeconds * view.slots[at].runner.Price
 		cost = min(cost, view.costs[at])
 	}
 	return cost, load
@@ -122,12 +132,21 @@
 	return first
 }
 
-// cost returns the weighted cost of a call at a runner.
-func (s *Score) cost(call *Call, runner *Runner, e *estimate, speed *Speed) float64 {
+// priceSeconds returns the cost of a price of 1.
+func (s *Score) priceSeconds(call *Call, view *View) float64 {
+	counted := 1.0
+	if call.BetweenTokens > 0 {
+		load := view.meanStep / call.BetweenTokens.Seconds()
+		counted = (s.NoPriceLoad - load) / (s.NoPriceLoad - s.FullPriceLoad)
+	}
+	return call.CostWeight * s.PriceSeconds * min(1, max(0, counted))
+}
+
+// cost returns the weighted cost of a call at a runner, without its price.
+func (s *Score) cost(call *Call, e *estimate, speed *Speed) float64 {
 	prefill := speed.prefillSeconds(float64(e.uncached))
 	square := e.betweenLoad * e.betweenLoad
 	cost := prefill * (1 + call.RecomputeWeight)
-	cost += call.CostWeight * runner.Price * s.PriceSeconds
 	cost += s.LoadCost * square * square * square
 	cost += s.WaitCost * (e.firstToken - prefill)
 	cost += s.LateCost * max(0, e.firstLoad-s.Margin)
--- a/route/view.go
+++ b/route/view.go
@@ -91,6 +91,8 @@
 	// ownMean and peerMean are the mean calls in flight at the runners that
 	// are allowed for the decision.
 	ownMean, peerMean float64
+	// meanStep is the time between tokens in seconds at mean load.
+	meanStep float64
 }
 
 // slot is what the view knows of one runner.
