Spread calls without prompt blocks over the runners

A call to a plain service has no prompt, so all of them had the rendezvous key 0, and every daemon preferred the same server among those of like cost. Such a call now gets a key of its own.

--- a/route/baselines.go
+++ b/route/baselines.go
@@ -106,7 +106,7 @@
 // than most calls in flight.
 func (v *View) rendezvous(call *Call, keyBlocks int, most float64) (Decision, error) {
 	v.match(call)
-	key := rendezvousKey(call, keyBlocks)
+	key := v.rendezvousKey(call, keyBlocks)
 	best := -1
 	var highest uint64
 	for at := range v.slots {
--- a/route/rendezvous.go
+++ b/route/rendezvous.go
@@ -2,9 +2,11 @@
 
 // rendezvousKey returns the key of the prompt's first blocks, at most count of
 // them. A chained hash covers the blocks before it, so the last one suffices.
-func rendezvousKey(call *Call, count int) uint64 {
+// A call without blocks gets a key of its own, so that such calls spread.
+func (v *View) rendezvousKey(call *Call, count int) uint64 {
 	if len(call.Blocks) == 0 {
-		return 0
+		v.turn++
+		return mix(v.turn)
 	}
 	return call.Blocks[min(count, len(call.Blocks))-1]
 }
--- a/route/score.go
+++ b/route/score.go
@@ -89,7 +89,7 @@
 			RetryAfter: view.retryAfter(load / limit),
 		}
 	}
-	at := view.firstBelow(rendezvousKey(call, s.KeyBlocks), lowest+s.AffinityCost)
+	at := view.firstBelow(view.rendezvousKey(call, s.KeyBlocks), lowest+s.AffinityCost)
 	return view.decide(call, at), nil
 }
 
