Bound messages and writes between daemons; refuse a foreign peer's answer

Cause: drpc refuses messages above 4 MB, which a relayed answer can exceed; a peer that takes no bytes held a write until the kernel gave up; an address that a new VM has taken over was believed to be the old peer.

Change: messages up to 16 MB, a write that makes no progress for the call's timeout closes the connection, an answer under another VM's name is a MisdirectedError. What was heard of VMs that are no longer listed is dropped. The test of the silent connection hung once in 5 runs: a late frame of the first exchange let the clock advance before the call had set its timer. It now waits for that timer.

Ruled out: deadlines on the sockets, which follow the machine's clock.

The bound on writes has no test of its own.

--- a/peer/client.go
+++ b/peer/client.go
@@ -7,8 +7,11 @@
 
 	"github.com/rcrowley/go-metrics"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcwire"
 
+	"github.com/cranberrywalk/cranberrywalk/clock"
 	"github.com/cranberrywalk/cranberrywalk/peer/peerpb"
 	"github.com/cranberrywalk/cranberrywalk/platform"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
@@ -21,6 +24,9 @@
 )
 
 const (
+	// MaxMessageBytes bounds a message between daemons, such as a folded
+	// configuration or a recorded answer.
+	MaxMessageBytes = 16 << 20
 	// idleConnections bounds the open connections to all peers together.
 	idleConnections = 64
 	// idleConnectionsPerPeer bounds the open connections to one peer.
@@ -104,21 +110,32 @@
 		return nil, err
 	}
 	c.common.Count("peer.dials", 1)
-	return drpcconn.New(newCountedConn(conn, c.common)), nil
+	options := drpcconn.Options{Manager: managerOptions()}
+	return drpcconn.NewWithOptions(newCountedConn(conn, c.common, c.options.CallTimeout), options), nil
+}
+
+// managerOptions returns what holds for connections in both directions.
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: MaxMessageBytes}}
 }
 
 func (c *client) close() { _ = c.pool.Close() }
 
-// countedConn counts the bytes that pass through a connection.
+// countedConn counts the bytes that pass through a connection and closes it
+// when the peer takes none.
 type countedConn struct {
 	net.Conn
+	clock    clock.Clock
+	timeout  time.Duration
 	sent     metrics.Counter
 	received metrics.Counter
 }
 
-func newCountedConn(conn net.Conn, common telemetry.Common) *countedConn {
+func newCountedConn(conn net.Conn, common telemetry.Common, timeout time.Duration) *countedConn {
 	return &countedConn{
 		Conn:     conn,
+		clock:    common.Clock,
+		timeout:  timeout,
 		sent:     metrics.GetOrRegisterCounter(CounterSent, common.Metrics),
 		received: metrics.GetOrRegisterCounter(CounterReceived, common.Metrics),
 	}
@@ -133,6 +150,8 @@
 
 // Write implements io.Writer.
 func (c *countedConn) Write(b []byte) (int, error) {
+	timer := c.clock.AfterFunc(c.timeout, func() { _ = c.Close() })
+	defer timer.Stop()
 	n, err := c.Conn.Write(b)
 	c.sent.Inc(int64(n))
 	return n, err
--- a/peer/errors.go
+++ b/peer/errors.go
@@ -44,6 +44,19 @@
 // Unwrap returns the failure underneath.
 func (e *CallError) Unwrap() error { return e.Cause }
 
+// MisdirectedError says that another VM than the wanted one answers at an
+// address. The VM list is out of date.
+type MisdirectedError struct {
+	// Wanted and Found are names of VMs.
+	Wanted string
+	Found  string
+}
+
+// Error implements error.
+func (e *MisdirectedError) Error() string {
+	return fmt.Sprintf("peer %s answers in place of %s", e.Found, e.Wanted)
+}
+
 // RestartedError says that another process than the wanted one runs on a VM.
 // The wanted one has ended.
 type RestartedError struct {
--- a/peer/fetch.go
+++ b/peer/fetch.go
@@ -64,6 +64,9 @@
 	}
 	sender, stamp := decodeSender(reply.GetSender())
 	m.notice(sender, stamp)
+	if sender.Daemon != daemon {
+		return Answer{}, &MisdirectedError{Wanted: daemon, Found: sender.Daemon}
+	}
 	if sender.Incarnation != incarnation {
 		return Answer{}, &RestartedError{Peer: daemon, Wanted: incarnation, Found: sender.Incarnation}
 	}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -109,6 +110,10 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.peers = peers
+	maps.DeleteFunc(m.seen, func(name string, _ seenProcess) bool {
+		_, listed := peers[name]
+		return !listed
+	})
 	m.core.SetVMs(vms)
 }
 
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -100,9 +100,15 @@
 	}
 	b.handler.answers["K"] = final
 
-	answer, err := a.Answer(ctx, "B", "1", "K")
+	final.Body = make([]byte, MaxMessageBytes/2)
+	b.handler.answers["Large"] = final
+
+	answer, err := a.Answer(ctx, "B", "1", "Large")
+	c.Assert(err, qt.IsNil)
+	c.Assert(answer.Body, qt.HasLen, MaxMessageBytes/2)
+	answer, err = a.Answer(ctx, "B", "1", "K")
 	c.Assert(err, qt.IsNil)
-	c.Assert(answer, qt.DeepEquals, final)
+	c.Assert(answer, qt.DeepEquals, b.handler.answers["K"])
 	answer, err = a.Answer(ctx, "B", "1", "Other")
 	c.Assert(err, qt.IsNil)
 	c.Assert(answer.State, qt.Equals, NotFound)
@@ -116,6 +122,21 @@
 	c.Assert(err, qt.ErrorAs, &unknown)
 }
 
+func TestAddressOfAnotherVMIsNotTakenForThePeer(t *testing.T) {
+	c, ctx, fake := qt.New(t), context.Background(), newFake()
+	a := startDaemon(c, fake, "A", "1", "127.0.0.1:0")
+	b := startDaemon(c, fake, "B", "1", "127.0.0.1:0")
+	gone := entryVM("Gone", b.Address())
+	a.SetVMs([]platform.VM{a.vm, gone})
+
+	a.exchangeWith(ctx, gone)
+	c.Assert(a.events.kinds, qt.DeepEquals, []string{"PeerLost"})
+	var misdirected *MisdirectedError
+	_, err := a.Answer(ctx, "Gone", "1", "K")
+	c.Assert(err, qt.ErrorAs, &misdirected)
+	c.Assert(misdirected.Found, qt.Equals, "B")
+}
+
 func TestKilledPeerIsLostAndFoundAgain(t *testing.T) {
 	c, ctx, fake := qt.New(t), context.Background(), newFake()
 	a := startDaemon(c, fake, "A", "1", "127.0.0.1:0")
@@ -159,6 +180,8 @@
 		defer close(ended)
 		a.exchangeWith(ctx, b.vm)
 	}()
+	// The rounds of both and the call wait for the clock.
+	c.Assert(fake.BlockUntilContext(ctx, 3), qt.IsNil)
 	<-link.swallowed
 	fake.Advance(a.options.CallTimeout)
 	<-ended
--- a/peer/rounds.go
+++ b/peer/rounds.go
@@ -62,8 +62,13 @@
 		m.failed(ctx, peer, err)
 		return
 	}
+	message := decodeMessage(reply)
+	if message.Sender.Daemon != peer.Name {
+		m.failed(ctx, peer, &MisdirectedError{Wanted: peer.Name, Found: message.Sender.Daemon})
+		return
+	}
 	m.delivered(peer, sent)
-	m.receive(decodeMessage(reply))
+	m.receive(message)
 }
 
 // notify pushes the notices that cannot wait for the next exchange.
--- a/peer/server.go
+++ b/peer/server.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"net"
+	"time"
 
-	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -19,11 +19,13 @@
 		m.common.Log.Error(err, "peer service not registered")
 		return
 	}
+	manager := managerOptions()
+	manager.InactivityTimeout = 2 * m.options.IdleTimeout
 	options := drpcserver.Options{
-		Manager: drpcmanager.Options{InactivityTimeout: 2 * m.options.IdleTimeout},
+		Manager: manager,
 		Log:     func(error) { m.common.Count("peer.connections.ended", 1) },
 	}
-	listener := &countedListener{Listener: m.listener, common: m.common}
+	listener := &countedListener{Listener: m.listener, common: m.common, timeout: m.options.CallTimeout}
 	if err := drpcserver.NewWithOptions(mux, options).Serve(ctx, listener); err != nil && ctx.Err() == nil {
 		m.common.Log.Error(err, "peer listener failed", "Address", m.options.Address)
 	}
@@ -83,6 +85,8 @@
 type countedListener struct {
 	net.Listener
 	common telemetry.Common
+	// timeout bounds how long the peer may take no bytes.
+	timeout time.Duration
 }
 
 // Accept implements net.Listener.
@@ -91,5 +95,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return newCountedConn(conn, l.common), nil
+	return newCountedConn(conn, l.common, l.timeout), nil
 }
