Refuse connections in tests at a port that nobody can take

The tests took a free port and closed it to get refused connections. Another test on the same machine can take that port in between: 2 of 380 runs of the matrix got an answer from a foreign server in the column "refused". Retrying the test was ruled out, because it would hide true failures. The port of tcpmux is outside the range from which free ports are given, so the check is as strict as before.

--- a/backend/link_test.go
+++ b/backend/link_test.go
@@ -127,12 +127,10 @@
 
 func TestNothingIsWrittenToRefusedConnection(t *testing.T) {
 	c := qt.New(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	c.Assert(listener.Close(), qt.IsNil)
 	link, _ := newLink(c)
 
-	_, err = link.Send(context.Background(), (&server{address: listener.Addr().String()}).call(false))
+	// Nothing listens on the port of tcpmux.
+	_, err := link.Send(context.Background(), (&server{address: "127.0.0.1:1"}).call(false))
 
 	var fault *backend.FaultError
 	c.Assert(errors.As(err, &fault), qt.IsTrue)
--- a/dispatch/backend_fake_test.go
+++ b/dispatch/backend_fake_test.go
@@ -26,8 +26,11 @@
 	wholeTokens = 6
 	// faultTokens is how many tokens come before a fault in mid-stream.
 	faultTokens = 3
-	wholeText   = "w0 w1 w2 w3 w4 w5 "
-	serviceBody = `{"Placement":"confirmed"}`
+	// closedAddress refuses connections: nothing listens on the port of
+	// tcpmux. A port that was free a moment ago may be taken by another test.
+	closedAddress = "127.0.0.1:1"
+	wholeText     = "w0 w1 w2 w3 w4 w5 "
+	serviceBody   = `{"Placement":"confirmed"}`
 )
 
 // behaviour says what a fake backend server does with a request.
@@ -62,7 +65,7 @@
 		listener: listener, behave: behave, hung: make(chan struct{}, 8), release: make(chan struct{}),
 	}
 	if behave.fault == "refused" {
-		_ = listener.Close()
+		f.target.Address = closedAddress
 		return f
 	}
 	go func() {
