--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -1,6 +1,3 @@
-// Package dispatch drives each request from its acceptance to its outcome:
-// claim, choice of a backend server, attempts, retries, and the passing on of
-// the answer.
 package dispatch
 
 import (
