Add grants of key ranges as a core, not wired yet

With claims on the log alone, a log outage refuses every keyed request that is not idempotent. A range of keys that belongs to one process needs no agreement for each key: the owner decides in memory and appends later.

A grant passes on by the owner's release, which the owner can make only when all its claims are in the log, or by proof of its death.

A dead owner would always leave a hole, since the log cannot tell whether it wrote under claims that it kept in memory.

--- /dev/null
+++ b/grant/range.go
@@ -0,0 +1,55 @@
+package grant
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cranberrywalk/cranberrywalk/claim"
+)
+
+// Range is the number of a key range.
+type Range uint16
+
+// Ranges is how many ranges the keys are divided into. It is the same at all
+// daemons and never changes.
+const Ranges = 1024
+
+// RangeOf returns the range of a key.
+func RangeOf(key claim.Key) Range { return Range(xxhash.Sum64String(string(key)) % Ranges) }
+
+// Preferred returns the daemon that a range should belong to, by rendezvous
+// hashing: when a daemon comes or goes, only its own ranges move. It returns
+// "" without daemons.
+func Preferred(r Range, daemons []string) string {
+	best, highest := "", uint64(0)
+	for _, daemon := range daemons {
+		score := xxhash.Sum64String(strconv.Itoa(int(r)) + "/" + daemon)
+		if best == "" || score > highest || (score == highest && daemon < best) {
+			best, highest = daemon, score
+		}
+	}
+	return best
+}
+
+// Grant says which process decides about the keys of a range.
+type Grant struct {
+	Range Range
+	// Daemon is empty when the range has no owner.
+	Daemon      string
+	Incarnation string
+	// Number identifies the grant or the release that left the range
+	// without an owner: one more than the offset of its record, and 0 before
+	// the first.
+	Number uint64
+	// HoleUntil is when the last claim that a dead earlier owner can have
+	// kept in memory is over, by the log's clock. Until then nobody may run
+	// a key that the book does not hold.
+	HoleUntil time.Time
+}
+
+// IsOwnedBy reports whether the process owns the range.
+func (g Grant) IsOwnedBy(daemon, incarnation string) bool {
+	return g.Daemon != "" && g.Daemon == daemon && g.Incarnation == incarnation
+}
