--- /dev/null
+++ b/cmd/capacity/loads.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/fleet"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+)
+
+const (
+	// changePeriod is the time over which a number of changes is spread.
+	changePeriod = 10 * time.Second
+	// streamTokens is longer than any measurement, at 30 ms a token.
+	streamTokens = 2000
+	engines      = 8
+)
+
+// withRunners lists runners in the zone of two daemons, which are idle.
+func withRunners(size int) (*system, error) {
+	s, err := newSystem(1, 2)
+	if err != nil {
+		return nil, err
+	}
+	var vms []platform.VM
+	for i := range size {
+		vms = append(vms, platform.VM{
+			Name: fmt.Sprintf("runner-%d", i), Role: platform.RoleRunner, Region: region, Zone: zoneName(0),
+			Class: "reclaimable-small", Reclaimable: true, Price: 1, Address: "127.0.0.1:1", Models: []string{model},
+		})
+	}
+	if err := s.fleet.AddVMs(vms...); err != nil {
+		return nil, err
+	}
+	return s, fleet.AwaitBackends(s.first, size, readyWait)
+}
+
+func withDaemons(size int) (*system, error) { return newSystem(1, size) }
+
+func withZones(size int) (*system, error) { return newSystem(size, 2) }
+
+// withClaims sends confirmations under new keys at a steady rate.
+func withClaims(size int) (*system, error) {
+	s, err := withService()
+	if err != nil {
+		return nil, err
+	}
+	s.every(time.Second/time.Duration(size), func(number int) {
+		caller := fleet.NewCaller(s.first, customerKey)
+		// A request that fails shows in the appends.
+		_, _ = caller.Service(service, "/confirmations", fmt.Sprintf("key-%d", number), "{}")
+	})
+	return s, nil
+}
+
+func withService() (*system, error) {
+	s, err := newSystem(1, 2)
+	if err != nil {
+		return nil, err
+	}
+	b := fleet.Backend{Name: "service-0", Zone: zoneName(0), Class: "on-demand-small", Price: 3, Service: service}
+	if _, err := s.fleet.StartBackend(b); err != nil {
+		return nil, err
+	}
+	return s, fleet.AwaitBackends(s.first, 1, readyWait)
+}
+
+// withChanges amends an allowance at a steady rate.
+func withChanges(size int) (*system, error) {
+	s, err := newSystem(1, 2)
+	if err != nil {
+		return nil, err
+	}
+	s.every(changePeriod/time.Duration(size), func(int) {
+		// A change that loses a race is a record as well.
+		_, _ = s.fleet.Command("amend", "--settings", s.fleet.SettingsPath(s.first.Name),
+			"--list", "Allowances", "--entry", listsDir+"amended-allowance.json")
+	})
+	return s, nil
+}
+
+// withStreams keeps chat streams open.
+func withStreams(size int) (*system, error) {
+	s, err := newSystem(1, 2)
+	if err != nil {
+		return nil, err
+	}
+	for i := range engines {
+		b := fleet.Backend{
+			Name: fmt.Sprintf("runner-%d", i), Zone: zoneName(0), Class: "reclaimable-small", Price: 1, Model: model,
+			Flags: []string{"--max-batch", "64"},
+		}
+		if _, err := s.fleet.StartBackend(b); err != nil {
+			return nil, err
+		}
+	}
+	if err := fleet.AwaitBackends(s.first, engines, readyWait); err != nil {
+		return nil, err
+	}
+	for i := range size {
+		go func() {
+			// The end of the system ends the stream.
+			_, _ = fleet.NewCaller(s.first, customerKey).Chat(fleet.ChatRequest{
+				Model: model, Stream: true, MaxTokens: streamTokens,
+				Messages: []fleet.Message{{Role: "user", Content: fmt.Sprintf("question %d", i)}},
+			})
+		}()
+	}
+	return s, nil
+}
+
+// every calls do at a steady rate, each call on a goroutine of its own, until
+// the system is closed.
+func (s *system) every(interval time.Duration, do func(number int)) {
+	s.load.Go(func() {
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		for number := 0; !s.stopped(); number++ {
+			select {
+			case <-ticker.C:
+				s.load.Go(func() { do(number) })
+			case <-s.stop:
+			}
+		}
+	})
+}
--- /dev/null
+++ b/cmd/capacity/main.go
@@ -0,0 +1,22 @@
+// Command capacity measures how the cost of control grows: with the runners
+// and daemons of a zone, the zones, the claims, the changes of configuration
+// and the open streams. It runs the built programs on loopback, at four sizes
+// for each, and prints a table and a slope for each measure.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"time"
+)
+
+func main() {
+	only := flag.String("only", "", "measure just the series of this name")
+	period := flag.Duration("period", 6*time.Second, "time for which each size is measured")
+	flag.Parse()
+	if err := run(os.Stdout, *only, *period); err != nil {
+		fmt.Fprintln(os.Stderr, "capacity failed:", err)
+		os.Exit(2)
+	}
+}
--- /dev/null
+++ b/cmd/capacity/series.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// series measures one way in which the system grows.
+type series struct {
+	name string
+	// unit is what the sizes count.
+	unit  string
+	sizes []int
+	// load puts the size on a system of its own and returns it.
+	load func(size int) (*system, error)
+}
+
+// point is what was measured at one size.
+type point struct {
+	size int
+	cost cost
+}
+
+// cost is what one daemon takes.
+type cost struct {
+	// core is the share of one core, in percent.
+	core float64
+	// memory is resident, in MB.
+	memory float64
+	// peers is sent to and received from other daemons, in KB a second.
+	peers float64
+	// appends and reads are requests to the log service, a second.
+	appends float64
+	reads   float64
+}
+
+func allSeries() []series {
+	return []series{
+		{"runners", "runners in the zone", []int{24, 53, 107, 214}, withRunners},
+		{"daemons", "daemons in the zone", []int{2, 4, 8, 16}, withDaemons},
+		{"zones", "zones of the region, two daemons each", []int{1, 2, 4, 8}, withZones},
+		{"claims", "claims a second at one daemon", []int{5, 20, 50, 100}, withClaims},
+		{"changes", "changes of configuration in 10 s", []int{1, 10, 50, 100}, withChanges},
+		{"streams", "open streams at one daemon", []int{25, 50, 100, 200}, withStreams},
+	}
+}
+
+func run(out io.Writer, only string, period time.Duration) error {
+	for _, s := range allSeries() {
+		if only != "" && s.name != only {
+			continue
+		}
+		points, err := s.measure(period)
+		if err != nil {
+			return err
+		}
+		s.print(out, points)
+	}
+	return nil
+}
+
+func (s series) measure(period time.Duration) ([]point, error) {
+	var points []point
+	for _, size := range s.sizes {
+		measured, err := s.measureOne(size, period)
+		if err != nil {
+			return nil, err
+		}
+		points = append(points, point{size: size, cost: measured})
+	}
+	return points, nil
+}
+
+func (s series) measureOne(size int, period time.Duration) (cost, error) {
+	loaded, err := s.load(size)
+	if err != nil {
+		return cost{}, err
+	}
+	defer loaded.close()
+	time.Sleep(settleTime)
+	return loaded.measure(period)
+}
+
+// measures are the columns of a table.
+var measures = []struct {
+	name string
+	of   func(cost) float64
+}{
+	{"% of a core", func(c cost) float64 { return c.core }},
+	{"MB", func(c cost) float64 { return c.memory }},
+	{"KB/s peers", func(c cost) float64 { return c.peers }},
+	{"appends/s", func(c cost) float64 { return c.appends }},
+	{"log reads/s", func(c cost) float64 { return c.reads }},
+}
+
+// print writes a Markdown table with the slope of each measure, fitted by
+// least squares.
+func (s series) print(out io.Writer, points []point) {
+	fmt.Fprintf(out, "\n### %s\n\n| %s |", s.name, s.unit)
+	for _, m := range measures {
+		fmt.Fprintf(out, " %s |", m.name)
+	}
+	fmt.Fprintf(out, "\n| --- | --- | --- | --- | --- | --- |\n")
+	for _, p := range points {
+		fmt.Fprintf(out, "| %d |", p.size)
+		for _, m := range measures {
+			fmt.Fprintf(out, " %.2f |", m.of(p.cost))
+		}
+		fmt.Fprintln(out)
+	}
+	fmt.Fprint(out, "| slope for each |")
+	for _, m := range measures {
+		fmt.Fprintf(out, " %.4f |", slope(points, m.of))
+	}
+	fmt.Fprintln(out)
+}
+
+func slope(points []point, of func(cost) float64) float64 {
+	var x, y []float64
+	for _, p := range points {
+		x = append(x, float64(p.size))
+		y = append(y, of(p.cost))
+	}
+	_, beta := stat.LinearRegression(x, y, nil, false)
+	return beta
+}
--- a/daemon/admitter.go
+++ b/daemon/admitter.go
@@ -1,94 +1,132 @@
 package daemon
 
 import (
-	"math"
+	"errors"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"github.com/cranberrywalk/cranberrywalk/limit"
 	"github.com/cranberrywalk/cranberrywalk/peer"
+	"github.com/cranberrywalk/cranberrywalk/peer/gossip"
 	"github.com/cranberrywalk/cranberrywalk/plan"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+)
+
+// The fields of a plan that hold its limits.
+const (
+	fieldRequests = "RequestsPerSecond"
+	fieldTokens   = "TokensPerSecond"
 )
 
-// admitter implements front.Admitter: each daemon gets an even share of every
-// plan's limits.
+// fieldSeparator stands between plan and field in the name of a limit. Names
+// of plans may hold it, names of fields don't.
+const fieldSeparator = "/"
+
+// admitter implements front.Admitter by limits that the daemons share.
 type admitter struct {
-	mu sync.Mutex
-	// daemons is the number of daemons that share a limit, at least 1.
-	daemons int
-	buckets map[string]*bucket
-}
+	identity peer.Identity
 
-// bucket holds the local limits of one plan.
-type bucket struct {
-	requests *rate.Limiter
-	tokens   *rate.Limiter
+	mu      sync.Mutex
+	limiter *limit.Limiter
+	// reporters are the daemons and groups whose demand is reported here.
+	reporters []string
+	// reported holds the demand of each reporter by limit, as last told.
+	reported map[string]map[string]float64
 }
 
-func newAdmitter() *admitter {
-	return &admitter{daemons: 1, buckets: make(map[string]*bucket)}
+func newAdmitter(identity peer.Identity) *admitter {
+	options := limit.DefaultOptions(identity.Daemon)
+	// A demand that does not change is repeated only now and then.
+	options.SilentAfter = gossip.FactLifetime
+	return &admitter{
+		identity: identity,
+		limiter:  limit.New(options),
+		reported: make(map[string]map[string]float64),
+	}
 }
 
-// setDaemons takes over the number of daemons in the region.
-func (a *admitter) setDaemons(n int) {
+// setVMs takes over the VMs whose daemons share the limits.
+func (a *admitter) setVMs(vms []platform.VM) {
+	reporters := gossip.Reporters(a.identity, vms)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.daemons = max(n, 1)
+	a.reporters = reporters
+	a.limiter.SetPeers(reporters)
+	for name := range a.reported {
+		if !slices.Contains(reporters, name) {
+			delete(a.reported, name)
+		}
+	}
 }
 
 // Admit implements front.Admitter.
 func (a *admitter) Admit(p plan.Plan, tokens int, now time.Time) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	b := a.bucket(p, now)
-	if err := take(b.requests, 1, p.Name, "RequestsPerSecond", now); err != nil {
+	if err := a.take(p.Name, fieldRequests, p.RequestsPerSecond, 1, now); err != nil {
 		return err
 	}
-	return take(b.tokens, tokens, p.Name, "TokensPerSecond", now)
+	return a.take(p.Name, fieldTokens, p.TokensPerSecond, float64(tokens), now)
 }
 
-func (a *admitter) bucket(p plan.Plan, now time.Time) *bucket {
-	b := a.buckets[p.Name]
-	if b == nil {
-		b = &bucket{requests: newLimiter(p.RequestsPerSecond), tokens: newLimiter(p.TokensPerSecond)}
-		a.buckets[p.Name] = b
+func (a *admitter) take(planName, field string, rate, cost float64, now time.Time) error {
+	name := planName + fieldSeparator + field
+	a.limiter.SetLimit(name, rate)
+	err := a.limiter.Allow(name, cost, now)
+	var exceeded *limit.ExceededError
+	if errors.As(err, &exceeded) {
+		return &limit.ExceededError{Plan: planName, Limit: field, RetryAfter: exceeded.RetryAfter}
 	}
-	share(b.requests, p.RequestsPerSecond, a.daemons, now)
-	share(b.tokens, p.TokensPerSecond, a.daemons, now)
-	return b
+	return err
 }
 
-// newLimiter returns a limiter with a burst of one second of the whole limit,
-// which is free at first.
-func newLimiter(limit float64) *rate.Limiter {
-	return rate.NewLimiter(rate.Limit(limit), int(math.Ceil(limit)))
+// demands returns the rates at which limits are used here.
+func (a *admitter) demands(now time.Time) []peer.Demand {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var demands []peer.Demand
+	for _, demand := range a.limiter.Demands(now) {
+		demands = append(demands, peer.Demand{Plan: demand.Limit, Rate: demand.Rate})
+	}
+	return demands
 }
 
-// share sets a limiter to an even share of the limit; 0 is no limit.
-func share(limiter *rate.Limiter, limit float64, daemons int, now time.Time) {
-	wanted := rate.Limit(limit / float64(daemons))
-	if limit == 0 {
-		wanted = rate.Inf
+// merge takes over the demands that a message has brought, and that its sender
+// was heard.
+func (a *admitter) merge(sender peer.Identity, news []peer.Demand, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	heard := map[string]bool{a.reporterOf(sender): true}
+	for _, demand := range news {
+		name := demand.Reporter + demand.Group
+		if a.reported[name] == nil {
+			a.reported[name] = make(map[string]float64)
+		}
+		a.reported[name][demand.Plan] = demand.Rate
+		heard[name] = true
 	}
-	if limiter.Limit() != wanted {
-		limiter.SetLimitAt(now, wanted)
-		limiter.SetBurstAt(now, int(math.Ceil(limit)))
+	for name := range heard {
+		a.limiter.Merge(name, demandsOf(a.reported[name]), now)
 	}
 }
 
-func take(limiter *rate.Limiter, n int, planName, field string, now time.Time) error {
-	reservation := limiter.ReserveN(now, min(n, max(limiter.Burst(), 1)))
-	if delay := reservation.DelayFrom(now); reservation.OK() && delay > 0 {
-		reservation.CancelAt(now)
-		return &limit.ExceededError{Plan: planName, Limit: field, RetryAfter: delay}
+// reporterOf returns the name under which a daemon's demand is reported here.
+func (a *admitter) reporterOf(sender peer.Identity) string {
+	for _, name := range []string{sender.Daemon, sender.Region + "/" + sender.Zone, sender.Region} {
+		if slices.Contains(a.reporters, name) {
+			return name
+		}
 	}
-	return nil
+	return sender.Daemon
 }
 
-// demands returns the rates at which plans are used here.
-func (a *admitter) demands(time.Time) []peer.Demand { return nil }
-
-// merge takes over the rates at which plans are used at peers.
-func (a *admitter) merge([]peer.Demand, time.Time) {}
+func demandsOf(rates map[string]float64) []limit.Demand {
+	demands := make([]limit.Demand, 0, len(rates))
+	for name, rate := range rates {
+		demands = append(demands, limit.Demand{Limit: name, Rate: rate})
+	}
+	slices.SortFunc(demands, func(x, y limit.Demand) int { return strings.Compare(x.Limit, y.Limit) })
+	return demands
+}
--- /dev/null
+++ b/daemon/admitter_test.go
@@ -0,0 +1,80 @@
+package daemon
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cranberrywalk/cranberrywalk/limit"
+	"github.com/cranberrywalk/cranberrywalk/peer"
+	"github.com/cranberrywalk/cranberrywalk/plan"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+)
+
+var noon = time.Date(2026, 1, 2, 12, 0, 0, 0, time.UTC)
+
+func entry(name string) platform.VM {
+	return platform.VM{Name: name, Role: platform.RoleEntry, Region: "r", Zone: "a"}
+}
+
+func newTestAdmitter(name string) *admitter {
+	a := newAdmitter(peer.Identity{Daemon: name, Region: "r", Zone: "a"})
+	a.setVMs([]platform.VM{entry("one"), entry("two")})
+	return a
+}
+
+// admitted counts the requests of one second that are let in.
+func admitted(a *admitter, p plan.Plan, asked int, from time.Time) int {
+	count := 0
+	for i := range asked {
+		if a.Admit(p, 1, from.Add(time.Duration(i)*time.Second/time.Duration(asked))) == nil {
+			count++
+		}
+	}
+	return count
+}
+
+// exchange tells each admitter the demand at the other.
+func exchange(a, b *admitter, now time.Time) {
+	for _, pair := range [][2]*admitter{{a, b}, {b, a}} {
+		from, to := pair[0], pair[1]
+		news := from.demands(now)
+		for i := range news {
+			news[i].Reporter = from.identity.Daemon
+		}
+		to.merge(from.identity, news, now)
+	}
+}
+
+func TestLimitFollowsDemandToOneDaemon(t *testing.T) {
+	c := qt.New(t)
+	p := plan.Plan{Name: "Desk", RequestsPerSecond: 100}
+	one, two := newTestAdmitter("one"), newTestAdmitter("two")
+	now := noon
+	total := 0
+	for second := range 20 {
+		count := admitted(one, p, 150, now)
+		now = now.Add(time.Second)
+		exchange(one, two, now)
+		if second >= 10 {
+			total += count
+		}
+	}
+	c.Assert(total >= 950 && total <= 1050, qt.IsTrue, qt.Commentf("%d of 1000 were admitted", total))
+}
+
+func TestLimitErrorNamesPlanAndField(t *testing.T) {
+	c := qt.New(t)
+	a := newTestAdmitter("one")
+	p := plan.Plan{Name: "a/b", TokensPerSecond: 10}
+	var err error
+	for err == nil {
+		err = a.Admit(p, 50, noon)
+	}
+	var exceeded *limit.ExceededError
+	c.Assert(errors.As(err, &exceeded), qt.IsTrue)
+	c.Assert([]string{exceeded.Plan, exceeded.Limit}, qt.DeepEquals, []string{"a/b", "TokensPerSecond"})
+	c.Assert(exceeded.RetryAfter > 0, qt.IsTrue)
+}
--- a/daemon/chooser.go
+++ b/daemon/chooser.go
@@ -48,7 +48,10 @@
 	loads map[string]map[string]peer.BackendLoad
 }
 
-var _ dispatch.Chooser = (*chooser)(nil)
+var (
+	_ dispatch.Chooser            = (*chooser)(nil)
+	_ dispatch.FirstTokenObserver = (*chooser)(nil)
+)
 
 func newChooser(region, zone string, zoneDelay time.Duration, keeper *keeper) *chooser {
 	options := route.DefaultOptions(zone)
@@ -176,6 +179,15 @@
 	a.flight = c.view.Began(&a.call, a.decision, now)
 }
 
+// FirstToken implements dispatch.FirstTokenObserver.
+func (c *chooser) FirstToken(target dispatch.Target, r request.Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if a, known := c.attempts[flightKey{request: r.ID, backend: target.Name}]; known && a.begun {
+		c.view.FirstToken(&a.flight)
+	}
+}
+
 // Ended implements dispatch.Chooser.
 func (c *chooser) Ended(target dispatch.Target, r request.Request, seen dispatch.Observation) {
 	c.endFlight(target, r, seen)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -92,7 +92,7 @@
 		platformhttp.NewCloud(s.Platform.Cloud, client), s.Platform.PollInterval, s.Platform.LongPoll)
 	d.keeper.changed = d.rosterChanged
 	d.chooser = newChooser(s.Daemon.Region, s.Daemon.Zone, s.Routing.ZoneDelay, d.keeper)
-	d.admitter = newAdmitter()
+	d.admitter = newAdmitter(d.identity())
 	d.ledger = ledger.New(d.Common, log, d.ledgerOptions())
 }
 
@@ -123,15 +123,17 @@
 		admitter:      d.admitter,
 		crashes:       make(map[uint64]peer.Suspect),
 	}
-	identity := peer.Identity{
-		Daemon: s.Daemon.Name, Zone: s.Daemon.Zone, Region: s.Daemon.Region, Incarnation: d.incarnation,
-	}
-	options := peer.DefaultOptions(identity, s.Peers.Address, rand.Uint64())
+	options := peer.DefaultOptions(d.identity(), s.Peers.Address, rand.Uint64())
 	options.Interval = s.Peers.Interval
 	options.CallTimeout = s.Peers.CallTimeout
 	d.mesh = peer.New(d.Common, options, stamps, d.neighbour)
 }
 
+func (d *Daemon) identity() peer.Identity {
+	s := d.settings.Daemon
+	return peer.Identity{Daemon: s.Name, Zone: s.Zone, Region: s.Region, Incarnation: d.incarnation}
+}
+
 func (d *Daemon) answerOptions() answer.Options {
 	options := answer.DefaultOptions()
 	options.MaxBytes = d.settings.Claims.AnswerBytes
@@ -224,10 +226,10 @@
 // rosterChanged hands a change of the roster to the parts that depend on it.
 func (d *Daemon) rosterChanged(r roster.Roster, effects []roster.Effect) {
 	d.chooser.setMembers(r.Backends())
-	peers := r.Peers()
-	d.chooser.forgetPeers(peers)
-	d.admitter.setDaemons(len(peers))
-	d.mesh.SetVMs(listedVMs(r))
+	d.chooser.forgetPeers(r.Peers())
+	vms := listedVMs(r)
+	d.admitter.setVMs(vms)
+	d.mesh.SetVMs(vms)
 	for _, effect := range effects {
 		if effect.Kind == roster.Left {
 			d.vmLeaves(effect)
--- a/daemon/neighbour.go
+++ b/daemon/neighbour.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/answer"
 	"github.com/cranberrywalk/cranberrywalk/claim"
@@ -54,24 +55,39 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	digest.Draining = n.draining
+	digest.Suspects = n.ownSuspects(now)
+	return digest
+}
+
+// ownSuspects returns the crashes that this daemon has seen, of requests that
+// no later answer has cleared.
+func (n *neighbour) ownSuspects(now time.Time) []peer.Suspect {
+	suspected := make(map[uint64]bool)
+	for _, entry := range n.suspects.Entries(now) {
+		suspected[entry.Fingerprint] = true
+	}
+	var own []peer.Suspect
 	for fingerprint, seen := range n.crashes {
-		if !now.Before(seen.Expires) {
+		if !suspected[fingerprint] {
 			delete(n.crashes, fingerprint)
 			continue
 		}
-		digest.Suspects = append(digest.Suspects, seen)
+		own = append(own, seen)
 	}
-	return digest
+	return own
 }
 
 // Merge implements peer.Handler.
 func (n *neighbour) Merge(news peer.Digest) {
 	n.chooser.mergeLoads(news.Loads)
-	n.admitter.merge(news.Demands, n.Clock.Now())
+	n.admitter.merge(news.Identity, news.Demands, n.Clock.Now())
 	for _, leaving := range news.Leaving {
 		n.keeper.apply(roster.Reported{VM: leaving.VM, Deadline: leaving.Deadline})
 	}
 	for _, seen := range news.Suspects {
+		if seen.Reporter == n.name {
+			continue
+		}
 		n.suspects.Merge([]suspect.Entry{newSuspectEntry(seen)}, n.Clock.Now())
 	}
 }
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
@@ -90,6 +91,19 @@
 	_ = d.callers.Shutdown(ctx)
 	d.dispatcher.Drain()
 	err := d.dispatcher.Wait(ctx)
+	d.settleClaims(ctx)
 	d.Log.Info("planned stop ends", "InFlight", d.dispatcher.InFlight())
 	return err
 }
+
+// settleTimeout bounds the wait for the releases of claims at a planned stop.
+// A claim that is left unreleased keeps its key from being run, which is safe.
+const settleTimeout = 5 * time.Second
+
+func (d *Daemon) settleClaims(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	if err := d.ledger.Settle(ctx); err != nil {
+		d.Log.Error(err, "claims are left unsettled")
+	}
+}
--- a/e2e/driver.go
+++ b/e2e/driver.go
@@ -94,10 +94,10 @@
 func quick() map[string][]string {
 	return map[string][]string{
 		"Daemon":   {"LeaveDelay = 100ms"},
-		"Peers":    {"Interval = 100ms", "RelayTimeout = 2s"},
-		"Platform": {"PollInterval = 100ms", "LongPoll = 500ms", "Timeout = 1s"},
+		"Peers":    {"Interval = 100ms", "RelayTimeout = 10s"},
+		"Platform": {"PollInterval = 100ms", "LongPoll = 500ms", "Timeout = 500ms"},
 		"Backends": {"Silence = 1s"},
-		"Claims":   {"Timeout = 1500ms"},
+		"Claims":   {"Timeout = 10s"},
 	}
 }
 
--- /dev/null
+++ b/fleet/address.go
@@ -0,0 +1,37 @@
+package fleet
+
+import (
+	"net"
+	"os"
+	"strconv"
+	"sync/atomic"
+)
+
+const (
+	// firstPort and lastPort bound the ports of the fleet. They are below
+	// those that the system gives to outgoing connections, so that no
+	// connection takes a port between its choice and its use.
+	firstPort = 12_000
+	lastPort  = 32_000
+	// portStride spreads the first choices of processes that run at once.
+	portStride = 37
+)
+
+// nextPort counts the ports that were tried by this process.
+var nextPort atomic.Int64
+
+// FreeAddress returns a loopback address that no process listens on. It never
+// returns the same one twice.
+func FreeAddress() (string, error) {
+	for range lastPort - firstPort {
+		offset := int64(os.Getpid())*portStride + nextPort.Add(1)
+		port := firstPort + int(offset%(lastPort-firstPort))
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		return address, listener.Close()
+	}
+	return "", &NoAddressError{}
+}
--- a/fleet/backend.go
+++ b/fleet/backend.go
@@ -48,12 +48,13 @@
 			return platform.VM{}, err
 		}
 	}
-	return vm, f.addVM(vm)
+	return vm, f.AddVMs(vm)
 }
 
-func (f *Fleet) addVM(vm platform.VM) error {
+// AddVMs puts VMs on the VM list for which the fleet runs no process.
+func (f *Fleet) AddVMs(vms ...platform.VM) error {
 	f.mu.Lock()
-	f.vms = append(f.vms, vm)
+	f.vms = append(f.vms, vms...)
 	f.mu.Unlock()
 	return f.putVMs()
 }
--- a/fleet/daemon.go
+++ b/fleet/daemon.go
@@ -60,7 +60,7 @@
 			return platform.VM{}, err
 		}
 	}
-	return vm, f.addVM(vm)
+	return vm, f.AddVMs(vm)
 }
 
 // SettingsPath returns the settings file of a daemon that was started.
--- a/fleet/errors.go
+++ b/fleet/errors.go
@@ -54,3 +54,9 @@
 func (e *StatusError) Error() string {
 	return fmt.Sprintf("%s answered %d: %s", e.URL, e.Status, e.Body)
 }
+
+// NoAddressError says that every port of the fleet is taken.
+type NoAddressError struct{}
+
+// Error implements error.
+func (e *NoAddressError) Error() string { return "no loopback port is free" }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -4,7 +4,6 @@
 package fleet
 
 import (
-	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -67,16 +66,6 @@
 	return f, nil
 }
 
-// FreeAddress returns a loopback address that no process listens on.
-func FreeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", &StartError{Name: "free address", Cause: err}
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
-}
-
 // run starts a program and waits until it listens.
 func (f *Fleet) run(name, program string, environment []string, arguments ...string) (*Process, error) {
 	process, err := startProcess(f.options.Dir, name, filepath.Join(f.options.Bin, program), environment, arguments...)
--- a/front/problem.go
+++ b/front/problem.go
@@ -35,9 +35,13 @@
 	RetryAfter time.Duration `json:"-"`
 }
 
-// write sends the problem as the final answer.
+// write sends the problem as the final answer. It is flushed: a request that
+// was not run may be run under another claim as soon as its caller was told.
 func (p Problem) write(w http.ResponseWriter) {
+	// A struct of texts and numbers always encodes.
+	body, _ := json.Marshal(p)
 	header := w.Header()
+	header.Set("Content-Length", strconv.Itoa(len(body)))
 	header.Set("Content-Type", "application/problem+json")
 	header.Set(HeaderOutcome, p.Outcome)
 	header.Set(HeaderRequestID, p.RequestID)
@@ -45,8 +49,9 @@
 		header.Set("Retry-After", retryAfterSeconds(p.RetryAfter))
 	}
 	w.WriteHeader(p.Status)
-	// The connection is gone when this fails; nobody is left to tell.
-	_ = json.NewEncoder(w).Encode(p)
+	// The connection is gone when one of these fails; nobody is left to tell.
+	_, _ = w.Write(body)
+	_ = http.NewResponseController(w).Flush()
 }
 
 // retryAfterSeconds rounds up to whole seconds, as the header wants.
--- /dev/null
+++ b/peer/gossip/reporters.go
@@ -0,0 +1,18 @@
+package gossip
+
+import "github.com/cranberrywalk/cranberrywalk/platform"
+
+// Reporters returns the names under which the demand of others is reported to
+// a daemon: the other daemons of its group, and the other groups.
+func Reporters(self Identity, vms []platform.VM) []string {
+	known := newMembers(self)
+	known.set(vms)
+	names := make([]string, 0, len(known.group)+len(known.groups))
+	for _, member := range known.group {
+		names = append(names, member.vm.Name)
+	}
+	for _, group := range known.groups {
+		names = append(names, group)
+	}
+	return names
+}
