Keep the long prompts of different daemons apart

What made the Trust's lesson plans late was a prompt of another daemon that was being prefilled at the same runner: at 92 % load 3.4 % of the calls missed the first token for it and none the time between tokens. A digest is too old to show such a prompt.

The daemons and the runners now lie around a circle in the order of their names, and a call pays for its prefill by the distance of the runner from its daemon. All daemons know the same circle without a message of its own, and what is cached costs nothing, so prompts still go to their caches.

A daemon has to be given its name in the options of the view to take part.

--- a/measure/daemon.go
+++ b/measure/daemon.go
@@ -21,9 +21,10 @@
 func newDaemon(t Tenant, number int, policy route.Policy, runners []route.Runner) *daemon {
 	zone := zoneName(number % len(t.Reclaimable))
 	options := t.options(zone)
+	options.Daemon = "daemon-" + string(rune('1'+number))
 	options.ZoneDelay = 2 * t.ZoneDelay
 	d := &daemon{
-		name:   "daemon-" + string(rune('1'+number)),
+		name:   options.Daemon,
 		zone:   zone,
 		view:   route.NewView(options),
 		policy: policy,
--- a/route/digest.go
+++ b/route/digest.go
@@ -62,6 +62,7 @@
 	if peer == nil {
 		peer = &peerLoad{}
 		v.peers[digest.Daemon] = peer
+		v.arrange()
 	}
 	if digest.Time.Before(peer.time) {
 		return
@@ -78,6 +79,7 @@
 	if peer := v.peers[daemon]; peer != nil {
 		v.withdraw(peer)
 		delete(v.peers, daemon)
+		v.arrange()
 	}
 }
 
--- a/route/score.go
+++ b/route/score.go
@@ -22,6 +22,10 @@
 	Margin float64
 	// LateCost is the cost of a time of a whole target above the margin.
 	LateCost float64
+	// DistanceCost is the cost of a second of prefill at the runner that is
+	// farthest from the daemon's own part of the runners. It keeps long
+	// prompts of different daemons apart, which do not see each other's.
+	DistanceCost float64
 	// PriceSeconds is the work that the price of a runner is charged for.
 	PriceSeconds float64
 	// FullPriceLoad and NoPriceLoad are the mean loads of the runners up to
@@ -49,6 +53,7 @@
 		WaitCost:      1,
 		Margin:        0.95,
 		LateCost:      2,
+		DistanceCost:  1.2,
 		PriceSeconds:  0.03,
 		FullPriceLoad: 0.55,
 		NoPriceLoad:   0.65,
@@ -110,6 +115,8 @@
 			continue
 		}
 		view.costs[at] = s.cost(call, &estimate, &view.options.Speed)
+		view.costs[at] += s.DistanceCost * view.slots[at].distance *
+			view.options.Speed.prefillSeconds(float64(estimate.uncached))
 		view.costs[at] += priceSeconds * view.slots[at].runner.Price
 		cost = min(cost, view.costs[at])
 	}
--- a/route/score_test.go
+++ b/route/score_test.go
@@ -211,3 +211,30 @@
 		})
 	}
 }
+
+func TestDaemonsKeepLongPromptsApart(t *testing.T) {
+	c := qt.New(t)
+	names := []string{"daemon-1", "daemon-2", "daemon-3", "daemon-4"}
+	policy := route.NewScore()
+	policy.AffinityCost = 0
+	used := map[string]bool{}
+	for _, name := range names {
+		options := route.DefaultOptions("a")
+		options.Daemon = name
+		view := route.NewView(options)
+		var runners []route.Runner
+		for i := range names {
+			runners = append(runners, route.Runner{Name: fmt.Sprintf("runner-%d", i), Zone: "a"})
+		}
+		view.SetRunners(runners)
+		for _, peer := range names {
+			if peer != name {
+				view.Digest(route.Digest{Daemon: peer, Time: start})
+			}
+		}
+		decision, err := policy.Choose(newCall(7, 40), view, start)
+		c.Assert(err, qt.IsNil)
+		used[decision.Runner] = true
+	}
+	c.Assert(used, qt.HasLen, len(names))
+}
--- a/route/view.go
+++ b/route/view.go
@@ -11,6 +11,9 @@
 
 // Options are the settings of a View.
 type Options struct {
+	// Daemon identifies the daemon among its peers, by the name that they
+	// see in its digests.
+	Daemon string
 	// Zone is the availability zone of the daemon.
 	Zone string
 	// Speed turns load into time.
@@ -98,6 +101,9 @@
 // slot is what the view knows of one runner.
 type slot struct {
 	runner Runner
+	// distance is how far the runner is from the daemon's own part of the
+	// runners, from 0 to 1.
+	distance float64
 	// generation rises when the slot gets another runner.
 	generation uint32
 	// hash identifies the runner in rendezvous hashing.
@@ -153,6 +159,7 @@
 		}
 		v.insert(runner)
 	}
+	v.arrange()
 }
 
 // SetLeaving marks a runner so that it gets no new work.
