Halve the cost that a meeting place may have

The rendezvous order decided among runners within 0.03 s of the lowest cost, a tolerance that was needed while daemons followed old digests to the same runner. Their places on the circle now keep them apart, so the tolerance only spoiled good choices.

--- a/route/score.go
+++ b/route/score.go
@@ -57,7 +57,7 @@
 		PriceSeconds:  0.03,
 		FullPriceLoad: 0.55,
 		NoPriceLoad:   0.65,
-		AffinityCost:  0.03,
+		AffinityCost:  0.015,
 		KeyBlocks:     8,
 		LowestLimit:   0.85,
 		HighestLimit:  1.1,
