--- a/route/score_test.go
+++ b/route/score_test.go
@@ -238,3 +238,30 @@
 	}
 	c.Assert(used, qt.HasLen, len(names))
 }
+
+func TestDecisionsDoNotAllocate(t *testing.T) {
+	c := qt.New(t)
+	for _, runners := range []int{107, 1500} {
+		view, policy, call := newView(runners), route.NewScore(), newCall(7, 80)
+		send(c, view, call, 1)
+		allocations := testing.AllocsPerRun(100, func() { _, _ = policy.Choose(call, view, start) })
+		c.Assert(allocations, qt.Equals, 0.0)
+	}
+}
+
+func TestUsageCorrectsPrefillAndCache(t *testing.T) {
+	c := qt.New(t)
+	view := newView(2)
+	call := newCall(7, 40)
+	decision, flights := send(c, view, call, 1)
+
+	view.Usage(&flights[0], call, decision, call.PromptTokens)
+
+	c.Assert(view.Report("daemon-1", start).Loads[0].PrefillTokensPerSecond, qt.Equals, 0.0)
+	for _, block := range call.Blocks {
+		view.CacheEvent(decision.Runner, block, false)
+	}
+	again, err := route.NewScore().Choose(call, view, start)
+	c.Assert(err, qt.IsNil)
+	c.Assert(again.Uncached, qt.Equals, call.PromptTokens)
+}
