Decide leases of duties from records on the log

Orders to engines and starts of VMs are to be given by one daemon at a time, and a holder that was paused must see that its lease has lapsed.

Package lease folds Acquire, Renew and Release records. The fold uses the times of the records only; the holder counts from a time of its own clock before it sent the record that it then finds in the stream. A record whose answer was lost is therefore neither assumed nor repeated: what the stream shows counts, also when it shows up late or twice.

A copy of an old Acquire can at most delay the next holder by one Duration + Margin. A book that begins after retention has removed records takes nothing for a win before it has seen that much silence.

The property test delivers records lost, late and doubled to processes that pause, crash, fall behind retention and have clocks 15 % too fast or too slow.

--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,146 @@
+package lease_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cranberrywalk/cranberrywalk/lease"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+)
+
+var (
+	start   = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	options = lease.DefaultOptions()
+)
+
+// script is two processes at one log.
+type script struct {
+	*qt.C
+	now      time.Time
+	offset   uint64
+	one, two *lease.Holder
+}
+
+func newScript(t *testing.T, first uint64) *script {
+	identity := lease.Identity{Duty: "Orders", Daemon: "one", Incarnation: "1"}
+	other := identity
+	other.Daemon = "two"
+	return &script{
+		C: qt.New(t), now: start, offset: first,
+		one: lease.NewHolder(identity, options, first), two: lease.NewHolder(other, options, first),
+	}
+}
+
+// append adds a record to the log, which both processes read.
+func (s *script) append(record lease.Record) error {
+	payload, err := record.Encode()
+	s.Assert(err, qt.IsNil)
+	return s.appendBytes(payload)
+}
+
+func (s *script) appendBytes(payload []byte) error {
+	entry := platform.Record{Offset: s.offset, Payload: payload, Time: s.now}
+	s.offset++
+	_, err := s.one.Fold(entry)
+	_, other := s.two.Fold(entry)
+	s.Assert(fmt.Sprint(other), qt.Equals, fmt.Sprint(err))
+	return err
+}
+
+func (s *script) wait(d time.Duration) { s.now = s.now.Add(d) }
+
+// isHolding checks who may give orders.
+func (s *script) isHolding(one, two bool) {
+	s.Helper()
+	_, holdsOne := s.one.Holding(s.now)
+	_, holdsTwo := s.two.Holding(s.now)
+	s.Assert([]bool{holdsOne, holdsTwo}, qt.DeepEquals, []bool{one, two})
+}
+
+func TestHolderOutlivesMarginOnlyWhenItRenews(t *testing.T) {
+	s := newScript(t, 0)
+	s.Assert(s.append(s.one.Acquire(s.now)), qt.IsNil)
+	s.isHolding(true, false)
+	s.wait(options.Duration)
+	s.isHolding(false, false)
+
+	// The paused holder renews late, before another process asks.
+	renewal, found := s.one.Renew(s.now)
+	s.Assert(found, qt.IsTrue)
+	s.Assert(s.append(renewal), qt.IsNil)
+	s.isHolding(true, false)
+
+	s.wait(options.Duration + options.Margin)
+	until := s.now
+	s.Assert(s.append(s.two.Acquire(s.now)), qt.DeepEquals, &lease.HeldError{Duty: "Orders", Until: until})
+	s.wait(1)
+	s.Assert(s.append(s.two.Acquire(s.now)), qt.IsNil)
+	s.isHolding(false, true)
+	number, _ := s.two.Holding(s.now)
+	s.Assert(number, qt.Equals, uint64(3))
+	_, found = s.one.Renew(s.now)
+	s.Assert(found, qt.IsFalse)
+}
+
+func TestReleaseFreesDutyAtOnce(t *testing.T) {
+	s := newScript(t, 0)
+	s.Assert(s.append(s.one.Acquire(s.now)), qt.IsNil)
+	release, found := s.one.Release(s.now)
+	s.Assert(found, qt.IsTrue)
+	s.isHolding(false, false)
+	s.Assert(s.append(release), qt.IsNil)
+	s.Assert(s.append(s.two.Acquire(s.now)), qt.IsNil)
+	s.isHolding(false, true)
+	s.Assert(s.append(release), qt.DeepEquals, &lease.NotHeldError{Duty: "Orders", Number: 0})
+	s.isHolding(false, true)
+}
+
+func TestLateAppendGivesNoTimeToHolder(t *testing.T) {
+	s := newScript(t, 0)
+	acquire := s.one.Acquire(s.now)
+	s.wait(options.Duration)
+	s.Assert(s.append(acquire), qt.IsNil)
+	s.isHolding(false, false)
+	renewal, found := s.one.Renew(s.now)
+	s.Assert(found, qt.IsTrue)
+	s.Assert(s.append(renewal), qt.IsNil)
+	s.isHolding(true, false)
+}
+
+func TestSecondOfTwoRacingProcessesLoses(t *testing.T) {
+	s := newScript(t, 0)
+	one, two := s.one.Acquire(s.now), s.two.Acquire(s.now)
+	s.Assert(s.append(two), qt.IsNil)
+	until := s.now.Add(options.Duration + options.Margin)
+	s.Assert(s.append(one), qt.DeepEquals, &lease.HeldError{Duty: "Orders", Until: until})
+	s.isHolding(false, true)
+}
+
+func TestBookThatBeginsLateWaitsForSilence(t *testing.T) {
+	s := newScript(t, 7)
+	s.Assert(s.append(s.one.Acquire(s.now)), qt.ErrorAs, new(*lease.HeldError))
+	s.wait(options.Duration + options.Margin + 1)
+	s.Assert(s.append(s.one.Acquire(s.now)), qt.IsNil)
+	s.isHolding(true, false)
+}
+
+func TestInvalidRecordsChangeNothing(t *testing.T) {
+	s := newScript(t, 0)
+	s.Assert(s.append(s.one.Acquire(s.now)), qt.IsNil)
+	for _, payload := range []string{"", "null", "[]", `{"Duty":"Orders"}`, `{"Duty":"Orders","Renew":{},"Release":{}}`} {
+		s.Assert(s.appendBytes([]byte(payload)), qt.ErrorAs, new(*lease.RecordError))
+	}
+	s.isHolding(true, false)
+	_, err := s.one.Fold(platform.Record{Offset: 1})
+	s.Assert(err, qt.DeepEquals, &lease.OffsetError{Offset: 1, Next: 6})
+}
+
+func TestOptionsNeedMargin(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(options.Check(), qt.IsNil)
+	bad := lease.Options{Duration: time.Second}
+	c.Assert(bad.Check(), qt.DeepEquals, &lease.OptionsError{Options: bad})
+}
--- /dev/null
+++ b/lease/property_test.go
@@ -0,0 +1,160 @@
+package lease_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/cranberrywalk/cranberrywalk/lease"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+)
+
+// process is a daemon with a clock of its own.
+type process struct {
+	holder *lease.Holder
+	// offset and rate make the own clock of the world's.
+	offset time.Duration
+	rate   float64
+}
+
+// world is a log that takes records at once, late, twice or never, and that
+// forgets them.
+type world struct {
+	now       time.Time
+	log       []platform.Record
+	flight    [][]byte
+	first     uint64
+	processes []*process
+	started   int
+	// reference folds every record, and wins has what it took for a win.
+	reference *lease.Book
+	wins      map[uint64]bool
+}
+
+func newWorld() *world {
+	return &world{now: start, reference: lease.NewBook(options, 0), wins: make(map[uint64]bool)}
+}
+
+func (w *world) local(p *process) time.Time {
+	passed := float64(w.now.Sub(start)) * p.rate
+	return start.Add(p.offset + time.Duration(passed))
+}
+
+// start adds a process whose clock is as wrong as the margin allows.
+func (w *world) start(t *rapid.T) {
+	w.started++
+	identity := lease.Identity{Duty: "Orders", Daemon: "d", Incarnation: fmt.Sprint(w.started)}
+	w.processes = append(w.processes, &process{
+		holder: lease.NewHolder(identity, options, w.first),
+		offset: time.Duration(rapid.IntRange(-99, 99).Draw(t, "offset")) * time.Second,
+		rate:   rapid.SampledFrom([]float64{0.85, 1, 1.15}).Draw(t, "rate"),
+	})
+}
+
+// send appends a record; it may take effect later as well, or only.
+func (w *world) send(t *rapid.T, record lease.Record) {
+	payload, err := record.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	fate := rapid.IntRange(0, 5).Draw(t, "fate")
+	if fate != 0 && fate != 1 {
+		w.append(payload)
+	}
+	if fate <= 2 {
+		w.flight = append(w.flight, payload)
+	}
+}
+
+func (w *world) append(payload []byte) {
+	entry := platform.Record{Offset: uint64(len(w.log)), Payload: payload, Time: w.now}
+	w.log = append(w.log, entry)
+	if record, err := w.reference.Fold(entry); err == nil && record.Acquire != nil {
+		w.wins[entry.Offset] = true
+	}
+}
+
+// read folds records. What a book takes for a win must be one for all books.
+func (w *world) read(t *rapid.T, p *process, count int) {
+	for ; count > 0; count-- {
+		if p.holder.Book().Next() < w.first {
+			p.holder.Restart(w.first)
+		}
+		next := p.holder.Book().Next()
+		if next == uint64(len(w.log)) {
+			return
+		}
+		record, err := p.holder.Fold(w.log[next])
+		if err == nil && record.Acquire != nil && !w.wins[next] {
+			t.Fatalf("record %d wins in a book that began later", next)
+		}
+	}
+}
+
+func (w *world) step(t *rapid.T) {
+	i := rapid.IntRange(0, len(w.processes)-1).Draw(t, "process")
+	p := w.processes[i]
+	switch rapid.SampledFrom([]string{
+		"acquire", "acquire", "renew", "renew", "read", "read", "read", "wait", "wait", "wait",
+		"late", "late", "release", "crash", "trim",
+	}).Draw(t, "step") {
+	case "acquire":
+		w.send(t, p.holder.Acquire(w.local(p)))
+	case "renew":
+		if record, found := p.holder.Renew(w.local(p)); found {
+			w.send(t, record)
+		}
+	case "read":
+		w.read(t, p, rapid.SampledFrom([]int{1, 99, 99}).Draw(t, "count"))
+	case "wait":
+		low := rapid.SampledFrom([]int{0, 0, 0, 10000}).Draw(t, "low")
+		w.now = w.now.Add(time.Duration(low+rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+	case "late":
+		if len(w.flight) > 0 {
+			w.append(rapid.SampledFrom(w.flight).Draw(t, "record"))
+		}
+	case "release":
+		if record, found := p.holder.Release(w.local(p)); found {
+			w.send(t, record)
+		}
+	case "crash":
+		w.processes = append(w.processes[:i], w.processes[i+1:]...)
+		w.start(t)
+	case "trim":
+		w.first += uint64(rapid.IntRange(0, len(w.log)-int(w.first)).Draw(t, "trimmed"))
+	}
+}
+
+// holders returns the numbers of all processes that may give orders now.
+func (w *world) holders() []uint64 {
+	var numbers []uint64
+	for _, p := range w.processes {
+		if number, isHolding := p.holder.Holding(w.local(p)); isHolding {
+			numbers = append(numbers, number)
+		}
+	}
+	return numbers
+}
+
+func TestTwoProcessesNeverHoldAtOnce(t *testing.T) {
+	held := 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		for range 3 {
+			w.start(t)
+		}
+		for range 100 {
+			w.step(t)
+			holders := w.holders()
+			if len(holders) > 1 {
+				t.Fatalf("leases %v are held at once", holders)
+			}
+			held += len(holders)
+		}
+	})
+	if held == 0 {
+		t.Fatal("no process ever held the duty")
+	}
+}
