Slow appends down when the log throttles, forget claims that were missed

The log takes several hundred appends a second from all daemons together, and a daemon cannot know its share. The interval between two appends doubles when the log refuses one for its rate and shrinks slowly while it takes them.

An abandoned claim whose record retention had removed unread stayed among the sent ones for good, so that Settle never returned. It is forgotten once a later record of the process is folded: copies of it are ignored then.

--- a/grant/owner_test.go
+++ b/grant/owner_test.go
@@ -181,6 +181,13 @@
 	s.alive()
 	s.Assert(s.one.MayWrite(won, s.now), qt.IsFalse)
 	s.Assert(s.one.MayWrite(next, s.now), qt.IsTrue)
+
+	// A second withdrawal of the old claim does not open the key.
+	s.one.Withdraw(won)
+	s.alive()
+	again, err := s.one.Decide(keys[0], 0, s.now)
+	s.Assert(err, qt.IsNil)
+	s.Assert(again.Winner, qt.Equals, next)
 }
 
 func TestOnlyRangesOfLeavingDaemonMove(t *testing.T) {
--- a/ledger/appender.go
+++ b/ledger/appender.go
@@ -16,7 +16,6 @@
 
 // runAppender gathers claims and releases into appends, one at a time.
 func (l *Ledger) runAppender(ctx context.Context) {
-	var last time.Time
 	for {
 		var gathered []*pending
 		select {
@@ -26,12 +25,11 @@
 		case <-ctx.Done():
 			return
 		}
-		if wait := l.options.FlushInterval - l.Clock.Since(last); wait > 0 {
+		if wait := l.pace.wait(l.Clock.Now()); wait > 0 {
 			if clock.Sleep(ctx, l.Clock, wait) != nil {
 				return
 			}
 		}
-		last = l.Clock.Now()
 		gathered = append(gathered, l.claims.Drain(l.options.MaxGathered-len(gathered))...)
 		if record, found := l.assemble(gathered); found {
 			l.send(ctx, record)
@@ -107,7 +105,16 @@
 	l.Count("Ledger.Appends", 1)
 	bounded, cancel := l.withTimeout(ctx, l.options.AppendTimeout)
 	defer cancel()
+	l.pace.begin(l.Clock.Now())
 	_, err := l.log.Append(bounded, l.options.Stream, [][]byte{payload})
+	var throttled *platform.ThrottledError
+	switch {
+	case err == nil:
+		l.pace.faster()
+	case errors.As(err, &throttled):
+		l.Count("Ledger.Throttled", 1)
+		l.pace.slower()
+	}
 	return err
 }
 
--- /dev/null
+++ b/ledger/claim_bench_test.go
@@ -0,0 +1,52 @@
+package ledger_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+
+	"github.com/rcrowley/go-metrics"
+	"k8s.io/klog/v2"
+
+	"github.com/cranberrywalk/cranberrywalk/claim"
+	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/ledger"
+	"github.com/cranberrywalk/cranberrywalk/telemetry"
+)
+
+// BenchmarkClaim claims new keys from 64 callers for each processor on a log
+// that answers at once, and reports how many claims share an append.
+func BenchmarkClaim(b *testing.B) {
+	log := newFakeLog(clock.Real())
+	options := ledger.DefaultOptions()
+	options.Daemon, options.Incarnation, options.Book.MaxClaims = "one", "1", b.N+1
+	common := telemetry.Common{Log: klog.Background(), Metrics: metrics.NewRegistry(), Clock: clock.Real(), Events: telemetry.Discard{}}
+	l := ledger.New(common, log, options)
+	ctx, cancel := context.WithCancel(context.Background())
+	go l.Run(ctx)
+	<-l.Ready()
+
+	var number, appends atomic.Int64
+	go func() {
+		for range log.tried {
+			appends.Add(1)
+		}
+	}()
+	b.SetParallelism(64)
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			key := claim.NewKey("c", "s", fmt.Sprint(number.Add(1)))
+			if verdict, err := l.Claim(ctx, key, 1); err != nil || !verdict.Won {
+				b.Errorf("%+v %v", verdict, err)
+			}
+		}
+	})
+	b.StopTimer()
+	cancel()
+	<-l.Done()
+	close(log.tried)
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "claims/s")
+	b.ReportMetric(float64(appends.Load())/b.Elapsed().Seconds(), "appends/s")
+}
--- a/ledger/fault_test.go
+++ b/ledger/fault_test.go
@@ -260,3 +260,19 @@
 	_, held := one.Look(key)
 	b.Assert(held, qt.IsFalse)
 }
+
+// A claim whose record was removed unread is forgotten once a later record
+// shows that no copy of it can take effect.
+func TestSettleForgetsMissedClaims(t *testing.T) {
+	b := newBench(t)
+	one, _ := b.daemon("one")
+	b.log.with(func(f *fakeLog) { f.readsDown = true })
+	answers := claimLater(context.Background(), one)
+	<-b.log.tried
+	b.log.with(func(f *fakeLog) { f.records, f.first, f.readsDown = nil, 1, false })
+	b.Assert((<-answers).err, qt.ErrorMatches, ".*is not settled.*")
+
+	_, err := one.Claim(context.Background(), claim.NewKey("c", "s", "2"), 7)
+	b.Assert(err, qt.IsNil)
+	b.Assert(one.Settle(context.Background()), qt.IsNil)
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -25,6 +25,8 @@
 	log     platform.Log
 	// claims joins the callers to the appender.
 	claims *ring.Ring[*pending]
+	// pace belongs to the appender.
+	pace *pace
 	// wake tells the appender that releases are owed.
 	wake chan struct{}
 	// ready is closed by the reader once the stream has been read.
@@ -62,6 +64,7 @@
 		options:    options,
 		log:        log,
 		claims:     ring.New[*pending]("Claims", options.RingCapacity),
+		pace:       newPace(options.FlushInterval, options.MaxFlushInterval),
 		wake:       make(chan struct{}, 1),
 		ready:      make(chan struct{}),
 		done:       make(chan struct{}),
--- a/ledger/options.go
+++ b/ledger/options.go
@@ -21,6 +21,9 @@
 	Retention time.Duration
 	// FlushInterval is the shortest time between two appends.
 	FlushInterval time.Duration
+	// MaxFlushInterval bounds the interval that a log which refuses appends
+	// for their rate leads to.
+	MaxFlushInterval time.Duration
 	// MaxGathered bounds the claims and the releases of one append.
 	MaxGathered int
 	// RingCapacity bounds the claims that wait for an append, and the
@@ -48,19 +51,20 @@
 // and Incarnation have no default.
 func DefaultOptions() Options {
 	return Options{
-		Stream:        "Claims",
-		Book:          claim.DefaultOptions(),
-		Retention:     48 * time.Hour,
-		FlushInterval: 5 * time.Millisecond,
-		MaxGathered:   512,
-		RingCapacity:  1024,
-		AppendTimeout: 2 * time.Second,
-		AppendTries:   3,
-		ReadWait:      10 * time.Second,
-		ReadTimeout:   2 * time.Second,
-		ReadLimit:     256,
-		RetryMin:      20 * time.Millisecond,
-		RetryMax:      2 * time.Second,
+		Stream:           "Claims",
+		Book:             claim.DefaultOptions(),
+		Retention:        48 * time.Hour,
+		FlushInterval:    5 * time.Millisecond,
+		MaxFlushInterval: 200 * time.Millisecond,
+		MaxGathered:      512,
+		RingCapacity:     1024,
+		AppendTimeout:    2 * time.Second,
+		AppendTries:      3,
+		ReadWait:         10 * time.Second,
+		ReadTimeout:      2 * time.Second,
+		ReadLimit:        256,
+		RetryMin:         20 * time.Millisecond,
+		RetryMax:         2 * time.Second,
 	}
 }
 
--- a/ledger/reader.go
+++ b/ledger/reader.go
@@ -106,6 +106,7 @@
 		}
 	}
 	l.dropFolded()
+	l.dropMissed()
 	return nil
 }
 
@@ -175,3 +176,15 @@
 		}
 	}
 }
+
+// dropMissed forgets the abandoned claims whose records were removed unread:
+// a later record of this process has been folded, so that a copy of theirs
+// would be ignored. It is called with mu held.
+func (l *Ledger) dropMissed() {
+	highest := l.book.Highest(l.options.Daemon, l.options.Incarnation)
+	for number, waiting := range l.sent {
+		if number <= highest && waiting.stage == stageAbandoned {
+			delete(l.sent, number)
+		}
+	}
+}
