Decide which models runners load and which lost VMs are replaced

Package placement is the policy under the lease for orders. It is pure: a decision follows from the listed VMs, the engines' reports, the demand for each model, the allowances and the offers.

- Loads: a model whose load is above 0.8 of its runners' rate gets one more runner, an idle one or one whose models stay below 0.5 without it.
A runner keeps its models for five minutes after a change, and one runner at a time fetches weights.
What is wanted of a runner is kept for the tenure, so that a late order of an earlier holder is corrected.
- Starts: lost VMs are replaced as far as the demand, or where it is not known the earlier number, needs them: reclaimable offers first, then the ones that more plans may use, then the cheaper ones.
A refusal backs off by zone, class and kind.
The identity names the lost VM, or the VMs that are there, so that the next holder repeats a start instead of doubling it.

Ruled out: identities from the version of the VM list, which changes with every VM of any kind and so would double a start that an earlier holder has made and that is not listed yet.

The unit tests pass.

--- /dev/null
+++ b/placement/fleet.go
@@ -0,0 +1,200 @@
+package placement
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/platform"
+)
+
+// pool is a group of VMs that replace each other.
+type pool struct {
+	role platform.Role
+	// model is set for runners and service for plain services. Runners with
+	// several models belong to the pool of the first one by name.
+	model   string
+	service string
+}
+
+// start is a start that was made and whose VM is not listed yet.
+type start struct {
+	pool pool
+	// vm is the name of the VM.
+	vm string
+	// until is when the VM is no longer waited for.
+	until time.Time
+}
+
+// refusal is how an offer was last refused.
+type refusal struct {
+	until time.Time
+	wait  time.Duration
+}
+
+// fleet decides which VMs to start.
+type fleet struct {
+	options Options
+	// seen has the pool of each listed VM of the last decision.
+	seen map[string]pool
+	// lost has the VMs that have left or vanished without a replacement.
+	lost map[string]pool
+	// replaced has the listed VMs that are leaving and have a replacement.
+	replaced map[string]bool
+	// started has the starts by identity.
+	started map[string]start
+	refused map[Offer]refusal
+	// pausedUntil is when the cloud is asked again after a start without an
+	// answer.
+	pausedUntil time.Time
+}
+
+func newFleet(options Options) fleet {
+	return fleet{
+		options: options, seen: make(map[string]pool), lost: make(map[string]pool),
+		replaced: make(map[string]bool), started: make(map[string]start),
+		refused: make(map[Offer]refusal),
+	}
+}
+
+// starts returns the VMs to start now. targets are the models that are wanted
+// of the runners.
+func (f *fleet) starts(inputs Inputs, targets map[string]target, now time.Time) []platform.StartRequest {
+	f.look(inputs, targets, now)
+	if now.Before(f.pausedUntil) {
+		return nil
+	}
+	live := f.live(inputs)
+	var requests []platform.StartRequest
+	for _, p := range f.pools() {
+		short := f.wanted(p, live[p], inputs) - len(live[p]) - f.pending(p)
+		if short <= 0 {
+			f.forgetLost(p)
+		}
+		for _, identity := range f.identities(p, live[p], short) {
+			offer, found := f.offer(p, inputs, now)
+			if !found {
+				break
+			}
+			requests = append(requests, platform.StartRequest{
+				Identity: identity, Role: p.role, Zone: offer.Zone, Class: offer.Class,
+				Reclaimable: offer.Reclaimable, Models: modelsOf(p), Service: p.service,
+			})
+		}
+	}
+	return requests
+}
+
+// look compares the listed VMs with those of the last decision.
+func (f *fleet) look(inputs Inputs, targets map[string]target, now time.Time) {
+	listed := make(map[string]pool, len(inputs.VMs))
+	for _, vm := range inputs.VMs {
+		if vm.Role == platform.RoleEntry {
+			continue
+		}
+		listed[vm.Name] = f.poolNow(vm, targets)
+		delete(f.lost, vm.Name)
+		if vm.Leaving && !f.replaced[vm.Name] {
+			f.lost[vm.Name] = listed[vm.Name]
+		}
+	}
+	for name, p := range f.seen {
+		if _, isListed := listed[name]; !isListed && !f.replaced[name] {
+			f.lost[name] = p
+		}
+	}
+	f.seen = listed
+	maps.DeleteFunc(f.replaced, func(name string, _ bool) bool {
+		_, isListed := listed[name]
+		return !isListed
+	})
+	maps.DeleteFunc(f.started, func(_ string, s start) bool {
+		_, isListed := listed[s.vm]
+		return isListed || !now.Before(s.until)
+	})
+}
+
+// poolNow returns the pool of a VM. A VM that is leaving stays in the pool
+// that it was in.
+func (f *fleet) poolNow(vm platform.VM, targets map[string]target) pool {
+	if wanted, found := targets[vm.Name]; found {
+		vm.Models = wanted.models
+		return poolOf(vm)
+	}
+	if known, found := f.seen[vm.Name]; found {
+		return known
+	}
+	return poolOf(vm)
+}
+
+// forgetLost drops the lost VMs of a pool that needs no replacement, but for
+// those that are still listed.
+func (f *fleet) forgetLost(p pool) {
+	maps.DeleteFunc(f.lost, func(name string, of pool) bool {
+		_, isListed := f.seen[name]
+		return of == p && !isListed
+	})
+}
+
+// live returns the names of the VMs that stay, by pool and in order.
+func (f *fleet) live(inputs Inputs) map[pool][]string {
+	live := make(map[pool][]string)
+	for _, vm := range inputs.VMs {
+		if vm.Role != platform.RoleEntry && !vm.Leaving {
+			live[f.seen[vm.Name]] = append(live[f.seen[vm.Name]], vm.Name)
+		}
+	}
+	for _, names := range live {
+		slices.Sort(names)
+	}
+	return live
+}
+
+// wanted returns how many VMs a pool should have: as many as its demand
+// needs, up to MaxRunners, or, where the demand is not known, as many as it had.
+func (f *fleet) wanted(p pool, live []string, inputs Inputs) int {
+	at := slices.IndexFunc(inputs.Demands, func(demand Demand) bool {
+		return p.role == platform.RoleRunner && demand.Model == p.model
+	})
+	if at < 0 {
+		return len(live) + f.pending(p) + len(f.lostOf(p))
+	}
+	rate := max(inputs.Demands[at].Rate, inputs.Demands[at].Peak)
+	needed := math.Ceil(rate / (f.options.RunnerRate * f.options.HighUse))
+	return int(min(needed, float64(f.options.MaxRunners)))
+}
+
+func (f *fleet) pending(p pool) int {
+	count := 0
+	for _, s := range f.started {
+		if s.pool == p {
+			count++
+		}
+	}
+	return count
+}
+
+// lostOf returns the lost VMs of a pool in order.
+func (f *fleet) lostOf(p pool) []string {
+	var names []string
+	for name, of := range f.lost {
+		if of == p {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// pools returns every known pool in order.
+func (f *fleet) pools() []pool {
+	known := make(map[pool]bool)
+	for _, p := range f.seen {
+		known[p] = true
+	}
+	for _, p := range f.lost {
+		known[p] = true
+	}
+	return slices.SortedFunc(maps.Keys(known), comparePools)
+}
--- /dev/null
+++ b/placement/planner.go
@@ -0,0 +1,154 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/platform"
+)
+
+// target is what is wanted of a runner.
+type target struct {
+	// models are in order of their names.
+	models []string
+	// changed is when models was last decided anew; zero when it was taken
+	// over from the runner.
+	changed time.Time
+	// ordered is when the last order was given; zero before the first.
+	ordered time.Time
+}
+
+// Planner makes the decisions of one holder of the duty. It belongs to one
+// goroutine. A new one takes over the models that the runners report.
+type Planner struct {
+	options Options
+	// targets has the runners that have reported and are not leaving.
+	targets map[string]target
+	// loading is the runner that fetches weights, or empty: one does at a
+	// time.
+	loading string
+	fleet   fleet
+}
+
+// New returns a planner that wants what it will find.
+func New(options Options) *Planner {
+	return &Planner{options: options, targets: make(map[string]target), fleet: newFleet(options)}
+}
+
+// Plan returns the orders to give now. The caller reports what came of them
+// by Ordered, Started, Refused and Unanswered before it calls Plan again.
+func (p *Planner) Plan(inputs Inputs, now time.Time) Decision {
+	runners := usableRunners(inputs)
+	p.adopt(runners, inputs)
+	p.endLoading(runners, inputs, now)
+	if p.loading == "" && !p.isAnyMissing(runners, inputs) {
+		p.rebalance(runners, inputs, now)
+	}
+	return Decision{Loads: p.loads(runners, inputs, now), Starts: p.fleet.starts(inputs, p.targets, now)}
+}
+
+// Ordered notes that a runner was given its order, or may have been.
+func (p *Planner) Ordered(vm string, now time.Time) {
+	wanted, found := p.targets[vm]
+	if !found {
+		return
+	}
+	wanted.ordered = now
+	p.targets[vm] = wanted
+}
+
+// usableRunners returns the runners that can take orders, by name.
+func usableRunners(inputs Inputs) []platform.VM {
+	var runners []platform.VM
+	for _, vm := range inputs.VMs {
+		_, hasReport := inputs.Reports[vm.Name]
+		if vm.Role == platform.RoleRunner && !vm.Leaving && hasReport {
+			runners = append(runners, vm)
+		}
+	}
+	slices.SortFunc(runners, func(a, b platform.VM) int { return cmp.Compare(a.Name, b.Name) })
+	return runners
+}
+
+// adopt takes over the models of runners that are new to the planner, and
+// drops the targets of those that have left. A runner without a report now
+// keeps its target.
+func (p *Planner) adopt(runners []platform.VM, inputs Inputs) {
+	for _, vm := range runners {
+		if _, known := p.targets[vm.Name]; known {
+			continue
+		}
+		models := inputs.Reports[vm.Name].Models
+		if len(models) == 0 {
+			models = vm.Models
+		}
+		p.targets[vm.Name] = target{models: sorted(models)}
+	}
+	for name := range p.targets {
+		isListed := slices.ContainsFunc(inputs.VMs, func(vm platform.VM) bool {
+			return vm.Name == name && !vm.Leaving
+		})
+		if !isListed {
+			delete(p.targets, name)
+		}
+	}
+}
+
+// endLoading lets another runner fetch weights when the last one has done so
+// or takes too long.
+func (p *Planner) endLoading(runners []platform.VM, inputs Inputs, now time.Time) {
+	wanted := p.targets[p.loading]
+	isUsable := slices.ContainsFunc(runners, func(vm platform.VM) bool { return vm.Name == p.loading })
+	isLate := !wanted.ordered.IsZero() && !now.Before(wanted.ordered.Add(p.options.RepeatAfter))
+	if !isUsable || isLate || len(p.missing(p.loading, inputs)) == 0 {
+		p.loading = ""
+	}
+}
+
+func (p *Planner) isAnyMissing(runners []platform.VM, inputs Inputs) bool {
+	return slices.ContainsFunc(runners, func(vm platform.VM) bool {
+		return len(p.missing(vm.Name, inputs)) > 0
+	})
+}
+
+// missing returns the wanted models that a runner does not report.
+func (p *Planner) missing(vm string, inputs Inputs) []string {
+	var missing []string
+	for _, model := range p.targets[vm].models {
+		if !slices.Contains(inputs.Reports[vm].Models, model) {
+			missing = append(missing, model)
+		}
+	}
+	return missing
+}
+
+// loads returns the orders to runners that do not report what is wanted.
+// Runners that were ordered longest ago come first, so that one that never
+// loads its models does not keep the others from theirs.
+func (p *Planner) loads(runners []platform.VM, inputs Inputs, now time.Time) []Load {
+	byAge := slices.Clone(runners)
+	slices.SortStableFunc(byAge, func(a, b platform.VM) int {
+		return p.targets[a.Name].ordered.Compare(p.targets[b.Name].ordered)
+	})
+	var loads []Load
+	for _, vm := range byAge {
+		wanted := p.targets[vm.Name]
+		if slices.Equal(wanted.models, sorted(inputs.Reports[vm.Name].Models)) {
+			continue
+		}
+		missing := p.missing(vm.Name, inputs)
+		if len(missing) > 0 && p.loading == "" {
+			p.loading = vm.Name
+		}
+		isDue := wanted.ordered.IsZero() || !now.Before(wanted.ordered.Add(p.options.RepeatAfter))
+		if isDue && (len(missing) == 0 || p.loading == vm.Name) {
+			loads = append(loads, Load{VM: vm, Models: wanted.models, Missing: missing})
+		}
+	}
+	return loads
+}
+
+func sorted(models []string) []string {
+	return slices.Compact(slices.Sorted(slices.Values(models)))
+}
--- /dev/null
+++ b/placement/planner_test.go
@@ -0,0 +1,164 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cranberrywalk/cranberrywalk/placement"
+	"github.com/cranberrywalk/cranberrywalk/plan"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+)
+
+var (
+	start   = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	options = placement.DefaultOptions()
+)
+
+// rig is a planner with runners that carry out their orders.
+type rig struct {
+	*qt.C
+	now     time.Time
+	planner *placement.Planner
+	inputs  placement.Inputs
+}
+
+// newRig returns runners named r0 and up with one model each.
+func newRig(t *testing.T, models ...string) *rig {
+	r := &rig{C: qt.New(t), now: start, planner: placement.New(options)}
+	r.inputs.Reports = make(map[string]platform.LoadReport)
+	r.inputs.Allowances = []plan.Allowance{{Plan: "p", Models: []string{"a", "b"}, Services: []string{"s"}}}
+	for i, model := range models {
+		vm := platform.VM{
+			Name: fmt.Sprint("r", i), Role: platform.RoleRunner, Zone: "z1", Class: "c",
+			Reclaimable: true, Price: 1,
+		}
+		if model != "" {
+			vm.Models = []string{model}
+		}
+		r.inputs.VMs = append(r.inputs.VMs, vm)
+		r.inputs.Reports[vm.Name] = platform.LoadReport{Models: vm.Models}
+	}
+	return r
+}
+
+// demand sets the loads in runners' worth.
+func (r *rig) demand(a, b float64) {
+	r.inputs.Demands = []placement.Demand{
+		{Model: "a", Rate: a * options.RunnerRate}, {Model: "b", Rate: b * options.RunnerRate},
+	}
+}
+
+// loads plans and returns the loads as text.
+func (r *rig) loads() []string {
+	loads := []string{}
+	for _, load := range r.planner.Plan(r.inputs, r.now).Loads {
+		loads = append(loads, fmt.Sprintf("%s%v%v", load.VM.Name, load.Models, load.Missing))
+	}
+	return loads
+}
+
+// obey gives the order and lets the runner report its result.
+func (r *rig) obey(vm string, models ...string) {
+	r.planner.Ordered(vm, r.now)
+	r.inputs.Reports[vm] = platform.LoadReport{Models: models}
+}
+
+func TestModelsFollowDemand(t *testing.T) {
+	for _, scenario := range []struct {
+		name   string
+		models []string
+		a, b   float64
+		loads  []string
+	}{
+		{"even demand keeps models", []string{"a", "a", "b"}, 1.2, 0.7, []string{}},
+		{"idle runner goes to a short model", []string{"a", "", "b"}, 0.9, 0.3, []string{"r1[a][a]"}},
+		{"spare runner goes to a short model", []string{"a", "a", "a", "b"}, 0.9, 0.9, []string{"r0[b][b]"}},
+		{"runner in use is kept", []string{"a", "a", "b"}, 0.6, 0.9, []string{}},
+		{"last runner of a model is kept", []string{"a", "b"}, 0, 0.9, []string{}},
+		{"model without runner gets one early", []string{"a", "a"}, 0.7, 0.1, []string{"r0[b][b]"}},
+		{"idle model takes nothing", []string{"a", "a"}, 0.1, 0, []string{}},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			r := newRig(t, scenario.models...)
+			r.demand(scenario.a, scenario.b)
+			r.Assert(r.loads(), qt.DeepEquals, scenario.loads)
+		})
+	}
+}
+
+func TestForbiddenClassIsNotGivenModel(t *testing.T) {
+	r := newRig(t, "a", "", "b")
+	r.demand(0.9, 0.3)
+	r.inputs.Allowances[0].Classes = []string{"other"}
+	r.Assert(r.loads(), qt.DeepEquals, []string{})
+}
+
+func TestUnknownDemandKeepsRunners(t *testing.T) {
+	r := newRig(t, "a", "a", "a", "b")
+	r.demand(0, 0.9)
+	r.inputs.Demands = r.inputs.Demands[1:]
+	r.Assert(r.loads(), qt.DeepEquals, []string{})
+}
+
+func TestModelsAreNotSwappedBackAndForth(t *testing.T) {
+	r := newRig(t, "a", "a", "b", "b", "b")
+	for i := range 200 {
+		swing := 0.2 * float64(i%2)
+		r.demand(1.7-swing, 1.5+swing)
+		r.Assert(r.loads(), qt.DeepEquals, []string{})
+		r.now = r.now.Add(10 * time.Second)
+	}
+}
+
+func TestChangedRunnerIsHeldForAWhile(t *testing.T) {
+	r := newRig(t, "a", "a", "b")
+	r.demand(0.3, 0.9)
+	r.Assert(r.loads(), qt.DeepEquals, []string{"r0[b][b]"})
+	r.obey("r0", "b")
+	r.demand(0.9, 0.1)
+	// The other runner of b was not changed and can be spared first.
+	r.Assert(r.loads(), qt.DeepEquals, []string{"r2[a][a]"})
+	r.obey("r2", "a")
+	r.demand(0.3, 0.9)
+	r.Assert(r.loads(), qt.DeepEquals, []string{"r1[b][b]"})
+	r.obey("r1", "b")
+	r.demand(0.9, 0.1)
+	r.Assert(r.loads(), qt.DeepEquals, []string{})
+	r.now = r.now.Add(options.HoldTime)
+	r.Assert(r.loads(), qt.DeepEquals, []string{"r0[a][a]"})
+}
+
+func TestOneRunnerLoadsAtATime(t *testing.T) {
+	r := newRig(t, "", "", "b")
+	r.demand(1.9, 0.3)
+	r.Assert(r.loads(), qt.DeepEquals, []string{"r0[a][a]"})
+	r.planner.Ordered("r0", r.now)
+	r.Assert(r.loads(), qt.DeepEquals, []string{})
+	// A runner that does not report the model is ordered again.
+	r.now = r.now.Add(options.RepeatAfter)
+	r.Assert(r.loads(), qt.DeepEquals, []string{"r0[a][a]"})
+	r.obey("r0", "a")
+	r.Assert(r.loads(), qt.DeepEquals, []string{"r1[a][a]"})
+}
+
+func TestLateOrderOfEarlierHolderIsCorrected(t *testing.T) {
+	r := newRig(t, "a", "b")
+	r.demand(0.3, 0.3)
+	r.Assert(r.loads(), qt.DeepEquals, []string{})
+	r.inputs.Reports["r0"] = platform.LoadReport{Models: []string{"b", "x"}}
+	r.Assert(r.loads(), qt.DeepEquals, []string{"r0[a][a]"})
+	r.obey("r0", "x", "a")
+	r.now = r.now.Add(options.RepeatAfter)
+	r.Assert(r.loads(), qt.DeepEquals, []string{"r0[a][]"})
+}
+
+func TestSilentAndLeavingRunnersGetNoOrders(t *testing.T) {
+	r := newRig(t, "a", "", "", "b")
+	r.demand(0.9, 0.3)
+	r.inputs.VMs[1].Leaving = true
+	delete(r.inputs.Reports, "r2")
+	r.Assert(r.loads(), qt.DeepEquals, []string{})
+}
--- /dev/null
+++ b/placement/start.go
@@ -0,0 +1,150 @@
+package placement
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cranberrywalk/cranberrywalk/platform"
+)
+
+// Started notes the VM of a start.
+func (p *Planner) Started(request platform.StartRequest, vm platform.VM, now time.Time) {
+	f := &p.fleet
+	f.started[request.Identity] = start{
+		pool: poolOfRequest(request), vm: vm.Name, until: now.Add(f.options.RepeatAfter),
+	}
+	delete(f.refused, offerOf(request))
+	if name, isReplacement := strings.CutPrefix(request.Identity, replacePrefix); isReplacement {
+		delete(f.lost, name)
+		f.replaced[name] = true
+	}
+}
+
+// Refused notes that the cloud has no capacity for a start. The next decision
+// takes another offer.
+func (p *Planner) Refused(request platform.StartRequest, now time.Time) {
+	f := &p.fleet
+	last := f.refused[offerOf(request)]
+	wait := min(max(f.options.BackoffMin, 2*last.wait), f.options.BackoffMax)
+	f.refused[offerOf(request)] = refusal{until: now.Add(wait), wait: wait}
+}
+
+// Unanswered notes that it is not known whether a start has taken effect, or
+// that the cloud did not take it. It is repeated with the same identity after
+// BackoffMin.
+func (p *Planner) Unanswered(now time.Time) {
+	p.fleet.pausedUntil = now.Add(p.fleet.options.BackoffMin)
+}
+
+// replacePrefix begins the identity of a start that replaces a lost VM. The
+// name of the lost VM follows it.
+const replacePrefix = "Replace/"
+
+// identities returns the identities of short starts for a pool. They depend
+// on the listed VMs only, so that the start of a holder that is repeated by
+// the next one returns the same VM.
+func (f *fleet) identities(p pool, live []string, short int) []string {
+	var identities []string
+	for _, name := range f.lostOf(p) {
+		identities = append(identities, replacePrefix+name)
+	}
+	names := xxhash.Sum64String(strings.Join(live, "/"))
+	for i := 0; len(identities) < short; i++ {
+		identity := fmt.Sprintf("Add/%s%s/%016x/%d", p.model, p.service, names, i)
+		if _, isPending := f.started[identity]; !isPending {
+			identities = append(identities, identity)
+		}
+	}
+	return identities[:max(0, min(short, len(identities)))]
+}
+
+// offer returns the offer to try: reclaimable ones come before on-demand
+// ones, then those that more of the plans with the model may use, then the
+// cheaper ones, and then the zone with fewer VMs.
+func (f *fleet) offer(p pool, inputs Inputs, now time.Time) (Offer, bool) {
+	var usable []Offer
+	for _, offer := range inputs.Offers {
+		if f.plans(p, offer, inputs) > 0 && !now.Before(f.refused[offer.kind()].until) {
+			usable = append(usable, offer)
+		}
+	}
+	if len(usable) == 0 {
+		return Offer{}, false
+	}
+	return slices.MinFunc(usable, func(a, b Offer) int {
+		return cmp.Or(
+			compareBool(b.Reclaimable, a.Reclaimable),
+			cmp.Compare(f.plans(p, b, inputs), f.plans(p, a, inputs)),
+			cmp.Compare(a.Price, b.Price),
+			cmp.Compare(inZone(inputs, a.Zone), inZone(inputs, b.Zone)),
+			cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Class, b.Class),
+		)
+	}), true
+}
+
+// plans counts the plans that may use a VM of the offer for the pool.
+func (f *fleet) plans(p pool, offer Offer, inputs Inputs) int {
+	count := 0
+	for _, allowance := range inputs.Allowances {
+		err := allowance.PermitModel(p.model)
+		if p.role == platform.RoleService {
+			err = allowance.PermitService(p.service)
+		}
+		if err == nil && allowance.AllowsVM(offer.Zone, offer.Class) {
+			count++
+		}
+	}
+	return count
+}
+
+func inZone(inputs Inputs, zone string) int {
+	count := 0
+	for _, vm := range inputs.VMs {
+		if vm.Zone == zone && !vm.Leaving {
+			count++
+		}
+	}
+	return count
+}
+
+func offerOf(request platform.StartRequest) Offer {
+	return Offer{Zone: request.Zone, Class: request.Class, Reclaimable: request.Reclaimable}
+}
+
+func poolOf(vm platform.VM) pool {
+	p := pool{role: vm.Role, service: vm.Service}
+	if vm.Role == platform.RoleRunner && len(vm.Models) > 0 {
+		p.model = slices.Min(vm.Models)
+	}
+	return p
+}
+
+func poolOfRequest(request platform.StartRequest) pool {
+	return poolOf(platform.VM{Role: request.Role, Service: request.Service, Models: request.Models})
+}
+
+func modelsOf(p pool) []string {
+	if p.model == "" {
+		return nil
+	}
+	return []string{p.model}
+}
+
+func comparePools(a, b pool) int {
+	return cmp.Or(cmp.Compare(a.role, b.role), cmp.Compare(a.model, b.model), cmp.Compare(a.service, b.service))
+}
+
+func compareBool(a, b bool) int {
+	if a == b {
+		return 0
+	}
+	if b {
+		return -1
+	}
+	return 1
+}
