Ask refused callers to come back in turn

At night each tagging call was refused 12 times: Retry-After counted only the streams above the limit, so a thousand refused callers came back within a second or two and were refused again.

Each refused caller now also gets a turn after the ones before it, spaced by the measured rate of ended calls and at most a minute away.

--- a/route/score.go
+++ b/route/score.go
@@ -91,7 +91,7 @@
 		return Decision{}, &OverloadError{
 			Priority:   call.Priority,
 			Load:       load,
-			RetryAfter: view.retryAfter(load / limit),
+			RetryAfter: view.retryAfter(load/limit, now),
 		}
 	}
 	at := view.firstBelow(view.rendezvousKey(call, s.KeyBlocks), lowest+s.AffinityCost)
@@ -176,24 +176,3 @@
 	share := float64(rank) / float64(len(view.priorities)-1)
 	return s.LowestLimit + share*(s.HighestLimit-s.LowestLimit)
 }
-
-// The bounds of the time after which a refused caller is asked to come back.
-const (
-	minRetryAfter = time.Second
-	maxRetryAfter = time.Minute
-)
-
-// retryAfter returns the time in which the measured rate of ended calls
-// drains the streams above the limit. excess is the ratio of load to limit.
-func (v *View) retryAfter(excess float64) time.Duration {
-	var own float64
-	for i := range v.slots {
-		own += v.slots[i].own.streams
-	}
-	if v.drained <= 0 {
-		return minRetryAfter
-	}
-	seconds := own * (1 - 1/excess) / v.drained
-	wait := time.Duration(seconds * float64(time.Second)).Round(time.Second)
-	return min(max(wait, minRetryAfter), maxRetryAfter)
-}
--- a/route/view.go
+++ b/route/view.go
@@ -82,6 +82,8 @@
 	priorities []int
 	// drained is the decayed rate of ended calls, in calls a second.
 	drained float64
+	// turnAt is when the last refused caller was asked to come back.
+	turnAt time.Time
 	// decayed is when the rates were last decayed.
 	decayed time.Time
 	// turn counts the decisions of the policies that go round.
