Mend the flaky test of the silent connection; test the bound on writes

Change: the daemons of the tests have a clock that tells when a timer is set, and the test waits for the first one of its own call. The relay of package standin/relay replaces the test's own. A write that the peer does not take is now tested.

Ruled out: waiting for the number of waiters on the fake clock, which other goroutines change.

--- a/peer/fake_test.go
+++ b/peer/fake_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"slices"
 	"sync"
 	"testing"
@@ -112,6 +111,7 @@
 	*Mesh
 	handler *fakeHandler
 	events  *recorder
+	timers  *watchedClock
 	vm      platform.VM
 	// kill stops the mesh without a word to its peers.
 	kill func()
@@ -119,8 +119,9 @@
 
 func startDaemon(c *qt.C, fake clock.Clock, name, incarnation, address string) *daemon {
 	common := telemetry.NewCommon()
-	common.Clock = fake
-	d := &daemon{handler: &fakeHandler{answers: make(map[string]Answer), merged: make(chan struct{}, 1)}, events: &recorder{}}
+	timers := &watchedClock{Clock: fake, started: make(chan struct{}, 64)}
+	common.Clock = timers
+	d := &daemon{handler: &fakeHandler{answers: make(map[string]Answer), merged: make(chan struct{}, 1)}, events: &recorder{}, timers: timers}
 	common.Events = d.events
 	identity := Identity{Daemon: name, Zone: "ZoneA", Region: "Region", Incarnation: incarnation}
 	options := DefaultOptions(identity, address, 1)
@@ -155,87 +156,38 @@
 	}
 }
 
-// recorder keeps the kinds of events.
-type recorder struct {
-	mutex sync.Mutex
-	kinds []string
-}
-
-func (r *recorder) Record(event telemetry.Event) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.kinds = append(r.kinds, event.Kind)
-}
-
-// relay forwards connections to an address until it is silenced. Connections
-// that were open then stay open and carry nothing; new ones work.
-type relay struct {
-	listener net.Listener
-	target   string
-	// swallowed gets a value when a silent connection has swallowed bytes.
-	swallowed chan struct{}
-
-	mutex sync.Mutex
-	// silent is closed to silence the connections that are open.
-	silent chan struct{}
+// watchedClock tells when a call or a write has set its timer.
+type watchedClock struct {
+	clock.Clock
+	started chan struct{}
 }
 
-func startRelay(c *qt.C, target string) *relay {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	r := &relay{
-		listener: listener, target: target, swallowed: make(chan struct{}, 16), silent: make(chan struct{}),
+func (w *watchedClock) AfterFunc(d time.Duration, f func()) clockwork.Timer {
+	timer := w.Clock.AfterFunc(d, f)
+	select {
+	case w.started <- struct{}{}:
+	default:
 	}
-	c.Cleanup(func() { _ = listener.Close() })
-	go r.accept()
-	return r
+	return timer
 }
 
-func (r *relay) accept() {
-	for {
-		near, err := r.listener.Accept()
-		if err != nil {
-			return
-		}
-		far, err := net.Dial("tcp", r.target)
-		if err != nil {
-			_ = near.Close()
-			continue
-		}
-		r.mutex.Lock()
-		silent := r.silent
-		r.mutex.Unlock()
-		go r.forward(near, far, silent)
-		go r.forward(far, near, silent)
+// forget drops the timers that were set so far.
+func (w *watchedClock) forget() {
+	for len(w.started) > 0 {
+		<-w.started
 	}
 }
 
-func (r *relay) forward(from, to net.Conn, silent <-chan struct{}) {
-	defer func() {
-		_ = from.Close()
-		_ = to.Close()
-	}()
-	buffer := make([]byte, 4096)
-	for {
-		n, err := from.Read(buffer)
-		if err != nil {
-			return
-		}
-		select {
-		case <-silent:
-			r.swallowed <- struct{}{}
-		default:
-			_, _ = to.Write(buffer[:n])
-		}
-	}
+// recorder keeps the kinds of events.
+type recorder struct {
+	mutex sync.Mutex
+	kinds []string
 }
 
-// silence makes the open connections carry nothing any more.
-func (r *relay) silence() {
+func (r *recorder) Record(event telemetry.Event) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	close(r.silent)
-	r.silent = make(chan struct{})
+	r.kinds = append(r.kinds, event.Kind)
 }
 
 func newFake() *clockwork.FakeClock {
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -10,6 +10,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/standin/relay"
+	"github.com/cranberrywalk/cranberrywalk/telemetry"
 )
 
 func TestFactsReachThePeer(t *testing.T) {
@@ -167,22 +169,23 @@
 	c, ctx, fake := qt.New(t), context.Background(), newFake()
 	a := startDaemon(c, fake, "A", "1", "127.0.0.1:0")
 	b := startDaemon(c, fake, "B", "1", "127.0.0.1:0")
-	link := startRelay(c, b.Address())
-	b.vm.PeerAddress = link.listener.Addr().String()
+	link, err := relay.New(b.Address())
+	c.Assert(err, qt.IsNil)
+	defer link.Close()
+	b.vm.PeerAddress = link.Address()
 	list(a, b)
 	a.exchangeWith(ctx, b.vm)
 	b.handler.own.Loads = []BackendLoad{{Backend: "R1", InFlight: 1}}
 	b.Tell()
 
-	link.silence()
+	link.Silence()
+	a.timers.forget()
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
 		a.exchangeWith(ctx, b.vm)
 	}()
-	// The rounds of both and the call wait for the clock.
-	c.Assert(fake.BlockUntilContext(ctx, 3), qt.IsNil)
-	<-link.swallowed
+	<-a.timers.started
 	fake.Advance(a.options.CallTimeout)
 	<-ended
 
@@ -190,6 +193,25 @@
 	c.Assert(a.events.kinds, qt.HasLen, 0)
 }
 
+func TestWriteThatThePeerDoesNotTakeIsEnded(t *testing.T) {
+	c, fake := qt.New(t), newFake()
+	common := telemetry.NewCommon()
+	timers := &watchedClock{Clock: fake, started: make(chan struct{}, 1)}
+	common.Clock = timers
+	near, far := net.Pipe()
+	defer func() { _ = far.Close() }()
+	conn := newCountedConn(near, common, time.Second)
+
+	ended := make(chan error)
+	go func() {
+		_, err := conn.Write([]byte("digest"))
+		ended <- err
+	}()
+	<-timers.started
+	fake.Advance(time.Second)
+	c.Assert(<-ended, qt.IsNotNil)
+}
+
 func TestSilentPeerEndsTheCallAfterItsTimeout(t *testing.T) {
 	c, ctx, fake := qt.New(t), context.Background(), newFake()
 	a := startDaemon(c, fake, "A", "1", "127.0.0.1:0")
