Send the VM list whole only when it has changed

Cause: a daemon reads the VM list each second, and each answer held every VM. At the size planned for, 1,890 VMs, one list has about 0.4 MB, a hundred times the budget of 3 KB a second for control.

Ruled out: reading the list less often, since a new VM then waits longer for work; a list from one daemon of the zone, whose death would blind the others.

Change: the client sends the tag of the list that it has (If-None-Match) and keeps that list when the answer is 304. An end-to-end assertion shows the time line of all daemons when an answer is missing.

Conclusion: a read of an unchanged list costs one small request.

--- a/e2e/call.go
+++ b/e2e/call.go
@@ -110,6 +110,20 @@
 	c.driver.Assert(answer.Whole, qt.IsTrue)
 }
 
+// AssertAnswered checks that the caller got an answer, and shows the events of
+// all daemons if not.
+func (c *Call) AssertAnswered() {
+	c.driver.Helper()
+	answer := c.Answer()
+	if answer.Outcome != "Answered" {
+		for name := range c.driver.daemons {
+			c.driver.Log(c.driver.Command("timeline", "--settings", c.driver.Fleet.SettingsPath(name)))
+			break
+		}
+	}
+	c.driver.Assert(answer.Outcome, qt.Equals, "Answered", qt.Commentf("%s", answer.Text))
+}
+
 // tail returns the end of a file, or nothing when it can't be read.
 func tail(file string) string {
 	content, err := os.ReadFile(file)
--- a/e2e/daemon_test.go
+++ b/e2e/daemon_test.go
@@ -34,8 +34,8 @@
 	d.BeginStop("entry-a-1")
 	again := d.Confirm("entry-b-1", "stop")
 
-	d.Assert(call.Answer().Outcome, qt.Equals, "Answered")
-	d.Assert(again.Answer().Outcome, qt.Equals, "Answered")
+	call.AssertAnswered()
+	again.AssertAnswered()
 	d.AwaitStopped("entry-a-1")
 	d.Assert(d.Runs("service-b-1", "stop"), qt.Equals, 1)
 }
@@ -84,8 +84,8 @@
 	assertUnknown(d, d.Confirm("entry-b-1", "freeze").Answer())
 	d.Thaw("entry-a-1")
 
-	d.Assert(call.Answer().Outcome, qt.Equals, "Answered")
-	d.Assert(d.Confirm("entry-b-1", "freeze").Answer().Outcome, qt.Equals, "Answered")
+	call.AssertAnswered()
+	d.Confirm("entry-b-1", "freeze").AssertAnswered()
 	d.Assert(d.Runs("service-b-1", "freeze"), qt.Equals, 1)
 }
 
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -19,7 +19,7 @@
 	d.LogOutage(logservice.OutageAll, true)
 
 	d.Chat("entry-a-1", "during the outage", tokens).AssertWhole("during the outage", tokens)
-	d.Assert(d.Confirm("entry-a-1", "").Answer().Outcome, qt.Equals, "Answered")
+	d.Confirm("entry-a-1", "").AssertAnswered()
 	assertGivenUpAtOnce(d, d.Confirm("entry-a-1", "outage").Answer())
 	d.Assert(d.Runs("service-b-1", "outage"), qt.Equals, 0)
 
@@ -27,7 +27,7 @@
 	for d.Confirm("entry-b-1", "outage").Answer().Outcome != "Answered" {
 		time.Sleep(100 * time.Millisecond)
 	}
-	d.Assert(d.Confirm("entry-a-1", "outage").Answer().Outcome, qt.Equals, "Answered")
+	d.Confirm("entry-a-1", "outage").AssertAnswered()
 	d.Assert(d.Runs("service-b-1", "outage"), qt.Equals, 1)
 }
 
@@ -46,8 +46,8 @@
 	first := d.Confirm("entry-a-1", "lost")
 	second := d.Confirm("entry-b-1", "lost")
 
-	d.Assert(first.Answer().Outcome, qt.Equals, "Answered")
-	d.Assert(second.Answer().Outcome, qt.Equals, "Answered")
+	first.AssertAnswered()
+	second.AssertAnswered()
 	d.Assert(d.Runs("service-b-1", "lost"), qt.Equals, 1)
 }
 
@@ -65,7 +65,7 @@
 		RelayedDaemon(e2e.ZoneA, "entry-a-1").RelayedDaemon(e2e.ZoneB, "entry-b-1").Publish(2)
 	d.Link("entry-a-1/peers", relay.ModeCut).Link("entry-b-1/peers", relay.ModeSilent)
 
-	d.Assert(d.Confirm("entry-a-1", "cut").Answer().Outcome, qt.Equals, "Answered")
+	d.Confirm("entry-a-1", "cut").AssertAnswered()
 	assertUnknown(d, d.Confirm("entry-b-1", "cut").Answer())
 	d.Command("amend", "--settings", d.Fleet.SettingsPath("entry-a-1"), "--list", "Allowances", "--entry", amended)
 	d.AwaitPriority("entry-a-1", 7).AwaitPriority("entry-b-1", 7)
--- a/e2e/runner_test.go
+++ b/e2e/runner_test.go
@@ -61,7 +61,7 @@
 	for i, chat := range chats {
 		chat.AssertWhole(fmt.Sprintf("question %d", i), tokens)
 	}
-	d.Assert(confirmation.Answer().Outcome, qt.Equals, "Answered")
+	confirmation.AssertAnswered()
 	d.Chat("entry-a-1", "after the wave", tokens).AssertWhole("after the wave", tokens)
 }
 
--- a/platformhttp/client.go
+++ b/platformhttp/client.go
@@ -64,6 +64,8 @@
 type reply struct {
 	status int
 	body   []byte
+	// tag is the version of the body, or empty.
+	tag string
 	// changes is true when the request may have taken effect.
 	changes bool
 }
@@ -71,12 +73,21 @@
 // read sends a GET request that the service may hold for wait. It has no
 // effect, so that every failure is an *platform.UnavailableError.
 func (c client) read(ctx context.Context, path string, wait time.Duration) (reply, error) {
+	return c.readNewer(ctx, path, wait, "")
+}
+
+// readNewer is read for a body of which the caller has the version of a tag.
+// When that is the current one, the answer has the status 304 and no body.
+func (c client) readNewer(ctx context.Context, path string, wait time.Duration, tag string) (reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, http.NoBody)
 	if err != nil {
 		return reply{}, c.unavailable(err)
 	}
+	if tag != "" {
+		request.Header.Set("If-None-Match", tag)
+	}
 	answer, err := c.exchange(request)
 	if err != nil {
 		return reply{}, c.unavailable(err)
@@ -126,7 +137,7 @@
 	if err != nil {
 		return reply{}, err
 	}
-	return reply{status: response.StatusCode, body: body}, nil
+	return reply{status: response.StatusCode, body: body, tag: response.Header.Get("ETag")}, nil
 }
 
 func (c client) unavailable(cause error) error {
--- a/platformhttp/vmlist.go
+++ b/platformhttp/vmlist.go
@@ -3,14 +3,22 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/platform"
 )
 
-// VMList is a client of the VM list.
+// VMList is a client of the VM list. It keeps the last list, so that a list
+// that has not changed is not sent again. It is safe for use by several
+// goroutines.
 type VMList struct {
 	client client
+
+	mu sync.Mutex
+	// last is the list that came with tag.
+	last platform.VMSnapshot
+	tag  string
 }
 
 var _ platform.VMList = (*VMList)(nil)
@@ -28,9 +36,29 @@
 
 // VMs implements platform.VMList.
 func (v *VMList) VMs(ctx context.Context) (platform.VMSnapshot, error) {
-	answer, err := v.client.read(ctx, "/vms", 0)
+	last, tag := v.known()
+	answer, err := v.client.readNewer(ctx, "/vms", 0, tag)
 	if err != nil {
 		return platform.VMSnapshot{}, err
 	}
-	return decode[platform.VMSnapshot](v.client, answer)
+	if tag != "" && answer.status == http.StatusNotModified {
+		return last, nil
+	}
+	snapshot, err := decode[platform.VMSnapshot](v.client, answer)
+	if err == nil {
+		v.keep(snapshot, answer.tag)
+	}
+	return snapshot, err
+}
+
+func (v *VMList) known() (platform.VMSnapshot, string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.last, v.tag
+}
+
+func (v *VMList) keep(snapshot platform.VMSnapshot, tag string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.last, v.tag = snapshot, tag
 }
--- a/standin/cloud/cloud.go
+++ b/standin/cloud/cloud.go
@@ -5,6 +5,7 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -58,6 +59,8 @@
 // Cloud is the stand-in. It is an http.Handler.
 type Cloud struct {
 	chi.Router
+	// wholeLists counts the lists that were sent whole.
+	wholeLists atomic.Int64
 	clock      clock.Clock
 	parameters Parameters
 	faults     standin.Faults[Faults]
--- a/standin/cloud/cloud_test.go
+++ b/standin/cloud/cloud_test.go
@@ -122,3 +122,17 @@
 		d.Assert(wait, qt.Equals, want)
 	}
 }
+
+func TestListIsSentWholeOnlyWhenItChanged(t *testing.T) {
+	d := newDriver(t)
+	for range 3 {
+		d.Assert(d.vms(), qt.HasLen, 1)
+	}
+	d.Assert(d.service.WholeLists(), qt.Equals, int64(1))
+
+	d.service.Reclaim([]string{"runner-1"}, time.Second)
+	d.clock.Advance(cloud.DefaultParameters().ListLag)
+
+	d.Assert(d.vms()[0].Leaving, qt.IsTrue)
+	d.Assert(d.service.WholeLists(), qt.Equals, int64(2))
+}
--- a/standin/cloud/list.go
+++ b/standin/cloud/list.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/platform"
@@ -16,10 +17,21 @@
 }
 
 // list answers with the newest state that is at least the lag old.
-func (c *Cloud) list(w http.ResponseWriter, _ *http.Request) {
-	standin.Respond(w, http.StatusOK, c.visible())
+func (c *Cloud) list(w http.ResponseWriter, r *http.Request) {
+	snapshot := c.visible()
+	tag := strconv.Quote(strconv.FormatUint(snapshot.Version, 10))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	c.wholeLists.Add(1)
+	standin.Respond(w, http.StatusOK, snapshot)
 }
 
+// WholeLists counts the lists that were sent whole.
+func (c *Cloud) WholeLists() int64 { return c.wholeLists.Load() }
+
 func (c *Cloud) visible() platform.VMSnapshot {
 	c.mu.Lock()
 	defer c.mu.Unlock()
