--- a/matrix/check.go
+++ b/matrix/check.go
@@ -168,13 +168,15 @@
 		if _, counted := seen[identity]; s.Request.Idempotent || counted {
 			continue
 		}
+		var where []string
 		for _, run := range c.Runs {
 			if c.isSame(s, run) {
 				seen[identity]++
+				where = append(where, run.Request+" at "+run.Runner)
 			}
 		}
 		if seen[identity] > 1 {
-			c.violate(AtMostOnce, "%s ran %d times", s.Request.ID, seen[identity])
+			c.violate(AtMostOnce, "%s ran %d times: %v", s.Request.ID, seen[identity], where)
 		}
 	}
 }
--- a/matrix/configuration.go
+++ b/matrix/configuration.go
@@ -166,8 +166,9 @@
 		"the change did not come into force at the daemons that read the log")
 	wanted := c.priority
 	fault(c)
+	states := c.snapshots()
 	for _, n := range c.nodes {
-		c.fetch(n)
+		c.fetch(n, states)
 	}
 	c.record.expect(c.first.isDead() || c.isInForce(c.first, wanted), "the change did not spread to the daemon without the log")
 }
@@ -184,15 +185,27 @@
 	booting.follow()
 	c.record.expect(booting.isDead() || c.await(func() bool {
 		if !booting.isDead() {
-			c.fetch(booting)
+			c.fetch(booting, c.snapshots())
 		}
 		return c.isInForce(booting, wanted)
 	}), "the new daemon has no configuration")
 }
 
-// fetch lets a daemon take the state of each peer that it reaches, and boot
-// from them when it has not read the log.
-func (c *configurationScript) fetch(n *node) {
+// snapshots returns the states of all daemons as they are before any of them
+// fetches another one.
+func (c *configurationScript) snapshots() map[string][]byte {
+	states := make(map[string][]byte)
+	for _, n := range c.nodes {
+		if n.configuration != nil {
+			states[n.name], _ = n.configuration.Snapshot()
+		}
+	}
+	return states
+}
+
+// fetch lets a daemon take the state of each peer that it reaches, old ones
+// too, and boot from them when it has not read the log.
+func (c *configurationScript) fetch(n *node, states map[string][]byte) {
 	if n.isSilent() {
 		return
 	}
@@ -200,9 +213,9 @@
 		if from == n || from.isSilent() || !c.reaches(n, from) || !c.reaches(from, n) {
 			continue
 		}
-		snapshot, _ := from.configuration.Snapshot()
-		err := n.configuration.Adopt(snapshot)
+		err := n.configuration.Adopt(states[from.name])
 		c.record.expect(err == nil, "a peer's state was refused")
+		c.observe()
 	}
 	n.configuration.BootFromPeers()
 	c.observe()
--- a/matrix/reason.go
+++ b/matrix/reason.go
@@ -43,6 +43,9 @@
 		StepChoose:  reasonNoConnection,
 		StepPublish: reasonOperatorOnly, StepFold: reasonNoConnection,
 	},
+	RowCrossedAnswer: merge(onConfiguration(reasonNoRequest), map[Step]string{
+		StepAccept: reasonNoBackendYet, StepClaim: reasonNoBackendYet, StepChoose: reasonNoBackendYet,
+	}),
 	RowPeersCutOneWay:      {StepPublish: reasonNoPeers, StepAppend: reasonNoPeers, StepFold: reasonNoPeers, StepSnapshot: reasonNoPeers},
 	RowPeersCutBothWays:    {StepPublish: reasonNoPeers, StepAppend: reasonNoPeers, StepFold: reasonNoPeers, StepSnapshot: reasonNoPeers},
 	RowPlatformCutOneWay:   {StepPublish: reasonOperatorOnly, StepAppend: reasonOperatorOnly},
--- a/matrix/requestfaults.go
+++ b/matrix/requestfaults.go
@@ -64,6 +64,14 @@
 	},
 	RowCrashingRequest:  {cause: causeCrashes, mayFail: always, then: sendToAll},
 	RowSilentConnection: {cause: causeSilence, mayFail: onceWritten},
+	RowCrossedAnswer: {
+		cause: func(s *script) action {
+			s.record.addFault()
+			return cross
+		},
+		mayFail: onceWritten,
+		lacks:   func(kind shape, step Step) bool { return kind != shapeChat && step != StepDispatch },
+	},
 	RowPeersCutOneWay: {
 		cause: func(s *script) action {
 			s.cut(s.second, s.first)
--- a/matrix/row.go
+++ b/matrix/row.go
@@ -15,6 +15,7 @@
 	RowRacingOperators     Row = "Racing operators"
 	RowCrashingRequest     Row = "Request that crashes backend servers"
 	RowSilentConnection    Row = "Silent connection"
+	RowCrossedAnswer       Row = "Crossed answer"
 	RowPeersCutOneWay      Row = "Daemon cut from a peer, one way"
 	RowPeersCutBothWays    Row = "Daemon cut from a peer, both ways"
 	RowPlatformCutOneWay   Row = "Daemon cut from the log, answers only"
@@ -31,7 +32,7 @@
 	return []Row{
 		RowReclaimWave, RowRefusedStart, RowDeathInReclaim, RowStoreDown, RowStoreSlow,
 		RowEffectWithoutAnswer, RowHolderPaused, RowRacingOperators, RowCrashingRequest,
-		RowSilentConnection, RowPeersCutOneWay, RowPeersCutBothWays, RowPlatformCutOneWay,
+		RowSilentConnection, RowCrossedAnswer, RowPeersCutOneWay, RowPeersCutBothWays, RowPlatformCutOneWay,
 		RowPlatformCutBothWays, RowStoreDownAndDeath, RowEffectAndPause, RowReclaimAndSilence,
 		RowCutAndRace, RowDeathAndResend,
 	}
--- a/matrix/runner.go
+++ b/matrix/runner.go
@@ -20,6 +20,10 @@
 	answerTokens = 6
 	// halfTokens is how many tokens come before StepStream.
 	halfTokens = 3
+	// refusingAddress stands for the address of a VM that has stopped, whose
+	// own port may be given to somebody else. It is outside the range from
+	// which ports are given.
+	refusingAddress = "127.0.0.1:1"
 	// freshPath is the path of the requests that crash nothing.
 	freshPath = "/rosters"
 )
@@ -66,7 +70,13 @@
 }
 
 func (r *runner) target() dispatch.Target {
-	return dispatch.Target{Name: r.name, Zone: r.zone, Address: r.address}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	target := dispatch.Target{Name: r.name, Zone: r.zone, Address: r.address}
+	if r.dead {
+		target.Address = refusingAddress
+	}
+	return target
 }
 
 // stop ends the VM with all its connections.
@@ -97,7 +107,7 @@
 // ServeHTTP implements http.Handler.
 func (r *runner) ServeHTTP(w http.ResponseWriter, call *http.Request) {
 	body, err := io.ReadAll(call.Body)
-	if err != nil {
+	if err != nil || !r.world.owns(call.Header.Get(backend.RequestIDHeader)) {
 		panic(http.ErrAbortHandler)
 	}
 	a := &reply{runner: r, w: w, call: call, id: call.Header.Get(backend.RequestIDHeader)}
@@ -131,6 +141,8 @@
 	call   *http.Request
 	id     string
 	run    Run
+	// foreign is true when the answer is that to another request.
+	foreign bool
 }
 
 // pass calls the hook of the step and crashes where that is set.
@@ -140,6 +152,9 @@
 		panic(http.ErrAbortHandler)
 	case hang:
 		a.hang()
+	case cross:
+		a.id, a.foreign = "another", true
+		a.run.Answer = strings.ToUpper(a.run.Answer)
 	}
 	if a.runner.crashesAt(step) && a.call.URL.Path != freshPath {
 		a.runner.world.record.addCrash(a.run)
@@ -171,6 +186,9 @@
 			a.pass(StepStream)
 			a.pass(StepDrain)
 		}
+		if a.foreign {
+			prompt = []byte("another prompt")
+		}
 		a.event(fmt.Sprintf(`"delta":{"content":%q}`, engine.Text(prompt, i, 1)), "")
 	}
 	a.pass(StepAnswer)
--- a/matrix/script.go
+++ b/matrix/script.go
@@ -40,6 +40,14 @@
 	// then is called after the first sending, before the faults heal; it may
 	// be nil.
 	then func(s *script)
+	// lacks reports that the fault cannot strike a kind of request at a step;
+	// it may be nil.
+	lacks func(kind shape, step Step) bool
+}
+
+// strikes reports whether a kind of request can have the fault at the step.
+func (f requestFault) strikes(kind shape, step Step) bool {
+	return kind.applies(step) && (f.lacks == nil || !f.lacks(kind, step))
 }
 
 // runRequest runs a fault at a step for one kind of request and returns what
@@ -94,7 +102,7 @@
 // newRequest returns the next sending of the case's request.
 func (s *script) newRequest() request.Request {
 	s.sendings++
-	return s.shape.newRequest(fmt.Sprintf("r%d", s.sendings), s.Clock.Now())
+	return s.shape.newRequest(fmt.Sprintf("r%d%s", s.sendings, s.suffix), s.Clock.Now())
 }
 
 // stopFirst ends the planned stop of the first daemon, if one has begun.
@@ -167,7 +175,7 @@
 		if n.isDead() || n == s.first && s.step == StepDrain {
 			continue
 		}
-		r := shapeChat.newRequest(fmt.Sprintf("new-%d", i+1), s.Clock.Now())
+		r := shapeChat.newRequest(fmt.Sprintf("new-%d%s", i+1, s.suffix), s.Clock.Now())
 		if s.isPoisoned() {
 			r = shapeRead.newRequest(r.ID, s.Clock.Now())
 			r.Path = freshPath
--- a/matrix/table.go
+++ b/matrix/table.go
@@ -81,7 +81,7 @@
 	return func(options options, seed uint64) []error {
 		var errs []error
 		for _, kind := range shapes() {
-			if kind.applies(step) {
+			if fault.strikes(kind, step) {
 				errs = append(errs, runRequest(fault, step, kind, options, seed)...)
 			}
 		}
--- a/matrix/world.go
+++ b/matrix/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -38,6 +39,9 @@
 type World struct {
 	Clock   *clockwork.FakeClock
 	options options
+	// suffix ends the identities of the case's requests, so that a request
+	// of another test, to a port that it had before, is not taken for one.
+	suffix  string
 	log     *fakeLog
 	record  *Record
 	nodes   []*node
@@ -62,6 +66,8 @@
 	abort
 	// hang leaves the connection open without a byte.
 	hang
+	// cross goes on with the answer to another request.
+	cross
 )
 
 // hook is the fault of a case at a step.
@@ -96,6 +102,7 @@
 		}
 		w.runners = append(w.runners, r)
 	}
+	w.suffix = "-" + strings.TrimPrefix(w.runners[0].address, "127.0.0.1:")
 	for i, vm := range []struct{ name, zone string }{{"entry-1", zoneA}, {"entry-2", zoneB}, {"entry-3", zoneA}} {
 		w.nodes = append(w.nodes, newNode(w, vm.name, vm.zone, seed+uint64(i)))
 	}
@@ -213,6 +220,9 @@
 	return reached
 }
 
+// owns reports whether a request belongs to the case.
+func (w *World) owns(requestID string) bool { return strings.HasSuffix(requestID, w.suffix) }
+
 func (w *World) node(name string) *node {
 	for _, n := range w.nodes {
 		if n.name == name {
