Give orders to engines and the cloud under a lease

Package order is the input and output around the packages lease and placement. One goroutine reads the leases' stream, one appends to it, one decides and orders in rounds.

- The lease is checked immediately before each order, again after the weight store was asked, and no order is waited for beyond its end.
Every order to an engine carries the number of the lease.
- An append is never repeated and its answer is only counted.
The stream shows what has taken effect.
- A refused start is decided anew at once, so that the next offer is tried in the same round.
One without an answer is repeated with its identity.
- A transfer is reserved at the weight store once, and the order is given when the store serves it.
- A stopping daemon releases the lease after its last order.

The tests run the two daemons step by step: a holder that is paused between rounds and within one, an order that arrives after the next holder's on an engine that checks the number (refused) and on one that ignores it (ordered again, the last state is the new holder's), lost answers of log, engine and cloud, refused starts, a log outage and removed records.

What is left: an engine that ignores the number follows a late order until its report shows that, and the holder of a new lease takes over what a report shows that may be older than its predecessor's last order.

--- /dev/null
+++ b/order/fake_test.go
@@ -0,0 +1,187 @@
+package order
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+)
+
+// fakeLog is a log of one stream. Its appends may fail before or after their
+// effect.
+type fakeLog struct {
+	clock clock.Clock
+
+	mu      sync.Mutex
+	records []platform.Record
+	first   uint64
+	isDown  bool
+	// losesAnswers lets appends take effect without an answer.
+	losesAnswers bool
+	// appended is closed and replaced by every append.
+	appended chan struct{}
+}
+
+// Append implements platform.Log.
+func (f *fakeLog) Append(_ context.Context, _ string, payloads [][]byte) (uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.isDown {
+		return 0, &platform.UnavailableError{Service: "log"}
+	}
+	offset := f.first + uint64(len(f.records))
+	for i, payload := range payloads {
+		f.records = append(f.records, platform.Record{Offset: offset + uint64(i), Payload: payload, Time: f.clock.Now()})
+	}
+	close(f.appended)
+	f.appended = make(chan struct{})
+	if f.losesAnswers {
+		return 0, &platform.UncertainError{Service: "log"}
+	}
+	return offset, nil
+}
+
+// Read implements platform.Log. It waits for an append, not for a time.
+func (f *fakeLog) Read(ctx context.Context, _ string, from uint64, _ int, wait time.Duration) (platform.Batch, error) {
+	for {
+		f.mu.Lock()
+		batch, err := f.read(from)
+		appended := f.appended
+		f.mu.Unlock()
+		if err != nil || len(batch.Records) > 0 || wait == 0 {
+			return batch, err
+		}
+		select {
+		case <-appended:
+		case <-ctx.Done():
+			return platform.Batch{}, &platform.UnavailableError{Service: "log", Cause: ctx.Err()}
+		}
+	}
+}
+
+func (f *fakeLog) read(from uint64) (platform.Batch, error) {
+	if f.isDown {
+		return platform.Batch{}, &platform.UnavailableError{Service: "log"}
+	}
+	if from < f.first {
+		return platform.Batch{}, &platform.TrimmedError{From: from, First: f.first}
+	}
+	batch := platform.Batch{First: f.first, Next: f.first + uint64(len(f.records))}
+	if from < batch.Next {
+		batch.Records = slices.Clone(f.records[from-f.first:])
+	}
+	return batch, nil
+}
+
+// trim removes every record.
+func (f *fakeLog) trim() {
+	f.first += uint64(len(f.records))
+	f.records = nil
+}
+
+// fakeEngine is a runner's engine.
+type fakeEngine struct {
+	platform.Engine
+	checksFencing bool
+
+	models []string
+	seen   uint64
+	// orders has the fencing numbers of the orders that took effect.
+	orders []uint64
+	// isDelayed keeps orders back; they arrive with deliver.
+	isDelayed bool
+	delayed   []platform.Order
+	// losesAnswers lets orders take effect without an answer.
+	losesAnswers bool
+	// hanging runs during an order that gets no answer, unless it is nil.
+	hanging func()
+}
+
+// Load implements platform.Engine.
+func (e *fakeEngine) Load(context.Context) (platform.LoadReport, error) {
+	return platform.LoadReport{Models: slices.Clone(e.models)}, nil
+}
+
+// Order implements platform.Engine.
+func (e *fakeEngine) Order(ctx context.Context, order platform.Order) error {
+	if e.hanging != nil {
+		e.hanging()
+		<-ctx.Done()
+		return &platform.UncertainError{Service: "engine", Cause: ctx.Err()}
+	}
+	if e.isDelayed {
+		e.delayed = append(e.delayed, order)
+		return &platform.UncertainError{Service: "engine"}
+	}
+	if e.checksFencing && order.Fencing < e.seen {
+		return &platform.FencedError{Fencing: order.Fencing, Seen: e.seen}
+	}
+	e.seen = max(e.seen, order.Fencing)
+	e.models = order.Models
+	e.orders = append(e.orders, order.Fencing)
+	if e.losesAnswers {
+		return &platform.UncertainError{Service: "engine"}
+	}
+	return nil
+}
+
+// deliver lets the delayed orders arrive.
+func (e *fakeEngine) deliver() {
+	e.isDelayed = false
+	for _, order := range e.delayed {
+		// An order that is refused has no effect.
+		_ = e.Order(context.Background(), order)
+	}
+	e.delayed = nil
+}
+
+// fakeCloud starts VMs by identity.
+type fakeCloud struct {
+	platform.Cloud
+	refuses      []string
+	losesAnswers bool
+	// requests has every request in order.
+	requests []platform.StartRequest
+	started  map[string]platform.VM
+}
+
+// Start implements platform.Cloud.
+func (c *fakeCloud) Start(_ context.Context, request platform.StartRequest) (platform.VM, error) {
+	c.requests = append(c.requests, request)
+	if slices.Contains(c.refuses, request.Zone) {
+		return platform.VM{}, &platform.RefusedError{Zone: request.Zone, Class: request.Class}
+	}
+	vm, found := c.started[request.Identity]
+	if !found {
+		vm = platform.VM{
+			Name: "new-" + request.Identity, Role: request.Role, Zone: request.Zone, Class: request.Class,
+			Reclaimable: request.Reclaimable, Models: request.Models,
+		}
+		c.started[request.Identity] = vm
+	}
+	if c.losesAnswers {
+		return platform.VM{}, &platform.UncertainError{Service: "cloud"}
+	}
+	return vm, nil
+}
+
+// fakeWeights is a weight store whose transfers wait.
+type fakeWeights struct {
+	wait time.Duration
+	// reserving runs during every reservation.
+	reserving func()
+	reserved  int
+}
+
+// Size implements platform.WeightStore.
+func (w *fakeWeights) Size(context.Context, string) (int64, error) { return 1, nil }
+
+// Reserve implements platform.WeightStore.
+func (w *fakeWeights) Reserve(context.Context, int64) (time.Duration, error) {
+	w.reserved++
+	w.reserving()
+	return w.wait, nil
+}
--- /dev/null
+++ b/order/order_test.go
@@ -0,0 +1,286 @@
+package order
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/goleak"
+	"k8s.io/klog/v2"
+
+	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/placement"
+	"github.com/cranberrywalk/cranberrywalk/plan"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/telemetry"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// script is two daemons in front of the runners r0 with a model and r1
+// without one.
+type script struct {
+	*qt.C
+	ctx      context.Context
+	clock    *clockwork.FakeClock
+	log      *fakeLog
+	cloud    *fakeCloud
+	weights  *fakeWeights
+	engines  map[string]*fakeEngine
+	inputs   placement.Inputs
+	one, two *Order
+}
+
+func newScript(t *testing.T) *script {
+	fake := clock.NewFake(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC))
+	s := &script{
+		C: qt.New(t), ctx: context.Background(), clock: fake,
+		log:     &fakeLog{clock: fake, appended: make(chan struct{})},
+		cloud:   &fakeCloud{started: make(map[string]platform.VM)},
+		weights: &fakeWeights{reserving: func() {}},
+		engines: map[string]*fakeEngine{"r0": {models: []string{"a"}}, "r1": {}},
+	}
+	for _, name := range []string{"r0", "r1"} {
+		s.inputs.VMs = append(s.inputs.VMs, platform.VM{
+			Name: name, Role: platform.RoleRunner, Zone: "z1", Class: "c", Address: name, Reclaimable: true, Price: 1,
+		})
+	}
+	s.inputs.Allowances = []plan.Allowance{{Plan: "p", Models: []string{"a", "b"}}}
+	s.inputs.Offers = []placement.Offer{
+		{Zone: "z1", Class: "c", Reclaimable: true, Price: 1}, {Zone: "z2", Class: "c", Price: 3},
+	}
+	s.demand("b")
+	s.one, s.two = s.daemon("one"), s.daemon("two")
+	return s
+}
+
+func (s *script) daemon(name string) *Order {
+	common := telemetry.NewCommon()
+	common.Clock = s.clock
+	common.Log = klog.Logger{}
+	options := DefaultOptions()
+	options.Duty, options.Daemon, options.Incarnation, options.AcquireSpread = "Orders", name, "1", 0
+	return New(common, options, s.log, s.cloud, s.weights,
+		func(vm platform.VM) platform.Engine { return s.engines[vm.Name] },
+		func() placement.Inputs { return s.inputs })
+}
+
+// demand sets the model that needs a runner besides a.
+func (s *script) demand(model string) {
+	s.inputs.Demands = []placement.Demand{{Model: "a", Rate: 1}, {Model: model, Rate: 1}}
+}
+
+// step lets a daemon read, append and decide once.
+func (s *script) step(o *Order) {
+	s.read(o)
+	o.appendOnce(s.ctx)
+	s.read(o)
+	o.round(s.ctx)
+}
+
+// read reads to the end of the stream, as far as the log is up. A second read
+// goes on behind removed records.
+func (s *script) read(o *Order) {
+	for range 2 {
+		_ = o.readOnce(s.ctx, 0)
+	}
+}
+
+// takeOver lets the lease of the paused daemon lapse and two take it.
+func (s *script) takeOver() {
+	s.step(s.two)
+	s.clock.Advance(12*time.Second + 1)
+	s.step(s.two)
+	s.Assert(holds(s.two), qt.IsTrue)
+}
+
+func holds(o *Order) bool {
+	_, isHolding := o.Holding()
+	return isHolding
+}
+
+func TestOrderCarriesNumberOfLease(t *testing.T) {
+	s := newScript(t)
+	s.step(s.one)
+	s.step(s.two)
+	s.Assert(holds(s.one), qt.IsTrue)
+	s.Assert(holds(s.two), qt.IsFalse)
+	s.Assert(s.engines["r1"].models, qt.DeepEquals, []string{"b"})
+	s.Assert(s.engines["r1"].orders, qt.DeepEquals, []uint64{0})
+
+	s.one.release(s.ctx)
+	s.Assert(holds(s.one), qt.IsFalse)
+	s.step(s.two)
+	s.Assert(holds(s.two), qt.IsTrue)
+}
+
+func TestPausedHolderGivesNoOrder(t *testing.T) {
+	s := newScript(t)
+	s.inputs.Demands = nil
+	s.step(s.one)
+	s.clock.Advance(10 * time.Second)
+	s.demand("b")
+	s.one.round(s.ctx)
+	s.Assert(s.engines["r1"].orders, qt.HasLen, 0)
+}
+
+func TestHolderPausedInRoundGivesNoOrder(t *testing.T) {
+	s := newScript(t)
+	s.weights.reserving = func() { s.clock.Advance(10 * time.Second) }
+	s.step(s.one)
+	s.Assert(s.weights.reserved, qt.Equals, 1)
+	s.Assert(s.engines["r1"].orders, qt.HasLen, 0)
+}
+
+func TestOrderIsNotWaitedForBeyondLease(t *testing.T) {
+	s := newScript(t)
+	s.one.options.OrderTimeout = time.Hour
+	s.engines["r1"].hanging = func() { s.clock.Advance(10 * time.Second) }
+	s.step(s.one)
+	s.Assert(holds(s.one), qt.IsFalse)
+}
+
+func TestLateOrderDoesNotLast(t *testing.T) {
+	for _, scenario := range []struct {
+		name          string
+		checksFencing bool
+		orders        []uint64
+	}{
+		{"engine checks the number", true, []uint64{1}},
+		{"engine ignores the number", false, []uint64{1, 0, 1}},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			s := newScript(t)
+			engine := s.engines["r1"]
+			engine.checksFencing, engine.isDelayed = scenario.checksFencing, true
+			s.step(s.one)
+			engine.isDelayed = false
+			s.demand("c")
+			s.inputs.Allowances[0].Models = []string{"a", "c"}
+			s.takeOver()
+			s.Assert(engine.models, qt.DeepEquals, []string{"c"})
+
+			engine.deliver()
+			for range 7 {
+				s.clock.Advance(9 * time.Second)
+				s.step(s.two)
+			}
+			s.Assert(engine.models, qt.DeepEquals, []string{"c"})
+			s.Assert(engine.orders, qt.DeepEquals, scenario.orders)
+			s.step(s.one)
+			s.Assert(holds(s.one), qt.IsFalse)
+		})
+	}
+}
+
+func TestEffectWithoutAnswer(t *testing.T) {
+	s := newScript(t)
+	s.log.losesAnswers = true
+	s.engines["r1"].losesAnswers = true
+	s.step(s.one)
+	s.Assert(holds(s.one), qt.IsTrue)
+	for range 20 {
+		s.clock.Advance(5 * time.Second)
+		s.step(s.one)
+	}
+	s.Assert(holds(s.one), qt.IsTrue)
+	s.Assert(s.engines["r1"].orders, qt.DeepEquals, []uint64{0})
+}
+
+func TestLogOutageEndsOrdersUntilItIsOver(t *testing.T) {
+	s := newScript(t)
+	s.inputs.Demands = nil
+	s.step(s.one)
+	s.step(s.two)
+	s.log.isDown = true
+	for range 5 {
+		s.clock.Advance(2 * time.Second)
+		s.step(s.one)
+		s.step(s.two)
+	}
+	s.demand("b")
+	s.step(s.one)
+	s.Assert(holds(s.one) || holds(s.two), qt.IsFalse)
+	s.Assert(s.engines["r1"].orders, qt.HasLen, 0)
+
+	s.log.isDown = false
+	s.clock.Advance(3 * time.Second)
+	s.step(s.two)
+	s.step(s.one)
+	s.Assert(holds(s.one), qt.Not(qt.Equals), holds(s.two))
+	s.Assert(s.engines["r1"].models, qt.DeepEquals, []string{"b"})
+}
+
+func TestRemovedRecordsEndTheTenure(t *testing.T) {
+	s := newScript(t)
+	s.step(s.one)
+	s.one.appendOnce(s.ctx)
+	s.clock.Advance(3 * time.Second)
+	s.one.appendOnce(s.ctx)
+	s.log.trim()
+	s.step(s.one)
+	s.Assert(holds(s.one), qt.IsFalse)
+	for range 4 {
+		s.clock.Advance(12*time.Second + 1)
+		s.step(s.one)
+	}
+	s.Assert(holds(s.one), qt.IsTrue)
+}
+
+func TestRefusedStartGoesToNextOffer(t *testing.T) {
+	s := newScript(t)
+	s.cloud.refuses = []string{"z1"}
+	s.step(s.one)
+	s.inputs.VMs[0].Leaving = true
+	s.inputs.Demands = nil
+	s.step(s.one)
+	s.Assert(s.cloud.requests, qt.HasLen, 2)
+	s.Assert(s.cloud.started, qt.HasLen, 1)
+	s.Assert(s.cloud.started["Replace/r0"].Zone, qt.Equals, "z2")
+}
+
+func TestStartWithoutAnswerIsNotDoubledByNextHolder(t *testing.T) {
+	s := newScript(t)
+	s.inputs.VMs[0].Leaving = true
+	s.inputs.VMs[0].Models = []string{"a"}
+	s.inputs.Demands = nil
+	s.cloud.losesAnswers = true
+	s.step(s.one)
+	s.step(s.one)
+	s.Assert(s.cloud.requests, qt.HasLen, 1)
+	s.cloud.losesAnswers = false
+	s.takeOver()
+	s.Assert(s.cloud.requests, qt.HasLen, 2)
+	s.Assert(s.cloud.started, qt.HasLen, 1)
+}
+
+func TestTransferIsReservedOnceAndWaitedFor(t *testing.T) {
+	s := newScript(t)
+	s.weights.wait = 2 * time.Second
+	s.step(s.one)
+	s.step(s.one)
+	s.Assert(s.engines["r1"].orders, qt.HasLen, 0)
+	s.clock.Advance(2 * time.Second)
+	s.step(s.one)
+	s.Assert(s.engines["r1"].models, qt.DeepEquals, []string{"b"})
+	s.Assert(s.weights.reserved, qt.Equals, 1)
+}
+
+func TestRunReleasesLeaseAtItsEnd(t *testing.T) {
+	s := newScript(t)
+	ctx, cancel := context.WithCancel(s.ctx)
+	go s.one.Run(ctx)
+	for i := 0; i < 20 && !holds(s.one); i++ {
+		// The reader, the appender and the rounds have a timer each.
+		s.Assert(s.clock.BlockUntilContext(s.ctx, 3), qt.IsNil)
+		s.clock.Advance(appendPoll)
+	}
+	s.Assert(holds(s.one), qt.IsTrue)
+	cancel()
+	<-s.one.Done()
+	s.Assert(holds(s.one), qt.IsFalse)
+	s.step(s.two)
+	s.Assert(holds(s.two), qt.IsTrue)
+}
--- /dev/null
+++ b/order/reader.go
@@ -0,0 +1,83 @@
+package order
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+)
+
+// runReader folds the stream until ctx ends. It does not wait for records
+// before it has read those that are there.
+func (o *Order) runReader(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait := o.options.ReadWait
+		if !o.hasCaughtUp() {
+			wait = 0
+		}
+		if err := o.readOnce(ctx, wait); err != nil {
+			o.Count(CounterReadsFailed, 1)
+			// The loop sees the end of ctx.
+			_ = clock.Sleep(ctx, o.Clock, o.options.ReadRetry)
+		}
+	}
+}
+
+// readOnce reads and folds the next records.
+func (o *Order) readOnce(ctx context.Context, wait time.Duration) error {
+	bounded, cancel := o.withTimeout(ctx, wait+o.options.ReadTimeout)
+	defer cancel()
+	batch, err := o.log.Read(bounded, o.options.Stream, o.next(), o.options.ReadLimit, wait)
+	var trimmed *platform.TrimmedError
+	if errors.As(err, &trimmed) {
+		o.restart(trimmed.First)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	return o.fold(batch)
+}
+
+func (o *Order) next() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.holder.Book().Next()
+}
+
+func (o *Order) hasCaughtUp() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.isCaughtUp
+}
+
+// restart goes on at the oldest record that the log keeps. Records that are
+// gone may have given the duty to another process.
+func (o *Order) restart(first uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.holder.Restart(first)
+	o.heard, o.free = o.Clock.Now(), time.Time{}
+}
+
+func (o *Order) fold(batch platform.Batch) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, entry := range batch.Records {
+		record, err := o.holder.Fold(entry)
+		if err != nil {
+			o.Count(CounterRefused, 1)
+		}
+		if record.Duty != o.options.Duty {
+			continue
+		}
+		o.heard, o.free = o.Clock.Now(), time.Time{}
+		if record.Release != nil && err == nil {
+			o.heard, o.free = time.Time{}, o.Clock.Now()
+		}
+	}
+	o.isCaughtUp = o.isCaughtUp || o.holder.Book().Next() >= batch.Next
+	return nil
+}
--- /dev/null
+++ b/order/reports.go
@@ -0,0 +1,39 @@
+package order
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cranberrywalk/cranberrywalk/platform"
+)
+
+// reportsAtOnce bounds the engines that are asked at the same time.
+const reportsAtOnce = 16
+
+// reports asks the engines for their loads. It needs no lease.
+func (o *Order) reports(ctx context.Context, vms []platform.VM) map[string]platform.LoadReport {
+	bounded, cancel := o.withTimeout(ctx, o.options.ReportTimeout)
+	defer cancel()
+	reports := make(map[string]platform.LoadReport)
+	places := make(chan struct{}, reportsAtOnce)
+	var mu sync.Mutex
+	var asked sync.WaitGroup
+	for _, vm := range vms {
+		if vm.Role != platform.RoleRunner || vm.Leaving || vm.Address == "" {
+			continue
+		}
+		places <- struct{}{}
+		asked.Go(func() {
+			defer func() { <-places }()
+			report, err := o.engines(vm).Load(bounded)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			reports[vm.Name] = report
+		})
+	}
+	asked.Wait()
+	return reports
+}
