--- a/ledger/appender.go
+++ b/ledger/appender.go
@@ -11,7 +11,8 @@
 )
 
 // outageFailures is after how many failures in a row of one record new
-// claims are refused at once.
+// claims are refused at once. One is enough when the log has not answered
+// within the append timeout.
 const outageFailures = 2
 
 // runAppender gathers claims and releases into appends, one at a time.
@@ -92,7 +93,7 @@
 			l.refuse(record, err)
 			return
 		}
-		if failures >= outageFailures {
+		if failures >= outageFailures || l.Clock.Since(l.pace.last) >= l.options.AppendTimeout {
 			l.refuseQueued(err)
 		}
 		if clock.Sleep(ctx, l.Clock, l.options.backoff(failures)) != nil {
--- a/ledger/fault_test.go
+++ b/ledger/fault_test.go
@@ -261,6 +261,26 @@
 	b.Assert(held, qt.IsFalse)
 }
 
+// A log that stays silent for the append timeout costs the first claim that
+// wait, and the next ones none.
+func TestSilentLogRefusesNextClaimAtOnce(t *testing.T) {
+	b := newBench(t)
+	one, _ := b.daemon("one")
+	b.log.with(func(f *fakeLog) { f.rest, f.readsDown = hangs, true })
+	ctx, cancel := context.WithCancel(context.Background())
+	answers := claimLater(ctx, one)
+	<-b.log.tried
+	b.Assert(b.clock.BlockUntilContext(ctx, 2), qt.IsNil)
+	b.clock.Advance(ledger.DefaultOptions().AppendTimeout)
+	b.Assert(b.clock.BlockUntilContext(ctx, 2), qt.IsNil)
+
+	_, err := one.Claim(ctx, claim.NewKey("c", "s", "2"), 7)
+	var unavailable *ledger.UnavailableError
+	b.Assert(errors.As(err, &unavailable), qt.IsTrue)
+	cancel()
+	b.Assert((<-answers).err, qt.ErrorMatches, ".*is not settled.*")
+}
+
 // A claim whose record was removed unread is forgotten once a later record
 // shows that no copy of it can take effect.
 func TestSettleForgetsMissedClaims(t *testing.T) {
