Name every limit to the mesh, and forget the loads of silent daemons

Cause: a daemon learned of the demand for a limit at others only after its own first call for it, since the mesh hands out what a daemon names itself. The loads of a daemon that ended without a word counted until the VM list dropped it.

Change: the digest names every limit of the plans in force, at rate 0 where it is unused. Loads that were not repeated for 20 s are dropped; a load that has not changed is repeated every 15 s.

Ruled out: a shorter time, which would drop loads that still hold.

Figures: the test of the limit that follows demand passes with the named limits.

Conclusion: limits and loads follow the daemons that are there.

--- a/daemon/admitter.go
+++ b/daemon/admitter.go
@@ -20,10 +20,6 @@
 	fieldTokens   = "TokensPerSecond"
 )
 
-// fieldSeparator stands between plan and field in the name of a limit. Names
-// of plans may hold it, names of fields don't.
-const fieldSeparator = "/"
-
 // admitter implements front.Admitter by limits that the daemons share.
 type admitter struct {
 	identity peer.Identity
@@ -72,7 +68,7 @@
 }
 
 func (a *admitter) take(planName, field string, rate, cost float64, now time.Time) error {
-	name := planName + fieldSeparator + field
+	name := limitName(planName, field)
 	a.limiter.SetLimit(name, rate)
 	err := a.limiter.Allow(name, cost, now)
 	var exceeded *limit.ExceededError
@@ -82,17 +78,44 @@
 	return err
 }
 
-// demands returns the rates at which limits are used here.
-func (a *admitter) demands(now time.Time) []peer.Demand {
+// demands returns the rates at which the limits of the plans are used here.
+// It names each limit, since the mesh hands out the demand of others for named
+// limits only.
+func (a *admitter) demands(plans []plan.Plan, now time.Time) []peer.Demand {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	var demands []peer.Demand
+	rates := make(map[string]float64)
 	for _, demand := range a.limiter.Demands(now) {
-		demands = append(demands, peer.Demand{Plan: demand.Limit, Rate: demand.Rate})
+		rates[demand.Limit] = demand.Rate
+	}
+	var demands []peer.Demand
+	for _, p := range plans {
+		for _, limited := range limitsOf(p) {
+			a.limiter.SetLimit(limited.name, limited.rate)
+			if limited.rate > 0 {
+				demands = append(demands, peer.Demand{Plan: limited.name, Rate: rates[limited.name]})
+			}
+		}
 	}
 	return demands
 }
 
+// namedLimit is one limit of a plan; 0 is no limit.
+type namedLimit struct {
+	name string
+	rate float64
+}
+
+func limitsOf(p plan.Plan) []namedLimit {
+	return []namedLimit{
+		{name: limitName(p.Name, fieldRequests), rate: p.RequestsPerSecond},
+		{name: limitName(p.Name, fieldTokens), rate: p.TokensPerSecond},
+	}
+}
+
+// limitName joins the names of a plan and of the field with its limit.
+func limitName(planName, field string) string { return planName + "/" + field }
+
 // merge takes over the demands that a message has brought, and that its sender
 // was heard.
 func (a *admitter) merge(sender peer.Identity, news []peer.Demand, now time.Time) {
--- a/daemon/admitter_test.go
+++ b/daemon/admitter_test.go
@@ -37,10 +37,10 @@
 }
 
 // exchange tells each admitter the demand at the other.
-func exchange(a, b *admitter, now time.Time) {
+func exchange(a, b *admitter, p plan.Plan, now time.Time) {
 	for _, pair := range [][2]*admitter{{a, b}, {b, a}} {
 		from, to := pair[0], pair[1]
-		news := from.demands(now)
+		news := from.demands([]plan.Plan{p}, now)
 		for i := range news {
 			news[i].Reporter = from.identity.Daemon
 		}
@@ -57,11 +57,12 @@
 	for second := range 20 {
 		count := admitted(one, p, 150, now)
 		now = now.Add(time.Second)
-		exchange(one, two, now)
+		exchange(one, two, p, now)
 		if second >= 10 {
 			total += count
 		}
 	}
+	c.Assert(two.demands([]plan.Plan{p}, now), qt.DeepEquals, []peer.Demand{{Plan: "Desk/RequestsPerSecond"}})
 	c.Assert(total >= 950 && total <= 1050, qt.IsTrue, qt.Commentf("%d of 1000 were admitted", total))
 }
 
--- a/daemon/chooser.go
+++ b/daemon/chooser.go
@@ -8,6 +8,7 @@
 
 	"github.com/cranberrywalk/cranberrywalk/dispatch"
 	"github.com/cranberrywalk/cranberrywalk/peer"
+	"github.com/cranberrywalk/cranberrywalk/peer/gossip"
 	"github.com/cranberrywalk/cranberrywalk/platform"
 	"github.com/cranberrywalk/cranberrywalk/request"
 	"github.com/cranberrywalk/cranberrywalk/roster"
@@ -130,7 +131,7 @@
 		Zone:            c.zone,
 		Allowed: func(runner *route.Runner) bool {
 			return serves(runner, r) && r.Allowance.AllowsVM(runner.Zone, runner.Class) &&
-				!slices.Contains(excluded, runner.Name) && isUsable(members.Member(runner.Name), now)
+				!slices.Contains(excluded, runner.Name) && members.IsUsable(runner.Name, now)
 		},
 	}
 }
@@ -142,18 +143,6 @@
 	return runner.Service == r.Service
 }
 
-// isUsable lets a suspected backend server have a request when its next probe
-// is due.
-func isUsable(member roster.Member, now time.Time) bool {
-	switch member.State {
-	case roster.Serving:
-		return true
-	case roster.Suspected:
-		return !now.Before(member.ProbeAt)
-	}
-	return false
-}
-
 // translate turns the errors of routing into those of dispatching.
 func translate(r request.Request, err error) error {
 	var overload *route.OverloadError
@@ -219,6 +208,7 @@
 func (c *chooser) ownLoads(daemon string, now time.Time) []peer.BackendLoad {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.forgetSilent(now)
 	report := c.view.Report(daemon, now)
 	loads := make([]peer.BackendLoad, 0, len(report.Loads))
 	for _, load := range report.Loads {
@@ -246,6 +236,24 @@
 	}
 }
 
+// silentAfter is the age of a daemon's newest load above which the daemon is
+// taken to have ended: a load is repeated more often than that.
+const silentAfter = gossip.RefreshInterval + 5*time.Second
+
+// forgetSilent drops the loads of daemons that have ended without a word.
+func (c *chooser) forgetSilent(now time.Time) {
+	for reporter, loads := range c.loads {
+		var newest uint64
+		for _, load := range loads {
+			newest = max(newest, load.Version)
+		}
+		if now.Sub(time.UnixMilli(int64(newest))) > silentAfter {
+			delete(c.loads, reporter)
+			c.view.ForgetPeer(reporter)
+		}
+	}
+}
+
 func newDigest(reporter string, version uint64, loads map[string]peer.BackendLoad) route.Digest {
 	digest := route.Digest{Daemon: reporter, Time: time.UnixMilli(int64(version))}
 	for _, load := range loads {
--- a/daemon/neighbour.go
+++ b/daemon/neighbour.go
@@ -45,12 +45,10 @@
 	digest := peer.Digest{
 		ConfigurationOffset: n.configuration.Offset(),
 		Loads:               n.chooser.ownLoads(n.name, now),
-		Demands:             n.admitter.demands(now),
+		Demands:             n.demands(now),
 	}
-	for _, member := range n.keeper.Roster().Backends() {
-		if member.State == roster.Leaving {
-			digest.Leaving = append(digest.Leaving, peer.Leaving{VM: member.VM.Name, Deadline: member.Deadline})
-		}
+	for _, member := range n.keeper.Roster().Leaving() {
+		digest.Leaving = append(digest.Leaving, peer.Leaving{VM: member.VM.Name, Deadline: member.Deadline})
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -59,6 +57,12 @@
 	return digest
 }
 
+// demands returns the use of the plans in force.
+func (n *neighbour) demands(now time.Time) []peer.Demand {
+	state, _ := n.configuration.State()
+	return n.admitter.demands(state.Plans(), now)
+}
+
 // ownSuspects returns the crashes that this daemon has seen, of requests that
 // no later answer has cleared.
 func (n *neighbour) ownSuspects(now time.Time) []peer.Suspect {
