Count a crash after the last token of a stream

Cause: a runner that crashed between the last token and the end of a stream counted as a whole answer, which also cleared what was known of the request. A request that crashes runners there crashed every runner that it was sent to.

Change: the caller still gets its whole answer, but the failure counts as a crash unless the runner was leaving. Requests that are answered whole elsewhere are protected as before, by those answers.

Ruled out: keeping the answer back from the caller, who has all tokens.

go test -race of dispatch, front and matrix is green; the matrix has 181 green cells and no red one.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -42,7 +42,14 @@
 		return
 	}
 	_ = f.apply(request.AttemptFailed)
-	if fault != nil && fault.IsCrash() && !f.isMoving(target.Name) && f.ctx.Err() == nil {
+	f.judge(target, err)
+}
+
+// judge records that the request may have crashed a backend server, if the
+// failure of the attempt looks like that.
+func (f *flight) judge(target Target, failure error) {
+	var fault *backend.FaultError
+	if errors.As(failure, &fault) && fault.IsCrash() && !f.isMoving(target.Name) && f.ctx.Err() == nil {
 		f.suspect(target)
 	}
 }
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -17,13 +17,13 @@
 	for {
 		chunk, err := given.Next()
 		if err != nil && f.ctx.Err() == nil && f.transcript.complete() {
-			return seen, f.endStream(header, f.transcript.closing())
+			return seen, f.endStream(header, f.transcript.closing(), err)
 		}
 		if err != nil {
 			return seen, err
 		}
 		if chunk.Last {
-			return seen, f.endStream(header, nil)
+			return seen, f.endStream(header, nil, nil)
 		}
 		seen = seen.withUsage(chunk.Usage)
 		before := f.transcript.tokens
@@ -64,11 +64,19 @@
 // endStream passes on the end of the stream, or the collected answer. The
 // closing event stands for one that was lost with the backend server after the
 // last token.
-func (f *flight) endStream(header http.Header, closing []byte) error {
+//
+// The failure of the backend server after the last token, if there was one,
+// counts as a crash although the answer is whole: the request may end every
+// server that runs it there.
+func (f *flight) endStream(header http.Header, closing []byte, failure error) error {
 	if err := f.apply(request.AnswerWhole); err != nil {
 		return err
 	}
-	f.Suspects.Answered(f.fingerprint, f.Clock.Now())
+	if failure == nil {
+		f.Suspects.Answered(f.fingerprint, f.Clock.Now())
+	} else {
+		f.judge(f.target, failure)
+	}
 	if !f.request.Stream {
 		header.Set("Content-Type", "application/json")
 		f.passed(f.head(http.StatusOK, header))
