--- a/daemon/chooser.go
+++ b/daemon/chooser.go
@@ -214,6 +214,7 @@
 	for _, load := range report.Loads {
 		loads = append(loads, peer.BackendLoad{
 			Backend: load.Runner, InFlight: load.InFlight, QueuedTokens: load.QueuedTokens,
+			PrefillRate: int(load.PrefillTokensPerSecond),
 		})
 	}
 	return loads
@@ -259,6 +260,7 @@
 	for _, load := range loads {
 		digest.Loads = append(digest.Loads, route.Load{
 			Runner: load.Backend, InFlight: load.InFlight, QueuedTokens: load.QueuedTokens,
+			PrefillTokensPerSecond: float64(load.PrefillRate),
 		})
 	}
 	return digest
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -77,6 +77,8 @@
 		Status:  given.Status,
 		Header:  request.Header(given.Header),
 		Body:    given.Body,
+
+		RetryAfter: given.RetryAfter,
 	}, err
 }
 
--- a/daemon/neighbour.go
+++ b/daemon/neighbour.go
@@ -151,5 +151,7 @@
 		Status:  given.Status,
 		Header:  http.Header(given.Header),
 		Body:    given.Body,
+
+		RetryAfter: given.RetryAfter,
 	}, nil
 }
--- a/peer/bytes_test.go
+++ b/peer/bytes_test.go
@@ -84,6 +84,7 @@
 			z.reporters[i].loads = append(z.reporters[i].loads, BackendLoad{
 				Backend: fmt.Sprint("runner-deep-south-a-", runner),
 				Running: z.random.IntN(16), Queued: z.random.IntN(4), QueuedTokens: z.random.IntN(8000),
+				PrefillRate: z.random.IntN(20_000),
 			})
 		}
 		z.reporters[i].demands = nil
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -118,11 +118,13 @@
 		encoded.Running = append(encoded.Running, load.Running)
 		encoded.Queued = append(encoded.Queued, load.Queued)
 		encoded.QueuedTokens = append(encoded.QueuedTokens, (load.QueuedTokens+tokenUnit-1)/tokenUnit)
+		encoded.PrefillRates = append(encoded.PrefillRates, load.PrefillRate/gossip.PrefillUnit)
 	}
 	encoded.InFlight = omitZeros(encoded.InFlight)
 	encoded.Running = omitZeros(encoded.Running)
 	encoded.Queued = omitZeros(encoded.Queued)
 	encoded.QueuedTokens = omitZeros(encoded.QueuedTokens)
+	encoded.PrefillRates = omitZeros(encoded.PrefillRates)
 	for _, demand := range report.Demands {
 		encoded.Plans = append(encoded.Plans, uint32(demand.Plan))
 		encoded.Rates = append(encoded.Rates, demand.Rate)
@@ -142,6 +144,7 @@
 			Running:      at(encoded.GetRunning(), i),
 			Queued:       at(encoded.GetQueued(), i),
 			QueuedTokens: at(encoded.GetQueuedTokens(), i) * tokenUnit,
+			PrefillRate:  at(encoded.GetPrefillRates(), i) * gossip.PrefillUnit,
 		})
 	}
 	for i, plan := range encoded.GetPlans() {
@@ -181,6 +184,8 @@
 		Outcome: answer.Outcome,
 		Status:  uint32(answer.Status),
 		Body:    answer.Body,
+
+		RetryAfter: answer.RetryAfter.Milliseconds(),
 	}
 	switch answer.State {
 	case Pending:
@@ -203,6 +208,8 @@
 		Status:  int(reply.GetStatus()),
 		Header:  make(http.Header),
 		Body:    reply.GetBody(),
+
+		RetryAfter: time.Duration(reply.GetRetryAfter()) * time.Millisecond,
 	}
 	switch reply.GetState() {
 	case peerpb.AnswerState_PENDING:
--- a/peer/gossip/digest.go
+++ b/peer/gossip/digest.go
@@ -57,6 +57,9 @@
 	Running      int
 	Queued       int
 	QueuedTokens int
+	// PrefillRate is the recent rate of prompt tokens that the reporter has
+	// given to the backend server to prefill, in tokens a second.
+	PrefillRate int
 }
 
 // Summary is the load of one model or plain service in a zone.
--- a/peer/gossip/exchange.go
+++ b/peer/gossip/exchange.go
@@ -185,6 +185,7 @@
 		Running:      int(load.Running),
 		Queued:       int(load.Queued),
 		QueuedTokens: int(load.QueuedTokens),
+		PrefillRate:  int(load.PrefillRate),
 	}
 }
 
--- a/peer/gossip/message.go
+++ b/peer/gossip/message.go
@@ -69,6 +69,8 @@
 	Running      uint32
 	Queued       uint32
 	QueuedTokens uint32
+	// PrefillRate is in tokens a second.
+	PrefillRate uint32
 }
 
 // isIdle reports whether the load is the one of an unknown backend server.
--- a/peer/gossip/publish.go
+++ b/peer/gossip/publish.go
@@ -77,6 +77,14 @@
 	return true
 }
 
+// PrefillUnit is what prefill rates are rounded up to, in tokens a second. A
+// rate that decays without work then changes its report only now and then.
+const PrefillUnit = 512
+
+func roundUp(value, unit int) uint32 {
+	return uint32((max(value, 0) + unit - 1) / unit * unit)
+}
+
 func newLoad(load BackendLoad) Load {
 	return Load{
 		Backend:      NewID(load.Backend),
@@ -84,6 +92,7 @@
 		Running:      uint32(max(load.Running, 0)),
 		Queued:       uint32(max(load.Queued, 0)),
 		QueuedTokens: uint32(max(load.QueuedTokens, 0)),
+		PrefillRate:  roundUp(load.PrefillRate, PrefillUnit),
 	}
 }
 
--- a/peer/handler.go
+++ b/peer/handler.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/peer/gossip"
 )
@@ -52,6 +53,9 @@
 	Status  int
 	Header  http.Header
 	Body    []byte
+	// RetryAfter is how long the caller should wait before it comes back;
+	// zero means that coming back does not help.
+	RetryAfter time.Duration
 }
 
 // Handler connects the mesh to the other parts of the daemon. Its methods are
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -20,7 +20,7 @@
 	b := startDaemon(c, fake, "B", "1", "127.0.0.1:0")
 	list(a, b)
 
-	b.handler.own.Loads = []BackendLoad{{Backend: "R1", InFlight: 3, QueuedTokens: 700}}
+	b.handler.own.Loads = []BackendLoad{{Backend: "R1", InFlight: 3, QueuedTokens: 700, PrefillRate: 1000}}
 	a.handler.own.Demands = []Demand{{Plan: "Gold"}}
 	b.handler.own.Demands = []Demand{{Plan: "Gold", Rate: 12.5}}
 	a.Tell()
@@ -33,6 +33,7 @@
 	c.Assert(news.Loads[0].Reporter, qt.Equals, "B")
 	c.Assert(news.Loads[0].InFlight, qt.Equals, 3)
 	c.Assert(news.Loads[0].QueuedTokens, qt.Equals, 704)
+	c.Assert(news.Loads[0].PrefillRate, qt.Equals, 1024)
 	c.Assert(news.Demands, qt.HasLen, 1)
 	c.Assert(news.Demands[0].Rate, qt.Equals, 12.5)
 	a.exchangeWith(ctx, b.vm)
@@ -98,7 +99,7 @@
 	list(a, b)
 	final := Answer{
 		State: Final, Outcome: "Answered", Status: 200,
-		Header: http.Header{"Content-Type": {"text/plain"}}, Body: []byte("placed"),
+		Header: http.Header{"Content-Type": {"text/plain"}}, Body: []byte("placed"), RetryAfter: 1500 * time.Millisecond,
 	}
 	b.handler.answers["K"] = final
 
