--- a/ledger/fault_test.go
+++ b/ledger/fault_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"runtime"
 	"testing"
-	"time"
 
 	qt "github.com/frankban/quicktest"
 
