--- a/ledger/options.go
+++ b/ledger/options.go
@@ -17,7 +17,9 @@
 	// Book has the same value at all daemons.
 	Book claim.Options
 	// Retention is how long the log is sure to keep records. A ledger that
-	// starts on a stream whose first records are gone trusts it.
+	// starts on a stream whose first records are gone trusts it: with less
+	// than the lifetime of keys it claims nothing until it has watched the
+	// stream for that long.
 	Retention time.Duration
 	// FlushInterval is the shortest time between two appends.
 	FlushInterval time.Duration
