Replace lost VMs under a lease

Cause: the duty of replacing lost VMs stood alone; no daemon ran it. The retention of the claim stream was a constant that operators could not see.

Change: a daemon competes for the lease of its region and replaces lost VMs in the cheapest class and zone that the plans allow (setting Orders.Mode). The cloud's stand-in names the region of what it starts. VMs without an address get no requests. Claims.Retention is a setting.

Ruled out: demand figures as input, since the daemon has no measured peak of the region yet and a wrong one starts VMs; without them the number of runners is kept and lost ones are replaced one for one.

Conclusion: orders run under a lease in the product, with replacement only.

--- a/architecture_test.go
+++ b/architecture_test.go
@@ -15,7 +15,7 @@
 
 // corePackages have no input or output.
 var corePackages = []string{
-	"claim", "limit", "peer/gossip", "plan", "prefix", "request",
+	"claim", "grant", "lease", "limit", "peer/gossip", "placement", "plan", "prefix", "request",
 	"retry", "roster", "route", "suspect", "timeline",
 }
 
--- a/daemon/chooser.go
+++ b/daemon/chooser.go
@@ -77,7 +77,7 @@
 	clear(c.addresses)
 	var runners []route.Runner
 	for _, member := range members {
-		if member.VM.Region != c.region {
+		if member.VM.Region != c.region || member.VM.Address == "" {
 			continue
 		}
 		c.addresses[member.VM.Name] = member.VM.Address
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/cranberrywalk/cranberrywalk/front"
 	"github.com/cranberrywalk/cranberrywalk/ledger"
 	"github.com/cranberrywalk/cranberrywalk/logstream"
+	"github.com/cranberrywalk/cranberrywalk/order"
 	"github.com/cranberrywalk/cranberrywalk/peer"
 	"github.com/cranberrywalk/cranberrywalk/platform"
 	"github.com/cranberrywalk/cranberrywalk/platformhttp"
@@ -45,10 +46,12 @@
 	neighbour     *neighbour
 	mesh          *peer.Mesh
 	ledger        *ledger.Ledger
-	link          *backend.Link
-	dispatcher    *dispatch.Dispatcher
-	callers       *http.Server
-	admin         *http.Server
+	// orders is nil when the settings switch the duty off.
+	orders     *order.Order
+	link       *backend.Link
+	dispatcher *dispatch.Dispatcher
+	callers    *http.Server
+	admin      *http.Server
 
 	// reclaimed is closed when the cloud or the VM list says that this VM
 	// stops.
@@ -94,6 +97,7 @@
 	d.chooser = newChooser(s.Daemon.Region, s.Daemon.Zone, s.Routing.ZoneDelay, d.keeper)
 	d.admitter = newAdmitter(d.identity())
 	d.ledger = ledger.New(d.Common, log, d.ledgerOptions())
+	d.addOrders(log, client)
 }
 
 func (d *Daemon) ledgerOptions() ledger.Options {
@@ -104,6 +108,7 @@
 	options.FlushInterval = d.settings.Claims.FlushInterval
 	options.ReadWait = d.settings.Platform.LongPoll
 	options.AppendTimeout = d.settings.Platform.Timeout
+	options.Retention = d.settings.Claims.Retention
 	options.Book.Lifetime = d.settings.Claims.KeyLifetime
 	options.Book.MaxClaims = d.settings.Claims.MaxClaims
 	return options
--- /dev/null
+++ b/daemon/orders.go
@@ -0,0 +1,56 @@
+package daemon
+
+import (
+	"net/http"
+
+	"github.com/cranberrywalk/cranberrywalk/order"
+	"github.com/cranberrywalk/cranberrywalk/placement"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/platformhttp"
+	"github.com/cranberrywalk/cranberrywalk/roster"
+	"github.com/cranberrywalk/cranberrywalk/settings"
+)
+
+// addOrders adds the duty of replacing lost VMs, which one daemon of the region
+// holds by lease.
+func (d *Daemon) addOrders(log platform.Log, client *http.Client) {
+	s := d.settings
+	if s.Orders.Mode == settings.OrdersOff {
+		return
+	}
+	options := order.DefaultOptions()
+	options.Stream = s.Orders.Stream
+	options.Duty = "Orders/" + s.Daemon.Region
+	options.Daemon = s.Daemon.Name
+	options.Incarnation = d.incarnation
+	options.Lease.Duration = s.Orders.Lease
+	options.Lease.Margin = s.Orders.Margin
+	options.RenewInterval = s.Orders.Renewal
+	options.RoundInterval = s.Orders.Interval
+	options.AppendTimeout = s.Platform.Timeout
+	options.ReadWait = s.Platform.LongPoll
+	cloud := platformhttp.NewCloud(s.Platform.Cloud, client)
+	weights := platformhttp.NewWeightStore(s.Platform.WeightStore, client)
+	engines := func(vm platform.VM) platform.Engine { return platformhttp.NewEngine("http://"+vm.Address, client) }
+	d.orders = order.New(d.Common, options, log, cloud, weights, engines, d.placementInputs)
+}
+
+// placementInputs returns what is known of the region. Without demand, the
+// number of runners of each model is kept, and lost VMs are replaced one for
+// one.
+func (d *Daemon) placementInputs() placement.Inputs {
+	state, ready := d.configuration.State()
+	if !ready {
+		return placement.Inputs{}
+	}
+	var vms []platform.VM
+	for _, member := range d.keeper.Roster().Backends() {
+		vm := member.VM
+		if vm.Region != d.settings.Daemon.Region {
+			continue
+		}
+		vm.Leaving = member.State == roster.Leaving
+		vms = append(vms, vm)
+	}
+	return placement.Inputs{VMs: vms, Allowances: state.Allowances(), Offers: placement.OffersOf(vms)}
+}
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -26,9 +26,7 @@
 	mesh, stopMesh := context.WithCancel(context.WithoutCancel(ctx))
 	var running, meshRunning sync.WaitGroup
 	meshRunning.Go(func() { d.mesh.Run(mesh) })
-	for _, run := range []func(context.Context){
-		d.configuration.Run, d.snapshotter.Run, d.keeper.run, d.ledger.Run, d.bootFromPeers,
-	} {
+	for _, run := range d.parts() {
 		running.Go(func() { run(parts) })
 	}
 	running.Go(func() { d.serve(d.callers, callers) })
@@ -52,6 +50,17 @@
 	return drainErr
 }
 
+// parts returns what runs until the requests have ended.
+func (d *Daemon) parts() []func(context.Context) {
+	parts := []func(context.Context){
+		d.configuration.Run, d.snapshotter.Run, d.keeper.run, d.ledger.Run, d.bootFromPeers,
+	}
+	if d.orders != nil {
+		parts = append(parts, d.orders.Run)
+	}
+	return parts
+}
+
 // listen binds all addresses before any part runs.
 func (d *Daemon) listen() (callers, operators net.Listener, err error) {
 	if err := d.mesh.Listen(); err != nil {
--- a/e2e/driver.go
+++ b/e2e/driver.go
@@ -98,6 +98,7 @@
 		"Platform": {"PollInterval = 100ms", "LongPoll = 500ms", "Timeout = 500ms"},
 		"Backends": {"Silence = 1s"},
 		"Claims":   {"Timeout = 10s"},
+		"Orders":   {"Mode = Off"},
 	}
 }
 
@@ -106,6 +107,20 @@
 	return d.daemon(fleet.Daemon{Name: name, Zone: zone, Settings: quick()})
 }
 
+// OrderingDaemon starts a daemon that replaces lost VMs when it holds the lease.
+func (d *Driver) OrderingDaemon(zone, name string) *Driver {
+	settings := quick()
+	settings["Orders"] = []string{"Lease = 1s", "Margin = 300ms", "Renewal = 300ms", "Interval = 200ms"}
+	return d.daemon(fleet.Daemon{Name: name, Zone: zone, Settings: settings})
+}
+
+// Spare starts a model engine for the next VM that the cloud starts.
+func (d *Driver) Spare(name string) *Driver {
+	d.Helper()
+	d.Assert(d.Fleet.StartSpare(name, Model), qt.IsNil)
+	return d
+}
+
 // RelayedDaemon starts a daemon whose links to the platform and from its peers
 // go through relays.
 func (d *Driver) RelayedDaemon(zone, name string) *Driver {
--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -36,6 +36,8 @@
 	{"daemon is cut off from its peers", daemonCutFromPeers},
 	{"daemon is cut off from the platform", daemonCutFromPlatform},
 	{"operators race", operatorsRace},
+	{"lost runner is replaced", lostRunnerReplaced},
+	{"lease passes on from a killed daemon", leasePassesOn},
 }
 
 // binaries is the directory of the built programs.
--- a/fleet/backend.go
+++ b/fleet/backend.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "github.com/cranberrywalk/cranberrywalk/platform"
+import (
+	"net/http"
+
+	"github.com/cranberrywalk/cranberrywalk/platform"
+)
 
 // Backend describes a backend server that is to be started.
 type Backend struct {
@@ -51,6 +55,20 @@
 	return vm, f.AddVMs(vm)
 }
 
+// StartSpare starts the stand-in of a model engine that the cloud gives to the
+// next VM that it is asked to start.
+func (f *Fleet) StartSpare(name, model string) error {
+	address, err := FreeAddress()
+	if err != nil {
+		return err
+	}
+	if _, err := f.run(name, "standin", nil, "engine", "--address", address, "--models", model); err != nil {
+		return err
+	}
+	spares := struct{ Addresses []string }{Addresses: []string{address}}
+	return Control(http.MethodPut, f.PlatformURL+"/spares", spares, nil)
+}
+
 // AddVMs puts VMs on the VM list for which the fleet runs no process.
 func (f *Fleet) AddVMs(vms ...platform.VM) error {
 	f.mu.Lock()
--- a/fleet/daemon.go
+++ b/fleet/daemon.go
@@ -86,7 +86,7 @@
 	section("Peers", "Address = "+f.controlURL(d.Name+PeerSide))
 	section("Admin", "Address = "+vm.AdminAddress)
 	section("Platform", "Log = "+base, "VMList = "+base, "Cloud = "+base, "WeightStore = "+base)
-	for _, name := range []string{"Claims", "Backends", "Retries", "Routing", "Timeline"} {
+	for _, name := range []string{"Claims", "Backends", "Retries", "Routing", "Orders", "Timeline"} {
 		section(name)
 	}
 	return text.String()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -15,6 +15,7 @@
 	Backends Backends
 	Retries  Retries
 	Routing  Routing
+	Orders   Orders
 	Timeline Timeline
 }
 
@@ -68,6 +69,7 @@
 	FlushInterval time.Duration `min:"1ms" doc:"Time for which claims are gathered into one append."`
 	Timeout       time.Duration `min:"50ms" doc:"Longest time for one claim. A request whose claim takes longer is given up at once."`
 	KeyLifetime   time.Duration `min:"1m" doc:"Time for which a key stays claimed. It has to be below the retention of the log service."`
+	Retention     time.Duration `min:"1m" doc:"Time for which the log service is sure to keep records. It has to be above KeyLifetime."`
 	MaxClaims     int           `min:"1" doc:"Most claims within one key lifetime, over all daemons; further ones are refused. The same at all daemons."`
 	AnswerBytes   int           `min:"1024" doc:"Memory for recent answers that other daemons may ask for, in bytes."`
 }
@@ -92,6 +94,24 @@
 	ZoneDelay time.Duration `min:"0s" doc:"One-way network delay to another availability zone of the region."`
 }
 
+// The modes of orders.
+const (
+	// OrdersReplace replaces lost VMs.
+	OrdersReplace = "Replace"
+	// OrdersOff gives no orders.
+	OrdersOff = "Off"
+)
+
+// Orders configures the duty that one daemon of the region holds by lease.
+type Orders struct {
+	Mode     string        `form:"mode" doc:"Replace starts VMs in place of lost ones, in the cheapest class and zone that the plans allow; Off leaves that to others."`
+	Stream   string        `form:"name" doc:"Stream of the log service that holds the leases."`
+	Lease    time.Duration `min:"1s" doc:"Time that a lease is valid after its last renewal."`
+	Margin   time.Duration `min:"100ms" doc:"Time that other daemons wait beyond the lease, for clocks of different rates."`
+	Renewal  time.Duration `min:"100ms" doc:"Time between two renewals."`
+	Interval time.Duration `min:"100ms" doc:"Time between two decisions."`
+}
+
 // Timeline configures the time line of events.
 type Timeline struct {
 	Capacity int `min:"16" doc:"Events that the daemon keeps; older ones are dropped."`
@@ -128,6 +148,7 @@
 			FlushInterval: 5 * time.Millisecond,
 			Timeout:       3 * time.Second,
 			KeyLifetime:   24 * time.Hour,
+			Retention:     48 * time.Hour,
 			MaxClaims:     100_000,
 			AnswerBytes:   8 << 20,
 		},
@@ -145,6 +166,14 @@
 		Routing: Routing{
 			ZoneDelay: time.Millisecond,
 		},
+		Orders: Orders{
+			Mode:     OrdersReplace,
+			Stream:   "Leases",
+			Lease:    10 * time.Second,
+			Margin:   2 * time.Second,
+			Renewal:  3 * time.Second,
+			Interval: 5 * time.Second,
+		},
 		Timeline: Timeline{
 			Capacity: 4096,
 		},
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -58,6 +58,7 @@
 		{"unknown section", "[Admin]", "[Admins]", []string{"line 14: [Admins]: unknown section", "[Admin] Address: the key is required"}},
 		{"no duration", "250ms", "soon", []string{`line 12: [Peers] Interval: "soon" is not a duration such as 500ms or 2s`}},
 		{"below the smallest value", "250ms", "1ms", []string{"line 12: [Peers] Interval: 1ms is below the smallest value 50ms"}},
+		{"unknown mode", "[Admin]", "[Orders]\nMode = Perhaps\n[Admin]", []string{`line 15: [Orders] Mode: "Perhaps" is neither Replace nor Off`}},
 		{"three faults at once", "Zone = mn-central-a\n\n[Callers]\nAddress = 127.0.0.1:8080", "Zone = a b\n\n[Callers]\nAddress = localhost\nMaxInFlight = many", []string{
 			`line 5: [Daemon] Zone: "a b" is not a name of letters, digits, dots, dashes and underscores`,
 			`line 8: [Callers] Address: "localhost" is not an IP number and port such as 127.0.0.1:8080`,
--- a/settings/value.go
+++ b/settings/value.go
@@ -63,6 +63,10 @@
 		if !namePattern.MatchString(text) {
 			return fmt.Sprintf("%q is not a name of letters, digits, dots, dashes and underscores", text)
 		}
+	case "mode":
+		if text != OrdersReplace && text != OrdersOff {
+			return fmt.Sprintf("%q is neither %s nor %s", text, OrdersReplace, OrdersOff)
+		}
 	case "hostport":
 		return checkHostPort(text)
 	case "url":
--- a/standin/cloud/vms.go
+++ b/standin/cloud/vms.go
@@ -54,6 +54,7 @@
 	vm := platform.VM{
 		Name:        fmt.Sprintf("started-%d", number),
 		Role:        request.Role,
+		Region:      c.regionOf(request.Zone),
 		Zone:        request.Zone,
 		Class:       request.Class,
 		Reclaimable: request.Reclaimable,
@@ -93,3 +94,14 @@
 	})
 	standin.Respond(w, http.StatusOK, struct{}{})
 }
+
+// regionOf returns the region of the listed VMs in a zone. The caller holds the
+// lock.
+func (c *Cloud) regionOf(zone string) string {
+	for _, vm := range c.versions[len(c.versions)-1].snapshot.VMs {
+		if vm.Zone == zone {
+			return vm.Region
+		}
+	}
+	return ""
+}
