--- a/daemon/chooser.go
+++ b/daemon/chooser.go
@@ -8,11 +8,11 @@
 
 	"github.com/cranberrywalk/cranberrywalk/dispatch"
 	"github.com/cranberrywalk/cranberrywalk/peer"
-	"github.com/cranberrywalk/cranberrywalk/peer/gossip"
 	"github.com/cranberrywalk/cranberrywalk/platform"
 	"github.com/cranberrywalk/cranberrywalk/request"
 	"github.com/cranberrywalk/cranberrywalk/roster"
 	"github.com/cranberrywalk/cranberrywalk/route"
+	"github.com/cranberrywalk/cranberrywalk/settings"
 )
 
 // flightKey names an attempt: a request is at a backend server at most once
@@ -24,24 +24,30 @@
 
 // attempt is what the chooser remembers of an attempt until it ends.
 type attempt struct {
+	board    *board
 	call     route.Call
 	decision route.Decision
 	flight   route.Flight
 	begun    bool
 }
 
+// board is one kind of backend servers with the policy that chooses among them.
+type board struct {
+	view   *route.View
+	policy route.Policy
+}
+
 // chooser implements dispatch.Chooser with the routing policies, on the
 // backend servers of the roster.
 type chooser struct {
-	region   string
-	zone     string
-	keeper   *keeper
-	models   route.Policy
-	services route.Policy
+	region string
+	zone   string
+	keeper *keeper
 
 	// mu guards what follows.
-	mu   sync.Mutex
-	view *route.View
+	mu       sync.Mutex
+	runners  board
+	services board
 	// addresses holds the addresses of the runners in the view.
 	addresses map[string]string
 	attempts  map[flightKey]*attempt
@@ -54,36 +60,58 @@
 	_ dispatch.FirstTokenObserver = (*chooser)(nil)
 )
 
-func newChooser(region, zone string, zoneDelay time.Duration, keeper *keeper) *chooser {
-	options := route.DefaultOptions(zone)
-	options.ZoneDelay = 2 * zoneDelay
+func newChooser(s settings.Settings, keeper *keeper) *chooser {
 	return &chooser{
-		region:    region,
-		zone:      zone,
+		region:    s.Daemon.Region,
+		zone:      s.Daemon.Zone,
 		keeper:    keeper,
-		models:    route.NewScore(),
-		services:  route.LeastInFlight{},
-		view:      route.NewView(options),
+		runners:   newBoard(s, route.DefaultOptions(s.Daemon.Zone), route.NewScore()),
+		services:  newBoard(s, serviceOptions(s), route.NewServiceScore()),
 		addresses: make(map[string]string),
 		attempts:  make(map[flightKey]*attempt),
 		loads:     make(map[string]map[string]peer.BackendLoad),
 	}
 }
 
+func serviceOptions(s settings.Settings) route.Options {
+	return route.ServiceOptions(s.Daemon.Zone, s.Routing.ServiceTime, s.Routing.ServiceParallel)
+}
+
+func newBoard(s settings.Settings, options route.Options, policy route.Policy) board {
+	options.Daemon = s.Daemon.Name
+	options.ZoneDelay = 2 * s.Routing.ZoneDelay
+	return board{view: route.NewView(options), policy: policy}
+}
+
+// boards returns both kinds of backend servers.
+func (c *chooser) boards() []*board { return []*board{&c.runners, &c.services} }
+
+func (c *chooser) boardOf(r request.Request) *board {
+	if r.IsModelCall() {
+		return &c.runners
+	}
+	return &c.services
+}
+
 // setMembers takes over the backend servers of the roster.
 func (c *chooser) setMembers(members []roster.Member) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	clear(c.addresses)
-	var runners []route.Runner
+	var runners, services []route.Runner
 	for _, member := range members {
 		if member.VM.Region != c.region || member.VM.Address == "" {
 			continue
 		}
 		c.addresses[member.VM.Name] = member.VM.Address
+		if member.VM.Role == platform.RoleService {
+			services = append(services, newRunner(member))
+			continue
+		}
 		runners = append(runners, newRunner(member))
 	}
-	c.view.SetRunners(runners)
+	c.runners.view.SetRunners(runners)
+	c.services.view.SetRunners(services)
 }
 
 func newRunner(member roster.Member) route.Runner {
@@ -105,16 +133,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	call := c.newCall(r, excluded, members, now)
-	policy := c.models
-	if !r.IsModelCall() {
-		policy = c.services
-	}
-	decision, err := policy.Choose(&call, c.view, now)
+	chosen := c.boardOf(r)
+	decision, err := chosen.policy.Choose(&call, chosen.view, now)
 	if err != nil {
 		return dispatch.Target{}, translate(r, err)
 	}
-	runner := c.view.Runner(decision)
-	c.attempts[flightKey{request: r.ID, backend: runner.Name}] = &attempt{call: call, decision: decision}
+	runner := chosen.view.Runner(decision)
+	c.attempts[flightKey{request: r.ID, backend: runner.Name}] = &attempt{board: chosen, call: call, decision: decision}
 	return dispatch.Target{Name: runner.Name, Zone: runner.Zone, Address: c.addresses[runner.Name]}, nil
 }
 
@@ -124,10 +149,11 @@
 		Blocks:          r.Blocks,
 		MaxTokens:       r.MaxTokens,
 		FirstToken:      r.FirstToken,
-		BetweenTokens:   r.BetweenTokens,
+		BetweenTokens:   betweenTokens(r),
 		CostWeight:      r.CostWeight,
 		RecomputeWeight: r.RecomputeWeight,
 		Priority:        r.Priority,
+		Resumed:         len(excluded) > 0,
 		Zone:            c.zone,
 		Allowed: func(runner *route.Runner) bool {
 			return serves(runner, r) && r.Allowance.AllowsVM(runner.Zone, runner.Class) &&
@@ -136,6 +162,15 @@
 	}
 }
 
+// betweenTokens returns the target for a step of the backend server. The step
+// of a plain service is its whole response.
+func betweenTokens(r request.Request) time.Duration {
+	if r.IsModelCall() {
+		return r.BetweenTokens
+	}
+	return r.FirstToken
+}
+
 func serves(runner *route.Runner, r request.Request) bool {
 	if r.IsModelCall() {
 		return slices.Contains(runner.Models, r.Model)
@@ -165,7 +200,7 @@
 		return
 	}
 	a.begun = true
-	a.flight = c.view.Began(&a.call, a.decision, now)
+	a.flight = a.board.view.Began(&a.call, a.decision, now)
 }
 
 // FirstToken implements dispatch.FirstTokenObserver.
@@ -173,7 +208,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if a, known := c.attempts[flightKey{request: r.ID, backend: target.Name}]; known && a.begun {
-		c.view.FirstToken(&a.flight)
+		a.board.view.FirstToken(&a.flight)
 	}
 }
 
@@ -199,81 +234,7 @@
 		return
 	}
 	if seen.PromptTokens > 0 {
-		c.view.Usage(&a.flight, &a.call, a.decision, seen.CachedTokens)
-	}
-	c.view.Ended(&a.flight, now)
-}
-
-// ownLoads returns the load that this daemon puts on the backend servers.
-func (c *chooser) ownLoads(daemon string, now time.Time) []peer.BackendLoad {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.forgetSilent(now)
-	report := c.view.Report(daemon, now)
-	loads := make([]peer.BackendLoad, 0, len(report.Loads))
-	for _, load := range report.Loads {
-		loads = append(loads, peer.BackendLoad{
-			Backend: load.Runner, InFlight: load.InFlight, QueuedTokens: load.QueuedTokens,
-			PrefillRate: int(load.PrefillTokensPerSecond),
-		})
-	}
-	return loads
-}
-
-// mergeLoads takes over what is new in the reports of peers.
-func (c *chooser) mergeLoads(news []peer.BackendLoad) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	changed := make(map[string]uint64)
-	for _, load := range news {
-		if c.loads[load.Reporter] == nil {
-			c.loads[load.Reporter] = make(map[string]peer.BackendLoad)
-		}
-		c.loads[load.Reporter][load.Backend] = load
-		changed[load.Reporter] = max(changed[load.Reporter], load.Version)
-	}
-	for reporter, version := range changed {
-		c.view.Digest(newDigest(reporter, version, c.loads[reporter]))
-	}
-}
-
-// silentAfter is the age of a daemon's newest load above which the daemon is
-// taken to have ended: a load is repeated more often than that.
-const silentAfter = gossip.RefreshInterval + 5*time.Second
-
-// forgetSilent drops the loads of daemons that have ended without a word.
-func (c *chooser) forgetSilent(now time.Time) {
-	for reporter, loads := range c.loads {
-		var newest uint64
-		for _, load := range loads {
-			newest = max(newest, load.Version)
-		}
-		if now.Sub(time.UnixMilli(int64(newest))) > silentAfter {
-			delete(c.loads, reporter)
-			c.view.ForgetPeer(reporter)
-		}
-	}
-}
-
-func newDigest(reporter string, version uint64, loads map[string]peer.BackendLoad) route.Digest {
-	digest := route.Digest{Daemon: reporter, Time: time.UnixMilli(int64(version))}
-	for _, load := range loads {
-		digest.Loads = append(digest.Loads, route.Load{
-			Runner: load.Backend, InFlight: load.InFlight, QueuedTokens: load.QueuedTokens,
-			PrefillTokensPerSecond: float64(load.PrefillRate),
-		})
-	}
-	return digest
-}
-
-// forgetPeers drops the loads of daemons that have left.
-func (c *chooser) forgetPeers(listed []platform.VM) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for reporter := range c.loads {
-		if !slices.ContainsFunc(listed, func(vm platform.VM) bool { return vm.Name == reporter }) {
-			delete(c.loads, reporter)
-			c.view.ForgetPeer(reporter)
-		}
+		a.board.view.Usage(&a.flight, &a.call, a.decision, seen.CachedTokens)
 	}
+	a.board.view.Ended(&a.flight, now)
 }
--- /dev/null
+++ b/daemon/chooser_test.go
@@ -0,0 +1,91 @@
+package daemon
+
+import (
+	"errors"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cranberrywalk/cranberrywalk/backend"
+	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/dispatch"
+	"github.com/cranberrywalk/cranberrywalk/plan"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/request"
+	"github.com/cranberrywalk/cranberrywalk/roster"
+	"github.com/cranberrywalk/cranberrywalk/settings"
+	"github.com/cranberrywalk/cranberrywalk/telemetry"
+)
+
+func runner(name, zone string) platform.VM {
+	return platform.VM{Name: name, Role: platform.RoleRunner, Region: "r", Zone: zone, Address: "127.0.0.1:1", Models: []string{"notes"}}
+}
+
+// newTestChooser knows two runners in different zones and one plain service.
+func newTestChooser() *chooser {
+	common := telemetry.NewCommon()
+	common.Clock = clock.NewFake(noon)
+	k := newKeeper(common, nil, nil, 0, 0)
+	s := settings.Default()
+	s.Daemon.Region, s.Daemon.Zone, s.Daemon.Name = "r", "a", "one"
+	c := newChooser(s, k)
+	k.changed = func(r roster.Roster, _ []roster.Effect) { c.setMembers(r.Backends()) }
+	service := platform.VM{Name: "service-a", Role: platform.RoleService, Region: "r", Zone: "a", Address: "127.0.0.1:2", Service: "placements"}
+	far := runner("runner-far", "a")
+	far.Region = "elsewhere"
+	vms := []platform.VM{runner("runner-a", "a"), runner("runner-b", "b"), service, far}
+	k.apply(roster.Listed{Snapshot: platform.VMSnapshot{Version: 1, VMs: vms}})
+	return c
+}
+
+func chat(allowance plan.Allowance) request.Request {
+	return request.Request{ID: "1", Kind: request.Chat, Model: "notes", Allowance: allowance}
+}
+
+func TestChooserObeysAllowanceRosterAndExclusion(t *testing.T) {
+	scenarios := []struct {
+		name     string
+		request  request.Request
+		excluded []string
+		event    roster.Event
+		expected string
+	}{
+		{"own zone is nearer", chat(plan.Allowance{}), nil, nil, "runner-a"},
+		{"allowance names another zone", chat(plan.Allowance{Zones: []string{"b"}}), nil, nil, "runner-b"},
+		{"runner has been tried", chat(plan.Allowance{}), []string{"runner-a"}, nil, "runner-b"},
+		{"runner is leaving", chat(plan.Allowance{}), nil, roster.Noticed{Notice: platform.Notice{Sequence: 1, VM: "runner-a"}}, "runner-b"},
+		{"plain service", request.Request{ID: "1", Kind: request.Service, Service: "placements"}, nil, nil, "service-a"},
+		{"no zone is allowed that has a runner", chat(plan.Allowance{Zones: []string{"c"}}), nil, nil, ""},
+		{"no such service", request.Request{ID: "1", Kind: request.Service, Service: "loans"}, nil, nil, ""},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			c := qt.New(t)
+			chooser := newTestChooser()
+			if s.event != nil {
+				chooser.keeper.apply(s.event)
+			}
+			target, err := chooser.Choose(s.request, s.excluded, noon)
+			c.Assert(target.Name, qt.Equals, s.expected)
+			var none *dispatch.NoBackendError
+			c.Assert(errors.As(err, &none), qt.Equals, s.expected == "")
+		})
+	}
+}
+
+func TestChooserCountsAttemptsOnce(t *testing.T) {
+	c := qt.New(t)
+	chooser := newTestChooser()
+	r := chat(plan.Allowance{})
+	target, err := chooser.Choose(r, nil, noon)
+	c.Assert(err, qt.IsNil)
+	chooser.Began(target, r)
+	chooser.Began(target, r)
+	c.Assert(chooser.ownLoads("one", noon)[0].InFlight, qt.Equals, 1)
+
+	chooser.Ended(target, r, dispatch.Observation{})
+	chooser.Ended(target, r, dispatch.Observation{Fault: backend.Closed})
+
+	c.Assert(chooser.ownLoads("one", noon), qt.HasLen, 0)
+	c.Assert(chooser.attempts, qt.HasLen, 0)
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -94,7 +94,7 @@
 	d.keeper = newKeeper(d.Common, platformhttp.NewVMList(s.Platform.VMList, client),
 		platformhttp.NewCloud(s.Platform.Cloud, client), s.Platform.PollInterval, s.Platform.LongPoll)
 	d.keeper.changed = d.rosterChanged
-	d.chooser = newChooser(s.Daemon.Region, s.Daemon.Zone, s.Routing.ZoneDelay, d.keeper)
+	d.chooser = newChooser(s, d.keeper)
 	d.admitter = newAdmitter(d.identity())
 	d.ledger = ledger.New(d.Common, log, d.ledgerOptions())
 	d.addOrders(log, client)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -91,7 +91,9 @@
 
 // Routing configures the choice of backend servers.
 type Routing struct {
-	ZoneDelay time.Duration `min:"0s" doc:"One-way network delay to another availability zone of the region."`
+	ZoneDelay       time.Duration `min:"0s" doc:"One-way network delay to another availability zone of the region."`
+	ServiceTime     time.Duration `min:"1ms" doc:"Time in which a plain service answers a request when it is not overloaded."`
+	ServiceParallel int           `min:"1" doc:"Requests that a plain service answers side by side in that time."`
 }
 
 // The modes of orders.
@@ -164,7 +166,9 @@
 			BudgetFloor: 2,
 		},
 		Routing: Routing{
-			ZoneDelay: time.Millisecond,
+			ZoneDelay:       time.Millisecond,
+			ServiceTime:     100 * time.Millisecond,
+			ServiceParallel: 16,
 		},
 		Orders: Orders{
 			Mode:     OrdersReplace,
