Run three kinds of chats through the matrix, and name uncovered steps

Cause: only one kind of chat passed through the steps, so that collected answers and chats that may run once were not under faults; the columns of orders said "not built", which is no longer true.

Change: a chat in one piece and a keyed chat that runs once join the four other kinds. The columns of orders say "not covered", which is not a pass.

Ruled out: counting the tests of packages lease and order as cells; the checker does not see them.

--- a/matrix/caller.go
+++ b/matrix/caller.go
@@ -27,6 +27,10 @@
 const (
 	// shapeChat is a streamed chat, which is idempotent.
 	shapeChat shape = "streamed chat"
+	// shapeWholeChat is an idempotent chat whose answer comes in one piece.
+	shapeWholeChat shape = "chat in one piece"
+	// shapeChatOnce is a streamed chat with a key that is not idempotent.
+	shapeChatOnce shape = "chat that runs once"
 	// shapeRead is an idempotent call of a plain service.
 	shapeRead shape = "read"
 	// shapeConfirm is a keyed call that is not idempotent.
@@ -35,7 +39,20 @@
 	shapeCharge shape = "charge without key"
 )
 
-func shapes() []shape { return []shape{shapeChat, shapeRead, shapeConfirm, shapeCharge} }
+func shapes() []shape {
+	return []shape{shapeChat, shapeWholeChat, shapeChatOnce, shapeRead, shapeConfirm, shapeCharge}
+}
+
+// isChat reports whether the request goes to a model engine.
+func (s shape) isChat() bool { return s == shapeChat || s == shapeWholeChat || s == shapeChatOnce }
+
+// isKeyed reports whether the request needs a claim.
+func (s shape) isKeyed() bool { return s == shapeConfirm || s == shapeChatOnce }
+
+// isIdempotent reports whether the request may run more than once.
+func (s shape) isIdempotent() bool {
+	return s == shapeChat || s == shapeWholeChat || s == shapeRead
+}
 
 // prompt is the chat that all streamed chats ask for.
 var prompt = []prefix.Message{{Role: "user", Content: "Which drill fits a brick wall?"}}
@@ -43,21 +60,19 @@
 // newRequest returns the request of a sending. All sendings of a case have
 // the same content.
 func (s shape) newRequest(id string, now time.Time) request.Request {
-	r := request.Request{ID: id, Customer: "Trust", Method: http.MethodPost, Accepted: now, Deadline: now.Add(deadline)}
-	if s == shapeChat {
-		r.Kind, r.Model, r.Path = request.Chat, "teach", "/v1/chat/completions"
-		r.Body = fmt.Appendf(nil, `{"model":"teach","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`,
-			answerTokens, prompt[0].Content)
-		r.Stream, r.Idempotent, r.MaxTokens = true, true, answerTokens
-		return r
+	r := request.Request{
+		ID: id, Customer: "Trust", Method: http.MethodPost, Accepted: now, Deadline: now.Add(deadline),
+		Kind: request.Service, Service: "placement", Path: "/confirm", Body: []byte(`{"Teacher":7}`),
+		Idempotent: s.isIdempotent(),
+	}
+	if s.isChat() {
+		r.Kind, r.Service, r.Model, r.Path = request.Chat, "", "teach", "/v1/chat/completions"
+		r.Stream, r.MaxTokens = s != shapeWholeChat, answerTokens
+		r.Body = fmt.Appendf(nil, `{"model":"teach","stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`,
+			r.Stream, answerTokens, prompt[0].Content)
 	}
-	r.Kind, r.Service, r.Path = request.Service, "placement", "/confirm"
-	r.Body = []byte(`{"Teacher":7}`)
-	switch s {
-	case shapeRead:
-		r.Idempotent = true
-	case shapeConfirm:
-		r.Key = claim.NewKey(r.Customer, r.Service, "dawn")
+	if s.isKeyed() {
+		r.Key = claim.NewKey(r.Customer, r.Target(), "dawn")
 		r.Header = request.Header{"Idempotency-Key": {"dawn"}}
 	}
 	return r
@@ -129,9 +144,23 @@
 	return sending
 }
 
-// textOf returns the text of a streamed answer, and whether the stream has
-// its end event.
-func textOf(body string) (text string, whole bool) {
+// textOf returns the text of a model's answer, and whether it is whole.
+func textOf(r request.Request, body string) (text string, whole bool) {
+	if r.Stream {
+		return streamedText(body)
+	}
+	var fields struct {
+		Choices []struct{ Message prefix.Message }
+	}
+	err := json.Unmarshal([]byte(body), &fields)
+	if err != nil || len(fields.Choices) != 1 {
+		return body, false
+	}
+	return fields.Choices[0].Message.Content, true
+}
+
+// streamedText joins the events of a stream. It is whole with its end event.
+func streamedText(body string) (text string, whole bool) {
 	var joined strings.Builder
 	for event := range strings.SplitSeq(body, "\n\n") {
 		payload := strings.TrimPrefix(event, "data: ")
--- a/matrix/check.go
+++ b/matrix/check.go
@@ -108,8 +108,8 @@
 	if s.Ends != 1 || s.Result.Outcome != request.Answered {
 		return
 	}
-	if s.Request.Stream {
-		text, whole := textOf(s.Body)
+	if s.Request.IsModelCall() {
+		text, whole := textOf(s.Request, s.Body)
 		want := engine.Text(prefix.Render(prompt), 0, answerTokens)
 		if !whole || text != want {
 			c.violate(WholeAnswer, "%s got %q, whole: %t", s.Request.ID, text, whole)
--- a/matrix/matrix_test.go
+++ b/matrix/matrix_test.go
@@ -35,7 +35,7 @@
 		c.Check(cell.Case != "" && cases[cell.Case], qt.IsFalse, qt.Commentf("%s stands twice", cell.Case))
 		cases[cell.Case] = true
 		if cell.Subject == SubjectOrder {
-			c.Check(cell.Run(Seed).State, qt.Equals, StateNotBuilt)
+			c.Check(cell.Run(Seed).State, qt.Equals, StateNotCovered)
 		}
 	}
 }
--- a/matrix/page.go
+++ b/matrix/page.go
@@ -46,8 +46,8 @@
 // pageMark returns what stands in the table for a cell.
 func pageMark(cell Cell) string {
 	switch {
-	case !cell.isBuilt:
-		return "not built"
+	case !cell.isCovered:
+		return "not covered"
 	case cell.Case == "":
 		return "no"
 	}
@@ -61,7 +61,7 @@
 		var order []string
 		steps := make(map[string][]string)
 		for _, cell := range cells {
-			if cell.Row != row || cell.Reason == "" || !cell.isBuilt {
+			if cell.Row != row || cell.Reason == "" || !cell.isCovered {
 				continue
 			}
 			if steps[cell.Reason] == nil {
--- a/matrix/reason.go
+++ b/matrix/reason.go
@@ -2,21 +2,21 @@
 
 // The reasons why a fault cannot occur at a step.
 const (
-	reasonNoOrders     = "leases and orders are not built yet"
-	reasonNoPlatform   = "a request uses the log for its claim and its release only; both are caused by the claim and choose cells"
-	reasonNoStart      = "a request starts no VM; the refused start shows when a backend server is chosen"
-	reasonNoBackendYet = "no backend server has the request yet"
-	reasonNoConnection = "the step opens no connection"
-	reasonPlanCopied   = "the request carries the allowance that it was accepted with"
-	reasonNoReclaim    = "the step uses no VM that can be reclaimed but the daemon; its death has rows of its own"
-	reasonNoRequest    = "a configuration runs no request"
-	reasonNoLease      = "the configuration has no holder; any daemon does the step at any time"
-	reasonNoWrite      = "the step appends nothing to the log"
-	reasonNoOperators  = "the step follows the verdict, which the order of the log has given"
-	reasonNoPeers      = "the step uses the log and no peer"
-	reasonLogIsCut     = "a boot without the log is the case of the rows of the log"
-	reasonResendless   = "operators repeat a change by its identity, in the row Effect without answer"
-	reasonOperatorOnly = "the step is the operator's own, without a daemon"
+	reasonOrdersOutside = "no case runs leases and orders yet; the tests of packages lease and order do"
+	reasonNoPlatform    = "a request uses the log for its claim and its release only; both are caused by the claim and choose cells"
+	reasonNoStart       = "a request starts no VM; the refused start shows when a backend server is chosen"
+	reasonNoBackendYet  = "no backend server has the request yet"
+	reasonNoConnection  = "the step opens no connection"
+	reasonPlanCopied    = "the request carries the allowance that it was accepted with"
+	reasonNoReclaim     = "the step uses no VM that can be reclaimed but the daemon; its death has rows of its own"
+	reasonNoRequest     = "a configuration runs no request"
+	reasonNoLease       = "the configuration has no holder; any daemon does the step at any time"
+	reasonNoWrite       = "the step appends nothing to the log"
+	reasonNoOperators   = "the step follows the verdict, which the order of the log has given"
+	reasonNoPeers       = "the step uses the log and no peer"
+	reasonLogIsCut      = "a boot without the log is the case of the rows of the log"
+	reasonResendless    = "operators repeat a change by its identity, in the row Effect without answer"
+	reasonOperatorOnly  = "the step is the operator's own, without a daemon"
 )
 
 // reasons has the reason of each cell that does not run, by row and step.
--- a/matrix/render.go
+++ b/matrix/render.go
@@ -7,7 +7,7 @@
 )
 
 // marks stand for the states in the printed table.
-var marks = map[State]string{StateGreen: "green", StateRed: "RED", StateImpossible: "-", StateNotBuilt: "not built"}
+var marks = map[State]string{StateGreen: "green", StateRed: "RED", StateImpossible: "-", StateNotCovered: "not covered"}
 
 // Print writes the table of one subject after the other, and the violations
 // of the red cells.
@@ -22,8 +22,8 @@
 			fmt.Fprintf(w, "RED %s: %v\n", verdict.Case, err)
 		}
 	}
-	fmt.Fprintf(w, "%d green, %d red, %d cannot occur, %d not built\n",
-		counts[StateGreen], counts[StateRed], counts[StateImpossible], counts[StateNotBuilt])
+	fmt.Fprintf(w, "%d green, %d red, %d cannot occur, %d not covered\n",
+		counts[StateGreen], counts[StateRed], counts[StateImpossible], counts[StateNotCovered])
 }
 
 func printSubject(w io.Writer, subject Subject, verdicts []Verdict) {
--- a/matrix/requestfaults.go
+++ b/matrix/requestfaults.go
@@ -13,12 +13,12 @@
 
 // unlessClaimed permits the end of a request that needs a claim and has none.
 func unlessClaimed(s *script) bool {
-	return s.shape == shapeConfirm && (s.step == StepAccept || s.step == StepClaim)
+	return s.shape.isKeyed() && (s.step == StepAccept || s.step == StepClaim)
 }
 
 // onceWritten permits the end of a request that must not be written again.
 func onceWritten(s *script) bool {
-	return (s.shape == shapeConfirm || s.shape == shapeCharge) && isWritten(s.step)
+	return !s.shape.isIdempotent() && isWritten(s.step)
 }
 
 // isWritten reports whether a backend server has the request at a step.
@@ -70,7 +70,7 @@
 			return cross
 		},
 		mayFail: onceWritten,
-		lacks:   func(kind shape, step Step) bool { return kind != shapeChat && step != StepDispatch },
+		lacks:   func(kind shape, step Step) bool { return !kind.isChat() && step != StepDispatch },
 	},
 	RowPeersCutOneWay: {
 		cause: func(s *script) action {
@@ -107,7 +107,7 @@
 	RowReclaimAndSilence: {
 		cause: func(s *script) action {
 			s.record.addFault()
-			if s.shape == shapeChat {
+			if s.shape.isChat() && s.shape.isIdempotent() {
 				// The notice moves the stream; nobody waits for the silence.
 				s.reclaim(s.first, zoneA)
 				return hang
--- a/matrix/script.go
+++ b/matrix/script.go
@@ -67,7 +67,7 @@
 }
 
 // applies reports whether a kind of request has the step.
-func (s shape) applies(step Step) bool { return step != StepClaim || s == shapeConfirm }
+func (s shape) applies(step Step) bool { return step != StepClaim || s.isKeyed() }
 
 func (s *script) run(fault requestFault) {
 	cause := func() action { return fault.cause(s) }
@@ -130,7 +130,7 @@
 		s.awaitReleased(sent.Request)
 	}
 	again := s.send(s.second, s.newRequest())
-	if sent.Result.Outcome == request.NotRun || s.shape != shapeConfirm {
+	if sent.Result.Outcome == request.NotRun || s.shape.isIdempotent() {
 		s.expectAnswer(again)
 	}
 }
--- a/matrix/table.go
+++ b/matrix/table.go
@@ -19,8 +19,8 @@
 	StateRed State = "Red"
 	// StateImpossible cells have a fault that cannot occur at the step.
 	StateImpossible State = "Impossible"
-	// StateNotBuilt cells concern a part that does not exist yet.
-	StateNotBuilt State = "NotBuilt"
+	// StateNotCovered cells have no case yet, which is not a pass.
+	StateNotCovered State = "NotCovered"
 )
 
 // Cell is a fault at a step.
@@ -32,9 +32,9 @@
 	Reason string
 	// Case is the name of what is run, or empty.
 	Case string
-	// isBuilt is false when the part that the step belongs to does not exist.
-	isBuilt bool
-	run     func(options options, seed uint64) []error
+	// isCovered is false when no case has been written for the step.
+	isCovered bool
+	run       func(options options, seed uint64) []error
 }
 
 // Verdict is what became of a cell.
@@ -59,9 +59,9 @@
 }
 
 func newCell(row Row, subject Subject, step Step) Cell {
-	cell := Cell{Row: row, Subject: subject, Step: step, isBuilt: subject != SubjectOrder}
-	if !cell.isBuilt {
-		cell.Reason = reasonNoOrders
+	cell := Cell{Row: row, Subject: subject, Step: step, isCovered: subject != SubjectOrder}
+	if !cell.isCovered {
+		cell.Reason = reasonOrdersOutside
 		return cell
 	}
 	if cell.Reason = reasonOf(row, step); cell.Reason != "" {
@@ -100,8 +100,8 @@
 func (c Cell) runWith(options options, seed uint64) Verdict {
 	verdict := Verdict{Cell: c, State: StateImpossible}
 	switch {
-	case !c.isBuilt:
-		verdict.State = StateNotBuilt
+	case !c.isCovered:
+		verdict.State = StateNotCovered
 	case c.run != nil:
 		verdict.State = StateGreen
 		verdict.Errors = c.run(options, seed)
