--- a/cmd/capacity/system.go
+++ b/cmd/capacity/system.go
@@ -109,7 +109,7 @@
 	var all map[string]struct{ Count int64 }
 	err := fleet.Control(http.MethodGet, "http://"+s.first.AdminAddress+"/metrics", nil, &all)
 	return counters{
-		peerBytes: all["peer.bytes.sent"].Count + all["peer.bytes.received"].Count,
+		peerBytes: all["Peer.BytesSent"].Count + all["Peer.BytesReceived"].Count,
 		appends:   all["Ledger.Appends"].Count + all["Logstream.Appends"].Count,
 		reads:     all["Logstream.Reads"].Count + all["Ledger.Reads"].Count,
 	}, err
--- a/configuration/follower.go
+++ b/configuration/follower.go
@@ -16,10 +16,10 @@
 
 // The counters of this package.
 const (
-	CounterAccepted  = "configuration.accepted"
-	CounterRefused   = "configuration.refused"
-	CounterFromPeers = "configuration.from_peers"
-	CounterSnapshots = "configuration.snapshots"
+	CounterAccepted  = "Configuration.Accepted"
+	CounterRefused   = "Configuration.Refused"
+	CounterFromPeers = "Configuration.FromPeers"
+	CounterSnapshots = "Configuration.Snapshots"
 )
 
 // subscribeRetry is the pause before a subscription that ended is renewed.
--- a/configuration/snapshotter.go
+++ b/configuration/snapshotter.go
@@ -72,7 +72,7 @@
 func (s *Snapshotter) write() {
 	snapshot, _ := s.follower.Snapshot()
 	if err := s.appender.Publish(s.follower.stream, message.NewMessage(watermill.NewUUID(), snapshot)); err != nil {
-		s.Count("configuration.snapshots_failed", 1)
+		s.Count("Configuration.SnapshotsFailed", 1)
 		return
 	}
 	s.Count(CounterSnapshots, 1)
--- a/daemon/keeper.go
+++ b/daemon/keeper.go
@@ -63,7 +63,7 @@
 }
 
 func (k *keeper) report(effect roster.Effect) {
-	k.Count("roster."+string(effect.Kind), 1)
+	k.Count("Roster."+string(effect.Kind), 1)
 	k.Log.Info("backend server changed", "Change", effect.Kind, "VM", effect.VM.Name)
 	k.Events.Record(telemetry.Event{Kind: string(effect.Kind), Backend: effect.VM.Name})
 }
@@ -86,7 +86,7 @@
 			k.apply(roster.Listed{Snapshot: snapshot})
 		}
 		if err != nil {
-			k.Count("roster.list_failed", 1)
+			k.Count("Roster.ListFailed", 1)
 		}
 		if clock.Sleep(ctx, k.Clock, k.interval) != nil {
 			return
@@ -100,7 +100,7 @@
 	for ctx.Err() == nil {
 		notices, err := k.cloud.Notices(ctx, last, k.longPoll)
 		if err != nil {
-			k.Count("roster.notices_failed", 1)
+			k.Count("Roster.NoticesFailed", 1)
 			// The loop sees the end of ctx.
 			_ = clock.Sleep(ctx, k.Clock, k.interval)
 			continue
--- a/e2e/runner_test.go
+++ b/e2e/runner_test.go
@@ -89,6 +89,6 @@
 
 	d.Assert(first.Outcome, qt.Not(qt.Equals), "Answered")
 	d.Assert(again.Status, qt.Equals, 422, qt.Commentf("%s", again.Text))
-	d.Assert(d.Metric("entry-a-1", "roster.BackendGone"), qt.Equals, int64(0))
+	d.Assert(d.Metric("entry-a-1", "Roster.BackendGone"), qt.Equals, int64(0))
 	d.Chat("entry-b-1", "harmless", tokens).AssertWhole("harmless", tokens)
 }
--- a/front/front.go
+++ b/front/front.go
@@ -132,7 +132,7 @@
 func (f *Front) serve(w http.ResponseWriter, r *http.Request, accepted request.Request) {
 	writer := &answerWriter{response: w, requestID: accepted.ID, isStream: accepted.Stream}
 	result := f.dispatcher.Do(r.Context(), accepted, writer)
-	f.Count("front.outcome."+result.Outcome.String(), 1)
+	f.Count("Front.Outcome."+result.Outcome.String(), 1)
 }
 
 // writeRefusal answers a request that was not dispatched. Under a key, an
@@ -142,7 +142,7 @@
 	if len(r.Header.Values(headerIdempotencyKey)) > 0 {
 		p.Outcome = request.Unknown.String()
 	}
-	f.Count("front.problem."+p.Type, 1)
+	f.Count("Front.Problem."+p.Type, 1)
 	p.RequestID = id
 	p.write(w)
 }
--- a/peer/client.go
+++ b/peer/client.go
@@ -19,8 +19,8 @@
 
 // The counters of the bytes on connections between daemons.
 const (
-	CounterSent     = "peer.bytes.sent"
-	CounterReceived = "peer.bytes.received"
+	CounterSent     = "Peer.BytesSent"
+	CounterReceived = "Peer.BytesReceived"
 )
 
 const (
@@ -62,15 +62,15 @@
 ) error {
 	fresh, err := c.try(ctx, peer, timeout, do)
 	if err != nil && !fresh && ctx.Err() == nil {
-		c.common.Count("peer.calls.repeated", 1)
+		c.common.Count("Peer.CallsRepeated", 1)
 		c.dropIdle(peer.PeerAddress)
 		_, err = c.try(ctx, peer, timeout, do)
 	}
 	if err != nil {
-		c.common.Count("peer.calls.failed", 1)
+		c.common.Count("Peer.CallsFailed", 1)
 		return &CallError{Peer: peer.Name, Address: peer.PeerAddress, Call: name, Cause: err}
 	}
-	c.common.Count("peer.calls", 1)
+	c.common.Count("Peer.Calls", 1)
 	return nil
 }
 
@@ -109,7 +109,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.common.Count("peer.dials", 1)
+	c.common.Count("Peer.Dials", 1)
 	options := drpcconn.Options{Manager: managerOptions()}
 	return drpcconn.NewWithOptions(newCountedConn(conn, c.common, c.options.CallTimeout), options), nil
 }
--- a/peer/fetch.go
+++ b/peer/fetch.go
@@ -105,10 +105,10 @@
 		return
 	}
 	if err := m.handler.Install(reply.GetSnapshot(), reply.GetOffset()); err != nil {
-		m.common.Count("peer.configurations.refused", 1)
+		m.common.Count("Peer.ConfigurationsRefused", 1)
 		return
 	}
-	m.common.Count("peer.configurations.installed", 1)
+	m.common.Count("Peer.ConfigurationsInstalled", 1)
 	m.common.Events.Record(telemetry.Event{Kind: "ConfigurationFetched", Detail: "from " + peer.Name})
 }
 
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -154,6 +154,6 @@
 // up for it.
 func (m *Mesh) enqueue(contacts *ring.Ring[platform.VM], peer platform.VM) {
 	if err := contacts.Put(peer); err != nil {
-		m.common.Count("peer.contacts.refused", 1)
+		m.common.Count("Peer.ContactsRefused", 1)
 	}
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -23,7 +23,7 @@
 	manager.InactivityTimeout = 2 * m.options.IdleTimeout
 	options := drpcserver.Options{
 		Manager: manager,
-		Log:     func(error) { m.common.Count("peer.connections.ended", 1) },
+		Log:     func(error) { m.common.Count("Peer.ConnectionsEnded", 1) },
 	}
 	listener := &countedListener{Listener: m.listener, common: m.common, timeout: m.options.CallTimeout}
 	if err := drpcserver.NewWithOptions(mux, options).Serve(ctx, listener); err != nil && ctx.Err() == nil {
--- a/timeline/clock.go
+++ b/timeline/clock.go
@@ -13,7 +13,7 @@
 const MaxAhead = 10 * time.Second
 
 // CounterClamped counts the received stamps that were too far ahead.
-const CounterClamped = "timeline.clamped"
+const CounterClamped = "Timeline.Clamped"
 
 // Clock is a hybrid logical clock, safe for use by several goroutines. Its
 // readings rise strictly, also when the machine's clock is set back.
--- a/timeline/log.go
+++ b/timeline/log.go
@@ -7,7 +7,7 @@
 )
 
 // CounterDropped counts the entries that were overwritten by later ones.
-const CounterDropped = "timeline.dropped"
+const CounterDropped = "Timeline.Dropped"
 
 // Entry is one event of the time line with its origin.
 type Entry struct {
