Show on real processes that a leaving runner gets no new work

Cause: the matrix covers it with fakes; no scenario did with processes.

Change: a scenario in which both daemons learn of a notice, and then 24 chats at once reach the other runner only.

--- a/e2e/driver.go
+++ b/e2e/driver.go
@@ -12,6 +12,7 @@
 	"github.com/cranberrywalk/cranberrywalk/fleet"
 	"github.com/cranberrywalk/cranberrywalk/platform"
 	"github.com/cranberrywalk/cranberrywalk/prefix"
+	"github.com/cranberrywalk/cranberrywalk/roster"
 	"github.com/cranberrywalk/cranberrywalk/standin/engine"
 	"github.com/cranberrywalk/cranberrywalk/standin/logservice"
 	"github.com/cranberrywalk/cranberrywalk/standin/relay"
@@ -249,6 +250,25 @@
 	return d
 }
 
+// AwaitLeaving waits until a daemon knows that a backend server is leaving.
+func (d *Driver) AwaitLeaving(daemon, backend string) *Driver {
+	d.Helper()
+	err := fleet.Await(daemon, "learning that "+backend+" leaves", patience, func() bool {
+		state, err := fleet.BackendState(d.daemons[daemon], backend)
+		return err == nil && state == roster.Leaving
+	})
+	d.Assert(err, qt.IsNil)
+	return d
+}
+
+// TotalRuns tells how many requests a backend server has run.
+func (d *Driver) TotalRuns(backend string) int {
+	d.Helper()
+	runs, err := d.Fleet.Runs(backend)
+	d.Assert(err, qt.IsNil)
+	return runs.Total
+}
+
 // Metric reads a counter of a daemon.
 func (d *Driver) Metric(daemon, name string) int64 {
 	d.Helper()
--- a/e2e/runner_test.go
+++ b/e2e/runner_test.go
@@ -32,6 +32,32 @@
 	d.Assert(d.Metric("entry-a-1", "RequestsMoved"), qt.Equals, int64(1))
 }
 
+func leavingRunnerIdle(d *e2e.Driver) {
+	d.Runners(e2e.ZoneA, "runner-a-1").Runners(e2e.ZoneB, "runner-b-1").
+		Daemon(e2e.ZoneA, "entry-a-1").Daemon(e2e.ZoneB, "entry-b-1").Publish(2)
+	askAll(d, "before")
+	before := d.TotalRuns("runner-a-1")
+	d.Assert(before > 0, qt.IsTrue, qt.Commentf("the runner gets work while it serves"))
+
+	d.Assert(d.Fleet.Announce(time.Minute, "runner-a-1"), qt.IsNil)
+	d.AwaitLeaving("entry-a-1", "runner-a-1").AwaitLeaving("entry-b-1", "runner-a-1")
+
+	askAll(d, "while it leaves")
+	d.Assert(d.TotalRuns("runner-a-1"), qt.Equals, before)
+}
+
+// askAll sends many questions at once through both daemons.
+func askAll(d *e2e.Driver, question string) {
+	d.Helper()
+	var calls []*e2e.Call
+	for i := range 24 {
+		calls = append(calls, d.Chat([]string{"entry-a-1", "entry-b-1"}[i%2], fmt.Sprintf("%s %d", question, i), 3))
+	}
+	for i, call := range calls {
+		call.AssertWhole(fmt.Sprintf("%s %d", question, i), 3)
+	}
+}
+
 func runnerDies(d *e2e.Driver) {
 	question := "Which grades does the substitute know?"
 	call := onlyOn(d, "runner-a-1", "runner-b-1", question)
--- a/fleet/await.go
+++ b/fleet/await.go
@@ -9,6 +9,7 @@
 
 	"github.com/cranberrywalk/cranberrywalk/admin"
 	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/roster"
 )
 
 // pollInterval is the time between two looks at a daemon.
@@ -52,6 +53,19 @@
 	return plans, err
 }
 
+// BackendState returns what a daemon thinks of a backend server; it is empty
+// for one that the daemon does not know.
+func BackendState(daemon platform.VM, backend string) (roster.State, error) {
+	var known admin.Backends
+	err := Control(http.MethodGet, "http://"+daemon.AdminAddress+"/backends", nil, &known)
+	for _, b := range known.Backends {
+		if b.VM.Name == backend {
+			return b.State, err
+		}
+	}
+	return "", err
+}
+
 // Runs tells what a plain service ran.
 type Runs struct {
 	// Keys counts the runs by Idempotency-Key.
