Stop the daemons of a fleet side by side; count the reads of the ledger

Cause: a fleet stopped its processes one after another, 2 s for each daemon, so that a measurement with 16 daemons spent 32 s on stopping. The reads of the claim stream were not counted, though they are what grows first.

Change: daemons stop at once, then the stand-ins. Counter Ledger.Reads. A series of cmd/capacity lists VMs of other regions.

Ruled out: killing the processes, which would hide an unclean stop.

--- a/cmd/capacity/loads.go
+++ b/cmd/capacity/loads.go
@@ -124,3 +124,24 @@
 		}
 	})
 }
+
+// withListed lists runners of another region, as a daemon of a large system
+// sees them.
+func withListed(size int) (*system, error) {
+	s, err := newSystem(1, 2)
+	if err != nil {
+		return nil, err
+	}
+	var vms []platform.VM
+	for i := range size {
+		vms = append(vms, platform.VM{
+			Name: fmt.Sprintf("runner-far-%d", i), Role: platform.RoleRunner, Region: "elsewhere",
+			Zone: fmt.Sprintf("elsewhere-%d", i%13), Class: "reclaimable-small", Reclaimable: true, Price: 1,
+			Address: "127.0.0.1:1", Models: []string{model},
+		})
+	}
+	if err := s.fleet.AddVMs(vms...); err != nil {
+		return nil, err
+	}
+	return s, fleet.AwaitBackends(s.first, size, readyWait)
+}
--- a/cmd/capacity/series.go
+++ b/cmd/capacity/series.go
@@ -40,6 +40,7 @@
 func allSeries() []series {
 	return []series{
 		{"runners", "runners in the zone", []int{24, 53, 107, 214}, withRunners},
+		{"listed", "VMs listed in other regions", []int{250, 500, 1000, 1890}, withListed},
 		{"daemons", "daemons in the zone", []int{2, 4, 8, 16}, withDaemons},
 		{"zones", "zones of the region, two daemons each", []int{1, 2, 4, 8}, withZones},
 		{"claims", "claims a second at one daemon", []int{5, 20, 50, 100}, withClaims},
--- a/fleet/await.go
+++ b/fleet/await.go
@@ -87,7 +87,7 @@
 func (f *Fleet) Command(arguments ...string) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	command := exec.CommandContext(ctx, filepath.Join(f.options.Bin, "cranberrywalk"), arguments...)
+	command := exec.CommandContext(ctx, filepath.Join(f.options.Bin, programDaemon), arguments...)
 	output, err := command.CombinedOutput()
 	if err != nil {
 		return string(output), &ExitedError{Name: arguments[0], Code: command.ProcessState.ExitCode()}
--- a/fleet/daemon.go
+++ b/fleet/daemon.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		return platform.VM{}, err
 	}
-	_, err = f.run(d.Name, "cranberrywalk", d.Environment, "serve", "--settings", path)
+	_, err = f.run(d.Name, programDaemon, d.Environment, "serve", "--settings", path)
 	return vm, err
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -22,6 +22,9 @@
 	stopTimeout = 30 * time.Second
 )
 
+// programDaemon is the built program of the daemon.
+const programDaemon = "cranberrywalk"
+
 // Options say what a fleet is made of.
 type Options struct {
 	// Bin is the directory of the built programs.
@@ -100,28 +103,46 @@
 	return process.AwaitExit(stopTimeout)
 }
 
-// Close ends every process, the latest first, and returns those whose planned
-// stop did not end with code 0.
+// Close ends every process, the daemons before the stand-ins, and returns those
+// whose planned stop did not end with code 0.
 func (f *Fleet) Close() []string {
 	f.mu.Lock()
 	processes := slices.Clone(f.processes)
 	f.mu.Unlock()
+	var daemons, standins []*Process
+	for _, process := range processes {
+		if process.program == programDaemon {
+			daemons = append(daemons, process)
+			continue
+		}
+		standins = append(standins, process)
+	}
+	failed := append(stopAll(daemons), stopAll(standins)...)
+	f.closeRelays()
+	return failed
+}
+
+// stopAll stops processes side by side and returns those that did not end with
+// code 0. Processes that have ended before don't count.
+func stopAll(processes []*Process) []string {
 	var failed []string
-	for _, process := range slices.Backward(processes) {
-		select {
-		case <-process.Done():
+	var running []*Process
+	for _, process := range processes {
+		if process.hasEnded() {
 			continue
-		default:
 		}
+		running = append(running, process)
+		// A process that ends right now needs no signal.
 		_ = process.Signal(syscall.SIGCONT)
 		_ = process.Signal(syscall.SIGTERM)
+	}
+	for _, process := range running {
 		code, err := process.AwaitExit(stopTimeout)
 		if err != nil || code != 0 {
 			failed = append(failed, process.Name)
 			process.kill()
 		}
 	}
-	f.closeRelays()
 	return failed
 }
 
--- a/fleet/process.go
+++ b/fleet/process.go
@@ -21,6 +21,8 @@
 	// LogFile holds what the program wrote on standard error.
 	LogFile string
 
+	// program is the name of the built program.
+	program string
 	command *exec.Cmd
 	// ready is closed when the program has printed that it listens.
 	ready chan struct{}
@@ -52,6 +54,7 @@
 	process := &Process{
 		Name:    name,
 		LogFile: logFile,
+		program: filepath.Base(program),
 		command: command,
 		ready:   make(chan struct{}),
 		done:    make(chan struct{}),
@@ -93,6 +96,15 @@
 	return p.command.Process.Signal(signal)
 }
 
+func (p *Process) hasEnded() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Done is closed when the program has ended.
 func (p *Process) Done() <-chan struct{} { return p.done }
 
--- a/ledger/reader.go
+++ b/ledger/reader.go
@@ -44,6 +44,7 @@
 	}
 	bounded, cancel := l.withTimeout(ctx, wait+l.options.ReadTimeout)
 	defer cancel()
+	l.Count("Ledger.Reads", 1)
 	batch, err := l.log.Read(bounded, l.options.Stream, l.next(), l.options.ReadLimit, wait)
 	var trimmed *platform.TrimmedError
 	if errors.As(err, &trimmed) {
