Hold reads of the platform for ten seconds by default

Cause: each daemon holds three reads at the log service and one at the cloud.

Ruled out: a longer time than 10 s, which balancers between daemon and platform tend to cut.

Change: the default of Platform.LongPoll is 10 s. New records end a read at once, as before.

Conclusion: a tenth of the idle requests.

--- a/settings/settings.go
+++ b/settings/settings.go
@@ -144,7 +144,7 @@
 			ClaimStream:         "Claims",
 			Timeout:             2 * time.Second,
 			PollInterval:        time.Second,
-			LongPoll:            time.Second,
+			LongPoll:            10 * time.Second,
 		},
 		Claims: Claims{
 			FlushInterval: 5 * time.Millisecond,
