Name the daemon's parts by their jobs

Cause: keeper, neighbour and board needed explaining to a newcomer.

Change: membership holds the roster, peerHandler answers the mesh, a pool is one kind of backend servers with its policy. No behaviour changes.

Ruled out: nothing.

Conclusion: names that the field uses.

--- a/daemon/chooser.go
+++ b/daemon/chooser.go
@@ -24,15 +24,15 @@
 
 // attempt is what the chooser remembers of an attempt until it ends.
 type attempt struct {
-	board    *board
+	pool     *pool
 	call     route.Call
 	decision route.Decision
 	flight   route.Flight
 	begun    bool
 }
 
-// board is one kind of backend servers with the policy that chooses among them.
-type board struct {
+// pool is one kind of backend servers with the policy that chooses among them.
+type pool struct {
 	view   *route.View
 	policy route.Policy
 }
@@ -40,14 +40,14 @@
 // chooser implements dispatch.Chooser with the routing policies, on the
 // backend servers of the roster.
 type chooser struct {
-	region string
-	zone   string
-	keeper *keeper
+	region     string
+	zone       string
+	membership *membership
 
 	// mu guards what follows.
 	mu       sync.Mutex
-	runners  board
-	services board
+	runners  pool
+	services pool
 	// addresses holds the addresses of the runners in the view.
 	addresses map[string]string
 	attempts  map[flightKey]*attempt
@@ -60,16 +60,16 @@
 	_ dispatch.FirstTokenObserver = (*chooser)(nil)
 )
 
-func newChooser(s settings.Settings, keeper *keeper) *chooser {
+func newChooser(s settings.Settings, membership *membership) *chooser {
 	return &chooser{
-		region:    s.Daemon.Region,
-		zone:      s.Daemon.Zone,
-		keeper:    keeper,
-		runners:   newBoard(s, route.DefaultOptions(s.Daemon.Zone), route.NewScore()),
-		services:  newBoard(s, serviceOptions(s), route.NewServiceScore()),
-		addresses: make(map[string]string),
-		attempts:  make(map[flightKey]*attempt),
-		loads:     make(map[string]map[string]peer.BackendLoad),
+		region:     s.Daemon.Region,
+		zone:       s.Daemon.Zone,
+		membership: membership,
+		runners:    newPool(s, route.DefaultOptions(s.Daemon.Zone), route.NewScore()),
+		services:   newPool(s, serviceOptions(s), route.NewServiceScore()),
+		addresses:  make(map[string]string),
+		attempts:   make(map[flightKey]*attempt),
+		loads:      make(map[string]map[string]peer.BackendLoad),
 	}
 }
 
@@ -77,16 +77,16 @@
 	return route.ServiceOptions(s.Daemon.Zone, s.Routing.ServiceTime, s.Routing.ServiceParallel)
 }
 
-func newBoard(s settings.Settings, options route.Options, policy route.Policy) board {
+func newPool(s settings.Settings, options route.Options, policy route.Policy) pool {
 	options.Daemon = s.Daemon.Name
 	options.ZoneDelay = 2 * s.Routing.ZoneDelay
-	return board{view: route.NewView(options), policy: policy}
+	return pool{view: route.NewView(options), policy: policy}
 }
 
-// boards returns both kinds of backend servers.
-func (c *chooser) boards() []*board { return []*board{&c.runners, &c.services} }
+// pools returns both kinds of backend servers.
+func (c *chooser) pools() []*pool { return []*pool{&c.runners, &c.services} }
 
-func (c *chooser) boardOf(r request.Request) *board {
+func (c *chooser) poolOf(r request.Request) *pool {
 	if r.IsModelCall() {
 		return &c.runners
 	}
@@ -129,17 +129,17 @@
 
 // Choose implements dispatch.Chooser.
 func (c *chooser) Choose(r request.Request, excluded []string, now time.Time) (dispatch.Target, error) {
-	members := c.keeper.Roster()
+	members := c.membership.Roster()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	call := c.newCall(r, excluded, members, now)
-	chosen := c.boardOf(r)
+	chosen := c.poolOf(r)
 	decision, err := chosen.policy.Choose(&call, chosen.view, now)
 	if err != nil {
 		return dispatch.Target{}, translate(r, err)
 	}
 	runner := chosen.view.Runner(decision)
-	c.attempts[flightKey{request: r.ID, backend: runner.Name}] = &attempt{board: chosen, call: call, decision: decision}
+	c.attempts[flightKey{request: r.ID, backend: runner.Name}] = &attempt{pool: chosen, call: call, decision: decision}
 	return dispatch.Target{Name: runner.Name, Zone: runner.Zone, Address: c.addresses[runner.Name]}, nil
 }
 
@@ -189,9 +189,9 @@
 
 // Began implements dispatch.Chooser.
 func (c *chooser) Began(target dispatch.Target, r request.Request) {
-	now := c.keeper.Clock.Now()
-	if c.keeper.Roster().Member(target.Name).State == roster.Suspected {
-		c.keeper.apply(roster.Probed{VM: target.Name})
+	now := c.membership.Clock.Now()
+	if c.membership.Roster().Member(target.Name).State == roster.Suspected {
+		c.membership.apply(roster.Probed{VM: target.Name})
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -200,7 +200,7 @@
 		return
 	}
 	a.begun = true
-	a.flight = a.board.view.Began(&a.call, a.decision, now)
+	a.flight = a.pool.view.Began(&a.call, a.decision, now)
 }
 
 // FirstToken implements dispatch.FirstTokenObserver.
@@ -208,7 +208,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if a, known := c.attempts[flightKey{request: r.ID, backend: target.Name}]; known && a.begun {
-		a.board.view.FirstToken(&a.flight)
+		a.pool.view.FirstToken(&a.flight)
 	}
 }
 
@@ -216,12 +216,12 @@
 func (c *chooser) Ended(target dispatch.Target, r request.Request, seen dispatch.Observation) {
 	c.endFlight(target, r, seen)
 	if event := judge(target.Name, seen); event != nil {
-		c.keeper.apply(event)
+		c.membership.apply(event)
 	}
 }
 
 func (c *chooser) endFlight(target dispatch.Target, r request.Request, seen dispatch.Observation) {
-	now := c.keeper.Clock.Now()
+	now := c.membership.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	key := flightKey{request: r.ID, backend: target.Name}
@@ -234,7 +234,7 @@
 		return
 	}
 	if seen.PromptTokens > 0 {
-		a.board.view.Usage(&a.flight, &a.call, a.decision, seen.CachedTokens)
+		a.pool.view.Usage(&a.flight, &a.call, a.decision, seen.CachedTokens)
 	}
-	a.board.view.Ended(&a.flight, now)
+	a.pool.view.Ended(&a.flight, now)
 }
--- a/daemon/chooser_test.go
+++ b/daemon/chooser_test.go
@@ -25,16 +25,16 @@
 func newTestChooser() *chooser {
 	common := telemetry.NewCommon()
 	common.Clock = clock.NewFake(noon)
-	k := newKeeper(common, nil, nil, 0, 0)
+	m := newMembership(common, nil, nil, 0, 0)
 	s := settings.Default()
 	s.Daemon.Region, s.Daemon.Zone, s.Daemon.Name = "r", "a", "one"
-	c := newChooser(s, k)
-	k.changed = func(r roster.Roster, _ []roster.Effect) { c.setMembers(r.Backends()) }
+	c := newChooser(s, m)
+	m.changed = func(r roster.Roster, _ []roster.Effect) { c.setMembers(r.Backends()) }
 	service := platform.VM{Name: "service-a", Role: platform.RoleService, Region: "r", Zone: "a", Address: "127.0.0.1:2", Service: "placements"}
 	far := runner("runner-far", "a")
 	far.Region = "elsewhere"
 	vms := []platform.VM{runner("runner-a", "a"), runner("runner-b", "b"), service, far}
-	k.apply(roster.Listed{Snapshot: platform.VMSnapshot{Version: 1, VMs: vms}})
+	m.apply(roster.Listed{Snapshot: platform.VMSnapshot{Version: 1, VMs: vms}})
 	return c
 }
 
@@ -63,7 +63,7 @@
 			c := qt.New(t)
 			chooser := newTestChooser()
 			if s.event != nil {
-				chooser.keeper.apply(s.event)
+				chooser.membership.apply(s.event)
 			}
 			target, err := chooser.Choose(s.request, s.excluded, noon)
 			c.Assert(target.Name, qt.Equals, s.expected)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -40,10 +40,10 @@
 	events        *timeline.Log
 	configuration *configuration.Follower
 	snapshotter   *configuration.Snapshotter
-	keeper        *keeper
+	membership    *membership
 	chooser       *chooser
 	admitter      *admitter
-	neighbour     *neighbour
+	peerHandler   *peerHandler
 	mesh          *peer.Mesh
 	ledger        *ledger.Ledger
 	// orders is nil when the settings switch the duty off.
@@ -91,10 +91,10 @@
 	appender := logstream.NewPublisher(d.Common, log, s.Platform.Timeout)
 	d.configuration = configuration.NewFollower(d.Common, log, s.Platform.ConfigurationStream, s.Platform.LongPoll)
 	d.snapshotter = configuration.NewSnapshotter(d.Common, d.configuration, appender, d.random())
-	d.keeper = newKeeper(d.Common, platformhttp.NewVMList(s.Platform.VMList, client),
+	d.membership = newMembership(d.Common, platformhttp.NewVMList(s.Platform.VMList, client),
 		platformhttp.NewCloud(s.Platform.Cloud, client), s.Platform.PollInterval, s.Platform.LongPoll)
-	d.keeper.changed = d.rosterChanged
-	d.chooser = newChooser(s, d.keeper)
+	d.membership.changed = d.rosterChanged
+	d.chooser = newChooser(s, d.membership)
 	d.admitter = newAdmitter(d.identity())
 	d.ledger = ledger.New(d.Common, log, d.ledgerOptions())
 	d.addOrders(log, client)
@@ -117,11 +117,11 @@
 // addPeers adds the parts that talk to other daemons.
 func (d *Daemon) addPeers(stamps *timeline.Clock) {
 	s := d.settings
-	d.neighbour = &neighbour{
+	d.peerHandler = &peerHandler{
 		Common:        d.Common,
 		name:          s.Daemon.Name,
 		configuration: d.configuration,
-		keeper:        d.keeper,
+		membership:    d.membership,
 		chooser:       d.chooser,
 		answers:       answer.New(d.Common, d.answerOptions()),
 		suspects:      suspect.New(suspect.DefaultOptions()),
@@ -131,7 +131,7 @@
 	options := peer.DefaultOptions(d.identity(), s.Peers.Address, rand.Uint64())
 	options.Interval = s.Peers.Interval
 	options.CallTimeout = s.Peers.CallTimeout
-	d.mesh = peer.New(d.Common, options, stamps, d.neighbour)
+	d.mesh = peer.New(d.Common, options, stamps, d.peerHandler)
 }
 
 func (d *Daemon) identity() peer.Identity {
@@ -162,8 +162,8 @@
 		Chooser:   d.chooser,
 		Claimer:   claimer{ledger: d.ledger, timeout: s.Claims.Timeout},
 		Relayer:   relayer{mesh: d.mesh, timeout: s.Peers.RelayTimeout},
-		Answers:   d.neighbour.answers,
-		Suspects:  d.neighbour.suspects,
+		Answers:   d.peerHandler.answers,
+		Suspects:  d.peerHandler.suspects,
 		Budget:    retry.NewBudget(budget, now),
 		Backoff:   retry.NewBackoff(retry.DefaultBackoffOptions(), rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		OnSuspect: d.crashSeen,
@@ -202,7 +202,7 @@
 	operators := admin.New(d.Common, admin.Sources{
 		Ready:    d.Ready,
 		Plans:    d.configuration.State,
-		Backends: func() []roster.Member { return d.keeper.Roster().Backends() },
+		Backends: func() []roster.Member { return d.membership.Roster().Backends() },
 		Timeline: d.events.Entries,
 	})
 	d.admin = &http.Server{Addr: s.Admin.Address, Handler: operators.Handler(), ReadHeaderTimeout: s.Callers.ReadTimeout}
@@ -222,7 +222,7 @@
 	if _, ready := d.configuration.State(); !ready {
 		return &NotReadyError{Part: "the configuration"}
 	}
-	if d.keeper.Roster().Version() == 0 {
+	if d.membership.Roster().Version() == 0 {
 		return &NotReadyError{Part: "the VM list"}
 	}
 	return nil
@@ -265,7 +265,7 @@
 
 // crashSeen spreads a crash that a request has caused.
 func (d *Daemon) crashSeen(entry suspect.Entry) {
-	d.neighbour.addCrash(entry)
+	d.peerHandler.addCrash(entry)
 	d.mesh.Tell()
 }
 
--- a/daemon/loads.go
+++ b/daemon/loads.go
@@ -16,7 +16,7 @@
 	defer c.mu.Unlock()
 	c.forgetSilent(now)
 	var loads []peer.BackendLoad
-	for _, b := range c.boards() {
+	for _, b := range c.pools() {
 		for _, load := range b.view.Report(daemon, now).Loads {
 			loads = append(loads, peer.BackendLoad{
 				Backend: load.Runner, InFlight: load.InFlight, QueuedTokens: load.QueuedTokens,
@@ -40,7 +40,7 @@
 		changed[load.Reporter] = max(changed[load.Reporter], load.Version)
 	}
 	for reporter, version := range changed {
-		for _, b := range c.boards() {
+		for _, b := range c.pools() {
 			b.view.Digest(newDigest(reporter, version, c.loads[reporter]))
 		}
 	}
@@ -88,7 +88,7 @@
 // forgetPeer drops the loads of one daemon. The caller holds the lock.
 func (c *chooser) forgetPeer(reporter string) {
 	delete(c.loads, reporter)
-	for _, b := range c.boards() {
+	for _, b := range c.pools() {
 		b.view.ForgetPeer(reporter)
 	}
 }
--- a/daemon/keeper.go
+++ b/daemon/membership.go
@@ -12,9 +12,9 @@
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 )
 
-// keeper holds the roster and feeds it from the VM list and the cloud's
+// membership holds the roster and feeds it from the VM list and the cloud's
 // notices.
-type keeper struct {
+type membership struct {
 	telemetry.Common
 	list     platform.VMList
 	cloud    platform.Cloud
@@ -31,8 +31,8 @@
 	current  atomic.Pointer[roster.Roster]
 }
 
-func newKeeper(common telemetry.Common, list platform.VMList, cloud platform.Cloud, interval, longPoll time.Duration) *keeper {
-	k := &keeper{
+func newMembership(common telemetry.Common, list platform.VMList, cloud platform.Cloud, interval, longPoll time.Duration) *membership {
+	m := &membership{
 		Common:   common,
 		list:     list,
 		cloud:    cloud,
@@ -41,73 +41,73 @@
 		done:     make(chan struct{}),
 	}
 	empty := roster.New()
-	k.current.Store(&empty)
-	return k
+	m.current.Store(&empty)
+	return m
 }
 
 // Roster returns the current roster.
-func (k *keeper) Roster() roster.Roster { return *k.current.Load() }
+func (m *membership) Roster() roster.Roster { return *m.current.Load() }
 
 // apply changes the roster by an event and acts on what follows from it.
-func (k *keeper) apply(event roster.Event) {
-	k.applying.Lock()
-	defer k.applying.Unlock()
-	next, effects := k.Roster().Apply(event, k.Clock.Now())
-	k.current.Store(&next)
+func (m *membership) apply(event roster.Event) {
+	m.applying.Lock()
+	defer m.applying.Unlock()
+	next, effects := m.Roster().Apply(event, m.Clock.Now())
+	m.current.Store(&next)
 	for _, effect := range effects {
-		k.report(effect)
+		m.report(effect)
 	}
 	if _, listed := event.(roster.Listed); listed || len(effects) > 0 {
-		k.changed(next, effects)
+		m.changed(next, effects)
 	}
 }
 
-func (k *keeper) report(effect roster.Effect) {
-	k.Count("Roster."+string(effect.Kind), 1)
-	k.Log.Info("backend server changed", "Change", effect.Kind, "VM", effect.VM.Name)
-	k.Events.Record(telemetry.Event{Kind: string(effect.Kind), Backend: effect.VM.Name})
+func (m *membership) report(effect roster.Effect) {
+	m.Count("Roster."+string(effect.Kind), 1)
+	m.Log.Info("backend server changed", "Change", effect.Kind, "VM", effect.VM.Name)
+	m.Events.Record(telemetry.Event{Kind: string(effect.Kind), Backend: effect.VM.Name})
 }
 
 // run reads the VM list and the notices until ctx ends.
-func (k *keeper) run(ctx context.Context) {
-	defer close(k.done)
+func (m *membership) run(ctx context.Context) {
+	defer close(m.done)
 	var duties sync.WaitGroup
-	duties.Go(func() { k.readList(ctx) })
-	duties.Go(func() { k.readNotices(ctx) })
+	duties.Go(func() { m.readList(ctx) })
+	duties.Go(func() { m.readNotices(ctx) })
 	duties.Wait()
 }
 
 // readList polls the VM list. A list that can't be read leaves the roster as
 // it is.
-func (k *keeper) readList(ctx context.Context) {
+func (m *membership) readList(ctx context.Context) {
 	for {
-		snapshot, err := k.list.VMs(ctx)
-		if err == nil && snapshot.Version != k.Roster().Version() {
-			k.apply(roster.Listed{Snapshot: snapshot})
+		snapshot, err := m.list.VMs(ctx)
+		if err == nil && snapshot.Version != m.Roster().Version() {
+			m.apply(roster.Listed{Snapshot: snapshot})
 		}
 		if err != nil {
-			k.Count("Roster.ListFailed", 1)
+			m.Count("Roster.ListFailed", 1)
 		}
-		if clock.Sleep(ctx, k.Clock, k.interval) != nil {
+		if clock.Sleep(ctx, m.Clock, m.interval) != nil {
 			return
 		}
 	}
 }
 
 // readNotices long-polls the notices of the cloud.
-func (k *keeper) readNotices(ctx context.Context) {
+func (m *membership) readNotices(ctx context.Context) {
 	var last uint64
 	for ctx.Err() == nil {
-		notices, err := k.cloud.Notices(ctx, last, k.longPoll)
+		notices, err := m.cloud.Notices(ctx, last, m.longPoll)
 		if err != nil {
-			k.Count("Roster.NoticesFailed", 1)
+			m.Count("Roster.NoticesFailed", 1)
 			// The loop sees the end of ctx.
-			_ = clock.Sleep(ctx, k.Clock, k.interval)
+			_ = clock.Sleep(ctx, m.Clock, m.interval)
 			continue
 		}
 		for _, notice := range notices {
 			last = max(last, notice.Sequence)
-			k.apply(roster.Noticed{Notice: notice})
+			m.apply(roster.Noticed{Notice: notice})
 		}
 	}
 }
--- a/daemon/orders.go
+++ b/daemon/orders.go
@@ -44,7 +44,7 @@
 		return placement.Inputs{}
 	}
 	var vms []platform.VM
-	for _, member := range d.keeper.Roster().Backends() {
+	for _, member := range d.membership.Roster().Backends() {
 		vm := member.VM
 		if vm.Region != d.settings.Daemon.Region {
 			continue
--- a/daemon/neighbour.go
+++ b/daemon/peerhandler.go
@@ -17,13 +17,13 @@
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 )
 
-// neighbour implements peer.Handler: it collects what the daemon tells its
+// peerHandler implements peer.Handler: it collects what the daemon tells its
 // peers, and hands what they tell to the other parts.
-type neighbour struct {
+type peerHandler struct {
 	telemetry.Common
 	name          string
 	configuration *configuration.Follower
-	keeper        *keeper
+	membership    *membership
 	chooser       *chooser
 	answers       *answer.Store
 	suspects      *suspect.Book
@@ -37,43 +37,43 @@
 	draining bool
 }
 
-var _ peer.Handler = (*neighbour)(nil)
+var _ peer.Handler = (*peerHandler)(nil)
 
 // Digest implements peer.Handler.
-func (n *neighbour) Digest() peer.Digest {
-	now := n.Clock.Now()
+func (h *peerHandler) Digest() peer.Digest {
+	now := h.Clock.Now()
 	digest := peer.Digest{
-		ConfigurationOffset: n.configuration.Offset(),
-		Loads:               n.chooser.ownLoads(n.name, now),
-		Demands:             n.demands(now),
+		ConfigurationOffset: h.configuration.Offset(),
+		Loads:               h.chooser.ownLoads(h.name, now),
+		Demands:             h.demands(now),
 	}
-	for _, member := range n.keeper.Roster().Leaving() {
+	for _, member := range h.membership.Roster().Leaving() {
 		digest.Leaving = append(digest.Leaving, peer.Leaving{VM: member.VM.Name, Deadline: member.Deadline})
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	digest.Draining = n.draining
-	digest.Suspects = n.ownSuspects(now)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	digest.Draining = h.draining
+	digest.Suspects = h.ownSuspects(now)
 	return digest
 }
 
 // demands returns the use of the plans in force.
-func (n *neighbour) demands(now time.Time) []peer.Demand {
-	state, _ := n.configuration.State()
-	return n.admitter.demands(state.Plans(), now)
+func (h *peerHandler) demands(now time.Time) []peer.Demand {
+	state, _ := h.configuration.State()
+	return h.admitter.demands(state.Plans(), now)
 }
 
 // ownSuspects returns the crashes that this daemon has seen, of requests that
 // no later answer has cleared.
-func (n *neighbour) ownSuspects(now time.Time) []peer.Suspect {
+func (h *peerHandler) ownSuspects(now time.Time) []peer.Suspect {
 	suspected := make(map[uint64]bool)
-	for _, entry := range n.suspects.Entries(now) {
+	for _, entry := range h.suspects.Entries(now) {
 		suspected[entry.Fingerprint] = true
 	}
 	var own []peer.Suspect
-	for fingerprint, seen := range n.crashes {
+	for fingerprint, seen := range h.crashes {
 		if !suspected[fingerprint] {
-			delete(n.crashes, fingerprint)
+			delete(h.crashes, fingerprint)
 			continue
 		}
 		own = append(own, seen)
@@ -82,17 +82,17 @@
 }
 
 // Merge implements peer.Handler.
-func (n *neighbour) Merge(news peer.Digest) {
-	n.chooser.mergeLoads(news.Loads)
-	n.admitter.merge(news.Identity, news.Demands, n.Clock.Now())
+func (h *peerHandler) Merge(news peer.Digest) {
+	h.chooser.mergeLoads(news.Loads)
+	h.admitter.merge(news.Identity, news.Demands, h.Clock.Now())
 	for _, leaving := range news.Leaving {
-		n.keeper.apply(roster.Reported{VM: leaving.VM, Deadline: leaving.Deadline})
+		h.membership.apply(roster.Reported{VM: leaving.VM, Deadline: leaving.Deadline})
 	}
 	for _, seen := range news.Suspects {
-		if seen.Reporter == n.name {
+		if seen.Reporter == h.name {
 			continue
 		}
-		n.suspects.Merge([]suspect.Entry{newSuspectEntry(seen)}, n.Clock.Now())
+		h.suspects.Merge([]suspect.Entry{newSuspectEntry(seen)}, h.Clock.Now())
 	}
 }
 
@@ -108,36 +108,36 @@
 }
 
 // addCrash notes a crash that this daemon has seen.
-func (n *neighbour) addCrash(entry suspect.Entry) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	seen := n.crashes[entry.Fingerprint]
+func (h *peerHandler) addCrash(entry suspect.Entry) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	seen := h.crashes[entry.Fingerprint]
 	seen.Fingerprint = entry.Fingerprint
 	seen.Crashes++
 	seen.Expires = entry.Expires
-	n.crashes[entry.Fingerprint] = seen
+	h.crashes[entry.Fingerprint] = seen
 }
 
 // drain makes the digests say that the daemon is about to stop.
-func (n *neighbour) drain() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.draining = true
+func (h *peerHandler) drain() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.draining = true
 }
 
 // Configuration implements peer.Handler.
-func (n *neighbour) Configuration() (snapshot []byte, offset uint64) {
-	return n.configuration.Snapshot()
+func (h *peerHandler) Configuration() (snapshot []byte, offset uint64) {
+	return h.configuration.Snapshot()
 }
 
 // Install implements peer.Handler.
-func (n *neighbour) Install(snapshot []byte, _ uint64) error {
-	return n.configuration.Adopt(snapshot)
+func (h *peerHandler) Install(snapshot []byte, _ uint64) error {
+	return h.configuration.Adopt(snapshot)
 }
 
 // Answer implements peer.Handler.
-func (n *neighbour) Answer(ctx context.Context, key string) (peer.Answer, error) {
-	given, err := n.answers.Wait(ctx, claim.Key(key))
+func (h *peerHandler) Answer(ctx context.Context, key string) (peer.Answer, error) {
+	given, err := h.answers.Wait(ctx, claim.Key(key))
 	var missing *answer.NotFoundError
 	if errors.As(err, &missing) {
 		return peer.Answer{State: peer.NotFound}, nil
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -53,7 +53,7 @@
 // parts returns what runs until the requests have ended.
 func (d *Daemon) parts() []func(context.Context) {
 	parts := []func(context.Context){
-		d.configuration.Run, d.snapshotter.Run, d.keeper.run, d.ledger.Run, d.bootFromPeers,
+		d.configuration.Run, d.snapshotter.Run, d.membership.run, d.ledger.Run, d.bootFromPeers,
 	}
 	if d.orders != nil {
 		parts = append(parts, d.orders.Run)
@@ -89,7 +89,7 @@
 	close(d.stopping)
 	d.Log.Info("planned stop begins", "InFlight", d.dispatcher.InFlight())
 	d.Events.Record(telemetry.Event{Kind: "DaemonDraining"})
-	d.neighbour.drain()
+	d.peerHandler.drain()
 	d.mesh.Tell()
 	// The balancer sees the readiness go off before connections are refused.
 	d.callers.SetKeepAlivesEnabled(false)
