--- a/admin/admin.go
+++ b/admin/admin.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/cranberrywalk/cranberrywalk/plan"
+	"github.com/cranberrywalk/cranberrywalk/platform"
 	"github.com/cranberrywalk/cranberrywalk/roster"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 	"github.com/cranberrywalk/cranberrywalk/timeline"
@@ -23,6 +24,8 @@
 	Plans func() (plan.State, bool)
 	// Backends returns the backend servers as the daemon sees them.
 	Backends func() []roster.Member
+	// Peers returns the entry VMs that the daemon knows, its own included.
+	Peers func() []platform.VM
 	// Timeline returns the events that the daemon still has.
 	Timeline func() []timeline.Entry
 }
@@ -78,7 +81,7 @@
 }
 
 func (a *Admin) backends(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, newBackends(a.sources.Backends()))
+	writeJSON(w, http.StatusOK, newBackends(a.sources.Backends(), a.sources.Peers()))
 }
 
 // timeline writes the events as JSON lines, which timeline.ReadLines reads.
--- a/admin/message.go
+++ b/admin/message.go
@@ -50,10 +50,12 @@
 // Backends is the answer of /backends.
 type Backends struct {
 	Backends []Backend
+	// Peers are the entry VMs, the daemon's own included.
+	Peers []platform.VM
 }
 
-func newBackends(members []roster.Member) Backends {
-	view := Backends{Backends: make([]Backend, 0, len(members))}
+func newBackends(members []roster.Member, peers []platform.VM) Backends {
+	view := Backends{Backends: make([]Backend, 0, len(members)), Peers: peers}
 	for _, member := range members {
 		backend := Backend{VM: member.VM, State: member.State}
 		if !member.Deadline.IsZero() {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -203,6 +203,7 @@
 		Ready:    d.Ready,
 		Plans:    d.configuration.State,
 		Backends: func() []roster.Member { return d.membership.Roster().Backends() },
+		Peers:    func() []platform.VM { return d.membership.Roster().Peers() },
 		Timeline: d.events.Entries,
 	})
 	d.admin = &http.Server{Addr: s.Admin.Address, Handler: operators.Handler(), ReadHeaderTimeout: s.Callers.ReadTimeout}
--- a/e2e/driver.go
+++ b/e2e/driver.go
@@ -151,12 +151,13 @@
 	return d
 }
 
-// AwaitServing waits until a daemon takes requests and knows that many backend
-// servers.
+// AwaitServing waits until a daemon takes requests and knows every daemon and
+// that many backend servers.
 func (d *Driver) AwaitServing(daemon string, backends int) *Driver {
 	d.Helper()
 	d.Assert(fleet.AwaitReady(d.daemons[daemon], patience), qt.IsNil)
 	d.Assert(fleet.AwaitBackends(d.daemons[daemon], backends, patience), qt.IsNil)
+	d.Assert(fleet.AwaitPeers(d.daemons[daemon], len(d.daemons), patience), qt.IsNil)
 	return d
 }
 
--- a/fleet/await.go
+++ b/fleet/await.go
@@ -53,6 +53,15 @@
 	return plans, err
 }
 
+// AwaitPeers waits until a daemon knows that many entry VMs, its own included.
+func AwaitPeers(daemon platform.VM, count int, timeout time.Duration) error {
+	return Await(daemon.Name, "finding its peers", timeout, func() bool {
+		var known admin.Backends
+		err := Control(http.MethodGet, "http://"+daemon.AdminAddress+"/backends", nil, &known)
+		return err == nil && len(known.Peers) >= count
+	})
+}
+
 // BackendState returns what a daemon thinks of a backend server; it is empty
 // for one that the daemon does not know.
 func BackendState(daemon platform.VM, backend string) (roster.State, error) {
