Take the KV cache along when a stream leaves a reclaimed runner

Cause: a moved stream was continued from its text alone, and the next runner computed the whole prompt again.

Ruled out: waiting for the copy before the stream may go on, which would hold up tokens; the old runner streams meanwhile. Copying for prompts below one block, which have no cached block.

Change: on an announced reclaim the daemon exports the stream's cache and imports it into the chosen runner within 0.5 s, 16 streams at a time, and then continues there.

A copy that fails leaves the stream as it was.

--- /dev/null
+++ b/daemon/cachemover.go
@@ -0,0 +1,24 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/cranberrywalk/cranberrywalk/dispatch"
+	"github.com/cranberrywalk/cranberrywalk/platformhttp"
+)
+
+// cacheMover implements dispatch.CacheMover by the control interfaces of the
+// engines.
+type cacheMover struct {
+	client *http.Client
+}
+
+// MoveCache implements dispatch.CacheMover.
+func (m cacheMover) MoveCache(ctx context.Context, requestID string, from, to dispatch.Target) error {
+	cache, err := platformhttp.NewEngine("http://"+from.Address, m.client).ExportKV(ctx, requestID)
+	if err != nil {
+		return err
+	}
+	return platformhttp.NewEngine("http://"+to.Address, m.client).ImportKV(ctx, cache)
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -86,7 +86,7 @@
 // addState adds the parts that follow the platform.
 func (d *Daemon) addState() {
 	s := d.settings
-	client := &http.Client{Transport: http.DefaultTransport.(*http.Transport).Clone()}
+	client := newClient()
 	log := platformhttp.NewLog(s.Platform.Log, client)
 	appender := logstream.NewPublisher(d.Common, log, s.Platform.Timeout)
 	d.configuration = configuration.NewFollower(d.Common, log, s.Platform.ConfigurationStream, s.Platform.LongPoll)
@@ -166,6 +166,7 @@
 		Suspects:  d.peerHandler.suspects,
 		Budget:    retry.NewBudget(budget, now),
 		Backoff:   retry.NewBackoff(retry.DefaultBackoffOptions(), rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Mover:     cacheMover{client: newClient()},
 		OnSuspect: d.crashSeen,
 	}, options)
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -97,6 +97,13 @@
 	Finish(result Result)
 }
 
+// CacheMover copies the KV cache of a stream from one model engine to another,
+// so that the other one does not compute the prompt again. The stream goes on
+// where it is meanwhile.
+type CacheMover interface {
+	MoveCache(ctx context.Context, requestID string, from, to Target) error
+}
+
 // Options sets how requests are driven.
 type Options struct {
 	// Daemon and Incarnation name this process in claims.
@@ -108,6 +115,9 @@
 	RetryAfter time.Duration
 	// ReleaseTimeout bounds the release of a claim.
 	ReleaseTimeout time.Duration
+	// MoveTimeout bounds the copy of one stream's KV cache. A stream whose
+	// cache was not copied by then is continued without it.
+	MoveTimeout time.Duration
 	// MaxTextBytes bounds the text that is kept of a stream to continue it.
 	MaxTextBytes int
 }
@@ -118,6 +128,7 @@
 		MaxAttempts:    4,
 		RetryAfter:     time.Second,
 		ReleaseTimeout: 2 * time.Second,
+		MoveTimeout:    500 * time.Millisecond,
 		MaxTextBytes:   1 << 20,
 	}
 }
@@ -132,6 +143,8 @@
 	Suspects *suspect.Book
 	Budget   *retry.Budget
 	Backoff  *retry.Backoff
+	// Mover may be nil; streams are then continued without their caches.
+	Mover CacheMover
 	// OnSuspect is told of every crash that this daemon adds to Suspects, so
 	// that it can be spread at once. It may be nil.
 	OnSuspect func(entry suspect.Entry)
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -156,6 +156,40 @@
 	checkInvariants(c, b, r, w)
 }
 
+func TestMoveCopiesTheCacheOfALongPrompt(t *testing.T) {
+	scenarios := []struct {
+		name   string
+		tokens int
+		err    error
+		copies []string
+	}{
+		{"long prompt", 640, nil, []string{"request-1: runner-1 to runner-2"}},
+		{"the copy fails", 640, &dispatch.MovedError{}, []string{"request-1: runner-1 to runner-2"}},
+		{"prompt below a block", 63, nil, nil},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBench(t, behaviour{fault: "silent", late: true}, behaviour{})
+			b.mover.err = s.err
+			w := &caller{}
+			w.onChunk = func(count int) {
+				if count == 1+faultTokens {
+					c.Check(b.Move("runner-1"), qt.Equals, 1)
+				}
+			}
+			r := chat(b.clock.Now())
+			r.ID, r.PromptTokens = "request-1", s.tokens
+
+			result := b.Do(context.Background(), r, w)
+
+			c.Assert(result.Outcome, qt.Equals, request.Answered)
+			c.Assert(b.mover.copies, qt.DeepEquals, s.copies)
+			checkInvariants(c, b, r, w)
+		})
+	}
+}
+
 func TestStreamStaysWhenNothingElseIsThere(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(t, behaviour{fault: "slow", late: true})
--- a/dispatch/fake_test.go
+++ b/dispatch/fake_test.go
@@ -140,6 +140,7 @@
 
 // bench is a dispatcher over fakes.
 type bench struct {
+	mover fakeMover
 	*dispatch.Dispatcher
 	clock   *clockwork.FakeClock
 	chooser *fakeChooser
@@ -151,6 +152,21 @@
 	backends  []*fakeBackend
 }
 
+// fakeMover keeps the copies it was asked for.
+type fakeMover struct {
+	err    error
+	mu     sync.Mutex
+	copies []string
+}
+
+// MoveCache implements dispatch.CacheMover.
+func (m *fakeMover) MoveCache(_ context.Context, requestID string, from, to dispatch.Target) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.copies = append(m.copies, requestID+": "+from.Name+" to "+to.Name)
+	return m.err
+}
+
 func newBench(t testing.TB, backends ...behaviour) *bench {
 	return newDaemon(t, "entry-1", backends...)
 }
@@ -179,6 +195,7 @@
 		OnSuspect: func(entry suspect.Entry) { b.onSuspect(entry) },
 		Budget:    retry.NewBudget(retry.DefaultBudgetOptions(), b.clock.Now()),
 		Backoff:   retry.NewBackoff(retry.BackoffOptions{}, rand.NewPCG(1, 2)),
+		Mover:     &b.mover,
 	}, options)
 	return b
 }
--- a/dispatch/move.go
+++ b/dispatch/move.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 
 	"github.com/cranberrywalk/cranberrywalk/backend"
+	"github.com/cranberrywalk/cranberrywalk/prefix"
 )
 
 // Move makes the streams of a backend server that is leaving continue
@@ -11,16 +14,26 @@
 // backend server stays where it is. Failures of the other requests there are
 // not charged to the retry budget from now on.
 func (d *Dispatcher) Move(backendName string) int {
-	moved := 0
+	var moved atomic.Int64
+	var moves sync.WaitGroup
+	slots := make(chan struct{}, parallelMoves)
 	for _, f := range d.flightsAt(backendName) {
-		if f.move(backendName) {
-			moved++
-		}
+		slots <- struct{}{}
+		moves.Go(func() {
+			defer func() { <-slots }()
+			if f.move(backendName) {
+				moved.Add(1)
+			}
+		})
 	}
-	d.Count("RequestsMoved", int64(moved))
-	return moved
+	moves.Wait()
+	d.Count("RequestsMoved", moved.Load())
+	return int(moved.Load())
 }
 
+// parallelMoves bounds the streams that are moved at the same time.
+const parallelMoves = 16
+
 func (d *Dispatcher) flightsAt(backendName string) []*flight {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -48,6 +61,7 @@
 	if err != nil {
 		return false
 	}
+	f.moveCache(backendName, target)
 	if !f.stopFor(backendName, target) {
 		f.discard(target)
 		return false
@@ -55,6 +69,32 @@
 	return true
 }
 
+// moveCache copies the KV cache of the stream to target. A prompt shorter than
+// a block leaves nothing to copy.
+func (f *flight) moveCache(backendName string, target Target) {
+	from, running := f.attemptAt(backendName)
+	if f.Mover == nil || !running || f.request.PromptTokens < prefix.BlockTokens {
+		return
+	}
+	ctx, cancel := context.WithCancel(f.ctx)
+	defer cancel()
+	timer := f.Clock.AfterFunc(f.options.MoveTimeout, cancel)
+	defer timer.Stop()
+	if err := f.Mover.MoveCache(ctx, f.request.ID, from, target); err != nil {
+		f.Count("CachesNotMoved", 1)
+		return
+	}
+	f.Count("CachesMoved", 1)
+}
+
+// attemptAt returns the target of the current attempt, if it is at the backend
+// server.
+func (f *flight) attemptAt(backendName string) (Target, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.target, f.stop != nil && f.target.Name == backendName
+}
+
 // stopFor ends the current attempt, if it is still there, to go on at target.
 func (f *flight) stopFor(backendName string, target Target) bool {
 	f.mu.Lock()
--- a/dispatch/passing.go
+++ b/dispatch/passing.go
@@ -50,5 +50,8 @@
 		seen.Fault = fault.Kind
 	}
 	seen.Duration = f.Clock.Since(begin)
+	f.Count("Tokens.Prompt", int64(seen.PromptTokens))
+	f.Count("Tokens.Cached", int64(seen.CachedTokens))
+	f.Count("Tokens.Completion", int64(seen.CompletionTokens))
 	f.Chooser.Ended(target, f.request, seen)
 }
--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -20,6 +20,7 @@
 // scenarios lists every script.
 var scenarios = []scenario{
 	{"runner is reclaimed in mid-stream", runnerReclaimed},
+	{"cache moves with a reclaimed stream", cacheMoves},
 	{"leaving runner gets no new work", leavingRunnerIdle},
 	{"runner dies in mid-stream", runnerDies},
 	{"zone is reclaimed under load", zoneReclaimed},
--- a/e2e/runner_test.go
+++ b/e2e/runner_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/cranberrywalk/cranberrywalk/e2e"
+	"github.com/cranberrywalk/cranberrywalk/prefix"
 	"github.com/cranberrywalk/cranberrywalk/standin/engine"
 	"github.com/cranberrywalk/cranberrywalk/standin/relay"
 )
@@ -58,6 +60,18 @@
 	}
 }
 
+func cacheMoves(d *e2e.Driver) {
+	question := strings.Repeat("What does grade 4 miss in the week after the storm? ", 80)
+	call := onlyOn(d, "runner-a-1", "runner-b-1", question)
+
+	d.Reclaim(500*time.Millisecond, "runner-a-1")
+
+	call.AssertWhole(question, tokens)
+	d.Assert(d.Metric("entry-a-1", "CachesMoved"), qt.Equals, int64(1))
+	blocks := len(question) / (prefix.BlockTokens * prefix.BytesPerToken)
+	d.Assert(d.Metric("entry-a-1", "Tokens.Cached"), qt.Equals, int64(blocks*prefix.BlockTokens))
+}
+
 func runnerDies(d *e2e.Driver) {
 	question := "Which grades does the substitute know?"
 	call := onlyOn(d, "runner-a-1", "runner-b-1", question)
