--- a/e2e/driver.go
+++ b/e2e/driver.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -169,44 +168,13 @@
 	return output
 }
 
-// Kill ends a process without a chance to clean up.
-func (d *Driver) Kill(name string) *Driver {
-	d.signal(name, syscall.SIGKILL)
-	<-d.Fleet.Process(name).Done()
-	return d
-}
-
-// Freeze stops a process from running until Thaw.
-func (d *Driver) Freeze(name string) *Driver { return d.signal(name, syscall.SIGSTOP) }
-
-// Thaw lets a frozen process run on.
-func (d *Driver) Thaw(name string) *Driver { return d.signal(name, syscall.SIGCONT) }
-
-// BeginStop asks a process for its planned stop.
-func (d *Driver) BeginStop(name string) *Driver { return d.signal(name, syscall.SIGTERM) }
-
-func (d *Driver) signal(name string, signal syscall.Signal) *Driver {
-	d.Helper()
-	d.Assert(d.Fleet.Process(name).Signal(signal), qt.IsNil)
-	return d
-}
-
-// AwaitStopped waits for the end of a planned stop, which has to be clean.
-func (d *Driver) AwaitStopped(name string) *Driver {
-	d.Helper()
-	code, err := d.Fleet.Process(name).AwaitExit(patience)
-	d.Assert(err, qt.IsNil)
-	d.Assert(code, qt.Equals, 0)
-	return d
-}
-
 // Reclaim gives notice of VMs, and ends them when the notice is over.
 func (d *Driver) Reclaim(notice time.Duration, names ...string) *Driver {
 	d.Helper()
 	d.Assert(d.Fleet.Announce(notice, names...), qt.IsNil)
 	time.Sleep(notice)
 	for _, name := range names {
-		d.signal(name, syscall.SIGKILL)
+		d.Kill(name)
 		d.Assert(d.Fleet.RemoveVM(name), qt.IsNil)
 	}
 	return d
@@ -230,11 +198,6 @@
 	return d
 }
 
-// Restart starts a daemon of a known name again.
-func (d *Driver) Restart(name string) *Driver {
-	return d.daemon(fleet.Daemon{Name: name, Zone: d.daemons[name].Zone, Settings: quick()})
-}
-
 // Runs tells how often the plain service ran a key.
 func (d *Driver) Runs(service, key string) int {
 	d.Helper()
