--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,10 @@
 GOLANGCI_LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 BIN := bin
 
+# The steps and the seed of make soak.
+CHECKS ?= 20000
+SEED ?= 2
+
 .PHONY: all build test race lint format demo bench capacity matrix measure soak clean
 
 all: build
@@ -35,7 +39,7 @@
 
 # Runs the property tests with other seeds and many more steps.
 soak:
-	go test ./claim ./plan ./request ./roster ./ledger -rapid.checks=20000 -timeout 60m
+	go test ./claim ./grant ./lease ./peer/gossip ./plan ./request ./roster ./timeline -rapid.checks=$(CHECKS) -rapid.seed=$(SEED) -timeout 60m
 
 # Prints how the cost of control grows, from processes on loopback.
 capacity: build
--- a/plan/errors.go
+++ b/plan/errors.go
@@ -25,7 +25,15 @@
 
 // Error implements error.
 func (e *InvalidError) Error() string {
-	return fmt.Sprintf("invalid change: list %q, entry %q, field %q: %s", e.List, e.Entry, e.Field, e.Reason)
+	place := ""
+	for _, part := range []struct{ name, value string }{
+		{"list", string(e.List)}, {"entry", e.Entry}, {"field", e.Field},
+	} {
+		if part.value != "" {
+			place += fmt.Sprintf(" %s %q,", part.name, part.value)
+		}
+	}
+	return fmt.Sprintf("invalid change:%s %s", place, e.Reason)
 }
 
 // StaleBaseError says that a change was based on a version of its list that
