Send suspected requests on apart from each other

Cause: when a request crashes its runner, every stream there is suspected of the crash. Streams that went on to the same next runner as the one at fault met its second crash too, and were refused as crashing requests though innocent.

Ruled out: suspecting only requests without a token yet, since a crash after the last token is a case of the matrix; a higher threshold, since the third server is not to be handed the request.

Change: a suspected request is not sent where another suspected one of the same daemon runs, as long as another runner is left.

Conclusion: of the streams at a crashed runner, fewer are refused.

--- a/dispatch/flight.go
+++ b/dispatch/flight.go
@@ -135,7 +135,7 @@
 	if next := f.takeNext(); next != nil {
 		return *next, nil
 	}
-	target, err := f.Chooser.Choose(f.request, f.excluded, now)
+	target, err := f.chooseApart(now)
 	var none *NoBackendError
 	if errors.As(err, &none) && len(f.excluded) > 0 {
 		// A backend server that has failed may work on a fresh connection.
--- /dev/null
+++ b/dispatch/isolate_test.go
@@ -0,0 +1,48 @@
+package dispatch_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cranberrywalk/cranberrywalk/dispatch"
+	"github.com/cranberrywalk/cranberrywalk/request"
+)
+
+// Both requests have met the crash of runner-1. Together at runner-2, a second
+// crash by one of them would stop both.
+func TestSuspectedRequestsGoOnApart(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(t, behaviour{fault: "closed"}, behaviour{fault: "slow"}, behaviour{})
+	first := chat(b.clock.Now())
+	first.ID = "first"
+	second := first.WithBody([]byte(strings.Replace(string(first.Body), "hello", "other", 1)))
+	second.ID = "second"
+	ended := make(chan dispatch.Result, 1)
+	go func() { ended <- b.Do(context.Background(), first, &caller{}) }()
+	<-b.backends[1].hung
+
+	result := b.Do(context.Background(), second, &caller{})
+
+	c.Assert(result.Outcome, qt.Equals, request.Answered)
+	c.Assert(result.Backend, qt.Equals, "runner-3")
+	close(b.backends[1].release)
+	c.Assert((<-ended).Outcome, qt.Equals, request.Answered)
+}
+
+func TestSuspectedRequestsShareTheLastBackend(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(t, behaviour{fault: "closed"}, behaviour{fault: "slow"})
+	first := chat(b.clock.Now())
+	second := first.WithBody([]byte(strings.Replace(string(first.Body), "hello", "other", 1)))
+	results := make(chan dispatch.Result, 2)
+	for _, r := range []request.Request{first, second} {
+		go func() { results <- b.Do(context.Background(), r, &caller{}) }()
+		<-b.backends[1].hung
+	}
+	close(b.backends[1].release)
+	c.Assert((<-results).Outcome, qt.Equals, request.Answered)
+	c.Assert((<-results).Outcome, qt.Equals, request.Answered)
+}
--- a/dispatch/move.go
+++ b/dispatch/move.go
@@ -72,8 +72,8 @@
 // moveCache copies the KV cache of the stream to target. A prompt shorter than
 // a block leaves nothing to copy.
 func (f *flight) moveCache(backendName string, target Target) {
-	from, running := f.attemptAt(backendName)
-	if f.Mover == nil || !running || f.request.PromptTokens < prefix.BlockTokens {
+	from, running := f.current()
+	if f.Mover == nil || !running || from.Name != backendName || f.request.PromptTokens < prefix.BlockTokens {
 		return
 	}
 	ctx, cancel := context.WithCancel(f.ctx)
@@ -87,14 +87,6 @@
 	f.Count("CachesMoved", 1)
 }
 
-// attemptAt returns the target of the current attempt, if it is at the backend
-// server.
-func (f *flight) attemptAt(backendName string) (Target, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.target, f.stop != nil && f.target.Name == backendName
-}
-
 // stopFor ends the current attempt, if it is still there, to go on at target.
 func (f *flight) stopFor(backendName string, target Target) bool {
 	f.mu.Lock()
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -157,6 +157,14 @@
 	return found && now.Before(entry.Expires) && len(entry.Crashes) >= Threshold
 }
 
+// Suspected reports whether a crash counts against the fingerprint.
+func (b *Book) Suspected(fingerprint uint64, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	entry, found := b.entries[fingerprint]
+	return found && now.Before(entry.Expires) && len(entry.Crashes) > 0
+}
+
 // Entries returns what has not expired, by fingerprint.
 func (b *Book) Entries(now time.Time) []Entry {
 	b.mu.Lock()
