--- a/settings/settings.go
+++ b/settings/settings.go
@@ -79,7 +79,6 @@
 	ConnectTimeout time.Duration `min:"10ms" doc:"Longest time for opening a connection to a backend server."`
 	Silence        time.Duration `min:"100ms" doc:"Longest time without a byte from a backend server before its connection is closed."`
 	MaxAnswerBytes int           `min:"1024" doc:"Largest answer of a backend server that is not streamed, in bytes."`
-	LoadInterval   time.Duration `min:"50ms" doc:"Time between two reads of the load reports of backend servers."`
 }
 
 // Retries configures how idempotent requests are tried again.
@@ -158,7 +157,6 @@
 			ConnectTimeout: time.Second,
 			Silence:        10 * time.Second,
 			MaxAnswerBytes: 16 << 20,
-			LoadInterval:   500 * time.Millisecond,
 		},
 		Retries: Retries{
 			MaxAttempts: 4,
