Make the test of a gap able to fail, and its set-up stand once

The set-up of a log with both lists stood in four places.

Ruled out: a longer wait, which does not tell that the log was read.

Change: the follower holds a complete but old state of a peer, and the records that follow it are gone. The fake log counts its reads, and the test waits until the follower has found the end of the log.

--- a/configuration/configuration_test.go
+++ b/configuration/configuration_test.go
@@ -40,6 +40,25 @@
 	return read(c, p)
 }
 
+// newDesk returns a log with both lists: the plans, and allowances with the
+// priority 1 as change a.
+func newDesk(c *qt.C) (*fakeLog, *configuration.Publisher) {
+	c.Helper()
+	log := &fakeLog{}
+	p := newPublisher(log)
+	publishPlans(c, p)
+	submit(c, p, change("a", 0, 1))
+	return log, p
+}
+
+// submit appends a change that has to be accepted.
+func submit(c *qt.C, p *configuration.Publisher, sent plan.Change) {
+	c.Helper()
+	verdict, err := p.Submit(context.Background(), read(c, p), sent)
+	c.Assert(err, qt.IsNil)
+	c.Assert(verdict.Accepted, qt.IsTrue)
+}
+
 func read(c *qt.C, p *configuration.Publisher) plan.State {
 	c.Helper()
 	state, err := p.Read(context.Background())
@@ -130,16 +149,11 @@
 
 func TestFollowerRestoresAcrossRetention(t *testing.T) {
 	c := qt.New(t)
-	log := &fakeLog{}
-	p := newPublisher(log)
-	base := publishPlans(c, p)
-	_, err := p.Submit(context.Background(), base, change("a", 0, 1))
-	c.Assert(err, qt.IsNil)
+	log, p := newDesk(c)
 	snapshot := read(c, p).Snapshot()
-	_, err = p.Submit(context.Background(), read(c, p), change("b", 2, 2))
-	c.Assert(err, qt.IsNil)
+	submit(c, p, change("b", 2, 2))
 	// The snapshot is late: it is older than the record before it.
-	_, err = log.Append(context.Background(), stream, [][]byte{snapshot})
+	_, err := log.Append(context.Background(), stream, [][]byte{snapshot})
 	c.Assert(err, qt.IsNil)
 
 	// Without the record that the snapshot leads to, nothing can be served.
@@ -149,36 +163,38 @@
 	c.Assert(state.Offset(), qt.Equals, uint64(4))
 }
 
+// The state of a peer is complete but old, and the records that follow it have
+// been removed. Without a snapshot the follower can't know what is in force.
 func TestFollowerInAGapServesNothing(t *testing.T) {
 	c := qt.New(t)
-	log := &fakeLog{}
-	p := newPublisher(log)
-	base := publishPlans(c, p)
-	_, err := p.Submit(context.Background(), base, change("a", 0, 1))
-	c.Assert(err, qt.IsNil)
-	log.trim(1)
-	_, err = p.Read(context.Background())
+	log, p := newDesk(c)
+	older := read(c, p).Snapshot()
+	submit(c, p, change("b", 2, 2))
+	submit(c, p, change("c", 3, 3))
+	log.trim(3)
+	_, err := p.Read(context.Background())
 	var gap *configuration.GapError
 	c.Assert(errors.As(err, &gap), qt.IsTrue)
-
+	log.set(none, true)
 	follower := running(t, log)
-	for range 20 {
-		_, ready := follower.State()
-		c.Assert(ready, qt.IsFalse)
-		time.Sleep(time.Millisecond)
-	}
+	c.Assert(follower.Adopt(older), qt.IsNil)
+
+	log.set(none, false)
+	// One call meets the trimmed records, one gets the record that is left, one
+	// finds the end of the log, and one more follows; a call before them may
+	// still have met the outage.
+	log.awaitReads(5)
+
+	_, ready := follower.State()
+	c.Assert(ready, qt.IsFalse)
+	c.Assert(follower.Offset(), qt.Equals, uint64(2))
 }
 
 func TestFollowerTakesStateFromPeersAndNeverReverts(t *testing.T) {
 	c := qt.New(t)
-	log := &fakeLog{}
-	p := newPublisher(log)
-	base := publishPlans(c, p)
-	_, err := p.Submit(context.Background(), base, change("a", 0, 1))
-	c.Assert(err, qt.IsNil)
+	log, p := newDesk(c)
 	older := read(c, p).Snapshot()
-	_, err = p.Submit(context.Background(), read(c, p), change("b", 2, 2))
-	c.Assert(err, qt.IsNil)
+	submit(c, p, change("b", 2, 2))
 	newer := read(c, p).Snapshot()
 	log.set(none, true)
 	follower := running(t, log)
@@ -193,8 +209,7 @@
 	c.Assert(state.Allowances()[0].Priority, qt.Equals, 2)
 
 	log.set(none, false)
-	_, err = p.Submit(context.Background(), read(c, p), change("c", 3, 3))
-	c.Assert(err, qt.IsNil)
+	submit(c, p, change("c", 3, 3))
 	await(follower, 4)
 	state, _ = follower.State()
 	c.Assert(state.Allowances()[0].Priority, qt.Equals, 3)
@@ -214,11 +229,7 @@
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
 			c := qt.New(t)
-			log := &fakeLog{}
-			p := newPublisher(log)
-			publishPlans(c, p)
-			_, err := p.Submit(context.Background(), read(c, p), change("a", 0, 1))
-			c.Assert(err, qt.IsNil)
+			log, _ := newDesk(c)
 			for range s.records {
 				_, err := log.Append(context.Background(), stream, [][]byte{[]byte("not a change")})
 				c.Assert(err, qt.IsNil)
--- a/configuration/log_test.go
+++ b/configuration/log_test.go
@@ -29,6 +29,8 @@
 	first   uint64
 	fault   appendFault
 	down    bool
+	// reads counts the calls of Read.
+	reads int
 }
 
 func (l *fakeLog) Append(_ context.Context, _ string, payloads [][]byte) (uint64, error) {
@@ -51,6 +53,9 @@
 }
 
 func (l *fakeLog) Read(ctx context.Context, _ string, from uint64, limit int, wait time.Duration) (platform.Batch, error) {
+	l.mu.Lock()
+	l.reads++
+	l.mu.Unlock()
 	batch, err := l.read(from, limit)
 	if err == nil && len(batch.Records) == 0 && wait > 0 {
 		select {
@@ -85,6 +90,23 @@
 	l.fault, l.down = fault, down
 }
 
+// awaitReads waits until Read has been called that often from now on. A reader
+// that calls again has dealt with all that the calls before have returned.
+func (l *fakeLog) awaitReads(count int) {
+	l.mu.Lock()
+	wanted := l.reads + count
+	l.mu.Unlock()
+	for {
+		l.mu.Lock()
+		reads := l.reads
+		l.mu.Unlock()
+		if reads >= wanted {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // trim removes the records below first.
 func (l *fakeLog) trim(first uint64) {
 	l.mu.Lock()
