--- a/admin/admin.go
+++ b/admin/admin.go
@@ -9,8 +9,8 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/plan"
-	"github.com/cranberrywalk/cranberrywalk/platform"
 	"github.com/cranberrywalk/cranberrywalk/roster"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 	"github.com/cranberrywalk/cranberrywalk/timeline"
@@ -25,7 +25,7 @@
 	// Backends returns the backend servers as the daemon sees them.
 	Backends func() []roster.Member
 	// Peers returns the entry VMs that the daemon knows, its own included.
-	Peers func() []platform.VM
+	Peers func() []hosting.VM
 	// Timeline returns the events that the daemon still has.
 	Timeline func() []timeline.Entry
 }
--- a/admin/message.go
+++ b/admin/message.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/plan"
-	"github.com/cranberrywalk/cranberrywalk/platform"
 	"github.com/cranberrywalk/cranberrywalk/roster"
 )
 
@@ -41,7 +41,7 @@
 
 // Backend is a backend server as the daemon sees it.
 type Backend struct {
-	VM    platform.VM
+	VM    hosting.VM
 	State roster.State
 	// Deadline is when a leaving VM stops, if that is known.
 	Deadline *time.Time `json:",omitempty"`
@@ -51,10 +51,10 @@
 type Backends struct {
 	Backends []Backend
 	// Peers are the entry VMs, the daemon's own included.
-	Peers []platform.VM
+	Peers []hosting.VM
 }
 
-func newBackends(members []roster.Member, peers []platform.VM) Backends {
+func newBackends(members []roster.Member, peers []hosting.VM) Backends {
 	view := Backends{Backends: make([]Backend, 0, len(members)), Peers: peers}
 	for _, member := range members {
 		backend := Backend{VM: member.VM, State: member.State}
--- a/app/platform.go
+++ b/app/platform.go
@@ -4,8 +4,8 @@
 	"net/http"
 
 	"github.com/cranberrywalk/cranberrywalk/configuration"
+	"github.com/cranberrywalk/cranberrywalk/hostinghttp"
 	"github.com/cranberrywalk/cranberrywalk/logstream"
-	"github.com/cranberrywalk/cranberrywalk/platformhttp"
 	"github.com/cranberrywalk/cranberrywalk/settings"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 )
@@ -13,7 +13,7 @@
 // newPublisher returns a publisher on the log service of the settings, and a
 // function that closes it.
 func newPublisher(s settings.Settings) (*configuration.Publisher, func()) {
-	log := platformhttp.NewLog(s.Platform.Log, http.DefaultClient)
+	log := hostinghttp.NewLog(s.Platform.Log, http.DefaultClient)
 	appender := logstream.NewPublisher(telemetry.NewCommon(), log, s.Platform.Timeout)
 	publisher := configuration.NewPublisher(log, appender, s.Platform.ConfigurationStream)
 	// Close of this appender never fails.
--- a/app/timeline.go
+++ b/app/timeline.go
@@ -9,8 +9,8 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
-	"github.com/cranberrywalk/cranberrywalk/platformhttp"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
+	"github.com/cranberrywalk/cranberrywalk/hostinghttp"
 	"github.com/cranberrywalk/cranberrywalk/timeline"
 )
 
@@ -30,7 +30,7 @@
 			if err != nil {
 				return err
 			}
-			list := platformhttp.NewVMList(loaded.Platform.VMList, http.DefaultClient)
+			list := hostinghttp.NewVMList(loaded.Platform.VMList, http.DefaultClient)
 			snapshot, err := list.VMs(cmd.Context())
 			if err != nil {
 				return err
@@ -54,10 +54,10 @@
 
 // readTimelines reads the events of every daemon of the VM list. A daemon that
 // can't be reached is named on warnings and left out.
-func readTimelines(ctx context.Context, warnings io.Writer, vms []platform.VM) [][]timeline.Entry {
+func readTimelines(ctx context.Context, warnings io.Writer, vms []hosting.VM) [][]timeline.Entry {
 	var logs [][]timeline.Entry
 	for _, vm := range vms {
-		if vm.Role != platform.RoleEntry {
+		if vm.Role != hosting.RoleEntry {
 			continue
 		}
 		entries, err := readTimeline(ctx, vm.AdminAddress)
--- a/architecture_test.go
+++ b/architecture_test.go
@@ -26,7 +26,7 @@
 }
 
 // allowedBelow are packages of this module that the core uses for types only.
-var allowedBelow = []string{module + "/telemetry", module + "/platform", module + "/clock"}
+var allowedBelow = []string{module + "/telemetry", module + "/hosting", module + "/clock"}
 
 type listedPackage struct {
 	ImportPath string
--- a/claim/book.go
+++ b/claim/book.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // Options are the settings of a book. They are the same at all daemons.
@@ -109,7 +109,7 @@
 // copy that a repeated append left behind, has none. It returns a *GapError
 // for a record that is not the next one, and a *RecordError for an invalid
 // one, which it steps over.
-func (b *Book) Fold(entry platform.Record) ([]Judgement, error) {
+func (b *Book) Fold(entry hosting.Record) ([]Judgement, error) {
 	if entry.Offset < b.next {
 		return nil, nil
 	}
--- a/claim/book_bench_test.go
+++ b/claim/book_bench_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/claim"
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // BenchmarkFold folds claims of new keys, ten to a record, and reports the
@@ -26,7 +26,7 @@
 	before := heap()
 	b.ResetTimer()
 	for i, payload := range payloads {
-		_, _ = book.Fold(platform.Record{Offset: uint64(i), Payload: payload, Time: time.Unix(1000, int64(i))})
+		_, _ = book.Fold(hosting.Record{Offset: uint64(i), Payload: payload, Time: time.Unix(1000, int64(i))})
 	}
 	b.StopTimer()
 	b.ReportMetric(float64(len(payloads[0]))/gathered, "logB/claim")
--- a/claim/book_test.go
+++ b/claim/book_test.go
@@ -8,13 +8,13 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/cranberrywalk/cranberrywalk/claim"
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // script appends one claim per call and folds it into the books.
 type script struct {
 	*qt.C
-	records []platform.Record
+	records []hosting.Record
 	number  uint64
 }
 
@@ -28,7 +28,7 @@
 func (s *script) append(at time.Duration, record claim.Record, books ...*claim.Book) []claim.Judgement {
 	payload, err := record.Encode()
 	s.Assert(err, qt.IsNil)
-	s.records = append(s.records, platform.Record{
+	s.records = append(s.records, hosting.Record{
 		Offset: uint64(len(s.records)), Payload: payload, Time: time.Unix(1000, 0).Add(at),
 	})
 	return s.fold(books...)
--- a/claim/property_test.go
+++ b/claim/property_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/cranberrywalk/cranberrywalk/claim"
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 const lifetime = 10 * time.Second
@@ -33,7 +33,7 @@
 type world struct {
 	options   claim.Options
 	now       time.Time
-	records   []platform.Record
+	records   []hosting.Record
 	processes []*process
 	// wins has the claims that give the right to write.
 	wins []claim.Claim
@@ -42,7 +42,7 @@
 }
 
 func (w *world) append(payload []byte) {
-	w.records = append(w.records, platform.Record{Offset: uint64(len(w.records)), Payload: payload, Time: w.now})
+	w.records = append(w.records, hosting.Record{Offset: uint64(len(w.records)), Payload: payload, Time: w.now})
 }
 
 // join starts a process on a log that has removed some of the records that
--- a/cmd/bench/bench.go
+++ b/cmd/bench/bench.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/fleet"
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 const (
@@ -30,8 +30,8 @@
 type bench struct {
 	fleet   *fleet.Fleet
 	out     io.Writer
-	daemon  platform.VM
-	backend platform.VM
+	daemon  hosting.VM
+	backend hosting.VM
 }
 
 func run(out io.Writer) error {
--- a/cmd/capacity/loads.go
+++ b/cmd/capacity/loads.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/fleet"
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 const (
@@ -22,10 +22,10 @@
 	if err != nil {
 		return nil, err
 	}
-	var vms []platform.VM
+	var vms []hosting.VM
 	for i := range size {
-		vms = append(vms, platform.VM{
-			Name: fmt.Sprintf("runner-%d", i), Role: platform.RoleRunner, Region: region, Zone: zoneName(0),
+		vms = append(vms, hosting.VM{
+			Name: fmt.Sprintf("runner-%d", i), Role: hosting.RoleRunner, Region: region, Zone: zoneName(0),
 			Class: "reclaimable-small", Reclaimable: true, Price: 1, Address: "127.0.0.1:1", Models: []string{model},
 		})
 	}
@@ -132,10 +132,10 @@
 	if err != nil {
 		return nil, err
 	}
-	var vms []platform.VM
+	var vms []hosting.VM
 	for i := range size {
-		vms = append(vms, platform.VM{
-			Name: fmt.Sprintf("runner-far-%d", i), Role: platform.RoleRunner, Region: "elsewhere",
+		vms = append(vms, hosting.VM{
+			Name: fmt.Sprintf("runner-far-%d", i), Role: hosting.RoleRunner, Region: "elsewhere",
 			Zone: fmt.Sprintf("elsewhere-%d", i%13), Class: "reclaimable-small", Reclaimable: true, Price: 1,
 			Address: "127.0.0.1:1", Models: []string{model},
 		})
--- a/cmd/capacity/system.go
+++ b/cmd/capacity/system.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/fleet"
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 const (
@@ -30,7 +30,7 @@
 	dir   string
 	fleet *fleet.Fleet
 	// first is the daemon that is measured.
-	first platform.VM
+	first hosting.VM
 	// stop ends the load.
 	stop chan struct{}
 	load sync.WaitGroup
--- a/cmd/demo/demo.go
+++ b/cmd/demo/demo.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/fleet"
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 const (
@@ -28,7 +28,7 @@
 type demo struct {
 	fleet   *fleet.Fleet
 	out     io.Writer
-	daemons []platform.VM
+	daemons []hosting.VM
 }
 
 func run(out io.Writer) error {
--- a/cmd/standin/platform.go
+++ b/cmd/standin/platform.go
@@ -10,7 +10,7 @@
 	"github.com/spf13/pflag"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/standin/cloud"
 	"github.com/cranberrywalk/cranberrywalk/standin/logservice"
 )
@@ -77,7 +77,7 @@
 }
 
 // readVMs reads a file with the same content as the answer to GET /vms.
-func readVMs(path string) ([]platform.VM, error) {
+func readVMs(path string) ([]hosting.VM, error) {
 	if path == "" {
 		return nil, nil
 	}
@@ -85,7 +85,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var snapshot platform.VMSnapshot
+	var snapshot hosting.VMSnapshot
 	if err := json.Unmarshal(content, &snapshot); err != nil {
 		return nil, err
 	}
--- a/configuration/configuration_test.go
+++ b/configuration/configuration_test.go
@@ -11,15 +11,15 @@
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
 	"github.com/cranberrywalk/cranberrywalk/configuration"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/logstream"
 	"github.com/cranberrywalk/cranberrywalk/plan"
-	"github.com/cranberrywalk/cranberrywalk/platform"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 )
 
 const stream = "Configuration"
 
-func newPublisher(log platform.Log) *configuration.Publisher {
+func newPublisher(log hosting.Log) *configuration.Publisher {
 	return configuration.NewPublisher(log, logstream.NewPublisher(telemetry.NewCommon(), log, time.Minute), stream)
 }
 
@@ -104,7 +104,7 @@
 
 			verdict, err := p.Submit(context.Background(), base, change("a", 0, 1))
 
-			var uncertain *platform.UncertainError
+			var uncertain *hosting.UncertainError
 			c.Assert(errors.As(err, &uncertain), qt.Equals, s.uncertain)
 			c.Assert(verdict.Accepted, qt.Equals, s.accepted)
 			c.Assert(err == nil, qt.Equals, s.accepted)
@@ -120,7 +120,7 @@
 }
 
 // running is a follower that runs until the test ends.
-func running(t *testing.T, log platform.Log) *configuration.Follower {
+func running(t *testing.T, log hosting.Log) *configuration.Follower {
 	follower := configuration.NewFollower(telemetry.NewCommon(), log, stream, time.Millisecond)
 	ctx, cancel := context.WithCancel(context.Background())
 	go follower.Run(ctx)
@@ -249,7 +249,7 @@
 }
 
 // runSnapshotter moves a fake clock on until a snapshot has been written.
-func runSnapshotter(c *qt.C, log platform.Log, follower *configuration.Follower, step time.Duration) {
+func runSnapshotter(c *qt.C, log hosting.Log, follower *configuration.Follower, step time.Duration) {
 	before := follower.Offset()
 	fake := clock.NewFake(time.Unix(0, 0))
 	common := telemetry.NewCommon()
--- a/configuration/follower.go
+++ b/configuration/follower.go
@@ -8,9 +8,9 @@
 	"github.com/ThreeDotsLabs/watermill/message"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/logstream"
 	"github.com/cranberrywalk/cranberrywalk/plan"
-	"github.com/cranberrywalk/cranberrywalk/platform"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 )
 
@@ -29,7 +29,7 @@
 // state only ever moves to a higher offset.
 type Follower struct {
 	telemetry.Common
-	log    platform.Log
+	log    hosting.Log
 	stream string
 	wait   time.Duration
 	// done is closed when Run has returned.
@@ -49,7 +49,7 @@
 
 // NewFollower returns a follower that starts at the beginning of the stream.
 // wait is how long a read waits for new records.
-func NewFollower(common telemetry.Common, log platform.Log, stream string, wait time.Duration) *Follower {
+func NewFollower(common telemetry.Common, log hosting.Log, stream string, wait time.Duration) *Follower {
 	return &Follower{Common: common, log: log, stream: stream, wait: wait, done: make(chan struct{})}
 }
 
@@ -124,7 +124,7 @@
 	options := logstream.DefaultOptions()
 	options.Wait = f.wait
 	options.From = func(string) uint64 { return f.from() }
-	options.Trimmed = func(_ context.Context, trimmed *platform.TrimmedError) (uint64, error) {
+	options.Trimmed = func(_ context.Context, trimmed *hosting.TrimmedError) (uint64, error) {
 		return f.trimmed(trimmed.First), nil
 	}
 	options.CaughtUp = func(_ string, next uint64) { f.caughtUp(next) }
@@ -156,7 +156,7 @@
 		return 0, err
 	}
 	f.mu.Lock()
-	follower, verdict := f.follower.Fold(platform.Record{Offset: offset, Payload: m.Payload})
+	follower, verdict := f.follower.Fold(hosting.Record{Offset: offset, Payload: m.Payload})
 	f.follower = follower
 	f.unsnapshotted++
 	if isSnapshot(m.Payload) {
--- a/configuration/log_test.go
+++ b/configuration/log_test.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // appendFault says what happens to an append.
@@ -25,7 +25,7 @@
 // fakeLog is one stream in memory.
 type fakeLog struct {
 	mu      sync.Mutex
-	records []platform.Record
+	records []hosting.Record
 	first   uint64
 	fault   appendFault
 	down    bool
@@ -38,21 +38,21 @@
 	defer l.mu.Unlock()
 	switch l.fault {
 	case refused:
-		return 0, &platform.UnavailableError{Service: "Log"}
+		return 0, &hosting.UnavailableError{Service: "Log"}
 	case lostBefore:
-		return 0, &platform.UncertainError{Service: "Log"}
+		return 0, &hosting.UncertainError{Service: "Log"}
 	}
 	offset := l.first + uint64(len(l.records))
 	for i, payload := range payloads {
-		l.records = append(l.records, platform.Record{Offset: offset + uint64(i), Payload: payload})
+		l.records = append(l.records, hosting.Record{Offset: offset + uint64(i), Payload: payload})
 	}
 	if l.fault == lostAfter {
-		return 0, &platform.UncertainError{Service: "Log"}
+		return 0, &hosting.UncertainError{Service: "Log"}
 	}
 	return offset, nil
 }
 
-func (l *fakeLog) Read(ctx context.Context, _ string, from uint64, limit int, wait time.Duration) (platform.Batch, error) {
+func (l *fakeLog) Read(ctx context.Context, _ string, from uint64, limit int, wait time.Duration) (hosting.Batch, error) {
 	l.mu.Lock()
 	l.reads++
 	l.mu.Unlock()
@@ -67,16 +67,16 @@
 	return batch, err
 }
 
-func (l *fakeLog) read(from uint64, limit int) (platform.Batch, error) {
+func (l *fakeLog) read(from uint64, limit int) (hosting.Batch, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return platform.Batch{}, &platform.UnavailableError{Service: "Log"}
+		return hosting.Batch{}, &hosting.UnavailableError{Service: "Log"}
 	}
 	if from < l.first {
-		return platform.Batch{}, &platform.TrimmedError{Stream: "Configuration", From: from, First: l.first}
+		return hosting.Batch{}, &hosting.TrimmedError{Stream: "Configuration", From: from, First: l.first}
 	}
-	batch := platform.Batch{First: l.first, Next: l.first + uint64(len(l.records))}
+	batch := hosting.Batch{First: l.first, Next: l.first + uint64(len(l.records))}
 	if from < batch.Next {
 		rest := l.records[from-l.first:]
 		batch.Records = slices.Clone(rest[:min(limit, len(rest))])
--- a/configuration/publisher.go
+++ b/configuration/publisher.go
@@ -8,8 +8,8 @@
 	"github.com/ThreeDotsLabs/watermill"
 	"github.com/ThreeDotsLabs/watermill/message"
 
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/plan"
-	"github.com/cranberrywalk/cranberrywalk/platform"
 )
 
 const (
@@ -23,14 +23,14 @@
 // Publisher appends the changes of operators to the configuration stream and
 // finds out what became of them.
 type Publisher struct {
-	log      platform.Log
+	log      hosting.Log
 	appender message.Publisher
 	stream   string
 }
 
 // NewPublisher returns a publisher. The appender writes to the same log
 // service that log reads.
-func NewPublisher(log platform.Log, appender message.Publisher, stream string) *Publisher {
+func NewPublisher(log hosting.Log, appender message.Publisher, stream string) *Publisher {
 	return &Publisher{log: log, appender: appender, stream: stream}
 }
 
@@ -39,7 +39,7 @@
 	follower := plan.NewFollower(plan.State{})
 	for {
 		batch, err := p.log.Read(ctx, p.stream, follower.From(), readLimit, 0)
-		var trimmed *platform.TrimmedError
+		var trimmed *hosting.TrimmedError
 		if errors.As(err, &trimmed) {
 			follower = follower.WithTrimmed(trimmed.First)
 			continue
@@ -64,7 +64,7 @@
 }
 
 // Submit appends a change and returns its verdict, which every daemon shares.
-// The state is the one that the change was made for. A *platform.UncertainError
+// The state is the one that the change was made for. A *hosting.UncertainError
 // says that the change may still come into force; submitting it again with
 // the same identity does no harm.
 func (p *Publisher) Submit(ctx context.Context, state plan.State, change plan.Change) (plan.Verdict, error) {
@@ -86,7 +86,7 @@
 	for {
 		batch, err := p.log.Read(ctx, p.stream, inquiry.Follower().From(), readLimit, verdictPoll)
 		if err != nil {
-			return plan.Verdict{}, &platform.UncertainError{Service: "the log service", Cause: err}
+			return plan.Verdict{}, &hosting.UncertainError{Service: "the log service", Cause: err}
 		}
 		for _, record := range batch.Records {
 			inquiry = inquiry.Fold(record)
@@ -101,6 +101,6 @@
 }
 
 func isUncertain(err error) bool {
-	var uncertain *platform.UncertainError
+	var uncertain *hosting.UncertainError
 	return errors.As(err, &uncertain)
 }
--- a/daemon/admitter.go
+++ b/daemon/admitter.go
@@ -7,11 +7,11 @@
 	"sync"
 	"time"
 
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/limit"
 	"github.com/cranberrywalk/cranberrywalk/peer"
 	"github.com/cranberrywalk/cranberrywalk/peer/gossip"
 	"github.com/cranberrywalk/cranberrywalk/plan"
-	"github.com/cranberrywalk/cranberrywalk/platform"
 )
 
 // The fields of a plan that hold its limits.
@@ -44,7 +44,7 @@
 }
 
 // setVMs takes over the VMs whose daemons share the limits.
-func (a *admitter) setVMs(vms []platform.VM) {
+func (a *admitter) setVMs(vms []hosting.VM) {
 	reporters := gossip.Reporters(a.identity, vms)
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/daemon/admitter_test.go
+++ b/daemon/admitter_test.go
@@ -7,21 +7,21 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/limit"
 	"github.com/cranberrywalk/cranberrywalk/peer"
 	"github.com/cranberrywalk/cranberrywalk/plan"
-	"github.com/cranberrywalk/cranberrywalk/platform"
 )
 
 var noon = time.Date(2026, 1, 2, 12, 0, 0, 0, time.UTC)
 
-func entry(name string) platform.VM {
-	return platform.VM{Name: name, Role: platform.RoleEntry, Region: "r", Zone: "a"}
+func entry(name string) hosting.VM {
+	return hosting.VM{Name: name, Role: hosting.RoleEntry, Region: "r", Zone: "a"}
 }
 
 func newTestAdmitter(name string) *admitter {
 	a := newAdmitter(peer.Identity{Daemon: name, Region: "r", Zone: "a"})
-	a.setVMs([]platform.VM{entry("one"), entry("two")})
+	a.setVMs([]hosting.VM{entry("one"), entry("two")})
 	return a
 }
 
--- a/daemon/cachemover.go
+++ b/daemon/cachemover.go
@@ -5,7 +5,7 @@
 	"net/http"
 
 	"github.com/cranberrywalk/cranberrywalk/dispatch"
-	"github.com/cranberrywalk/cranberrywalk/platformhttp"
+	"github.com/cranberrywalk/cranberrywalk/hostinghttp"
 )
 
 // cacheMover implements dispatch.CacheMover by the control interfaces of the
@@ -16,9 +16,9 @@
 
 // MoveCache implements dispatch.CacheMover.
 func (m cacheMover) MoveCache(ctx context.Context, requestID string, from, to dispatch.Target) error {
-	cache, err := platformhttp.NewEngine("http://"+from.Address, m.client).ExportKV(ctx, requestID)
+	cache, err := hostinghttp.NewEngine("http://"+from.Address, m.client).ExportKV(ctx, requestID)
 	if err != nil {
 		return err
 	}
-	return platformhttp.NewEngine("http://"+to.Address, m.client).ImportKV(ctx, cache)
+	return hostinghttp.NewEngine("http://"+to.Address, m.client).ImportKV(ctx, cache)
 }
--- a/daemon/chooser.go
+++ b/daemon/chooser.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/dispatch"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/peer"
-	"github.com/cranberrywalk/cranberrywalk/platform"
 	"github.com/cranberrywalk/cranberrywalk/request"
 	"github.com/cranberrywalk/cranberrywalk/roster"
 	"github.com/cranberrywalk/cranberrywalk/route"
@@ -104,7 +104,7 @@
 			continue
 		}
 		c.addresses[member.VM.Name] = member.VM.Address
-		if member.VM.Role == platform.RoleService {
+		if member.VM.Role == hosting.RoleService {
 			services = append(services, newRunner(member))
 			continue
 		}
--- a/daemon/chooser_test.go
+++ b/daemon/chooser_test.go
@@ -9,16 +9,16 @@
 	"github.com/cranberrywalk/cranberrywalk/backend"
 	"github.com/cranberrywalk/cranberrywalk/clock"
 	"github.com/cranberrywalk/cranberrywalk/dispatch"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/plan"
-	"github.com/cranberrywalk/cranberrywalk/platform"
 	"github.com/cranberrywalk/cranberrywalk/request"
 	"github.com/cranberrywalk/cranberrywalk/roster"
 	"github.com/cranberrywalk/cranberrywalk/settings"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 )
 
-func runner(name, zone string) platform.VM {
-	return platform.VM{Name: name, Role: platform.RoleRunner, Region: "r", Zone: zone, Address: "127.0.0.1:1", Models: []string{"notes"}}
+func runner(name, zone string) hosting.VM {
+	return hosting.VM{Name: name, Role: hosting.RoleRunner, Region: "r", Zone: zone, Address: "127.0.0.1:1", Models: []string{"notes"}}
 }
 
 // newTestChooser knows two runners in different zones and one plain service.
@@ -30,11 +30,11 @@
 	s.Daemon.Region, s.Daemon.Zone, s.Daemon.Name = "r", "a", "one"
 	c := newChooser(s, m)
 	m.changed = func(r roster.Roster, _ []roster.Effect) { c.setMembers(r.Backends()) }
-	service := platform.VM{Name: "service-a", Role: platform.RoleService, Region: "r", Zone: "a", Address: "127.0.0.1:2", Service: "placements"}
+	service := hosting.VM{Name: "service-a", Role: hosting.RoleService, Region: "r", Zone: "a", Address: "127.0.0.1:2", Service: "placements"}
 	far := runner("runner-far", "a")
 	far.Region = "elsewhere"
-	vms := []platform.VM{runner("runner-a", "a"), runner("runner-b", "b"), service, far}
-	m.apply(roster.Listed{Snapshot: m.relevant(platform.VMSnapshot{Version: 1, VMs: vms})})
+	vms := []hosting.VM{runner("runner-a", "a"), runner("runner-b", "b"), service, far}
+	m.apply(roster.Listed{Snapshot: m.relevant(hosting.VMSnapshot{Version: 1, VMs: vms})})
 	return c
 }
 
@@ -54,7 +54,7 @@
 		{"allowance names another zone", chat(plan.Allowance{Zones: []string{"b"}}), nil, nil, "runner-b"},
 		{"runner has been tried", chat(plan.Allowance{}), []string{"runner-a"}, nil, "runner-b"},
 		{"zone is avoided", chat(plan.Allowance{}).WithAvoidedZones([]string{"a"}), nil, nil, "runner-b"},
-		{"runner is leaving", chat(plan.Allowance{}), nil, roster.Noticed{Notice: platform.Notice{Sequence: 1, VM: "runner-a"}}, "runner-b"},
+		{"runner is leaving", chat(plan.Allowance{}), nil, roster.Noticed{Notice: hosting.Notice{Sequence: 1, VM: "runner-a"}}, "runner-b"},
 		{"plain service", request.Request{ID: "1", Kind: request.Service, Service: "placements"}, nil, nil, "service-a"},
 		{"no zone is allowed that has a runner", chat(plan.Allowance{Zones: []string{"c"}}), nil, nil, ""},
 		{"no such service", request.Request{ID: "1", Kind: request.Service, Service: "loans"}, nil, nil, ""},
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,12 +16,12 @@
 	"github.com/cranberrywalk/cranberrywalk/configuration"
 	"github.com/cranberrywalk/cranberrywalk/dispatch"
 	"github.com/cranberrywalk/cranberrywalk/front"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
+	"github.com/cranberrywalk/cranberrywalk/hostinghttp"
 	"github.com/cranberrywalk/cranberrywalk/ledger"
 	"github.com/cranberrywalk/cranberrywalk/logstream"
 	"github.com/cranberrywalk/cranberrywalk/order"
 	"github.com/cranberrywalk/cranberrywalk/peer"
-	"github.com/cranberrywalk/cranberrywalk/platform"
-	"github.com/cranberrywalk/cranberrywalk/platformhttp"
 	"github.com/cranberrywalk/cranberrywalk/retry"
 	"github.com/cranberrywalk/cranberrywalk/roster"
 	"github.com/cranberrywalk/cranberrywalk/settings"
@@ -83,16 +83,16 @@
 	return d
 }
 
-// addState adds the parts that follow the platform.
+// addState adds the parts that follow the hosting.
 func (d *Daemon) addState() {
 	s := d.settings
 	client := newClient()
-	log := platformhttp.NewLog(s.Platform.Log, client)
+	log := hostinghttp.NewLog(s.Platform.Log, client)
 	appender := logstream.NewPublisher(d.Common, log, s.Platform.Timeout)
 	d.configuration = configuration.NewFollower(d.Common, log, s.Platform.ConfigurationStream, s.Platform.LongPoll)
 	d.snapshotter = configuration.NewSnapshotter(d.Common, d.configuration, appender, d.random())
-	d.membership = newMembership(d.Common, s.Daemon.Region, platformhttp.NewVMList(s.Platform.VMList, client),
-		platformhttp.NewCloud(s.Platform.Cloud, client), s.Platform.PollInterval, s.Platform.LongPoll)
+	d.membership = newMembership(d.Common, s.Daemon.Region, hostinghttp.NewVMList(s.Platform.VMList, client),
+		hostinghttp.NewCloud(s.Platform.Cloud, client), s.Platform.PollInterval, s.Platform.LongPoll)
 	d.membership.changed = d.rosterChanged
 	d.chooser = newChooser(s, d.membership)
 	d.admitter = newAdmitter(d.identity())
@@ -204,7 +204,7 @@
 		Ready:    d.Ready,
 		Plans:    d.configuration.State,
 		Backends: func() []roster.Member { return d.membership.Roster().Backends() },
-		Peers:    func() []platform.VM { return d.membership.Roster().Peers() },
+		Peers:    func() []hosting.VM { return d.membership.Roster().Peers() },
 		Timeline: d.events.Entries,
 	})
 	d.admin = &http.Server{Addr: s.Admin.Address, Handler: operators.Handler(), ReadHeaderTimeout: s.Callers.ReadTimeout}
@@ -257,8 +257,8 @@
 	}()
 }
 
-func listedVMs(r roster.Roster) []platform.VM {
-	vms := append([]platform.VM(nil), r.Peers()...)
+func listedVMs(r roster.Roster) []hosting.VM {
+	vms := append([]hosting.VM(nil), r.Peers()...)
 	for _, member := range r.Backends() {
 		vms = append(vms, member.VM)
 	}
--- a/daemon/loads.go
+++ b/daemon/loads.go
@@ -4,9 +4,9 @@
 	"slices"
 	"time"
 
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/peer"
 	"github.com/cranberrywalk/cranberrywalk/peer/gossip"
-	"github.com/cranberrywalk/cranberrywalk/platform"
 	"github.com/cranberrywalk/cranberrywalk/route"
 )
 
@@ -75,11 +75,11 @@
 }
 
 // forgetPeers drops the loads of daemons that have left.
-func (c *chooser) forgetPeers(listed []platform.VM) {
+func (c *chooser) forgetPeers(listed []hosting.VM) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for reporter := range c.loads {
-		if !slices.ContainsFunc(listed, func(vm platform.VM) bool { return vm.Name == reporter }) {
+		if !slices.ContainsFunc(listed, func(vm hosting.VM) bool { return vm.Name == reporter }) {
 			c.forgetPeer(reporter)
 		}
 	}
--- a/daemon/membership.go
+++ b/daemon/membership.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/roster"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 )
@@ -18,8 +18,8 @@
 	telemetry.Common
 	// region is the region of the daemon.
 	region   string
-	list     platform.VMList
-	cloud    platform.Cloud
+	list     hosting.VMList
+	cloud    hosting.Cloud
 	interval time.Duration
 	longPoll time.Duration
 	// changed is called after every change of the roster, in order. It must
@@ -33,7 +33,7 @@
 	current  atomic.Pointer[roster.Roster]
 }
 
-func newMembership(common telemetry.Common, region string, list platform.VMList, cloud platform.Cloud, interval, longPoll time.Duration) *membership {
+func newMembership(common telemetry.Common, region string, list hosting.VMList, cloud hosting.Cloud, interval, longPoll time.Duration) *membership {
 	m := &membership{
 		Common:   common,
 		region:   region,
@@ -99,10 +99,10 @@
 
 // relevant leaves out the backend servers of other regions, which get no
 // requests from here.
-func (m *membership) relevant(snapshot platform.VMSnapshot) platform.VMSnapshot {
-	kept := platform.VMSnapshot{Version: snapshot.Version}
+func (m *membership) relevant(snapshot hosting.VMSnapshot) hosting.VMSnapshot {
+	kept := hosting.VMSnapshot{Version: snapshot.Version}
 	for _, vm := range snapshot.VMs {
-		if vm.Role == platform.RoleEntry || vm.Region == m.region {
+		if vm.Role == hosting.RoleEntry || vm.Region == m.region {
 			kept.VMs = append(kept.VMs, vm)
 		}
 	}
--- a/daemon/orders.go
+++ b/daemon/orders.go
@@ -3,17 +3,17 @@
 import (
 	"net/http"
 
+	"github.com/cranberrywalk/cranberrywalk/hosting"
+	"github.com/cranberrywalk/cranberrywalk/hostinghttp"
 	"github.com/cranberrywalk/cranberrywalk/order"
 	"github.com/cranberrywalk/cranberrywalk/placement"
-	"github.com/cranberrywalk/cranberrywalk/platform"
-	"github.com/cranberrywalk/cranberrywalk/platformhttp"
 	"github.com/cranberrywalk/cranberrywalk/roster"
 	"github.com/cranberrywalk/cranberrywalk/settings"
 )
 
 // addOrders adds the duty of replacing lost VMs, which one daemon of the region
 // holds by lease.
-func (d *Daemon) addOrders(log platform.Log, client *http.Client) {
+func (d *Daemon) addOrders(log hosting.Log, client *http.Client) {
 	s := d.settings
 	if s.Orders.Mode == settings.OrdersOff {
 		return
@@ -29,9 +29,9 @@
 	options.RoundInterval = s.Orders.Interval
 	options.AppendTimeout = s.Platform.Timeout
 	options.ReadWait = s.Platform.LongPoll
-	cloud := platformhttp.NewCloud(s.Platform.Cloud, client)
-	weights := platformhttp.NewWeightStore(s.Platform.WeightStore, client)
-	engines := func(vm platform.VM) platform.Engine { return platformhttp.NewEngine("http://"+vm.Address, client) }
+	cloud := hostinghttp.NewCloud(s.Platform.Cloud, client)
+	weights := hostinghttp.NewWeightStore(s.Platform.WeightStore, client)
+	engines := func(vm hosting.VM) hosting.Engine { return hostinghttp.NewEngine("http://"+vm.Address, client) }
 	d.orders = order.New(d.Common, options, log, cloud, weights, engines, d.placementInputs)
 }
 
@@ -43,7 +43,7 @@
 	if !ready {
 		return placement.Inputs{}
 	}
-	var vms []platform.VM
+	var vms []hosting.VM
 	for _, member := range d.membership.Roster().Backends() {
 		vm := member.VM
 		if vm.Region != d.settings.Daemon.Region {
--- a/e2e/driver.go
+++ b/e2e/driver.go
@@ -9,7 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/cranberrywalk/cranberrywalk/fleet"
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/prefix"
 	"github.com/cranberrywalk/cranberrywalk/roster"
 	"github.com/cranberrywalk/cranberrywalk/standin/engine"
@@ -40,14 +40,14 @@
 type Driver struct {
 	*qt.C
 	Fleet   *fleet.Fleet
-	daemons map[string]platform.VM
+	daemons map[string]hosting.VM
 }
 
 // NewDriver starts the platform's stand-in. The programs are in bin.
 func NewDriver(c *qt.C, bin string) *Driver {
 	f, err := fleet.New(fleet.Options{Bin: bin, Dir: c.TempDir(), Region: Region, PlatformFlags: []string{"--list-lag", "100ms"}})
 	c.Assert(err, qt.IsNil)
-	d := &Driver{C: c, Fleet: f, daemons: make(map[string]platform.VM)}
+	d := &Driver{C: c, Fleet: f, daemons: make(map[string]hosting.VM)}
 	c.Cleanup(func() {
 		if failed := f.Close(); len(failed) > 0 {
 			c.Errorf("processes did not stop with code 0: %v", failed)
--- a/fleet/await.go
+++ b/fleet/await.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/admin"
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/roster"
 )
 
@@ -28,14 +28,14 @@
 }
 
 // AwaitReady waits until a daemon takes requests.
-func AwaitReady(daemon platform.VM, timeout time.Duration) error {
+func AwaitReady(daemon hosting.VM, timeout time.Duration) error {
 	return Await(daemon.Name, "becoming ready", timeout, func() bool {
 		return Control(http.MethodGet, "http://"+daemon.AdminAddress+"/readyz", nil, nil) == nil
 	})
 }
 
 // Plans returns the configuration in force at a daemon.
-func Plans(daemon platform.VM) (admin.Plans, error) {
+func Plans(daemon hosting.VM) (admin.Plans, error) {
 	var plans admin.Plans
 	err := Control(http.MethodGet, "http://"+daemon.AdminAddress+"/plans", nil, &plans)
 	return plans, err
@@ -43,7 +43,7 @@
 
 // AwaitVersion waits until the configuration in force at a daemon has at least
 // that offset.
-func AwaitVersion(daemon platform.VM, offset uint64, timeout time.Duration) (admin.Plans, error) {
+func AwaitVersion(daemon hosting.VM, offset uint64, timeout time.Duration) (admin.Plans, error) {
 	var plans admin.Plans
 	err := Await(daemon.Name, "taking over the configuration", timeout, func() bool {
 		var err error
@@ -54,7 +54,7 @@
 }
 
 // AwaitPeers waits until a daemon knows that many entry VMs, its own included.
-func AwaitPeers(daemon platform.VM, count int, timeout time.Duration) error {
+func AwaitPeers(daemon hosting.VM, count int, timeout time.Duration) error {
 	return Await(daemon.Name, "finding its peers", timeout, func() bool {
 		var known admin.Backends
 		err := Control(http.MethodGet, "http://"+daemon.AdminAddress+"/backends", nil, &known)
@@ -64,7 +64,7 @@
 
 // BackendState returns what a daemon thinks of a backend server; it is empty
 // for one that the daemon does not know.
-func BackendState(daemon platform.VM, backend string) (roster.State, error) {
+func BackendState(daemon hosting.VM, backend string) (roster.State, error) {
 	var known admin.Backends
 	err := Control(http.MethodGet, "http://"+daemon.AdminAddress+"/backends", nil, &known)
 	for _, b := range known.Backends {
@@ -105,7 +105,7 @@
 }
 
 // AwaitBackends waits until a daemon knows that many backend servers.
-func AwaitBackends(daemon platform.VM, count int, timeout time.Duration) error {
+func AwaitBackends(daemon hosting.VM, count int, timeout time.Duration) error {
 	return Await(daemon.Name, "finding the backend servers", timeout, func() bool {
 		var known admin.Backends
 		err := Control(http.MethodGet, "http://"+daemon.AdminAddress+"/backends", nil, &known)
--- a/fleet/backend.go
+++ b/fleet/backend.go
@@ -3,7 +3,7 @@
 import (
 	"net/http"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // Backend describes a backend server that is to be started.
@@ -25,31 +25,31 @@
 
 // StartBackend starts the stand-in of a backend server and adds its VM to the
 // VM list.
-func (f *Fleet) StartBackend(b Backend) (platform.VM, error) {
+func (f *Fleet) StartBackend(b Backend) (hosting.VM, error) {
 	address, err := FreeAddress()
 	if err != nil {
-		return platform.VM{}, err
+		return hosting.VM{}, err
 	}
-	vm := platform.VM{
+	vm := hosting.VM{
 		Name: b.Name, Region: f.options.Region, Zone: b.Zone, Class: b.Class,
 		Reclaimable: b.Reclaimable, Price: b.Price, Address: address,
 	}
 	flags := []string{"engine", "--address", address, "--models", b.Model}
-	vm.Role = platform.RoleRunner
+	vm.Role = hosting.RoleRunner
 	vm.Models = []string{b.Model}
 	if b.Service != "" {
 		flags = []string{"service", "--address", address, "--name", b.Service}
-		vm.Role = platform.RoleService
+		vm.Role = hosting.RoleService
 		vm.Models = nil
 		vm.Service = b.Service
 	}
 	if _, err := f.run(b.Name, "standin", nil, append(flags, b.Flags...)...); err != nil {
-		return platform.VM{}, err
+		return hosting.VM{}, err
 	}
 	f.setControl(b.Name, "http://"+address)
 	if b.Relayed {
 		if vm.Address, err = f.addRelay(b.Name, address); err != nil {
-			return platform.VM{}, err
+			return hosting.VM{}, err
 		}
 	}
 	return vm, f.AddVMs(vm)
@@ -70,7 +70,7 @@
 }
 
 // AddVMs puts VMs on the VM list for which the fleet runs no process.
-func (f *Fleet) AddVMs(vms ...platform.VM) error {
+func (f *Fleet) AddVMs(vms ...hosting.VM) error {
 	f.mu.Lock()
 	f.vms = append(f.vms, vms...)
 	f.mu.Unlock()
@@ -80,7 +80,7 @@
 // RemoveVM takes a VM off the VM list.
 func (f *Fleet) RemoveVM(name string) error {
 	f.mu.Lock()
-	var kept []platform.VM
+	var kept []hosting.VM
 	for _, vm := range f.vms {
 		if vm.Name != name {
 			kept = append(kept, vm)
@@ -92,7 +92,7 @@
 }
 
 // VM returns an entry of the VM list.
-func (f *Fleet) VM(name string) (platform.VM, bool) {
+func (f *Fleet) VM(name string) (hosting.VM, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, vm := range f.vms {
@@ -100,5 +100,5 @@
 			return vm, true
 		}
 	}
-	return platform.VM{}, false
+	return hosting.VM{}, false
 }
--- a/fleet/caller.go
+++ b/fleet/caller.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // callTimeout bounds one request of a caller.
@@ -66,7 +66,7 @@
 }
 
 // NewCaller returns a caller with the bearer key of a customer.
-func NewCaller(daemon platform.VM, key string) *Caller {
+func NewCaller(daemon hosting.VM, key string) *Caller {
 	return &Caller{address: daemon.Address, key: key, client: &http.Client{Timeout: callTimeout}}
 }
 
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // controlTimeout bounds one control request.
@@ -18,7 +18,7 @@
 
 // vmList is the body by which the VM list of the stand-in is replaced.
 type vmList struct {
-	VMs []platform.VM
+	VMs []hosting.VM
 }
 
 // announcement announces reclaims at the stand-in of the cloud API.
--- a/fleet/daemon.go
+++ b/fleet/daemon.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"strings"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // Daemon describes a daemon that is to be started.
@@ -23,24 +23,24 @@
 
 // StartDaemon starts a daemon, adds its VM to the VM list and returns it. A
 // daemon of a known name is started again on the same addresses.
-func (f *Fleet) StartDaemon(d Daemon) (platform.VM, error) {
+func (f *Fleet) StartDaemon(d Daemon) (hosting.VM, error) {
 	vm, known := f.VM(d.Name)
 	if !known {
 		addresses, err := freeAddresses(3)
 		if err != nil {
-			return platform.VM{}, err
+			return hosting.VM{}, err
 		}
-		vm = platform.VM{
-			Name: d.Name, Role: platform.RoleEntry, Region: f.options.Region, Zone: d.Zone,
+		vm = hosting.VM{
+			Name: d.Name, Role: hosting.RoleEntry, Region: f.options.Region, Zone: d.Zone,
 			Address: addresses[0], PeerAddress: addresses[1], AdminAddress: addresses[2],
 		}
 		if vm, err = f.listDaemon(d, vm); err != nil {
-			return platform.VM{}, err
+			return hosting.VM{}, err
 		}
 	}
 	path, err := f.writeFile(d.Name+".ini", f.settingsFile(d, vm))
 	if err != nil {
-		return platform.VM{}, err
+		return hosting.VM{}, err
 	}
 	_, err = f.run(d.Name, programDaemon, d.Environment, "serve", "--settings", path)
 	return vm, err
@@ -48,16 +48,16 @@
 
 // listDaemon puts a new daemon on the VM list, behind its relays if it has
 // any, and notes where it listens for peers itself.
-func (f *Fleet) listDaemon(d Daemon, vm platform.VM) (platform.VM, error) {
+func (f *Fleet) listDaemon(d Daemon, vm hosting.VM) (hosting.VM, error) {
 	f.setControl(d.Name+PeerSide, vm.PeerAddress)
 	if d.Relayed {
 		var err error
 		if vm.PeerAddress, err = f.addRelay(d.Name+PeerSide, vm.PeerAddress); err != nil {
-			return platform.VM{}, err
+			return hosting.VM{}, err
 		}
 		address := strings.TrimPrefix(f.PlatformURL, "http://")
 		if _, err = f.addRelay(d.Name+PlatformSide, address); err != nil {
-			return platform.VM{}, err
+			return hosting.VM{}, err
 		}
 	}
 	return vm, f.AddVMs(vm)
@@ -68,7 +68,7 @@
 	return fmt.Sprintf("%s/%s.ini", f.options.Dir, daemon)
 }
 
-func (f *Fleet) settingsFile(d Daemon, vm platform.VM) string {
+func (f *Fleet) settingsFile(d Daemon, vm hosting.VM) string {
 	base := f.PlatformURL
 	if r := f.Relay(d.Name + PlatformSide); r != nil {
 		base = "http://" + r.Address()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -11,7 +11,7 @@
 	"syscall"
 	"time"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/standin/relay"
 )
 
@@ -46,7 +46,7 @@
 	mu        sync.Mutex
 	processes []*Process
 	// vms is the VM list as the platform's stand-in has it.
-	vms []platform.VM
+	vms []hosting.VM
 	// relays are the relays by what stands behind them.
 	relays map[string]*relay.Relay
 	// controls are the base URLs of the stand-ins' control interfaces.
--- a/platform/errors.go
+++ b/hosting/errors.go
@@ -1,4 +1,4 @@
-package platform
+package hosting
 
 import "fmt"
 
--- a/platform/platform.go
+++ b/hosting/platform.go
@@ -1,10 +1,10 @@
-// Package platform describes the services of the hosting platform that the
+// Package hosting describes the services of the hosting platform that the
 // system depends on: the log service, the VM list, the cloud API and the
 // weight store.
 //
 // The package holds interfaces and typed messages only. A client for a real
 // platform implements the interfaces in a package of its own.
-package platform
+package hosting
 
 import (
 	"context"
--- a/platformhttp/client.go
+++ b/hostinghttp/client.go
@@ -1,11 +1,11 @@
-// Package platformhttp holds HTTP clients for the services of the hosting
+// Package hostinghttp holds HTTP clients for the services of the hosting
 // platform and for the control interface of model engines.
 //
 // The clients tell a request that had no effect from one whose answer was
-// lost: the first is a *platform.UnavailableError, the second a
-// *platform.UncertainError. Requests that change something are written to the
+// lost: the first is a *hosting.UnavailableError, the second a
+// *hosting.UncertainError. Requests that change something are written to the
 // network at most once per call.
-package platformhttp
+package hostinghttp
 
 import (
 	"bytes"
@@ -18,7 +18,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // maxResponseBytes bounds the answers that a client reads into memory.
@@ -71,7 +71,7 @@
 }
 
 // read sends a GET request that the service may hold for wait. It has no
-// effect, so that every failure is an *platform.UnavailableError.
+// effect, so that every failure is an *hosting.UnavailableError.
 func (c client) read(ctx context.Context, path string, wait time.Duration) (reply, error) {
 	return c.readNewer(ctx, path, wait, "")
 }
@@ -120,7 +120,7 @@
 		answer.changes = true
 		return answer, nil
 	case connected.Load():
-		return reply{}, &platform.UncertainError{Service: c.service, Cause: err}
+		return reply{}, &hosting.UncertainError{Service: c.service, Cause: err}
 	default:
 		return reply{}, c.unavailable(err)
 	}
@@ -141,7 +141,7 @@
 }
 
 func (c client) unavailable(cause error) error {
-	return &platform.UnavailableError{Service: c.service, Cause: cause}
+	return &hosting.UnavailableError{Service: c.service, Cause: cause}
 }
 
 // refusal turns the status of an answer into an error. A service that answers
@@ -151,7 +151,7 @@
 	cause := &StatusError{Status: answer.status}
 	switch answer.status {
 	case http.StatusTooManyRequests:
-		return &platform.ThrottledError{Service: c.service}
+		return &hosting.ThrottledError{Service: c.service}
 	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusGatewayTimeout:
 		return c.lost(answer, cause)
 	default:
@@ -162,7 +162,7 @@
 // lost returns the error for an answer that does not tell the result.
 func (c client) lost(answer reply, cause error) error {
 	if answer.changes {
-		return &platform.UncertainError{Service: c.service, Cause: cause}
+		return &hosting.UncertainError{Service: c.service, Cause: cause}
 	}
 	return c.unavailable(cause)
 }
--- a/platformhttp/cloud.go
+++ b/hostinghttp/cloud.go
@@ -1,4 +1,4 @@
-package platformhttp
+package hostinghttp
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 	"strconv"
 	"time"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // Cloud is a client of the cloud API.
@@ -15,7 +15,7 @@
 	client client
 }
 
-var _ platform.Cloud = (*Cloud)(nil)
+var _ hosting.Cloud = (*Cloud)(nil)
 
 // NewCloud returns a client of the cloud API at the base URL.
 func NewCloud(base string, httpClient *http.Client) *Cloud {
@@ -28,8 +28,8 @@
 	return &Cloud{client: c.client.withTimeout(timeout)}
 }
 
-// Notices implements platform.Cloud.
-func (c *Cloud) Notices(ctx context.Context, after uint64, wait time.Duration) ([]platform.Notice, error) {
+// Notices implements hosting.Cloud.
+func (c *Cloud) Notices(ctx context.Context, after uint64, wait time.Duration) ([]hosting.Notice, error) {
 	query := url.Values{}
 	query.Set("After", strconv.FormatUint(after, 10))
 	query.Set("Wait", wait.String())
@@ -41,19 +41,19 @@
 	return notices.Notices, err
 }
 
-// Start implements platform.Cloud.
-func (c *Cloud) Start(ctx context.Context, request platform.StartRequest) (platform.VM, error) {
+// Start implements hosting.Cloud.
+func (c *Cloud) Start(ctx context.Context, request hosting.StartRequest) (hosting.VM, error) {
 	answer, err := c.client.change(ctx, "/vms/start", request)
 	if err != nil {
-		return platform.VM{}, err
+		return hosting.VM{}, err
 	}
 	if answer.status == http.StatusConflict {
-		return platform.VM{}, &platform.RefusedError{Zone: request.Zone, Class: request.Class}
+		return hosting.VM{}, &hosting.RefusedError{Zone: request.Zone, Class: request.Class}
 	}
-	return decode[platform.VM](c.client, answer)
+	return decode[hosting.VM](c.client, answer)
 }
 
-// Stop implements platform.Cloud.
+// Stop implements hosting.Cloud.
 func (c *Cloud) Stop(ctx context.Context, vm string) error {
 	answer, err := c.client.change(ctx, "/vms/"+url.PathEscape(vm)+"/stop", struct{}{})
 	if err != nil {
--- a/platformhttp/engine.go
+++ b/hostinghttp/engine.go
@@ -1,4 +1,4 @@
-package platformhttp
+package hostinghttp
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 	"strconv"
 	"time"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // Engine is a client of the control interface of one model engine.
@@ -15,7 +15,7 @@
 	client client
 }
 
-var _ platform.Engine = (*Engine)(nil)
+var _ hosting.Engine = (*Engine)(nil)
 
 // NewEngine returns a client of the engine at the base URL.
 func NewEngine(base string, httpClient *http.Client) *Engine {
@@ -28,17 +28,17 @@
 	return &Engine{client: e.client.withTimeout(timeout)}
 }
 
-// Load implements platform.Engine.
-func (e *Engine) Load(ctx context.Context) (platform.LoadReport, error) {
+// Load implements hosting.Engine.
+func (e *Engine) Load(ctx context.Context) (hosting.LoadReport, error) {
 	answer, err := e.client.read(ctx, "/engine/load", 0)
 	if err != nil {
-		return platform.LoadReport{}, err
+		return hosting.LoadReport{}, err
 	}
-	return decode[platform.LoadReport](e.client, answer)
+	return decode[hosting.LoadReport](e.client, answer)
 }
 
-// CacheEvents implements platform.Engine.
-func (e *Engine) CacheEvents(ctx context.Context, after uint64) ([]platform.CacheEvent, error) {
+// CacheEvents implements hosting.Engine.
+func (e *Engine) CacheEvents(ctx context.Context, after uint64) ([]hosting.CacheEvent, error) {
 	answer, err := e.client.read(ctx, "/engine/cache-events?After="+strconv.FormatUint(after, 10), 0)
 	if err != nil {
 		return nil, err
@@ -47,8 +47,8 @@
 	return events.Events, err
 }
 
-// Order implements platform.Engine.
-func (e *Engine) Order(ctx context.Context, order platform.Order) error {
+// Order implements hosting.Engine.
+func (e *Engine) Order(ctx context.Context, order hosting.Order) error {
 	answer, err := e.client.change(ctx, "/engine/orders", order)
 	if err != nil {
 		return err
@@ -60,25 +60,25 @@
 	return err
 }
 
-func (e *Engine) fenced(order platform.Order, answer reply) error {
+func (e *Engine) fenced(order hosting.Order, answer reply) error {
 	var fenced FencedResponse
 	if err := json.Unmarshal(answer.body, &fenced); err != nil {
 		return e.client.unavailable(err)
 	}
-	return &platform.FencedError{Fencing: order.Fencing, Seen: fenced.Seen}
+	return &hosting.FencedError{Fencing: order.Fencing, Seen: fenced.Seen}
 }
 
-// ExportKV implements platform.Engine.
-func (e *Engine) ExportKV(ctx context.Context, requestID string) (platform.KVCache, error) {
+// ExportKV implements hosting.Engine.
+func (e *Engine) ExportKV(ctx context.Context, requestID string) (hosting.KVCache, error) {
 	answer, err := e.client.change(ctx, "/engine/kv/export", ExportRequest{RequestID: requestID})
 	if err != nil {
-		return platform.KVCache{}, err
+		return hosting.KVCache{}, err
 	}
-	return decode[platform.KVCache](e.client, answer)
+	return decode[hosting.KVCache](e.client, answer)
 }
 
-// ImportKV implements platform.Engine.
-func (e *Engine) ImportKV(ctx context.Context, cache platform.KVCache) error {
+// ImportKV implements hosting.Engine.
+func (e *Engine) ImportKV(ctx context.Context, cache hosting.KVCache) error {
 	answer, err := e.client.change(ctx, "/engine/kv/import", cache)
 	if err != nil {
 		return err
--- a/platformhttp/errors.go
+++ b/hostinghttp/errors.go
@@ -1,4 +1,4 @@
-package platformhttp
+package hostinghttp
 
 import "fmt"
 
--- a/platformhttp/log.go
+++ b/hostinghttp/log.go
@@ -1,4 +1,4 @@
-package platformhttp
+package hostinghttp
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 	"strconv"
 	"time"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // Log is a client of the log service.
@@ -16,7 +16,7 @@
 	client client
 }
 
-var _ platform.Log = (*Log)(nil)
+var _ hosting.Log = (*Log)(nil)
 
 // NewLog returns a client of the log service at the base URL.
 func NewLog(base string, httpClient *http.Client) *Log {
@@ -29,7 +29,7 @@
 	return &Log{client: l.client.withTimeout(timeout)}
 }
 
-// Append implements platform.Log.
+// Append implements hosting.Log.
 func (l *Log) Append(ctx context.Context, stream string, payloads [][]byte) (uint64, error) {
 	answer, err := l.client.change(ctx, streamPath(stream), AppendRequest{Payloads: payloads})
 	if err != nil {
@@ -39,20 +39,20 @@
 	return appended.Offset, err
 }
 
-// Read implements platform.Log.
-func (l *Log) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (platform.Batch, error) {
+// Read implements hosting.Log.
+func (l *Log) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (hosting.Batch, error) {
 	query := url.Values{}
 	query.Set("From", strconv.FormatUint(from, 10))
 	query.Set("Limit", strconv.Itoa(limit))
 	query.Set("Wait", wait.String())
 	answer, err := l.client.read(ctx, streamPath(stream)+"?"+query.Encode(), wait)
 	if err != nil {
-		return platform.Batch{}, err
+		return hosting.Batch{}, err
 	}
 	if answer.status == http.StatusGone {
-		return platform.Batch{}, l.trimmed(stream, from, answer)
+		return hosting.Batch{}, l.trimmed(stream, from, answer)
 	}
-	return decode[platform.Batch](l.client, answer)
+	return decode[hosting.Batch](l.client, answer)
 }
 
 func (l *Log) trimmed(stream string, from uint64, answer reply) error {
@@ -60,7 +60,7 @@
 	if err := json.Unmarshal(answer.body, &trimmed); err != nil {
 		return l.client.unavailable(err)
 	}
-	return &platform.TrimmedError{Stream: stream, From: from, First: trimmed.First}
+	return &hosting.TrimmedError{Stream: stream, From: from, First: trimmed.First}
 }
 
 func streamPath(stream string) string {
--- a/platformhttp/log_test.go
+++ b/hostinghttp/log_test.go
@@ -1,4 +1,4 @@
-package platformhttp_test
+package hostinghttp_test
 
 import (
 	"context"
@@ -11,27 +11,27 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
-	"github.com/cranberrywalk/cranberrywalk/platform"
-	"github.com/cranberrywalk/cranberrywalk/platformhttp"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
+	"github.com/cranberrywalk/cranberrywalk/hostinghttp"
 	"github.com/cranberrywalk/cranberrywalk/standin/logservice"
 )
 
 const stream = "Plans"
 
 // newLog returns a client of a log stand-in that keeps four records.
-func newLog(c *qt.C) (*platformhttp.Log, *logservice.Log) {
+func newLog(c *qt.C) (*hostinghttp.Log, *logservice.Log) {
 	service := logservice.New(clock.Real(), logservice.Parameters{RetainedRecords: 4})
 	server := httptest.NewServer(service)
 	c.Cleanup(server.Close)
-	return platformhttp.NewLog(server.URL, server.Client()), service
+	return hostinghttp.NewLog(server.URL, server.Client()), service
 }
 
 // kind names the type of an error.
 func kind(err error) string {
-	var unavailable *platform.UnavailableError
-	var uncertain *platform.UncertainError
-	var trimmed *platform.TrimmedError
-	var throttled *platform.ThrottledError
+	var unavailable *hosting.UnavailableError
+	var uncertain *hosting.UncertainError
+	var trimmed *hosting.TrimmedError
+	var throttled *hosting.ThrottledError
 	switch {
 	case err == nil:
 		return "None"
@@ -68,7 +68,7 @@
 func TestReadWaitsForTheNextRecord(t *testing.T) {
 	c := qt.New(t)
 	log, _ := newLog(c)
-	batches := make(chan platform.Batch, 1)
+	batches := make(chan hosting.Batch, 1)
 	go func() {
 		batch, _ := log.Read(context.Background(), stream, 0, 10, 20*time.Second)
 		batches <- batch
@@ -88,7 +88,7 @@
 
 	_, err = log.Read(context.Background(), stream, 1, 10, 0)
 
-	var trimmed *platform.TrimmedError
+	var trimmed *hosting.TrimmedError
 	c.Assert(errors.As(err, &trimmed), qt.IsTrue)
 	c.Assert(trimmed.First, qt.Equals, uint64(3))
 }
@@ -131,7 +131,7 @@
 		<-ctx.Done()
 	}))
 	defer server.Close()
-	log := platformhttp.NewLog(server.URL, server.Client())
+	log := hostinghttp.NewLog(server.URL, server.Client())
 
 	_, err := log.Append(ctx, stream, [][]byte{[]byte("a")})
 
@@ -152,7 +152,7 @@
 func TestRefusedConnectionIsUnavailable(t *testing.T) {
 	c := qt.New(t)
 	server := httptest.NewServer(http.NotFoundHandler())
-	log := platformhttp.NewLog(server.URL, server.Client())
+	log := hostinghttp.NewLog(server.URL, server.Client())
 	server.Close()
 
 	_, err := log.Append(context.Background(), stream, [][]byte{[]byte("a")})
--- a/platformhttp/vmlist.go
+++ b/hostinghttp/vmlist.go
@@ -1,4 +1,4 @@
-package platformhttp
+package hostinghttp
 
 import (
 	"context"
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // VMList is a client of the VM list. It keeps the last list, so that a list
@@ -17,11 +17,11 @@
 
 	mu sync.Mutex
 	// last is the list that came with tag.
-	last platform.VMSnapshot
+	last hosting.VMSnapshot
 	tag  string
 }
 
-var _ platform.VMList = (*VMList)(nil)
+var _ hosting.VMList = (*VMList)(nil)
 
 // NewVMList returns a client of the VM list at the base URL.
 func NewVMList(base string, httpClient *http.Client) *VMList {
@@ -34,30 +34,30 @@
 	return &VMList{client: v.client.withTimeout(timeout)}
 }
 
-// VMs implements platform.VMList.
-func (v *VMList) VMs(ctx context.Context) (platform.VMSnapshot, error) {
+// VMs implements hosting.VMList.
+func (v *VMList) VMs(ctx context.Context) (hosting.VMSnapshot, error) {
 	last, tag := v.known()
 	answer, err := v.client.readNewer(ctx, "/vms", 0, tag)
 	if err != nil {
-		return platform.VMSnapshot{}, err
+		return hosting.VMSnapshot{}, err
 	}
 	if tag != "" && answer.status == http.StatusNotModified {
 		return last, nil
 	}
-	snapshot, err := decode[platform.VMSnapshot](v.client, answer)
+	snapshot, err := decode[hosting.VMSnapshot](v.client, answer)
 	if err == nil {
 		v.keep(snapshot, answer.tag)
 	}
 	return snapshot, err
 }
 
-func (v *VMList) known() (platform.VMSnapshot, string) {
+func (v *VMList) known() (hosting.VMSnapshot, string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.last, v.tag
 }
 
-func (v *VMList) keep(snapshot platform.VMSnapshot, tag string) {
+func (v *VMList) keep(snapshot hosting.VMSnapshot, tag string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.last, v.tag = snapshot, tag
--- a/platformhttp/weights.go
+++ b/hostinghttp/weights.go
@@ -1,4 +1,4 @@
-package platformhttp
+package hostinghttp
 
 import (
 	"context"
@@ -6,7 +6,7 @@
 	"net/url"
 	"time"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // WeightStore is a client of the weight store.
@@ -14,7 +14,7 @@
 	client client
 }
 
-var _ platform.WeightStore = (*WeightStore)(nil)
+var _ hosting.WeightStore = (*WeightStore)(nil)
 
 // NewWeightStore returns a client of the weight store at the base URL.
 func NewWeightStore(base string, httpClient *http.Client) *WeightStore {
@@ -27,7 +27,7 @@
 	return &WeightStore{client: s.client.withTimeout(timeout)}
 }
 
-// Size implements platform.WeightStore.
+// Size implements hosting.WeightStore.
 func (s *WeightStore) Size(ctx context.Context, model string) (int64, error) {
 	answer, err := s.client.read(ctx, "/weights/"+url.PathEscape(model), 0)
 	if err != nil {
@@ -37,7 +37,7 @@
 	return size.Bytes, err
 }
 
-// Reserve implements platform.WeightStore.
+// Reserve implements hosting.WeightStore.
 func (s *WeightStore) Reserve(ctx context.Context, bytes int64) (time.Duration, error) {
 	answer, err := s.client.change(ctx, "/weights/reserve", ReserveRequest{Bytes: bytes})
 	if err != nil {
--- a/platformhttp/wire.go
+++ b/hostinghttp/wire.go
@@ -1,6 +1,6 @@
-package platformhttp
+package hostinghttp
 
-import "github.com/cranberrywalk/cranberrywalk/platform"
+import "github.com/cranberrywalk/cranberrywalk/hosting"
 
 // AppendRequest is the body of an append to a stream.
 type AppendRequest struct {
@@ -29,13 +29,13 @@
 // NoticesResponse is the answer to a poll for reclaim notices.
 type NoticesResponse struct {
 	// Notices are ordered by sequence.
-	Notices []platform.Notice
+	Notices []hosting.Notice
 }
 
 // CacheEventsResponse is the answer to a poll for cache events.
 type CacheEventsResponse struct {
 	// Events are ordered by sequence, possibly with gaps.
-	Events []platform.CacheEvent
+	Events []hosting.CacheEvent
 }
 
 // ExportRequest is the body of a KV cache export.
--- a/lease/book.go
+++ b/lease/book.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // Options are the same at all daemons.
@@ -84,7 +84,7 @@
 // Fold folds the next record and returns it. An error says why the record
 // has no effect: a *RecordError, a *HeldError, a *NotHeldError or, when
 // the record is not the next one, an *OffsetError.
-func (b *Book) Fold(entry platform.Record) (Record, error) {
+func (b *Book) Fold(entry hosting.Record) (Record, error) {
 	if entry.Offset != b.next {
 		return Record{}, &OffsetError{Offset: entry.Offset, Next: b.next}
 	}
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -4,7 +4,7 @@
 	"maps"
 	"time"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // Identity says which process competes for which duty.
@@ -99,7 +99,7 @@
 // Fold folds the next record of the stream. The errors are those of
 // Book.Fold. An append whose answer was lost is settled here and nowhere
 // else: a record has taken effect when it is folded without an error.
-func (h *Holder) Fold(entry platform.Record) (Record, error) {
+func (h *Holder) Fold(entry hosting.Record) (Record, error) {
 	record, err := h.book.Fold(entry)
 	if current, isHeld := h.book.Current(h.identity.Duty); !isHeld || current.Number != h.number {
 		h.isWon = false
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -7,8 +7,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/lease"
-	"github.com/cranberrywalk/cranberrywalk/platform"
 )
 
 var (
@@ -42,7 +42,7 @@
 }
 
 func (s *script) appendBytes(payload []byte) error {
-	entry := platform.Record{Offset: s.offset, Payload: payload, Time: s.now}
+	entry := hosting.Record{Offset: s.offset, Payload: payload, Time: s.now}
 	s.offset++
 	_, err := s.one.Fold(entry)
 	_, other := s.two.Fold(entry)
@@ -134,7 +134,7 @@
 		s.Assert(s.appendBytes([]byte(payload)), qt.ErrorAs, new(*lease.RecordError))
 	}
 	s.isHolding(true, false)
-	_, err := s.one.Fold(platform.Record{Offset: 1})
+	_, err := s.one.Fold(hosting.Record{Offset: 1})
 	s.Assert(err, qt.DeepEquals, &lease.OffsetError{Offset: 1, Next: 6})
 }
 
--- a/lease/property_test.go
+++ b/lease/property_test.go
@@ -7,8 +7,8 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/lease"
-	"github.com/cranberrywalk/cranberrywalk/platform"
 )
 
 // process is a daemon with a clock of its own.
@@ -23,7 +23,7 @@
 // forgets them.
 type world struct {
 	now       time.Time
-	log       []platform.Record
+	log       []hosting.Record
 	flight    [][]byte
 	first     uint64
 	processes []*process
@@ -69,7 +69,7 @@
 }
 
 func (w *world) append(payload []byte) {
-	entry := platform.Record{Offset: uint64(len(w.log)), Payload: payload, Time: w.now}
+	entry := hosting.Record{Offset: uint64(len(w.log)), Payload: payload, Time: w.now}
 	w.log = append(w.log, entry)
 	if record, err := w.reference.Fold(entry); err == nil && record.Acquire != nil {
 		w.wins[entry.Offset] = true
--- a/ledger/appender.go
+++ b/ledger/appender.go
@@ -7,7 +7,7 @@
 
 	"github.com/cranberrywalk/cranberrywalk/claim"
 	"github.com/cranberrywalk/cranberrywalk/clock"
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // outageFailures is after how many failures in a row of one record new
@@ -108,7 +108,7 @@
 	defer cancel()
 	l.pace.begin(l.Clock.Now())
 	_, err := l.log.Append(bounded, l.options.Stream, [][]byte{payload})
-	var throttled *platform.ThrottledError
+	var throttled *hosting.ThrottledError
 	switch {
 	case err == nil:
 		l.pace.faster()
@@ -122,8 +122,8 @@
 // hadNoEffect reports whether a failed append has certainly not taken
 // effect.
 func hadNoEffect(err error) bool {
-	var unavailable *platform.UnavailableError
-	var throttled *platform.ThrottledError
+	var unavailable *hosting.UnavailableError
+	var throttled *hosting.ThrottledError
 	return errors.As(err, &unavailable) || errors.As(err, &throttled)
 }
 
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/claim"
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/ring"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 )
@@ -22,7 +22,7 @@
 type Ledger struct {
 	telemetry.Common
 	options Options
-	log     platform.Log
+	log     hosting.Log
 	// claims joins the callers to the appender.
 	claims *ring.Ring[*pending]
 	// pace belongs to the appender.
@@ -58,7 +58,7 @@
 }
 
 // New returns a ledger that does nothing before Run.
-func New(common telemetry.Common, log platform.Log, options Options) *Ledger {
+func New(common telemetry.Common, log hosting.Log, options Options) *Ledger {
 	return &Ledger{
 		Common:     common,
 		options:    options,
--- a/ledger/log_test.go
+++ b/ledger/log_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // effect is what a fault does to one append.
@@ -27,7 +27,7 @@
 	clock clock.Clock
 
 	mu      sync.Mutex
-	records []platform.Record
+	records []hosting.Record
 	first   uint64
 	// appends has the effects of the next appends; once it is empty, rest
 	// applies.
@@ -56,10 +56,10 @@
 
 func (f *fakeLog) add(payload []byte) {
 	offset := f.first + uint64(len(f.records))
-	f.records = append(f.records, platform.Record{Offset: offset, Payload: payload, Time: f.clock.Now()})
+	f.records = append(f.records, hosting.Record{Offset: offset, Payload: payload, Time: f.clock.Now()})
 }
 
-// Append implements platform.Log.
+// Append implements hosting.Log.
 func (f *fakeLog) Append(ctx context.Context, _ string, payloads [][]byte) (offset uint64, err error) {
 	now := works
 	f.with(func(f *fakeLog) {
@@ -74,11 +74,11 @@
 			}
 		}
 		err = map[effect]error{
-			refuses:      &platform.UnavailableError{Service: "log"},
-			throttles:    &platform.ThrottledError{Service: "log"},
-			losesRequest: &platform.UncertainError{Service: "log"},
-			losesAnswer:  &platform.UncertainError{Service: "log"},
-			hangs:        &platform.UncertainError{Service: "log"},
+			refuses:      &hosting.UnavailableError{Service: "log"},
+			throttles:    &hosting.ThrottledError{Service: "log"},
+			losesRequest: &hosting.UncertainError{Service: "log"},
+			losesAnswer:  &hosting.UncertainError{Service: "log"},
+			hangs:        &hosting.UncertainError{Service: "log"},
 		}[now]
 		f.tried <- now
 	})
@@ -88,8 +88,8 @@
 	return offset, err
 }
 
-// Read implements platform.Log. It waits for a change, not for a time.
-func (f *fakeLog) Read(ctx context.Context, _ string, from uint64, limit int, wait time.Duration) (platform.Batch, error) {
+// Read implements hosting.Log. It waits for a change, not for a time.
+func (f *fakeLog) Read(ctx context.Context, _ string, from uint64, limit int, wait time.Duration) (hosting.Batch, error) {
 	for {
 		f.mu.Lock()
 		isDown := f.readsDown
@@ -101,20 +101,20 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return platform.Batch{}, &platform.UnavailableError{Service: "log", Cause: ctx.Err()}
+			return hosting.Batch{}, &hosting.UnavailableError{Service: "log", Cause: ctx.Err()}
 		}
 	}
 }
 
-func (f *fakeLog) read(from uint64, limit int) (platform.Batch, chan struct{}, error) {
+func (f *fakeLog) read(from uint64, limit int) (hosting.Batch, chan struct{}, error) {
 	if f.readsDown {
-		return platform.Batch{}, f.changed, nil
+		return hosting.Batch{}, f.changed, nil
 	}
 	if from < f.first {
-		return platform.Batch{}, nil, &platform.TrimmedError{Stream: "Claims", From: from, First: f.first}
+		return hosting.Batch{}, nil, &hosting.TrimmedError{Stream: "Claims", From: from, First: f.first}
 	}
 	next := f.first + uint64(len(f.records))
-	batch := platform.Batch{First: f.first, Next: next}
+	batch := hosting.Batch{First: f.first, Next: next}
 	if from < next {
 		batch.Records = f.records[from-f.first:]
 		batch.Records = batch.Records[:min(limit, len(batch.Records))]
--- a/ledger/reader.go
+++ b/ledger/reader.go
@@ -7,7 +7,7 @@
 
 	"github.com/cranberrywalk/cranberrywalk/claim"
 	"github.com/cranberrywalk/cranberrywalk/clock"
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // reader is the state of the reading goroutine.
@@ -46,7 +46,7 @@
 	defer cancel()
 	l.Count("Ledger.Reads", 1)
 	batch, err := l.log.Read(bounded, l.options.Stream, l.next(), l.options.ReadLimit, wait)
-	var trimmed *platform.TrimmedError
+	var trimmed *hosting.TrimmedError
 	if errors.As(err, &trimmed) {
 		l.restart(trimmed.First)
 		return nil
@@ -87,7 +87,7 @@
 }
 
 // fold folds records and answers the own claims among them.
-func (l *Ledger) fold(records []platform.Record) error {
+func (l *Ledger) fold(records []hosting.Record) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, record := range records {
--- a/logstream/fake_test.go
+++ b/logstream/fake_test.go
@@ -13,8 +13,8 @@
 	"github.com/ThreeDotsLabs/watermill/message"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/logstream"
-	"github.com/cranberrywalk/cranberrywalk/platform"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 )
 
@@ -58,11 +58,11 @@
 }
 
 // Read waits for the next append, whatever the time.
-func (f *fakeLog) Read(ctx context.Context, _ string, from uint64, limit int, wait time.Duration) (platform.Batch, error) {
+func (f *fakeLog) Read(ctx context.Context, _ string, from uint64, limit int, wait time.Duration) (hosting.Batch, error) {
 	batch, err := f.batch(from, limit)
 	if errors.Is(err, errHang) {
 		<-ctx.Done()
-		return platform.Batch{}, &platform.UnavailableError{Service: "log", Cause: context.Cause(ctx)}
+		return hosting.Batch{}, &hosting.UnavailableError{Service: "log", Cause: context.Cause(ctx)}
 	}
 	if err != nil || len(batch.Records) > 0 || wait == 0 {
 		return batch, err
@@ -71,25 +71,25 @@
 	case <-f.appended:
 		return f.batch(from, limit)
 	case <-ctx.Done():
-		return platform.Batch{}, &platform.UnavailableError{Service: "log", Cause: ctx.Err()}
+		return hosting.Batch{}, &hosting.UnavailableError{Service: "log", Cause: ctx.Err()}
 	}
 }
 
-func (f *fakeLog) batch(from uint64, limit int) (platform.Batch, error) {
+func (f *fakeLog) batch(from uint64, limit int) (hosting.Batch, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if len(f.failures) > 0 {
 		failure := f.failures[0]
 		f.failures = f.failures[1:]
-		return platform.Batch{}, failure
+		return hosting.Batch{}, failure
 	}
 	if from < f.first {
-		return platform.Batch{}, &platform.TrimmedError{Stream: topic, From: from, First: f.first}
+		return hosting.Batch{}, &hosting.TrimmedError{Stream: topic, From: from, First: f.first}
 	}
-	batch := platform.Batch{First: f.first, Next: f.first + uint64(len(f.payloads))}
+	batch := hosting.Batch{First: f.first, Next: f.first + uint64(len(f.payloads))}
 	for offset := from; offset < batch.Next && len(batch.Records) < limit; offset++ {
 		payload := []byte(f.payloads[offset-f.first])
-		batch.Records = append(batch.Records, platform.Record{Offset: offset, Payload: payload, Time: start})
+		batch.Records = append(batch.Records, hosting.Record{Offset: offset, Payload: payload, Time: start})
 	}
 	return batch, nil
 }
@@ -103,7 +103,7 @@
 	messages   <-chan *message.Message
 }
 
-func newDriver(t *testing.T, log platform.Log, options logstream.Options) *driver {
+func newDriver(t *testing.T, log hosting.Log, options logstream.Options) *driver {
 	d := &driver{C: qt.New(t), clock: clock.NewFake(start), common: telemetry.NewCommon()}
 	d.common.Clock = d.clock
 	d.subscriber = logstream.NewSubscriber(d.common, log, options)
--- a/logstream/logstream.go
+++ b/logstream/logstream.go
@@ -13,7 +13,7 @@
 
 	"github.com/ThreeDotsLabs/watermill/message"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // The keys of the metadata of a message.
@@ -59,7 +59,7 @@
 }
 
 // newMessage returns the message of a record.
-func newMessage(topic string, record platform.Record) *message.Message {
+func newMessage(topic string, record hosting.Record) *message.Message {
 	m := message.NewMessage(fmt.Sprintf("%s/%d", topic, record.Offset), record.Payload)
 	m.Metadata.Set(MetadataOffset, strconv.FormatUint(record.Offset, 10))
 	m.Metadata.Set(MetadataTime, record.Time.Format(time.RFC3339Nano))
--- a/logstream/logstream_test.go
+++ b/logstream/logstream_test.go
@@ -10,8 +10,8 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/goleak"
 
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/logstream"
-	"github.com/cranberrywalk/cranberrywalk/platform"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -62,14 +62,14 @@
 }
 
 func TestSubscriptionSurvivesFaults(t *testing.T) {
-	outage := &platform.UnavailableError{Service: "log"}
+	outage := &hosting.UnavailableError{Service: "log"}
 	for _, scenario := range []struct {
 		name     string
 		failures []error
 	}{
 		{"one read fails", []error{outage}},
 		{"several reads fail", []error{outage, outage, outage}},
-		{"an answer is lost", []error{&platform.UncertainError{Service: "log"}}},
+		{"an answer is lost", []error{&hosting.UncertainError{Service: "log"}}},
 	} {
 		t.Run(scenario.name, func(t *testing.T) {
 			o := options()
@@ -121,7 +121,7 @@
 			log.first = first
 			calls := 0
 			o := options()
-			o.Trimmed = func(_ context.Context, trimmed *platform.TrimmedError) (uint64, error) {
+			o.Trimmed = func(_ context.Context, trimmed *hosting.TrimmedError) (uint64, error) {
 				calls++
 				return scenario.trimmed(calls)
 			}
--- a/logstream/publisher.go
+++ b/logstream/publisher.go
@@ -8,15 +8,15 @@
 
 	"github.com/ThreeDotsLabs/watermill/message"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 )
 
 // Publisher appends messages to the log. It does not retry: the caller has to
-// decide what a *platform.UncertainError means for its messages.
+// decide what a *hosting.UncertainError means for its messages.
 type Publisher struct {
 	telemetry.Common
-	log     platform.Log
+	log     hosting.Log
 	timeout time.Duration
 	closed  atomic.Bool
 }
@@ -25,7 +25,7 @@
 
 // NewPublisher returns a publisher whose appends take at most timeout;
 // 0 sets no bound.
-func NewPublisher(common telemetry.Common, log platform.Log, timeout time.Duration) *Publisher {
+func NewPublisher(common telemetry.Common, log hosting.Log, timeout time.Duration) *Publisher {
 	return &Publisher{Common: common, log: log, timeout: timeout}
 }
 
--- a/logstream/reader.go
+++ b/logstream/reader.go
@@ -9,14 +9,14 @@
 	"github.com/pkg/errors"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 )
 
 // reader is one subscription. It runs on one goroutine.
 type reader struct {
 	telemetry.Common
-	log     platform.Log
+	log     hosting.Log
 	options Options
 	topic   string
 	// next is the offset of the next record to deliver. All records below
@@ -68,7 +68,7 @@
 // step reads and delivers one batch, or goes on behind trimmed records.
 func (r *reader) step(ctx context.Context) error {
 	batch, err := r.read(ctx)
-	var trimmed *platform.TrimmedError
+	var trimmed *hosting.TrimmedError
 	if errors.As(err, &trimmed) {
 		return r.skip(ctx, trimmed)
 	}
@@ -81,7 +81,7 @@
 }
 
 // read returns the next batch. A read of a backlog does not wait.
-func (r *reader) read(ctx context.Context) (platform.Batch, error) {
+func (r *reader) read(ctx context.Context) (hosting.Batch, error) {
 	wait := time.Duration(0)
 	if r.caughtUp {
 		wait = r.options.Wait
@@ -97,7 +97,7 @@
 }
 
 // skip goes on behind the records that retention has removed.
-func (r *reader) skip(ctx context.Context, trimmed *platform.TrimmedError) error {
+func (r *reader) skip(ctx context.Context, trimmed *hosting.TrimmedError) error {
 	r.Count(CounterTrimmed, 1)
 	r.Log.Info("records were trimmed", "Topic", r.topic, "From", trimmed.From, "First", trimmed.First)
 	next := trimmed.First
@@ -109,7 +109,7 @@
 		next = restored
 	}
 	if next < trimmed.First {
-		return &platform.TrimmedError{Stream: r.topic, From: next, First: trimmed.First}
+		return &hosting.TrimmedError{Stream: r.topic, From: next, First: trimmed.First}
 	}
 	r.next = next
 	r.caughtUp = false
@@ -140,7 +140,7 @@
 }
 
 // deliver sends the records of a batch, and reports when there are no more.
-func (r *reader) deliver(ctx context.Context, batch platform.Batch) {
+func (r *reader) deliver(ctx context.Context, batch hosting.Batch) {
 	for _, record := range batch.Records {
 		if record.Offset < r.next {
 			continue
@@ -163,7 +163,7 @@
 
 // settle sends a record until it is acknowledged. It returns false when ctx
 // has ended first.
-func (r *reader) settle(ctx context.Context, record platform.Record) bool {
+func (r *reader) settle(ctx context.Context, record hosting.Record) bool {
 	for {
 		acknowledged, ended := r.send(ctx, newMessage(r.topic, record))
 		if ended {
--- a/logstream/subscriber.go
+++ b/logstream/subscriber.go
@@ -7,7 +7,7 @@
 
 	"github.com/ThreeDotsLabs/watermill/message"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 )
 
@@ -20,7 +20,7 @@
 	// returns the offset to go on at, or an error to be called again after
 	// a backoff. Without it, a subscription goes on at the first record
 	// that is kept. The messages that were delivered before are settled.
-	Trimmed func(ctx context.Context, trimmed *platform.TrimmedError) (uint64, error)
+	Trimmed func(ctx context.Context, trimmed *hosting.TrimmedError) (uint64, error)
 	// CaughtUp is called when every record up to next has been delivered and
 	// acknowledged, and the log had no further one.
 	CaughtUp func(topic string, next uint64)
@@ -50,7 +50,7 @@
 // acknowledged. It survives outages of the log.
 type Subscriber struct {
 	telemetry.Common
-	log     platform.Log
+	log     hosting.Log
 	options Options
 	// done is closed when all subscriptions have ended after Close.
 	done chan struct{}
@@ -66,7 +66,7 @@
 var _ message.Subscriber = (*Subscriber)(nil)
 
 // NewSubscriber returns a subscriber without subscriptions.
-func NewSubscriber(common telemetry.Common, log platform.Log, options Options) *Subscriber {
+func NewSubscriber(common telemetry.Common, log hosting.Log, options Options) *Subscriber {
 	return &Subscriber{
 		Common:  common,
 		log:     log,
--- a/matrix/log.go
+++ b/matrix/log.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // logFault is what happens to an operation on the log.
@@ -46,7 +46,7 @@
 // stream is one sequence of records.
 type stream struct {
 	first   uint64
-	records []platform.Record
+	records []hosting.Record
 }
 
 func newFakeLog(c clock.Clock) *fakeLog {
@@ -90,7 +90,7 @@
 	return s
 }
 
-// Append implements platform.Log.
+// Append implements hosting.Log.
 func (f *fakeLog) Append(ctx context.Context, name string, payloads [][]byte) (uint64, error) {
 	fault, err := f.admit(ctx, true)
 	if err != nil {
@@ -104,13 +104,13 @@
 			return
 		}
 		for i, payload := range payloads {
-			s.records = append(s.records, platform.Record{
+			s.records = append(s.records, hosting.Record{
 				Offset: offset + uint64(i), Payload: payload, Time: f.clock.Now(),
 			})
 		}
 	})
 	if fault != logWorks {
-		return 0, &platform.UncertainError{Service: "log"}
+		return 0, &hosting.UncertainError{Service: "log"}
 	}
 	return offset, nil
 }
@@ -129,7 +129,7 @@
 		}
 		switch fault {
 		case logRefuses:
-			return fault, &platform.UnavailableError{Service: "log"}
+			return fault, &hosting.UnavailableError{Service: "log"}
 		case logHangs, logHangsLate:
 			f.signalWaiting()
 		default:
@@ -141,7 +141,7 @@
 			if isAppend && fault == logHangsLate {
 				return logLosesAnswer, nil
 			}
-			return fault, &platform.UncertainError{Service: "log", Cause: ctx.Err()}
+			return fault, &hosting.UncertainError{Service: "log", Cause: ctx.Err()}
 		}
 	}
 }
@@ -154,9 +154,9 @@
 	}
 }
 
-// Read implements platform.Log. In an outage, a read that may wait does so until
+// Read implements hosting.Log. In an outage, a read that may wait does so until
 // the next change, so that readers do not spin.
-func (f *fakeLog) Read(ctx context.Context, name string, from uint64, limit int, wait time.Duration) (platform.Batch, error) {
+func (f *fakeLog) Read(ctx context.Context, name string, from uint64, limit int, wait time.Duration) (hosting.Batch, error) {
 	timer := f.clock.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -166,7 +166,7 @@
 		f.mu.Unlock()
 		down := fault == logRefuses || fault == logHangs || fault == logHangsLate
 		if down && wait == 0 && fault == logRefuses {
-			return platform.Batch{}, &platform.UnavailableError{Service: "log"}
+			return hosting.Batch{}, &hosting.UnavailableError{Service: "log"}
 		}
 		if !down && (err != nil || len(batch.Records) > 0 || wait == 0) {
 			return batch, err
@@ -178,19 +178,19 @@
 				return batch, err
 			}
 		case <-ctx.Done():
-			return platform.Batch{}, &platform.UnavailableError{Service: "log", Cause: ctx.Err()}
+			return hosting.Batch{}, &hosting.UnavailableError{Service: "log", Cause: ctx.Err()}
 		}
 	}
 }
 
 // read is called with mu held.
-func (f *fakeLog) read(name string, from uint64, limit int) (platform.Batch, error) {
+func (f *fakeLog) read(name string, from uint64, limit int) (hosting.Batch, error) {
 	s := f.stream(name)
 	if from < s.first {
-		return platform.Batch{}, &platform.TrimmedError{Stream: name, From: from, First: s.first}
+		return hosting.Batch{}, &hosting.TrimmedError{Stream: name, From: from, First: s.first}
 	}
 	next := s.first + uint64(len(s.records))
-	batch := platform.Batch{First: s.first, Next: next}
+	batch := hosting.Batch{First: s.first, Next: next}
 	if from < next {
 		rest := s.records[from-s.first:]
 		batch.Records = append(batch.Records, rest[:min(limit, len(rest))]...)
--- a/matrix/node.go
+++ b/matrix/node.go
@@ -10,9 +10,9 @@
 	"github.com/cranberrywalk/cranberrywalk/backend"
 	"github.com/cranberrywalk/cranberrywalk/configuration"
 	"github.com/cranberrywalk/cranberrywalk/dispatch"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/ledger"
 	"github.com/cranberrywalk/cranberrywalk/peer/gossip"
-	"github.com/cranberrywalk/cranberrywalk/platform"
 	"github.com/cranberrywalk/cranberrywalk/retry"
 	"github.com/cranberrywalk/cranberrywalk/roster"
 	"github.com/cranberrywalk/cranberrywalk/suspect"
@@ -214,8 +214,8 @@
 }
 
 // list hands the VM list to the daemon.
-func (n *node) list(version uint64, vms []platform.VM) {
-	n.apply(roster.Listed{Snapshot: platform.VMSnapshot{Version: version, VMs: vms}})
+func (n *node) list(version uint64, vms []hosting.VM) {
+	n.apply(roster.Listed{Snapshot: hosting.VMSnapshot{Version: version, VMs: vms}})
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.gossip.SetVMs(vms)
--- a/matrix/nodelog.go
+++ b/matrix/nodelog.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // platformCut is how far a daemon is cut off from the log.
@@ -48,21 +48,21 @@
 	return cut, lost
 }
 
-// Append implements platform.Log.
+// Append implements hosting.Log.
 func (l *nodeLog) Append(ctx context.Context, name string, payloads [][]byte) (uint64, error) {
 	l.node.world.reachAt(l.node, stepOf(name))
 	cut, lost := l.current()
 	switch {
 	case cut == cutBoth:
-		return 0, &platform.UnavailableError{Service: "log"}
+		return 0, &hosting.UnavailableError{Service: "log"}
 	case cut == cutAnswers && !lost:
 		// The answer is lost, whatever it is.
 		_, _ = l.fakeLog.Append(ctx, name, payloads)
-		return 0, &platform.UncertainError{Service: "log"}
+		return 0, &hosting.UncertainError{Service: "log"}
 	case cut == cutAnswers:
 		l.signalWaiting()
 		l.awaitHeal(ctx)
-		return 0, &platform.UncertainError{Service: "log"}
+		return 0, &hosting.UncertainError{Service: "log"}
 	}
 	return l.fakeLog.Append(ctx, name, payloads)
 }
@@ -84,12 +84,12 @@
 	}
 }
 
-// Read implements platform.Log.
-func (l *nodeLog) Read(ctx context.Context, name string, from uint64, limit int, wait time.Duration) (platform.Batch, error) {
+// Read implements hosting.Log.
+func (l *nodeLog) Read(ctx context.Context, name string, from uint64, limit int, wait time.Duration) (hosting.Batch, error) {
 	batch, err := l.fakeLog.Read(ctx, name, from, limit, wait)
 	if l.isCut() {
 		l.awaitHeal(ctx)
-		return platform.Batch{}, &platform.UnavailableError{Service: "log"}
+		return hosting.Batch{}, &hosting.UnavailableError{Service: "log"}
 	}
 	return batch, err
 }
--- a/matrix/operator.go
+++ b/matrix/operator.go
@@ -8,9 +8,9 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/cranberrywalk/cranberrywalk/configuration"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/logstream"
 	"github.com/cranberrywalk/cranberrywalk/plan"
-	"github.com/cranberrywalk/cranberrywalk/platform"
 )
 
 const (
@@ -30,7 +30,7 @@
 	world *World
 }
 
-// Append implements platform.Log.
+// Append implements hosting.Log.
 func (l *operatorLog) Append(ctx context.Context, name string, payloads [][]byte) (uint64, error) {
 	l.world.reach(StepAppend)
 	return l.fakeLog.Append(ctx, name, payloads)
@@ -152,4 +152,4 @@
 	c.record.expect(err == nil && verdict.Accepted, "the plans were not published")
 }
 
-var _ platform.Log = (*operatorLog)(nil)
+var _ hosting.Log = (*operatorLog)(nil)
--- a/matrix/orderfakes.go
+++ b/matrix/orderfakes.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // Order is one order that a daemon has begun to give.
@@ -18,7 +18,7 @@
 
 // orderedEngine is the engine of a runner that takes orders.
 type orderedEngine struct {
-	platform.Engine
+	hosting.Engine
 	world         *World
 	name          string
 	checksFencing bool
@@ -35,11 +35,11 @@
 }
 
 // apply carries out an order, unless its number is old and checked.
-func (e *orderedEngine) apply(order platform.Order) error {
+func (e *orderedEngine) apply(order hosting.Order) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.checksFencing && order.Fencing < e.seen {
-		return &platform.FencedError{Fencing: order.Fencing, Seen: e.seen}
+		return &hosting.FencedError{Fencing: order.Fencing, Seen: e.seen}
 	}
 	e.seen, e.models = max(e.seen, order.Fencing), order.Models
 	return nil
@@ -51,22 +51,22 @@
 	node *node
 }
 
-// Load implements platform.Engine.
-func (e *engineAt) Load(ctx context.Context) (platform.LoadReport, error) {
+// Load implements hosting.Engine.
+func (e *engineAt) Load(ctx context.Context) (hosting.LoadReport, error) {
 	if e.node.isDead() {
-		return platform.LoadReport{}, &platform.UnavailableError{Service: "engine"}
+		return hosting.LoadReport{}, &hosting.UnavailableError{Service: "engine"}
 	}
 	if e.name == "r1" && e.node != e.world.nodes[0] && e.world.reach(StepReconcile) == hang {
 		<-ctx.Done()
-		return platform.LoadReport{}, &platform.UnavailableError{Service: "engine", Cause: ctx.Err()}
+		return hosting.LoadReport{}, &hosting.UnavailableError{Service: "engine", Cause: ctx.Err()}
 	}
-	return platform.LoadReport{Models: e.loaded()}, nil
+	return hosting.LoadReport{Models: e.loaded()}, nil
 }
 
-// Order implements platform.Engine.
-func (e *engineAt) Order(ctx context.Context, order platform.Order) error {
+// Order implements hosting.Engine.
+func (e *engineAt) Order(ctx context.Context, order hosting.Order) error {
 	if e.node.isDead() {
-		return &platform.UnavailableError{Service: "engine"}
+		return &hosting.UnavailableError{Service: "engine"}
 	}
 	e.world.record.with(func() {
 		e.world.record.Orders = append(e.world.record.Orders, Order{Daemon: e.node.name, Engine: e.name, Fencing: order.Fencing})
@@ -74,33 +74,33 @@
 	switch e.world.reach(StepOrder) {
 	case hang:
 		<-ctx.Done()
-		return &platform.UncertainError{Service: "engine", Cause: ctx.Err()}
+		return &hosting.UncertainError{Service: "engine", Cause: ctx.Err()}
 	case abort:
 		// The order takes effect, whatever its answer would have been.
 		_ = e.apply(order)
-		return &platform.UncertainError{Service: "engine"}
+		return &hosting.UncertainError{Service: "engine"}
 	}
 	return e.apply(order)
 }
 
 // orderedCloud starts no VM.
 type orderedCloud struct {
-	platform.Cloud
+	hosting.Cloud
 	world *World
 }
 
-// Start implements platform.Cloud.
-func (c *orderedCloud) Start(_ context.Context, request platform.StartRequest) (platform.VM, error) {
-	return platform.VM{}, &platform.RefusedError{Zone: request.Zone, Class: request.Class}
+// Start implements hosting.Cloud.
+func (c *orderedCloud) Start(_ context.Context, request hosting.StartRequest) (hosting.VM, error) {
+	return hosting.VM{}, &hosting.RefusedError{Zone: request.Zone, Class: request.Class}
 }
 
 // orderedWeights is a weight store without a wait.
 type orderedWeights struct{ world *World }
 
-// Size implements platform.WeightStore.
+// Size implements hosting.WeightStore.
 func (*orderedWeights) Size(context.Context, string) (int64, error) { return 1, nil }
 
-// Reserve implements platform.WeightStore.
+// Reserve implements hosting.WeightStore.
 func (w *orderedWeights) Reserve(context.Context, int64) (time.Duration, error) {
 	w.world.reach(stepReserve)
 	return 0, nil
--- a/matrix/orders.go
+++ b/matrix/orders.go
@@ -6,10 +6,10 @@
 	"slices"
 	"time"
 
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/order"
 	"github.com/cranberrywalk/cranberrywalk/placement"
 	"github.com/cranberrywalk/cranberrywalk/plan"
-	"github.com/cranberrywalk/cranberrywalk/platform"
 )
 
 // orderPause is the pause, on the machine's clock, between two steps of the
@@ -103,7 +103,7 @@
 	options := order.DefaultOptions()
 	options.Duty, options.Daemon, options.Incarnation, options.AcquireSpread = "Orders", n.name, "1", 0
 	ordering := order.New(n.Common, options, n.log, o.cloud, &orderedWeights{world: o.World},
-		func(vm platform.VM) platform.Engine { return &engineAt{orderedEngine: o.engines[vm.Name], node: n} }, o.inputs)
+		func(vm hosting.VM) hosting.Engine { return &engineAt{orderedEngine: o.engines[vm.Name], node: n} }, o.inputs)
 	ctx, cancel := context.WithCancel(context.Background())
 	o.orders[n], o.cancels[n] = ordering, cancel
 	o.compete[n] = func() { go ordering.Run(ctx) }
@@ -113,8 +113,8 @@
 func (o *orderScript) inputs() placement.Inputs {
 	var inputs placement.Inputs
 	for _, name := range []string{"r0", "r1", "r2"} {
-		inputs.VMs = append(inputs.VMs, platform.VM{
-			Name: name, Role: platform.RoleRunner, Zone: zoneA, Class: "c", Address: name, Reclaimable: true, Price: 1,
+		inputs.VMs = append(inputs.VMs, hosting.VM{
+			Name: name, Role: hosting.RoleRunner, Zone: zoneA, Class: "c", Address: name, Reclaimable: true, Price: 1,
 		})
 	}
 	inputs.Allowances = []plan.Allowance{{Plan: "Desk", Models: []string{"a", "b", "c"}}}
--- a/matrix/requestfaults.go
+++ b/matrix/requestfaults.go
@@ -1,7 +1,7 @@
 package matrix
 
 import (
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/roster"
 )
 
@@ -160,9 +160,9 @@
 // capacity again: the announced reclaims are over, and the VMs that stand in
 // for the new ones have other names.
 func replaceRunners(s *script) {
-	var vms []platform.VM
+	var vms []hosting.VM
 	for _, vm := range s.vms() {
-		if vm.Role == platform.RoleEntry {
+		if vm.Role == hosting.RoleEntry {
 			vms = append(vms, vm)
 		}
 	}
@@ -173,10 +173,10 @@
 			return
 		}
 		s.runners = append(s.runners, r)
-		vms = append(vms, platform.VM{Name: r.name, Role: platform.RoleRunner, Region: region, Zone: zone})
+		vms = append(vms, hosting.VM{Name: r.name, Role: hosting.RoleRunner, Region: region, Zone: zone})
 	}
 	for _, n := range s.nodes {
-		n.apply(roster.Listed{Snapshot: platform.VMSnapshot{Version: 2, VMs: vms}})
+		n.apply(roster.Listed{Snapshot: hosting.VMSnapshot{Version: 2, VMs: vms}})
 	}
 }
 
--- a/matrix/world.go
+++ b/matrix/world.go
@@ -10,9 +10,9 @@
 	"k8s.io/klog/v2"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/ledger"
 	"github.com/cranberrywalk/cranberrywalk/order"
-	"github.com/cranberrywalk/cranberrywalk/platform"
 	"github.com/cranberrywalk/cranberrywalk/roster"
 	"github.com/cranberrywalk/cranberrywalk/suspect"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
@@ -117,13 +117,13 @@
 	return w, nil
 }
 
-func (w *World) vms() []platform.VM {
-	var vms []platform.VM
+func (w *World) vms() []hosting.VM {
+	var vms []hosting.VM
 	for _, n := range w.nodes {
-		vms = append(vms, platform.VM{Name: n.name, Role: platform.RoleEntry, Region: region, Zone: n.zone})
+		vms = append(vms, hosting.VM{Name: n.name, Role: hosting.RoleEntry, Region: region, Zone: n.zone})
 	}
 	for _, r := range w.runners {
-		vms = append(vms, platform.VM{Name: r.name, Role: platform.RoleRunner, Region: region, Zone: r.zone})
+		vms = append(vms, hosting.VM{Name: r.name, Role: hosting.RoleRunner, Region: region, Zone: r.zone})
 	}
 	return vms
 }
@@ -257,6 +257,6 @@
 			continue
 		}
 		w.record.with(func() { w.record.Noticed[r.name] = now })
-		n.apply(roster.Noticed{Notice: platform.Notice{VM: r.name, Deadline: now.Add(reclaimNotice)}})
+		n.apply(roster.Noticed{Notice: hosting.Notice{VM: r.name, Deadline: now.Add(reclaimNotice)}})
 	}
 }
--- a/order/fake_test.go
+++ b/order/fake_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // fakeLog is a log of one stream. Its appends may fail before or after their
@@ -16,7 +16,7 @@
 	clock clock.Clock
 
 	mu      sync.Mutex
-	records []platform.Record
+	records []hosting.Record
 	first   uint64
 	isDown  bool
 	// losesAnswers lets appends take effect without an answer.
@@ -25,27 +25,27 @@
 	appended chan struct{}
 }
 
-// Append implements platform.Log.
+// Append implements hosting.Log.
 func (f *fakeLog) Append(_ context.Context, _ string, payloads [][]byte) (uint64, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.isDown {
-		return 0, &platform.UnavailableError{Service: "log"}
+		return 0, &hosting.UnavailableError{Service: "log"}
 	}
 	offset := f.first + uint64(len(f.records))
 	for i, payload := range payloads {
-		f.records = append(f.records, platform.Record{Offset: offset + uint64(i), Payload: payload, Time: f.clock.Now()})
+		f.records = append(f.records, hosting.Record{Offset: offset + uint64(i), Payload: payload, Time: f.clock.Now()})
 	}
 	close(f.appended)
 	f.appended = make(chan struct{})
 	if f.losesAnswers {
-		return 0, &platform.UncertainError{Service: "log"}
+		return 0, &hosting.UncertainError{Service: "log"}
 	}
 	return offset, nil
 }
 
-// Read implements platform.Log. It waits for an append, not for a time.
-func (f *fakeLog) Read(ctx context.Context, _ string, from uint64, _ int, wait time.Duration) (platform.Batch, error) {
+// Read implements hosting.Log. It waits for an append, not for a time.
+func (f *fakeLog) Read(ctx context.Context, _ string, from uint64, _ int, wait time.Duration) (hosting.Batch, error) {
 	for {
 		f.mu.Lock()
 		batch, err := f.read(from)
@@ -57,19 +57,19 @@
 		select {
 		case <-appended:
 		case <-ctx.Done():
-			return platform.Batch{}, &platform.UnavailableError{Service: "log", Cause: ctx.Err()}
+			return hosting.Batch{}, &hosting.UnavailableError{Service: "log", Cause: ctx.Err()}
 		}
 	}
 }
 
-func (f *fakeLog) read(from uint64) (platform.Batch, error) {
+func (f *fakeLog) read(from uint64) (hosting.Batch, error) {
 	if f.isDown {
-		return platform.Batch{}, &platform.UnavailableError{Service: "log"}
+		return hosting.Batch{}, &hosting.UnavailableError{Service: "log"}
 	}
 	if from < f.first {
-		return platform.Batch{}, &platform.TrimmedError{From: from, First: f.first}
+		return hosting.Batch{}, &hosting.TrimmedError{From: from, First: f.first}
 	}
-	batch := platform.Batch{First: f.first, Next: f.first + uint64(len(f.records))}
+	batch := hosting.Batch{First: f.first, Next: f.first + uint64(len(f.records))}
 	if from < batch.Next {
 		batch.Records = slices.Clone(f.records[from-f.first:])
 	}
@@ -84,7 +84,7 @@
 
 // fakeEngine is a runner's engine.
 type fakeEngine struct {
-	platform.Engine
+	hosting.Engine
 	checksFencing bool
 
 	models []string
@@ -93,37 +93,37 @@
 	orders []uint64
 	// isDelayed keeps orders back; they arrive with deliver.
 	isDelayed bool
-	delayed   []platform.Order
+	delayed   []hosting.Order
 	// losesAnswers lets orders take effect without an answer.
 	losesAnswers bool
 	// hanging runs during an order that gets no answer, unless it is nil.
 	hanging func()
 }
 
-// Load implements platform.Engine.
-func (e *fakeEngine) Load(context.Context) (platform.LoadReport, error) {
-	return platform.LoadReport{Models: slices.Clone(e.models)}, nil
+// Load implements hosting.Engine.
+func (e *fakeEngine) Load(context.Context) (hosting.LoadReport, error) {
+	return hosting.LoadReport{Models: slices.Clone(e.models)}, nil
 }
 
-// Order implements platform.Engine.
-func (e *fakeEngine) Order(ctx context.Context, order platform.Order) error {
+// Order implements hosting.Engine.
+func (e *fakeEngine) Order(ctx context.Context, order hosting.Order) error {
 	if e.hanging != nil {
 		e.hanging()
 		<-ctx.Done()
-		return &platform.UncertainError{Service: "engine", Cause: ctx.Err()}
+		return &hosting.UncertainError{Service: "engine", Cause: ctx.Err()}
 	}
 	if e.isDelayed {
 		e.delayed = append(e.delayed, order)
-		return &platform.UncertainError{Service: "engine"}
+		return &hosting.UncertainError{Service: "engine"}
 	}
 	if e.checksFencing && order.Fencing < e.seen {
-		return &platform.FencedError{Fencing: order.Fencing, Seen: e.seen}
+		return &hosting.FencedError{Fencing: order.Fencing, Seen: e.seen}
 	}
 	e.seen = max(e.seen, order.Fencing)
 	e.models = order.Models
 	e.orders = append(e.orders, order.Fencing)
 	if e.losesAnswers {
-		return &platform.UncertainError{Service: "engine"}
+		return &hosting.UncertainError{Service: "engine"}
 	}
 	return nil
 }
@@ -140,30 +140,30 @@
 
 // fakeCloud starts VMs by identity.
 type fakeCloud struct {
-	platform.Cloud
+	hosting.Cloud
 	refuses      []string
 	losesAnswers bool
 	// requests has every request in order.
-	requests []platform.StartRequest
-	started  map[string]platform.VM
+	requests []hosting.StartRequest
+	started  map[string]hosting.VM
 }
 
-// Start implements platform.Cloud.
-func (c *fakeCloud) Start(_ context.Context, request platform.StartRequest) (platform.VM, error) {
+// Start implements hosting.Cloud.
+func (c *fakeCloud) Start(_ context.Context, request hosting.StartRequest) (hosting.VM, error) {
 	c.requests = append(c.requests, request)
 	if slices.Contains(c.refuses, request.Zone) {
-		return platform.VM{}, &platform.RefusedError{Zone: request.Zone, Class: request.Class}
+		return hosting.VM{}, &hosting.RefusedError{Zone: request.Zone, Class: request.Class}
 	}
 	vm, found := c.started[request.Identity]
 	if !found {
-		vm = platform.VM{
+		vm = hosting.VM{
 			Name: "new-" + request.Identity, Role: request.Role, Zone: request.Zone, Class: request.Class,
 			Reclaimable: request.Reclaimable, Models: request.Models,
 		}
 		c.started[request.Identity] = vm
 	}
 	if c.losesAnswers {
-		return platform.VM{}, &platform.UncertainError{Service: "cloud"}
+		return hosting.VM{}, &hosting.UncertainError{Service: "cloud"}
 	}
 	return vm, nil
 }
@@ -176,10 +176,10 @@
 	reserved  int
 }
 
-// Size implements platform.WeightStore.
+// Size implements hosting.WeightStore.
 func (w *fakeWeights) Size(context.Context, string) (int64, error) { return 1, nil }
 
-// Reserve implements platform.WeightStore.
+// Reserve implements hosting.WeightStore.
 func (w *fakeWeights) Reserve(context.Context, int64) (time.Duration, error) {
 	w.reserved++
 	w.reserving()
--- a/order/order.go
+++ b/order/order.go
@@ -16,9 +16,9 @@
 	"sync"
 	"time"
 
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/lease"
 	"github.com/cranberrywalk/cranberrywalk/placement"
-	"github.com/cranberrywalk/cranberrywalk/platform"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 )
 
@@ -41,10 +41,10 @@
 type Order struct {
 	telemetry.Common
 	options Options
-	log     platform.Log
-	cloud   platform.Cloud
-	weights platform.WeightStore
-	engines func(vm platform.VM) platform.Engine
+	log     hosting.Log
+	cloud   hosting.Cloud
+	weights hosting.WeightStore
+	engines func(vm hosting.VM) hosting.Engine
 	inputs  func() placement.Inputs
 	// done is closed by Run when its goroutines have ended.
 	done chan struct{}
@@ -69,8 +69,8 @@
 // New returns an Order that does nothing before Run. inputs returns what is
 // known without the load reports; the duty is left alone while it returns no
 // VMs.
-func New(common telemetry.Common, options Options, log platform.Log, cloud platform.Cloud, weights platform.WeightStore,
-	engines func(vm platform.VM) platform.Engine, inputs func() placement.Inputs,
+func New(common telemetry.Common, options Options, log hosting.Log, cloud hosting.Cloud, weights hosting.WeightStore,
+	engines func(vm hosting.VM) hosting.Engine, inputs func() placement.Inputs,
 ) *Order {
 	return &Order{
 		Common: common, options: options, log: log, cloud: cloud, weights: weights,
--- a/order/order_test.go
+++ b/order/order_test.go
@@ -11,9 +11,9 @@
 	"k8s.io/klog/v2"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/placement"
 	"github.com/cranberrywalk/cranberrywalk/plan"
-	"github.com/cranberrywalk/cranberrywalk/platform"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 )
 
@@ -38,13 +38,13 @@
 	s := &script{
 		C: qt.New(t), ctx: context.Background(), clock: fake,
 		log:     &fakeLog{clock: fake, appended: make(chan struct{})},
-		cloud:   &fakeCloud{started: make(map[string]platform.VM)},
+		cloud:   &fakeCloud{started: make(map[string]hosting.VM)},
 		weights: &fakeWeights{reserving: func() {}},
 		engines: map[string]*fakeEngine{"r0": {models: []string{"a"}}, "r1": {}},
 	}
 	for _, name := range []string{"r0", "r1"} {
-		s.inputs.VMs = append(s.inputs.VMs, platform.VM{
-			Name: name, Role: platform.RoleRunner, Zone: "z1", Class: "c", Address: name, Reclaimable: true, Price: 1,
+		s.inputs.VMs = append(s.inputs.VMs, hosting.VM{
+			Name: name, Role: hosting.RoleRunner, Zone: "z1", Class: "c", Address: name, Reclaimable: true, Price: 1,
 		})
 	}
 	s.inputs.Allowances = []plan.Allowance{{Plan: "p", Models: []string{"a", "b"}}}
@@ -63,7 +63,7 @@
 	options := DefaultOptions()
 	options.Duty, options.Daemon, options.Incarnation, options.AcquireSpread = "Orders", name, "1", 0
 	return New(common, options, s.log, s.cloud, s.weights,
-		func(vm platform.VM) platform.Engine { return s.engines[vm.Name] },
+		func(vm hosting.VM) hosting.Engine { return s.engines[vm.Name] },
 		func() placement.Inputs { return s.inputs })
 }
 
--- a/order/reader.go
+++ b/order/reader.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // runReader folds the stream until ctx ends. It does not wait for records
@@ -30,7 +30,7 @@
 	bounded, cancel := o.withTimeout(ctx, wait+o.options.ReadTimeout)
 	defer cancel()
 	batch, err := o.log.Read(bounded, o.options.Stream, o.next(), o.options.ReadLimit, wait)
-	var trimmed *platform.TrimmedError
+	var trimmed *hosting.TrimmedError
 	if errors.As(err, &trimmed) {
 		o.restart(trimmed.First)
 		return nil
@@ -62,7 +62,7 @@
 	o.heard, o.free = o.Clock.Now(), time.Time{}
 }
 
-func (o *Order) fold(batch platform.Batch) error {
+func (o *Order) fold(batch hosting.Batch) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, entry := range batch.Records {
--- a/order/reports.go
+++ b/order/reports.go
@@ -4,22 +4,22 @@
 	"context"
 	"sync"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // reportsAtOnce bounds the engines that are asked at the same time.
 const reportsAtOnce = 16
 
 // reports asks the engines for their loads. It needs no lease.
-func (o *Order) reports(ctx context.Context, vms []platform.VM) map[string]platform.LoadReport {
+func (o *Order) reports(ctx context.Context, vms []hosting.VM) map[string]hosting.LoadReport {
 	bounded, cancel := o.withTimeout(ctx, o.options.ReportTimeout)
 	defer cancel()
-	reports := make(map[string]platform.LoadReport)
+	reports := make(map[string]hosting.LoadReport)
 	places := make(chan struct{}, reportsAtOnce)
 	var mu sync.Mutex
 	var asked sync.WaitGroup
 	for _, vm := range vms {
-		if vm.Role != platform.RoleRunner || vm.Leaving || vm.Address == "" {
+		if vm.Role != hosting.RoleRunner || vm.Leaving || vm.Address == "" {
 			continue
 		}
 		places <- struct{}{}
--- a/order/rounds.go
+++ b/order/rounds.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/placement"
-	"github.com/cranberrywalk/cranberrywalk/platform"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 )
 
@@ -90,7 +90,7 @@
 
 // start asks the cloud for a VM. It returns false when the other starts of
 // the round have to be decided anew.
-func (o *Order) start(ctx context.Context, request platform.StartRequest) bool {
+func (o *Order) start(ctx context.Context, request hosting.StartRequest) bool {
 	bounded, cancel, isPermitted := o.permit(ctx)
 	if !isPermitted {
 		return false
@@ -99,7 +99,7 @@
 	o.Count(CounterStarts, 1)
 	vm, err := o.cloud.Start(bounded, request)
 	now := o.Clock.Now()
-	var refused *platform.RefusedError
+	var refused *hosting.RefusedError
 	switch {
 	case errors.As(err, &refused):
 		o.Count(CounterStartsRefused, 1)
@@ -126,9 +126,9 @@
 	}
 	defer cancel()
 	o.Count(CounterLoads, 1)
-	err := o.engines(load.VM).Order(bounded, platform.Order{Fencing: o.rounds.number, Models: load.Models})
-	var unavailable *platform.UnavailableError
-	var fenced *platform.FencedError
+	err := o.engines(load.VM).Order(bounded, hosting.Order{Fencing: o.rounds.number, Models: load.Models})
+	var unavailable *hosting.UnavailableError
+	var fenced *hosting.FencedError
 	switch {
 	case errors.As(err, &unavailable):
 		o.Count(CounterLoadsFailed, 1)
--- a/outage/claims.go
+++ b/outage/claims.go
@@ -4,14 +4,14 @@
 	"math"
 
 	"github.com/cranberrywalk/cranberrywalk/claim"
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/request"
 )
 
 // logClaims agrees on a key by the first claim on the log.
 type logClaims struct {
 	*world
-	log   []platform.Record
+	log   []hosting.Record
 	books [daemonCount]*claim.Book
 	// sequences are the next numbers of the daemons.
 	sequences [daemonCount]uint64
@@ -75,7 +75,7 @@
 	if err != nil {
 		d.result.Misapplied++
 	}
-	d.log = append(d.log, platform.Record{Offset: uint64(len(d.log)), Payload: payload, Time: d.now()})
+	d.log = append(d.log, hosting.Record{Offset: uint64(len(d.log)), Payload: payload, Time: d.now()})
 	d.sequences[daemon] = record.Last() + 1
 	d.result.Appends++
 	d.result.Claims += len(claiming)
--- a/peer/bytes_test.go
+++ b/peer/bytes_test.go
@@ -12,7 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 	"github.com/cranberrywalk/cranberrywalk/timeline"
 )
@@ -49,9 +49,9 @@
 	z.common.Clock = clock.NewFake(time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC))
 	ctx, stop := context.WithCancel(context.Background())
 	z.stop = stop
-	var vms []platform.VM
+	var vms []hosting.VM
 	for i := range runners {
-		vms = append(vms, platform.VM{Name: fmt.Sprint("runner-deep-south-a-", i), Role: platform.RoleRunner})
+		vms = append(vms, hosting.VM{Name: fmt.Sprint("runner-deep-south-a-", i), Role: hosting.RoleRunner})
 	}
 	for i := range daemons {
 		identity := Identity{
@@ -63,8 +63,8 @@
 		qt.Assert(b, mesh.Listen(), qt.IsNil)
 		z.meshes = append(z.meshes, mesh)
 		z.reporters = append(z.reporters, reporter)
-		vms = append(vms, platform.VM{
-			Name: identity.Daemon, Role: platform.RoleEntry, Zone: identity.Zone, Region: identity.Region,
+		vms = append(vms, hosting.VM{
+			Name: identity.Daemon, Role: hosting.RoleEntry, Zone: identity.Zone, Region: identity.Region,
 			PeerAddress: mesh.Address(),
 		})
 		go mesh.serve(ctx)
--- a/peer/client.go
+++ b/peer/client.go
@@ -12,8 +12,8 @@
 	"storj.io/drpc/drpcwire"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/peer/peerpb"
-	"github.com/cranberrywalk/cranberrywalk/platform"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 )
 
@@ -57,7 +57,7 @@
 // that fails on a connection that was opened earlier is repeated on a fresh
 // one, since the old one may have gone silent.
 func (c *client) call(
-	ctx context.Context, peer platform.VM, name string, timeout time.Duration,
+	ctx context.Context, peer hosting.VM, name string, timeout time.Duration,
 	do func(context.Context, peerpb.DRPCPeerClient) error,
 ) error {
 	fresh, err := c.try(ctx, peer, timeout, do)
@@ -76,7 +76,7 @@
 
 // try runs do once and reports whether it dialled.
 func (c *client) try(
-	ctx context.Context, peer platform.VM, timeout time.Duration,
+	ctx context.Context, peer hosting.VM, timeout time.Duration,
 	do func(context.Context, peerpb.DRPCPeerClient) error,
 ) (fresh bool, err error) {
 	ctx, cancel := withTimeout(ctx, c.common.Clock, timeout)
--- a/peer/duty.go
+++ b/peer/duty.go
@@ -4,7 +4,7 @@
 	"context"
 	"sync"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/ring"
 )
 
@@ -13,7 +13,7 @@
 
 // each runs do for every peer from the ring until ctx ends, with at most
 // parallelCalls at a time. It returns when all of them have ended.
-func each(ctx context.Context, peers *ring.Ring[platform.VM], do func(context.Context, platform.VM)) {
+func each(ctx context.Context, peers *ring.Ring[hosting.VM], do func(context.Context, hosting.VM)) {
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	slots := make(chan struct{}, parallelCalls)
--- a/peer/fake_test.go
+++ b/peer/fake_test.go
@@ -12,7 +12,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 	"github.com/cranberrywalk/cranberrywalk/timeline"
 )
@@ -112,7 +112,7 @@
 	handler *fakeHandler
 	events  *recorder
 	timers  *watchedClock
-	vm      platform.VM
+	vm      hosting.VM
 	// kill stops the mesh without a word to its peers.
 	kill func()
 }
@@ -139,15 +139,15 @@
 	return d
 }
 
-func entryVM(name, address string) platform.VM {
-	return platform.VM{
-		Name: name, Role: platform.RoleEntry, Zone: "ZoneA", Region: "Region", PeerAddress: address,
+func entryVM(name, address string) hosting.VM {
+	return hosting.VM{
+		Name: name, Role: hosting.RoleEntry, Zone: "ZoneA", Region: "Region", PeerAddress: address,
 	}
 }
 
 // list tells all daemons about all of them and about the runner R1.
 func list(daemons ...*daemon) {
-	vms := []platform.VM{{Name: "R1", Role: platform.RoleRunner, Zone: "ZoneA", Region: "Region"}}
+	vms := []hosting.VM{{Name: "R1", Role: hosting.RoleRunner, Zone: "ZoneA", Region: "Region"}}
 	for _, d := range daemons {
 		vms = append(vms, d.vm)
 	}
--- a/peer/fetch.go
+++ b/peer/fetch.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/peer/peerpb"
-	"github.com/cranberrywalk/cranberrywalk/platform"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 )
 
@@ -89,7 +89,7 @@
 
 // fetchFrom gets the configuration of a peer unless the daemon has caught up
 // with it.
-func (m *Mesh) fetchFrom(ctx context.Context, peer platform.VM) {
+func (m *Mesh) fetchFrom(ctx context.Context, peer hosting.VM) {
 	m.mutex.Lock()
 	newest := m.newest
 	m.mutex.Unlock()
@@ -112,7 +112,7 @@
 	m.common.Events.Record(telemetry.Event{Kind: "ConfigurationFetched", Detail: "from " + peer.Name})
 }
 
-func (m *Mesh) configuration(ctx context.Context, peer platform.VM) (*peerpb.ConfigurationReply, error) {
+func (m *Mesh) configuration(ctx context.Context, peer hosting.VM) (*peerpb.ConfigurationReply, error) {
 	var reply *peerpb.ConfigurationReply
 	err := m.client.call(ctx, peer, "Configuration", m.options.CallTimeout,
 		func(ctx context.Context, client peerpb.DRPCPeerClient) (err error) {
--- a/peer/gossip/core.go
+++ b/peer/gossip/core.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 const (
@@ -56,7 +56,7 @@
 }
 
 // SetVMs replaces the VMs that the roster lists.
-func (c *Core) SetVMs(vms []platform.VM) {
+func (c *Core) SetVMs(vms []hosting.VM) {
 	c.members.set(vms)
 	c.reports.retain(c.members.isReporter)
 }
@@ -101,7 +101,7 @@
 }
 
 // Round returns the peers to exchange with now.
-func (c *Core) Round(now time.Time) []platform.VM {
+func (c *Core) Round(now time.Time) []hosting.VM {
 	c.reports.expire(now)
 	c.notices.expire(now)
 	c.round++
@@ -112,7 +112,7 @@
 	if c.round%RemoteRounds == 0 {
 		groups = append(groups, c.members.remotes)
 	}
-	var peers []platform.VM
+	var peers []hosting.VM
 	for _, group := range groups {
 		if chosen := pick(group, c.random, now); chosen != nil {
 			peers = append(peers, chosen.vm)
@@ -124,8 +124,8 @@
 // Urgent returns the peers that an urgent notice goes to at once: some of the
 // own group and one daemon of each other zone. Other regions, which send no
 // requests here, learn it in the exchanges.
-func (c *Core) Urgent(now time.Time) []platform.VM {
-	var peers []platform.VM
+func (c *Core) Urgent(now time.Time) []hosting.VM {
+	var peers []hosting.VM
 	group := slices.Clone(c.members.group)
 	for range TellFanout {
 		chosen := pick(group, c.random, now)
@@ -155,7 +155,7 @@
 }
 
 // Nearest returns up to most daemons, near ones first.
-func (c *Core) Nearest(most int) []platform.VM { return c.members.nearest(most, c.random) }
+func (c *Core) Nearest(most int) []hosting.VM { return c.members.nearest(most, c.random) }
 
 // Reached notes that a message of a peer has arrived and reports whether calls
 // to it had failed before.
--- a/peer/gossip/members.go
+++ b/peer/gossip/members.go
@@ -10,7 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 const (
@@ -26,7 +26,7 @@
 
 // member is another daemon.
 type member struct {
-	vm platform.VM
+	vm hosting.VM
 	// failures counts the failed calls since the last message.
 	failures int
 	// retryAt is when a peer that failed may be called again.
@@ -61,7 +61,7 @@
 	// zone, or a region that is small enough.
 	groups map[ID]string
 	// backends holds the backend servers in the zones of the group.
-	backends []platform.VM
+	backends []hosting.VM
 	// names maps IDs to the names of all listed VMs.
 	names map[ID]string
 }
@@ -76,20 +76,20 @@
 }
 
 // set replaces the VMs. What is known about daemons that stay is kept.
-func (m *members) set(vms []platform.VM) {
+func (m *members) set(vms []hosting.VM) {
 	before := m.byName
 	*m = newMembers(m.self)
 	daemons := slices.Clone(vms)
-	slices.SortFunc(daemons, func(a, b platform.VM) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(daemons, func(a, b hosting.VM) int { return cmp.Compare(a.Name, b.Name) })
 	counts := countRegions(daemons)
 	m.own = groupName(m.self.Region, m.self.Zone, counts)
 	for _, vm := range daemons {
 		m.names[NewID(vm.Name)] = vm.Name
 		group := groupName(vm.Region, vm.Zone, counts)
 		switch {
-		case vm.Role != platform.RoleEntry && group == m.own:
+		case vm.Role != hosting.RoleEntry && group == m.own:
 			m.backends = append(m.backends, vm)
-		case vm.Role == platform.RoleEntry && vm.Name != m.self.Daemon:
+		case vm.Role == hosting.RoleEntry && vm.Name != m.self.Daemon:
 			m.add(vm, before[vm.Name], group)
 		}
 	}
@@ -118,7 +118,7 @@
 	return found
 }
 
-func (m *members) add(vm platform.VM, known *member, group string) {
+func (m *members) add(vm hosting.VM, known *member, group string) {
 	if known == nil {
 		known = &member{}
 	}
@@ -182,10 +182,10 @@
 }
 
 // countRegions counts the daemons of each region.
-func countRegions(vms []platform.VM) map[string]int {
+func countRegions(vms []hosting.VM) map[string]int {
 	counts := make(map[string]int)
 	for _, vm := range vms {
-		if vm.Role == platform.RoleEntry {
+		if vm.Role == hosting.RoleEntry {
 			counts[vm.Region]++
 		}
 	}
@@ -194,8 +194,8 @@
 
 // nearest returns up to most daemons: first random ones of the group, then of
 // the other zones, then of other regions.
-func (m *members) nearest(most int, random *rand.Rand) []platform.VM {
-	var nearest []platform.VM
+func (m *members) nearest(most int, random *rand.Rand) []hosting.VM {
+	var nearest []hosting.VM
 	for _, group := range [][]*member{m.group, m.neighbours, m.remotes} {
 		for _, i := range random.Perm(len(group)) {
 			if len(nearest) == most {
--- a/peer/gossip/network_test.go
+++ b/peer/gossip/network_test.go
@@ -5,8 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/peer/gossip"
-	"github.com/cranberrywalk/cranberrywalk/platform"
 	"github.com/cranberrywalk/cranberrywalk/timeline"
 )
 
@@ -15,7 +15,7 @@
 	random *rand.Rand
 	now    time.Time
 	names  []string
-	vms    []platform.VM
+	vms    []hosting.VM
 	cores  map[string]*gossip.Core
 	own    map[string]*gossip.Digest
 	views  map[string]*view
@@ -49,16 +49,16 @@
 		views:  make(map[string]*view),
 		cut:    func(string, string) bool { return false },
 	}
-	var vms []platform.VM
+	var vms []hosting.VM
 	for i := range 10 {
-		vms = append(vms, platform.VM{
-			Name: fmt.Sprint("R", i), Role: platform.RoleRunner, Region: "Region",
+		vms = append(vms, hosting.VM{
+			Name: fmt.Sprint("R", i), Role: hosting.RoleRunner, Region: "Region",
 			Zone: fmt.Sprint("Zone", i%zones), Models: []string{"Small"},
 		})
 	}
 	for i := range daemons {
 		name, zone := fmt.Sprint("D", i), fmt.Sprint("Zone", i%zones)
-		vms = append(vms, platform.VM{Name: name, Role: platform.RoleEntry, Zone: zone, Region: "Region"})
+		vms = append(vms, hosting.VM{Name: name, Role: hosting.RoleEntry, Zone: zone, Region: "Region"})
 		n.names = append(n.names, name)
 		n.start(name, zone)
 	}
--- a/peer/gossip/reporters.go
+++ b/peer/gossip/reporters.go
@@ -1,10 +1,10 @@
 package gossip
 
-import "github.com/cranberrywalk/cranberrywalk/platform"
+import "github.com/cranberrywalk/cranberrywalk/hosting"
 
 // Reporters returns the names under which the demand of others is reported to
 // a daemon: the other daemons of its group, and the other groups.
-func Reporters(self Identity, vms []platform.VM) []string {
+func Reporters(self Identity, vms []hosting.VM) []string {
 	known := newMembers(self)
 	known.set(vms)
 	names := make([]string, 0, len(known.group)+len(known.groups))
--- a/peer/gossip/size_test.go
+++ b/peer/gossip/size_test.go
@@ -6,21 +6,21 @@
 	"runtime"
 	"testing"
 
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/peer/gossip"
-	"github.com/cranberrywalk/cranberrywalk/platform"
 )
 
 // BenchmarkSetVMs prints the time and the heap that one daemon needs to know
 // 390 daemons and 1,500 runners in 14 zones of 6 regions.
 func BenchmarkSetVMs(b *testing.B) {
-	var vms []platform.VM
+	var vms []hosting.VM
 	for i := range 1890 {
-		vm := platform.VM{
-			Name: fmt.Sprint("vm-", i), Role: platform.RoleRunner, Models: []string{"Small"},
+		vm := hosting.VM{
+			Name: fmt.Sprint("vm-", i), Role: hosting.RoleRunner, Models: []string{"Small"},
 			Region: fmt.Sprint("region-", i%14%6), Zone: fmt.Sprint("zone-", i%14),
 		}
 		if i < 390 {
-			vm.Role = platform.RoleEntry
+			vm.Role = hosting.RoleEntry
 		}
 		vms = append(vms, vm)
 	}
--- a/peer/gossip/summary.go
+++ b/peer/gossip/summary.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // summaries adds up the loads of the backend servers in the zones of the group,
@@ -32,7 +32,7 @@
 }
 
 // summaryKeys returns the summaries that a backend server counts in.
-func summaryKeys(vm platform.VM) []Summary {
+func summaryKeys(vm hosting.VM) []Summary {
 	var keys []Summary
 	for _, model := range vm.Models {
 		keys = append(keys, Summary{Zone: vm.Zone, Model: model})
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -7,8 +7,8 @@
 	"net"
 	"sync"
 
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/peer/gossip"
-	"github.com/cranberrywalk/cranberrywalk/platform"
 	"github.com/cranberrywalk/cranberrywalk/ring"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 	"github.com/cranberrywalk/cranberrywalk/timeline"
@@ -27,9 +27,9 @@
 
 	// exchanges, notices and fetches join the rounds to the goroutines that
 	// talk to the peers.
-	exchanges *ring.Ring[platform.VM]
-	notices   *ring.Ring[platform.VM]
-	fetches   *ring.Ring[platform.VM]
+	exchanges *ring.Ring[hosting.VM]
+	notices   *ring.Ring[hosting.VM]
+	fetches   *ring.Ring[hosting.VM]
 	// spreads holds at most one wish to push urgent notices.
 	spreads *ring.Ring[struct{}]
 
@@ -40,7 +40,7 @@
 	// core is guarded by mutex.
 	core *gossip.Core
 	// peers holds the listed entry VMs by name; guarded by mutex.
-	peers map[string]platform.VM
+	peers map[string]hosting.VM
 	// newest is the highest offset of a configuration that a peer was heard
 	// to have; guarded by mutex.
 	newest uint64
@@ -58,13 +58,13 @@
 		stamps:    stamps,
 		handler:   handler,
 		client:    newClient(common, options),
-		exchanges: ring.New[platform.VM]("peer exchanges", contactCapacity),
-		notices:   ring.New[platform.VM]("peer notices", contactCapacity),
-		fetches:   ring.New[platform.VM]("peer fetches", 1),
+		exchanges: ring.New[hosting.VM]("peer exchanges", contactCapacity),
+		notices:   ring.New[hosting.VM]("peer notices", contactCapacity),
+		fetches:   ring.New[hosting.VM]("peer fetches", 1),
 		spreads:   ring.New[struct{}]("peer spreads", 1),
 		done:      make(chan struct{}),
 		core:      gossip.New(options.Identity, random),
-		peers:     make(map[string]platform.VM),
+		peers:     make(map[string]hosting.VM),
 		seen:      make(map[string]seenProcess),
 	}
 }
@@ -100,10 +100,10 @@
 
 // SetVMs tells the mesh which VMs the roster lists, entry VMs and backend
 // servers alike. A VM that is not listed is not called.
-func (m *Mesh) SetVMs(vms []platform.VM) {
-	peers := make(map[string]platform.VM)
+func (m *Mesh) SetVMs(vms []hosting.VM) {
+	peers := make(map[string]hosting.VM)
 	for _, vm := range vms {
-		if vm.Role == platform.RoleEntry && vm.Name != m.options.Identity.Daemon {
+		if vm.Role == hosting.RoleEntry && vm.Name != m.options.Identity.Daemon {
 			peers[vm.Name] = vm
 		}
 	}
@@ -140,19 +140,19 @@
 }
 
 // peer returns the listed daemon of that name.
-func (m *Mesh) peer(name string) (platform.VM, error) {
+func (m *Mesh) peer(name string) (hosting.VM, error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	peer, listed := m.peers[name]
 	if !listed {
-		return platform.VM{}, &UnknownPeerError{Peer: name}
+		return hosting.VM{}, &UnknownPeerError{Peer: name}
 	}
 	return peer, nil
 }
 
 // enqueue adds a peer to a ring; a full one loses it, and the next round makes
 // up for it.
-func (m *Mesh) enqueue(contacts *ring.Ring[platform.VM], peer platform.VM) {
+func (m *Mesh) enqueue(contacts *ring.Ring[hosting.VM], peer hosting.VM) {
 	if err := contacts.Put(peer); err != nil {
 		m.common.Count("Peer.ContactsRefused", 1)
 	}
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -9,7 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/standin/relay"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 )
@@ -130,7 +130,7 @@
 	a := startDaemon(c, fake, "A", "1", "127.0.0.1:0")
 	b := startDaemon(c, fake, "B", "1", "127.0.0.1:0")
 	gone := entryVM("Gone", b.Address())
-	a.SetVMs([]platform.VM{a.vm, gone})
+	a.SetVMs([]hosting.VM{a.vm, gone})
 
 	a.exchangeWith(ctx, gone)
 	c.Assert(a.events.kinds, qt.DeepEquals, []string{"PeerLost"})
@@ -220,7 +220,7 @@
 	c.Assert(err, qt.IsNil)
 	defer func() { _ = listener.Close() }()
 	silent := entryVM("B", listener.Addr().String())
-	a.SetVMs([]platform.VM{a.vm, silent})
+	a.SetVMs([]hosting.VM{a.vm, silent})
 
 	ended := make(chan struct{})
 	go func() {
--- a/peer/rounds.go
+++ b/peer/rounds.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/peer/gossip"
 	"github.com/cranberrywalk/cranberrywalk/peer/peerpb"
-	"github.com/cranberrywalk/cranberrywalk/platform"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 	"github.com/cranberrywalk/cranberrywalk/timeline"
 )
@@ -49,7 +49,7 @@
 	each(ctx, m.exchanges, m.exchangeWith)
 }
 
-func (m *Mesh) exchangeWith(ctx context.Context, peer platform.VM) {
+func (m *Mesh) exchangeWith(ctx context.Context, peer hosting.VM) {
 	sent := m.request(peer)
 	request := encodeMessage(sent)
 	var reply *peerpb.Digest
@@ -76,7 +76,7 @@
 	each(ctx, m.notices, m.notifyPeer)
 }
 
-func (m *Mesh) notifyPeer(ctx context.Context, peer platform.VM) {
+func (m *Mesh) notifyPeer(ctx context.Context, peer hosting.VM) {
 	sent := m.request(peer)
 	sent.Known = nil
 	request := encodeMessage(sent)
@@ -119,14 +119,14 @@
 	}
 }
 
-func (m *Mesh) request(peer platform.VM) gossip.Message {
+func (m *Mesh) request(peer hosting.VM) gossip.Message {
 	stamp := m.stamps.Now()
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	return m.core.Request(peer.Name, stamp)
 }
 
-func (m *Mesh) delivered(peer platform.VM, request gossip.Message) {
+func (m *Mesh) delivered(peer hosting.VM, request gossip.Message) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.core.Delivered(peer.Name, request)
@@ -186,7 +186,7 @@
 
 // failed notes a failed call. A call that the daemon's own stop ended says
 // nothing about the peer.
-func (m *Mesh) failed(ctx context.Context, peer platform.VM, cause error) {
+func (m *Mesh) failed(ctx context.Context, peer hosting.VM, cause error) {
 	if ctx.Err() != nil {
 		return
 	}
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -6,12 +6,12 @@
 	"slices"
 	"time"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // pool is a group of VMs that replace each other.
 type pool struct {
-	role platform.Role
+	role hosting.Role
 	// model is set for runners and service for plain services. Runners with
 	// several models belong to the pool of the first one by name.
 	model   string
@@ -60,13 +60,13 @@
 
 // starts returns the VMs to start now. targets are the models that are wanted
 // of the runners.
-func (f *fleet) starts(inputs Inputs, targets map[string]target, now time.Time) []platform.StartRequest {
+func (f *fleet) starts(inputs Inputs, targets map[string]target, now time.Time) []hosting.StartRequest {
 	f.look(inputs, targets, now)
 	if now.Before(f.pausedUntil) {
 		return nil
 	}
 	live := f.live(inputs)
-	var requests []platform.StartRequest
+	var requests []hosting.StartRequest
 	for _, p := range f.pools() {
 		short := f.wanted(p, live[p], inputs) - len(live[p]) - f.pending(p)
 		if short <= 0 {
@@ -77,7 +77,7 @@
 			if !found {
 				break
 			}
-			requests = append(requests, platform.StartRequest{
+			requests = append(requests, hosting.StartRequest{
 				Identity: identity, Role: p.role, Zone: offer.Zone, Class: offer.Class,
 				Reclaimable: offer.Reclaimable, Models: modelsOf(p), Service: p.service,
 			})
@@ -90,7 +90,7 @@
 func (f *fleet) look(inputs Inputs, targets map[string]target, now time.Time) {
 	listed := make(map[string]pool, len(inputs.VMs))
 	for _, vm := range inputs.VMs {
-		if vm.Role == platform.RoleEntry {
+		if vm.Role == hosting.RoleEntry {
 			continue
 		}
 		listed[vm.Name] = f.poolNow(vm, targets)
@@ -117,7 +117,7 @@
 
 // poolNow returns the pool of a VM. A VM that is leaving stays in the pool
 // that it was in.
-func (f *fleet) poolNow(vm platform.VM, targets map[string]target) pool {
+func (f *fleet) poolNow(vm hosting.VM, targets map[string]target) pool {
 	if wanted, found := targets[vm.Name]; found {
 		vm.Models = wanted.models
 		return poolOf(vm)
@@ -141,7 +141,7 @@
 func (f *fleet) live(inputs Inputs) map[pool][]string {
 	live := make(map[pool][]string)
 	for _, vm := range inputs.VMs {
-		if vm.Role != platform.RoleEntry && !vm.Leaving {
+		if vm.Role != hosting.RoleEntry && !vm.Leaving {
 			live[f.seen[vm.Name]] = append(live[f.seen[vm.Name]], vm.Name)
 		}
 	}
@@ -155,7 +155,7 @@
 // needs, up to MaxRunners, or, where the demand is not known, as many as it had.
 func (f *fleet) wanted(p pool, live []string, inputs Inputs) int {
 	at := slices.IndexFunc(inputs.Demands, func(demand Demand) bool {
-		return p.role == platform.RoleRunner && demand.Model == p.model
+		return p.role == hosting.RoleRunner && demand.Model == p.model
 	})
 	if at < 0 {
 		return len(live) + f.pending(p) + len(f.lostOf(p))
--- a/placement/inputs.go
+++ b/placement/inputs.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/plan"
-	"github.com/cranberrywalk/cranberrywalk/platform"
 )
 
 // Options shape the decisions.
@@ -64,10 +64,10 @@
 type Inputs struct {
 	// VMs are the listed backend servers of the region. Leaving ones are
 	// marked, also those that only a notice has announced.
-	VMs []platform.VM
+	VMs []hosting.VM
 	// Reports are the last load reports, by VM. A runner without one gets no
 	// orders.
-	Reports map[string]platform.LoadReport
+	Reports map[string]hosting.LoadReport
 	// Demands has at most one entry for a model. For a model without an
 	// entry the number of runners is kept.
 	Demands []Demand
@@ -78,13 +78,13 @@
 }
 
 // WithReports returns the inputs with other load reports.
-func (i Inputs) WithReports(reports map[string]platform.LoadReport) Inputs {
+func (i Inputs) WithReports(reports map[string]hosting.LoadReport) Inputs {
 	i.Reports = reports
 	return i
 }
 
 // OffersOf returns the kinds of the VMs, each with its lowest price.
-func OffersOf(vms []platform.VM) []Offer {
+func OffersOf(vms []hosting.VM) []Offer {
 	var offers []Offer
 	for _, vm := range vms {
 		offer := Offer{Zone: vm.Zone, Class: vm.Class, Reclaimable: vm.Reclaimable, Price: vm.Price}
@@ -106,7 +106,7 @@
 
 // Load is an order to a runner.
 type Load struct {
-	VM platform.VM
+	VM hosting.VM
 	// Models are all models that are wanted, in order of their names.
 	Models []string
 	// Missing are those of Models that the runner has to fetch.
@@ -116,5 +116,5 @@
 // Decision is what is to be ordered now.
 type Decision struct {
 	Loads  []Load
-	Starts []platform.StartRequest
+	Starts []hosting.StartRequest
 }
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // target is what is wanted of a runner.
@@ -59,22 +59,22 @@
 }
 
 // usableRunners returns the runners that can take orders, by name.
-func usableRunners(inputs Inputs) []platform.VM {
-	var runners []platform.VM
+func usableRunners(inputs Inputs) []hosting.VM {
+	var runners []hosting.VM
 	for _, vm := range inputs.VMs {
 		_, hasReport := inputs.Reports[vm.Name]
-		if vm.Role == platform.RoleRunner && !vm.Leaving && hasReport {
+		if vm.Role == hosting.RoleRunner && !vm.Leaving && hasReport {
 			runners = append(runners, vm)
 		}
 	}
-	slices.SortFunc(runners, func(a, b platform.VM) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(runners, func(a, b hosting.VM) int { return cmp.Compare(a.Name, b.Name) })
 	return runners
 }
 
 // adopt takes over the models of runners that are new to the planner, and
 // drops the targets of those that have left. A runner without a report now
 // keeps its target.
-func (p *Planner) adopt(runners []platform.VM, inputs Inputs) {
+func (p *Planner) adopt(runners []hosting.VM, inputs Inputs) {
 	for _, vm := range runners {
 		if _, known := p.targets[vm.Name]; known {
 			continue
@@ -86,7 +86,7 @@
 		p.targets[vm.Name] = target{models: sorted(models)}
 	}
 	for name := range p.targets {
-		isListed := slices.ContainsFunc(inputs.VMs, func(vm platform.VM) bool {
+		isListed := slices.ContainsFunc(inputs.VMs, func(vm hosting.VM) bool {
 			return vm.Name == name && !vm.Leaving
 		})
 		if !isListed {
@@ -97,17 +97,17 @@
 
 // endLoading lets another runner fetch weights when the last one has done so
 // or takes too long.
-func (p *Planner) endLoading(runners []platform.VM, inputs Inputs, now time.Time) {
+func (p *Planner) endLoading(runners []hosting.VM, inputs Inputs, now time.Time) {
 	wanted := p.targets[p.loading]
-	isUsable := slices.ContainsFunc(runners, func(vm platform.VM) bool { return vm.Name == p.loading })
+	isUsable := slices.ContainsFunc(runners, func(vm hosting.VM) bool { return vm.Name == p.loading })
 	isLate := !wanted.ordered.IsZero() && !now.Before(wanted.ordered.Add(p.options.RepeatAfter))
 	if !isUsable || isLate || len(p.missing(p.loading, inputs)) == 0 {
 		p.loading = ""
 	}
 }
 
-func (p *Planner) isAnyMissing(runners []platform.VM, inputs Inputs) bool {
-	return slices.ContainsFunc(runners, func(vm platform.VM) bool {
+func (p *Planner) isAnyMissing(runners []hosting.VM, inputs Inputs) bool {
+	return slices.ContainsFunc(runners, func(vm hosting.VM) bool {
 		return len(p.missing(vm.Name, inputs)) > 0
 	})
 }
@@ -126,9 +126,9 @@
 // loads returns the orders to runners that do not report what is wanted.
 // Runners that were ordered longest ago come first, so that one that never
 // loads its models does not keep the others from theirs.
-func (p *Planner) loads(runners []platform.VM, inputs Inputs, now time.Time) []Load {
+func (p *Planner) loads(runners []hosting.VM, inputs Inputs, now time.Time) []Load {
 	byAge := slices.Clone(runners)
-	slices.SortStableFunc(byAge, func(a, b platform.VM) int {
+	slices.SortStableFunc(byAge, func(a, b hosting.VM) int {
 		return p.targets[a.Name].ordered.Compare(p.targets[b.Name].ordered)
 	})
 	var loads []Load
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -7,9 +7,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/placement"
 	"github.com/cranberrywalk/cranberrywalk/plan"
-	"github.com/cranberrywalk/cranberrywalk/platform"
 )
 
 var (
@@ -28,18 +28,18 @@
 // newRig returns runners named r0 and up with one model each.
 func newRig(t *testing.T, models ...string) *rig {
 	r := &rig{C: qt.New(t), now: start, planner: placement.New(options)}
-	r.inputs.Reports = make(map[string]platform.LoadReport)
+	r.inputs.Reports = make(map[string]hosting.LoadReport)
 	r.inputs.Allowances = []plan.Allowance{{Plan: "p", Models: []string{"a", "b"}, Services: []string{"s"}}}
 	for i, model := range models {
-		vm := platform.VM{
-			Name: fmt.Sprint("r", i), Role: platform.RoleRunner, Zone: "z1", Class: "c",
+		vm := hosting.VM{
+			Name: fmt.Sprint("r", i), Role: hosting.RoleRunner, Zone: "z1", Class: "c",
 			Reclaimable: true, Price: 1,
 		}
 		if model != "" {
 			vm.Models = []string{model}
 		}
 		r.inputs.VMs = append(r.inputs.VMs, vm)
-		r.inputs.Reports[vm.Name] = platform.LoadReport{Models: vm.Models}
+		r.inputs.Reports[vm.Name] = hosting.LoadReport{Models: vm.Models}
 	}
 	return r
 }
@@ -63,7 +63,7 @@
 // obey gives the order and lets the runner report its result.
 func (r *rig) obey(vm string, models ...string) {
 	r.planner.Ordered(vm, r.now)
-	r.inputs.Reports[vm] = platform.LoadReport{Models: models}
+	r.inputs.Reports[vm] = hosting.LoadReport{Models: models}
 }
 
 func TestModelsFollowDemand(t *testing.T) {
@@ -148,7 +148,7 @@
 	r := newRig(t, "a", "b")
 	r.demand(0.3, 0.3)
 	r.Assert(r.loads(), qt.DeepEquals, []string{})
-	r.inputs.Reports["r0"] = platform.LoadReport{Models: []string{"b", "x"}}
+	r.inputs.Reports["r0"] = hosting.LoadReport{Models: []string{"b", "x"}}
 	r.Assert(r.loads(), qt.DeepEquals, []string{"r0[a][a]"})
 	r.obey("r0", "x", "a")
 	r.now = r.now.Add(options.RepeatAfter)
--- a/placement/rebalance.go
+++ b/placement/rebalance.go
@@ -4,13 +4,13 @@
 	"slices"
 	"time"
 
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/plan"
-	"github.com/cranberrywalk/cranberrywalk/platform"
 )
 
 // rebalance gives one runner to the model that is shortest of them, if there
 // is a runner that can be spared.
-func (p *Planner) rebalance(runners []platform.VM, inputs Inputs, now time.Time) {
+func (p *Planner) rebalance(runners []hosting.VM, inputs Inputs, now time.Time) {
 	supply := p.supply(runners)
 	receiver, found := p.neediest(supply, inputs.Demands)
 	if !found {
@@ -25,7 +25,7 @@
 
 // supply returns how many runners each model has. A runner with several
 // models counts for each of them with its share.
-func (p *Planner) supply(runners []platform.VM) map[string]float64 {
+func (p *Planner) supply(runners []hosting.VM) map[string]float64 {
 	supply := make(map[string]float64)
 	for _, vm := range runners {
 		models := p.targets[vm.Name].models
@@ -61,7 +61,7 @@
 
 // spare returns the runner that is easiest to do without: an idle one, or
 // one whose models stay at or below LowUse.
-func (p *Planner) spare(runners []platform.VM, supply map[string]float64, receiver string, inputs Inputs, now time.Time) (string, bool) {
+func (p *Planner) spare(runners []hosting.VM, supply map[string]float64, receiver string, inputs Inputs, now time.Time) (string, bool) {
 	limit := p.options.LowUse
 	if supply[receiver] == 0 {
 		limit = p.options.HighUse
--- a/placement/start.go
+++ b/placement/start.go
@@ -9,11 +9,11 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // Started notes the VM of a start.
-func (p *Planner) Started(request platform.StartRequest, vm platform.VM, now time.Time) {
+func (p *Planner) Started(request hosting.StartRequest, vm hosting.VM, now time.Time) {
 	f := &p.fleet
 	f.started[request.Identity] = start{
 		pool: poolOfRequest(request), vm: vm.Name, until: now.Add(f.options.RepeatAfter),
@@ -27,7 +27,7 @@
 
 // Refused notes that the cloud has no capacity for a start. The next decision
 // takes another offer.
-func (p *Planner) Refused(request platform.StartRequest, now time.Time) {
+func (p *Planner) Refused(request hosting.StartRequest, now time.Time) {
 	f := &p.fleet
 	last := f.refused[offerOf(request)]
 	wait := min(max(f.options.BackoffMin, 2*last.wait), f.options.BackoffMax)
@@ -92,7 +92,7 @@
 	count := 0
 	for _, allowance := range inputs.Allowances {
 		err := allowance.PermitModel(p.model)
-		if p.role == platform.RoleService {
+		if p.role == hosting.RoleService {
 			err = allowance.PermitService(p.service)
 		}
 		if err == nil && allowance.AllowsVM(offer.Zone, offer.Class) {
@@ -112,20 +112,20 @@
 	return count
 }
 
-func offerOf(request platform.StartRequest) Offer {
+func offerOf(request hosting.StartRequest) Offer {
 	return Offer{Zone: request.Zone, Class: request.Class, Reclaimable: request.Reclaimable}
 }
 
-func poolOf(vm platform.VM) pool {
+func poolOf(vm hosting.VM) pool {
 	p := pool{role: vm.Role, service: vm.Service}
-	if vm.Role == platform.RoleRunner && len(vm.Models) > 0 {
+	if vm.Role == hosting.RoleRunner && len(vm.Models) > 0 {
 		p.model = slices.Min(vm.Models)
 	}
 	return p
 }
 
-func poolOfRequest(request platform.StartRequest) pool {
-	return poolOf(platform.VM{Role: request.Role, Service: request.Service, Models: request.Models})
+func poolOfRequest(request hosting.StartRequest) pool {
+	return poolOf(hosting.VM{Role: request.Role, Service: request.Service, Models: request.Models})
 }
 
 func modelsOf(p pool) []string {
--- a/placement/start_test.go
+++ b/placement/start_test.go
@@ -7,9 +7,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/placement"
 	"github.com/cranberrywalk/cranberrywalk/plan"
-	"github.com/cranberrywalk/cranberrywalk/platform"
 )
 
 // offers are those of two zones, the second one dearer.
@@ -23,13 +23,13 @@
 // newFleetRig returns three runners and one service, all listed before.
 func newFleetRig(t *testing.T) *rig {
 	r := newRig(t, "a", "a", "a")
-	r.inputs.VMs = append(r.inputs.VMs, platform.VM{Name: "s0", Role: platform.RoleService, Service: "s", Zone: "z1", Class: "c"})
+	r.inputs.VMs = append(r.inputs.VMs, hosting.VM{Name: "s0", Role: hosting.RoleService, Service: "s", Zone: "z1", Class: "c"})
 	r.inputs.Offers = offers
 	r.Assert(r.requests(), qt.HasLen, 0)
 	return r
 }
 
-func (r *rig) requests() []platform.StartRequest {
+func (r *rig) requests() []hosting.StartRequest {
 	return r.planner.Plan(r.inputs, r.now).Starts
 }
 
@@ -42,7 +42,7 @@
 	return starts
 }
 
-func text(request platform.StartRequest) string {
+func text(request hosting.StartRequest) string {
 	kind := "on-demand"
 	if request.Reclaimable {
 		kind = "reclaimable"
@@ -135,7 +135,7 @@
 	r := newFleetRig(t)
 	r.inputs.VMs[1].Leaving = true
 	request := r.requests()[0]
-	r.planner.Started(request, platform.VM{Name: "new"}, r.now)
+	r.planner.Started(request, hosting.VM{Name: "new"}, r.now)
 	r.Assert(r.starts(), qt.DeepEquals, []string{})
 	// The VM is never listed.
 	r.now = r.now.Add(options.RepeatAfter)
@@ -146,7 +146,7 @@
 func TestReplacementIsListedBeforeLostVMIsGone(t *testing.T) {
 	r := newFleetRig(t)
 	r.inputs.VMs[1].Leaving = true
-	r.planner.Started(r.requests()[0], platform.VM{Name: "new"}, r.now)
+	r.planner.Started(r.requests()[0], hosting.VM{Name: "new"}, r.now)
 	added := r.inputs.VMs[0]
 	added.Name = "new"
 	r.inputs.VMs = append(r.inputs.VMs, added)
@@ -169,9 +169,9 @@
 
 func TestOffersAreThoseOfListedVMs(t *testing.T) {
 	c := qt.New(t)
-	vm := platform.VM{Zone: "z", Class: "c", Reclaimable: true, Price: 2}
+	vm := hosting.VM{Zone: "z", Class: "c", Reclaimable: true, Price: 2}
 	cheaper := vm
 	cheaper.Price = 1
-	c.Assert(placement.OffersOf([]platform.VM{vm, cheaper, {Zone: "z", Class: "c", Price: 3}}), qt.DeepEquals,
+	c.Assert(placement.OffersOf([]hosting.VM{vm, cheaper, {Zone: "z", Class: "c", Price: 3}}), qt.DeepEquals,
 		[]placement.Offer{{Zone: "z", Class: "c", Reclaimable: true, Price: 1}, {Zone: "z", Class: "c", Price: 3}})
 }
--- a/plan/fold_test.go
+++ b/plan/fold_test.go
@@ -9,8 +9,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/plan"
-	"github.com/cranberrywalk/cranberrywalk/platform"
 )
 
 func hashOf(key string) string {
@@ -154,11 +154,11 @@
 	follower := plan.NewFollower(plan.State{}).WithTrimmed(4)
 	c.Assert(follower.HasGap(), qt.IsTrue)
 
-	follower, verdict := follower.Fold(platform.Record{Offset: 4, Payload: payloadOf(c, publishPlans("1", 0))})
+	follower, verdict := follower.Fold(hosting.Record{Offset: 4, Payload: payloadOf(c, publishPlans("1", 0))})
 	c.Assert(verdict.Err, qt.DeepEquals, &plan.GapError{Expected: 0, Offset: 4})
 	c.Assert(follower.From(), qt.Equals, uint64(5))
 
-	follower, _ = follower.Fold(platform.Record{Offset: 5, Payload: plan.NewStateAt(5).Snapshot()})
+	follower, _ = follower.Fold(hosting.Record{Offset: 5, Payload: plan.NewStateAt(5).Snapshot()})
 	c.Assert(follower.HasGap(), qt.IsFalse)
 	c.Assert(follower.From(), qt.Equals, uint64(5))
 }
--- a/plan/follower.go
+++ b/plan/follower.go
@@ -1,6 +1,6 @@
 package plan
 
-import "github.com/cranberrywalk/cranberrywalk/platform"
+import "github.com/cranberrywalk/cranberrywalk/hosting"
 
 // Follower folds the configuration stream and says which record it needs
 // next. It is immutable.
@@ -30,7 +30,7 @@
 func (f Follower) HasGap() bool { return f.from > f.state.offset }
 
 // Fold folds a record that was read from the stream.
-func (f Follower) Fold(record platform.Record) (Follower, Verdict) {
+func (f Follower) Fold(record hosting.Record) (Follower, Verdict) {
 	before := f.state.offset
 	state, verdict := f.state.Fold(record.Offset, record.Payload)
 	switch {
--- a/plan/inquiry.go
+++ b/plan/inquiry.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // Inquiry finds out what became of a change that was appended. It starts
@@ -30,7 +30,7 @@
 // Fold takes the next record. The first record with the payload of the
 // change decides: a copy that a repeated append has left is refused by every
 // daemon as repeated.
-func (i Inquiry) Fold(record platform.Record) Inquiry {
+func (i Inquiry) Fold(record hosting.Record) Inquiry {
 	isNext := record.Offset == i.follower.state.offset
 	follower, verdict := i.follower.Fold(record)
 	i.follower = follower
--- a/plan/property_test.go
+++ b/plan/property_test.go
@@ -8,8 +8,8 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/plan"
-	"github.com/cranberrywalk/cranberrywalk/platform"
 )
 
 // changes makes changes of small lists, so that bases, identities and keys
@@ -35,9 +35,9 @@
 
 // streams makes the records of a stream: changes, damaged ones and
 // snapshots of any earlier state. A base is mostly the current version.
-func streams(t *rapid.T) []platform.Record {
+func streams(t *rapid.T) []hosting.Record {
 	states := []plan.State{{}}
-	var records []platform.Record
+	var records []hosting.Record
 	for offset := range rapid.IntRange(1, 30).Draw(t, "records") {
 		state := states[len(states)-1]
 		change := changes(t, uint64(offset))
@@ -53,14 +53,14 @@
 		case 2:
 			payload = payload[:rapid.IntRange(0, len(payload)).Draw(t, "cut")]
 		}
-		records = append(records, platform.Record{Offset: uint64(offset), Payload: payload})
+		records = append(records, hosting.Record{Offset: uint64(offset), Payload: payload})
 		state, _ = state.Fold(uint64(offset), payload)
 		states = append(states, state)
 	}
 	return records
 }
 
-func foldRecords(records []platform.Record) plan.State {
+func foldRecords(records []hosting.Record) plan.State {
 	var state plan.State
 	for _, record := range records {
 		state, _ = state.Fold(record.Offset, record.Payload)
--- a/roster/bench_test.go
+++ b/roster/bench_test.go
@@ -5,16 +5,16 @@
 	"testing"
 	"time"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/roster"
 )
 
 // largeList lists 1,500 runners with 10 models in 14 zones.
 func largeList(version uint64) roster.Listed {
-	var vms []platform.VM
+	var vms []hosting.VM
 	for i := range 1500 {
-		vms = append(vms, platform.VM{
-			Name: fmt.Sprint("runner-", i), Role: platform.RoleRunner,
+		vms = append(vms, hosting.VM{
+			Name: fmt.Sprint("runner-", i), Role: hosting.RoleRunner,
 			Zone: fmt.Sprint("zone-", i%14), Models: []string{fmt.Sprint("model-", i%10)},
 		})
 	}
@@ -29,7 +29,7 @@
 		event roster.Event
 	}{
 		{"Listed", again},
-		{"Noticed", roster.Noticed{Notice: platform.Notice{VM: "runner-7"}}},
+		{"Noticed", roster.Noticed{Notice: hosting.Notice{VM: "runner-7"}}},
 		{"Failed", roster.Failed{VM: "runner-7"}},
 		{"Answered", roster.Answered{VM: "runner-7"}},
 	} {
--- a/roster/event.go
+++ b/roster/event.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // Event is a fact from one of the roster's sources: Listed, Noticed, Reported,
@@ -15,12 +15,12 @@
 // Listed is a snapshot of the VM list. A snapshot that is not newer than the
 // last one changes nothing.
 type Listed struct {
-	Snapshot platform.VMSnapshot
+	Snapshot hosting.VMSnapshot
 }
 
 // Noticed is a reclaim notice of the cloud.
 type Noticed struct {
-	Notice platform.Notice
+	Notice hosting.Notice
 }
 
 // Reported is a peer's statement that a VM is leaving.
@@ -69,7 +69,7 @@
 // Effect is a change that the daemon has to act on.
 type Effect struct {
 	Kind EffectKind
-	VM   platform.VM
+	VM   hosting.VM
 	// Deadline is when a leaving VM stops; the zero time when it is not
 	// known.
 	Deadline time.Time
--- a/roster/index.go
+++ b/roster/index.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // index holds the positions of the members in a roster. It depends on what the
@@ -30,9 +30,9 @@
 	return built
 }
 
-func (i *index) add(position int, vm platform.VM) {
+func (i *index) add(position int, vm hosting.VM) {
 	i.byName[vm.Name] = position
-	if vm.Role == platform.RoleEntry {
+	if vm.Role == hosting.RoleEntry {
 		i.peers = append(i.peers, position)
 		return
 	}
@@ -64,20 +64,20 @@
 }
 
 // Usable returns the backend servers that may get new work, by name.
-func (r Roster) Usable(now time.Time) []platform.VM { return r.usable(r.index.backends, now) }
+func (r Roster) Usable(now time.Time) []hosting.VM { return r.usable(r.index.backends, now) }
 
 // Runners returns the usable runners that serve the model, by name.
-func (r Roster) Runners(model string, now time.Time) []platform.VM {
+func (r Roster) Runners(model string, now time.Time) []hosting.VM {
 	return r.usable(r.index.byModel[model], now)
 }
 
 // Services returns the usable VMs that run the plain service, by name.
-func (r Roster) Services(service string, now time.Time) []platform.VM {
+func (r Roster) Services(service string, now time.Time) []hosting.VM {
 	return r.usable(r.index.byService[service], now)
 }
 
-func (r Roster) usable(positions []int, now time.Time) []platform.VM {
-	var usable []platform.VM
+func (r Roster) usable(positions []int, now time.Time) []hosting.VM {
+	var usable []hosting.VM
 	for _, position := range positions {
 		if member := r.members[position]; member.IsUsable(now) {
 			usable = append(usable, member.VM)
@@ -108,8 +108,8 @@
 
 // Peers returns the listed entry VMs, by name, also those that are leaving:
 // they still serve their peers until they stop.
-func (r Roster) Peers() []platform.VM {
-	peers := make([]platform.VM, 0, len(r.index.peers))
+func (r Roster) Peers() []hosting.VM {
+	peers := make([]hosting.VM, 0, len(r.index.peers))
 	for _, position := range r.index.peers {
 		peers = append(peers, r.members[position].VM)
 	}
--- a/roster/list.go
+++ b/roster/list.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 func (e Listed) apply(r Roster, now time.Time) (Roster, []Effect) {
@@ -36,7 +36,7 @@
 
 // list returns the member for a listed VM. It joins what the list says with
 // what was known before.
-func (r Roster) list(vm platform.VM, before Roster, now time.Time) (Member, []Effect) {
+func (r Roster) list(vm hosting.VM, before Roster, now time.Time) (Member, []Effect) {
 	if _, reported := r.reports[vm.Name]; vm.Leaving && !reported {
 		r.reports[vm.Name] = report{expires: now.Add(ReportRetention)}
 	}
--- a/roster/property_test.go
+++ b/roster/property_test.go
@@ -10,14 +10,14 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/roster"
 )
 
 // history draws versions of a VM list as a platform makes them: VMs come, start
 // to leave and go, and no name comes back.
 func history(t *rapid.T) []roster.Listed {
-	live := make(map[string]platform.VM)
+	live := make(map[string]hosting.VM)
 	var versions []roster.Listed
 	names := 0
 	for version := range rapid.IntRange(1, 8).Draw(t, "versions") {
@@ -49,7 +49,7 @@
 		name := fmt.Sprint("R", rapid.IntRange(0, 3).Draw(t, "vm"))
 		deadline := start.Add(time.Duration(rapid.IntRange(1, 3).Draw(t, "minutes")) * time.Minute)
 		if rapid.Bool().Draw(t, "notice") {
-			events = append(events, roster.Noticed{Notice: platform.Notice{VM: name, Deadline: deadline}})
+			events = append(events, roster.Noticed{Notice: hosting.Notice{VM: name, Deadline: deadline}})
 		} else {
 			events = append(events, roster.Reported{VM: name})
 		}
@@ -131,7 +131,7 @@
 	})
 }
 
-func note(names map[string]bool, vms []platform.VM) {
+func note(names map[string]bool, vms []hosting.VM) {
 	for _, vm := range vms {
 		names[vm.Name] = true
 	}
@@ -139,7 +139,7 @@
 
 func TestReportsAboutUnlistedVMsAreForgotten(t *testing.T) {
 	c := qt.New(t)
-	r, _, now := script(roster.Noticed{Notice: platform.Notice{VM: "A"}})
+	r, _, now := script(roster.Noticed{Notice: hosting.Notice{VM: "A"}})
 	c.Assert(r.Member("A").State, qt.Equals, roster.Leaving)
 	r, _ = r.Apply(listed(1, runner("B")), now.Add(2*roster.ReportRetention))
 	c.Assert(r.Member("A").State, qt.Equals, roster.Gone)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -11,7 +11,7 @@
 	"slices"
 	"time"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 const (
@@ -50,7 +50,7 @@
 
 // Member is a listed VM with what is known about it.
 type Member struct {
-	VM    platform.VM
+	VM    hosting.VM
 	State State
 	// Deadline is when a leaving VM stops; the zero time when it is not
 	// known.
@@ -108,9 +108,9 @@
 		return *member
 	}
 	if report, reported := r.reports[vm]; reported {
-		return Member{VM: platform.VM{Name: vm}, State: Leaving, Deadline: report.deadline}
+		return Member{VM: hosting.VM{Name: vm}, State: Leaving, Deadline: report.deadline}
 	}
-	return Member{VM: platform.VM{Name: vm}, State: Gone}
+	return Member{VM: hosting.VM{Name: vm}, State: Gone}
 }
 
 // Len returns the number of listed VMs.
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -6,18 +6,18 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/roster"
 )
 
 var start = time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
 
-func runner(name string) platform.VM {
-	return platform.VM{Name: name, Role: platform.RoleRunner, Zone: "ZoneA", Models: []string{"Small"}}
+func runner(name string) hosting.VM {
+	return hosting.VM{Name: name, Role: hosting.RoleRunner, Zone: "ZoneA", Models: []string{"Small"}}
 }
 
-func listed(version uint64, vms ...platform.VM) roster.Listed {
-	return roster.Listed{Snapshot: platform.VMSnapshot{Version: version, VMs: vms}}
+func listed(version uint64, vms ...hosting.VM) roster.Listed {
+	return roster.Listed{Snapshot: hosting.VMSnapshot{Version: version, VMs: vms}}
 }
 
 // script applies events one second apart and returns the last roster, the
@@ -36,7 +36,7 @@
 	return r, kinds, now
 }
 
-func names(vms []platform.VM) []string {
+func names(vms []hosting.VM) []string {
 	var names []string
 	for _, vm := range vms {
 		names = append(names, vm.Name)
@@ -48,7 +48,7 @@
 	a, b := runner("A"), runner("B")
 	leavingB := b
 	leavingB.Leaving = true
-	notice := roster.Noticed{Notice: platform.Notice{VM: "A", Deadline: start.Add(time.Minute)}}
+	notice := roster.Noticed{Notice: hosting.Notice{VM: "A", Deadline: start.Add(time.Minute)}}
 	failed := roster.Failed{VM: "A"}
 	for _, scenario := range []struct {
 		name    string
--- a/standin/cloud/cloud.go
+++ b/standin/cloud/cloud.go
@@ -11,7 +11,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/standin"
 )
 
@@ -68,11 +68,11 @@
 	mu sync.Mutex
 	// versions are the states of the list in order; the last is the truth.
 	versions []version
-	notices  []platform.Notice
+	notices  []hosting.Notice
 	// noticed is closed and replaced by every notice.
 	noticed chan struct{}
 	// started holds the VM of each identity of a start.
-	started map[string]platform.VM
+	started map[string]hosting.VM
 	// spares are the addresses for VMs to be started.
 	spares []string
 	// transfersUntil is when the weight store has served every reservation.
@@ -80,14 +80,14 @@
 }
 
 // New returns a cloud whose list shows the VMs at once.
-func New(c clock.Clock, parameters Parameters, vms []platform.VM) *Cloud {
+func New(c clock.Clock, parameters Parameters, vms []hosting.VM) *Cloud {
 	cloud := &Cloud{
 		Router:     chi.NewRouter(),
 		clock:      c,
 		parameters: parameters,
-		versions:   []version{{snapshot: platform.VMSnapshot{Version: 1, VMs: vms}}},
+		versions:   []version{{snapshot: hosting.VMSnapshot{Version: 1, VMs: vms}}},
 		noticed:    make(chan struct{}),
-		started:    map[string]platform.VM{},
+		started:    map[string]hosting.VM{},
 	}
 	cloud.Handle("/control/faults", &cloud.faults)
 	cloud.Put("/vms", cloud.replace)
--- a/standin/cloud/cloud_test.go
+++ b/standin/cloud/cloud_test.go
@@ -11,8 +11,8 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
-	"github.com/cranberrywalk/cranberrywalk/platform"
-	"github.com/cranberrywalk/cranberrywalk/platformhttp"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
+	"github.com/cranberrywalk/cranberrywalk/hostinghttp"
 	"github.com/cranberrywalk/cranberrywalk/standin/cloud"
 )
 
@@ -26,25 +26,25 @@
 	*qt.C
 	clock   *clockwork.FakeClock
 	service *cloud.Cloud
-	list    *platformhttp.VMList
-	cloud   *platformhttp.Cloud
-	weights *platformhttp.WeightStore
+	list    *hostinghttp.VMList
+	cloud   *hostinghttp.Cloud
+	weights *hostinghttp.WeightStore
 }
 
 func newDriver(t *testing.T) *driver {
 	d := &driver{C: qt.New(t), clock: clock.NewFake(start)}
 	parameters := cloud.DefaultParameters()
 	parameters.ZoneFactors = map[string]float64{"a": 0.8}
-	d.service = cloud.New(d.clock, parameters, []platform.VM{{Name: "runner-1"}})
+	d.service = cloud.New(d.clock, parameters, []hosting.VM{{Name: "runner-1"}})
 	server := httptest.NewServer(d.service)
 	d.Cleanup(server.Close)
-	d.list = platformhttp.NewVMList(server.URL, server.Client())
-	d.cloud = platformhttp.NewCloud(server.URL, server.Client())
-	d.weights = platformhttp.NewWeightStore(server.URL, server.Client())
+	d.list = hostinghttp.NewVMList(server.URL, server.Client())
+	d.cloud = hostinghttp.NewCloud(server.URL, server.Client())
+	d.weights = hostinghttp.NewWeightStore(server.URL, server.Client())
 	return d
 }
 
-func (d *driver) vms() []platform.VM {
+func (d *driver) vms() []hosting.VM {
 	snapshot, err := d.list.VMs(ctx)
 	d.Assert(err, qt.IsNil)
 	return snapshot.VMs
@@ -57,7 +57,7 @@
 	notices, err := d.cloud.Notices(ctx, 0, time.Second)
 
 	d.Assert(err, qt.IsNil)
-	d.Assert(notices, qt.DeepEquals, []platform.Notice{{Sequence: 1, VM: "runner-1", Deadline: start.Add(5 * time.Second)}})
+	d.Assert(notices, qt.DeepEquals, []hosting.Notice{{Sequence: 1, VM: "runner-1", Deadline: start.Add(5 * time.Second)}})
 	d.Assert(d.vms()[0].Leaving, qt.IsFalse)
 	d.clock.Advance(cloud.DefaultParameters().ListLag)
 	d.Assert(d.vms()[0].Leaving, qt.IsTrue)
@@ -65,7 +65,7 @@
 
 func TestPollWaitsForNotice(t *testing.T) {
 	d := newDriver(t)
-	polled := make(chan []platform.Notice, 1)
+	polled := make(chan []hosting.Notice, 1)
 	go func() {
 		notices, _ := d.cloud.Notices(ctx, 0, 20*time.Second)
 		polled <- notices
@@ -79,7 +79,7 @@
 
 func TestStartAndStop(t *testing.T) {
 	d := newDriver(t)
-	request := platform.StartRequest{Identity: "s1", Zone: "a", Class: "large", Reclaimable: true}
+	request := hosting.StartRequest{Identity: "s1", Zone: "a", Class: "large", Reclaimable: true}
 	vm, err := d.cloud.Start(ctx, request)
 	d.Assert(err, qt.IsNil)
 	d.Assert(vm.Price, qt.Equals, 0.8)
@@ -100,15 +100,15 @@
 func TestFaults(t *testing.T) {
 	d := newDriver(t)
 	d.service.SetFaults(cloud.Faults{RefuseStarts: []string{"a"}})
-	_, err := d.cloud.Start(ctx, platform.StartRequest{Zone: "a"})
-	var refused *platform.RefusedError
+	_, err := d.cloud.Start(ctx, hosting.StartRequest{Zone: "a"})
+	var refused *hosting.RefusedError
 	d.Assert(errors.As(err, &refused), qt.IsTrue)
-	_, err = d.cloud.Start(ctx, platform.StartRequest{Zone: "b"})
+	_, err = d.cloud.Start(ctx, hosting.StartRequest{Zone: "b"})
 	d.Assert(err, qt.IsNil)
 
 	d.service.SetFaults(cloud.Faults{Outage: true})
 	_, err = d.list.VMs(ctx)
-	var unavailable *platform.UnavailableError
+	var unavailable *hosting.UnavailableError
 	d.Assert(errors.As(err, &unavailable), qt.IsTrue)
 }
 
--- a/standin/cloud/list.go
+++ b/standin/cloud/list.go
@@ -6,14 +6,14 @@
 	"strconv"
 	"time"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/standin"
 )
 
 // version is a state of the list and when it came about.
 type version struct {
 	since    time.Time
-	snapshot platform.VMSnapshot
+	snapshot hosting.VMSnapshot
 }
 
 // list answers with the newest state that is at least the lag old.
@@ -32,7 +32,7 @@
 // WholeLists counts the lists that were sent whole.
 func (c *Cloud) WholeLists() int64 { return c.wholeLists.Load() }
 
-func (c *Cloud) visible() platform.VMSnapshot {
+func (c *Cloud) visible() hosting.VMSnapshot {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	shown := c.clock.Now().Add(-c.parameters.ListLag)
@@ -44,21 +44,21 @@
 
 // replace sets the whole list. It is part of the control interface.
 func (c *Cloud) replace(w http.ResponseWriter, r *http.Request) {
-	var request struct{ VMs []platform.VM }
+	var request struct{ VMs []hosting.VM }
 	if !standin.Decode(w, r, &request) {
 		return
 	}
-	c.change(func([]platform.VM) []platform.VM { return request.VMs })
+	c.change(func([]hosting.VM) []hosting.VM { return request.VMs })
 	standin.Respond(w, http.StatusOK, struct{}{})
 }
 
 // change adds a state of the list, which shows after the lag.
-func (c *Cloud) change(edit func(vms []platform.VM) []platform.VM) {
+func (c *Cloud) change(edit func(vms []hosting.VM) []hosting.VM) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	truth := c.versions[len(c.versions)-1].snapshot
 	c.versions = append(c.versions, version{
 		since:    c.clock.Now(),
-		snapshot: platform.VMSnapshot{Version: truth.Version + 1, VMs: edit(slices.Clone(truth.VMs))},
+		snapshot: hosting.VMSnapshot{Version: truth.Version + 1, VMs: edit(slices.Clone(truth.VMs))},
 	})
 }
--- a/standin/cloud/notices.go
+++ b/standin/cloud/notices.go
@@ -4,8 +4,8 @@
 	"net/http"
 	"time"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
-	"github.com/cranberrywalk/cranberrywalk/platformhttp"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
+	"github.com/cranberrywalk/cranberrywalk/hostinghttp"
 	"github.com/cranberrywalk/cranberrywalk/standin"
 )
 
@@ -38,7 +38,7 @@
 	for _, vm := range vms {
 		reclaimed[vm] = true
 	}
-	c.change(func(list []platform.VM) []platform.VM {
+	c.change(func(list []hosting.VM) []hosting.VM {
 		for i := range list {
 			list[i].Leaving = list[i].Leaving || reclaimed[list[i].Name]
 		}
@@ -52,7 +52,7 @@
 	defer c.mu.Unlock()
 	for _, vm := range vms {
 		sequence := uint64(len(c.notices) + 1)
-		c.notices = append(c.notices, platform.Notice{Sequence: sequence, VM: vm, Deadline: deadline})
+		c.notices = append(c.notices, hosting.Notice{Sequence: sequence, VM: vm, Deadline: deadline})
 	}
 	close(c.noticed)
 	c.noticed = make(chan struct{})
@@ -66,13 +66,13 @@
 	for {
 		notices, noticed := c.noticesAfter(after)
 		if len(notices) > 0 {
-			standin.Respond(w, http.StatusOK, platformhttp.NoticesResponse{Notices: notices})
+			standin.Respond(w, http.StatusOK, hostinghttp.NoticesResponse{Notices: notices})
 			return
 		}
 		select {
 		case <-noticed:
 		case <-timer.Chan():
-			standin.Respond(w, http.StatusOK, platformhttp.NoticesResponse{Notices: notices})
+			standin.Respond(w, http.StatusOK, hostinghttp.NoticesResponse{Notices: notices})
 			return
 		case <-r.Context().Done():
 			return
@@ -80,9 +80,9 @@
 	}
 }
 
-func (c *Cloud) noticesAfter(after uint64) ([]platform.Notice, <-chan struct{}) {
+func (c *Cloud) noticesAfter(after uint64) ([]hosting.Notice, <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known := uint64(len(c.notices))
-	return append([]platform.Notice{}, c.notices[min(after, known):]...), c.noticed
+	return append([]hosting.Notice{}, c.notices[min(after, known):]...), c.noticed
 }
--- a/standin/cloud/vms.go
+++ b/standin/cloud/vms.go
@@ -7,7 +7,7 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/standin"
 )
 
@@ -27,7 +27,7 @@
 // start adds a VM to the list. It takes the next spare address; without one,
 // the VM has no address.
 func (c *Cloud) start(w http.ResponseWriter, r *http.Request) {
-	var request platform.StartRequest
+	var request hosting.StartRequest
 	if !standin.Decode(w, r, &request) {
 		return
 	}
@@ -38,20 +38,20 @@
 	}
 	vm, isNew := c.place(request)
 	if isNew {
-		c.change(func(vms []platform.VM) []platform.VM { return append(vms, vm) })
+		c.change(func(vms []hosting.VM) []hosting.VM { return append(vms, vm) })
 	}
 	standin.Respond(w, http.StatusOK, vm)
 }
 
 // place returns the VM of the request's identity, and whether it is new.
-func (c *Cloud) place(request platform.StartRequest) (platform.VM, bool) {
+func (c *Cloud) place(request hosting.StartRequest) (hosting.VM, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if vm, ok := c.started[request.Identity]; ok && request.Identity != "" {
 		return vm, false
 	}
 	number := len(c.started) + 1
-	vm := platform.VM{
+	vm := hosting.VM{
 		Name:        fmt.Sprintf("started-%d", number),
 		Role:        request.Role,
 		Region:      c.regionOf(request.Zone),
@@ -75,7 +75,7 @@
 }
 
 // price returns the cost of one hour of the VM that is asked for.
-func (c *Cloud) price(request platform.StartRequest) float64 {
+func (c *Cloud) price(request hosting.StartRequest) float64 {
 	price := c.parameters.OnDemandPrice
 	if request.Reclaimable {
 		price = c.parameters.ReclaimablePrice
@@ -89,8 +89,8 @@
 // stop takes a VM off the list.
 func (c *Cloud) stop(w http.ResponseWriter, r *http.Request) {
 	name := chi.URLParam(r, "Name")
-	c.change(func(vms []platform.VM) []platform.VM {
-		return slices.DeleteFunc(vms, func(vm platform.VM) bool { return vm.Name == name })
+	c.change(func(vms []hosting.VM) []hosting.VM {
+		return slices.DeleteFunc(vms, func(vm hosting.VM) bool { return vm.Name == name })
 	})
 	standin.Respond(w, http.StatusOK, struct{}{})
 }
--- a/standin/cloud/weights.go
+++ b/standin/cloud/weights.go
@@ -4,16 +4,16 @@
 	"net/http"
 	"time"
 
-	"github.com/cranberrywalk/cranberrywalk/platformhttp"
+	"github.com/cranberrywalk/cranberrywalk/hostinghttp"
 	"github.com/cranberrywalk/cranberrywalk/standin"
 )
 
 func (c *Cloud) size(w http.ResponseWriter, _ *http.Request) {
-	standin.Respond(w, http.StatusOK, platformhttp.SizeResponse{Bytes: c.parameters.ModelBytes})
+	standin.Respond(w, http.StatusOK, hostinghttp.SizeResponse{Bytes: c.parameters.ModelBytes})
 }
 
 func (c *Cloud) reserve(w http.ResponseWriter, r *http.Request) {
-	var request platformhttp.ReserveRequest
+	var request hostinghttp.ReserveRequest
 	if !standin.Decode(w, r, &request) {
 		return
 	}
@@ -22,7 +22,7 @@
 		return
 	}
 	wait := c.queueTransfer(request.Bytes)
-	standin.Respond(w, http.StatusOK, platformhttp.ReserveResponse{Wait: wait.String()})
+	standin.Respond(w, http.StatusOK, hostinghttp.ReserveResponse{Wait: wait.String()})
 }
 
 // queueTransfer puts a transfer behind those reserved before, and returns the
--- a/standin/engine/batch.go
+++ b/standin/engine/batch.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // QueueFullError says that an engine has too many waiting requests.
@@ -151,10 +151,10 @@
 }
 
 // report returns the load.
-func (b *batch) report() platform.LoadReport {
+func (b *batch) report() hosting.LoadReport {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	report := platform.LoadReport{
+	report := hosting.LoadReport{
 		Running:      len(b.running),
 		Queued:       len(b.waiting),
 		CachedTokens: b.cache.tokens(),
--- a/standin/engine/batch_test.go
+++ b/standin/engine/batch_test.go
@@ -8,7 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -105,7 +105,7 @@
 
 	c.Assert(cached.use([]uint64{3}, start.Add(time.Minute)), qt.Equals, 0)
 	c.Assert(cached.tokens(), qt.Equals, 3*64)
-	c.Assert(cached.published(3, start.Add(time.Second), 4), qt.DeepEquals, []platform.CacheEvent{
+	c.Assert(cached.published(3, start.Add(time.Second), 4), qt.DeepEquals, []hosting.CacheEvent{
 		{Sequence: 5, Block: 4, Stored: true},
 	})
 }
--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -5,7 +5,7 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/prefix"
 )
 
@@ -24,7 +24,7 @@
 
 // publication is a cache event and when it happened.
 type publication struct {
-	event platform.CacheEvent
+	event hosting.CacheEvent
 	time  time.Time
 }
 
@@ -62,7 +62,7 @@
 
 func (c *cache) publish(block uint64, stored bool) {
 	c.sequence++
-	event := platform.CacheEvent{Sequence: c.sequence, Block: block, Stored: stored}
+	event := hosting.CacheEvent{Sequence: c.sequence, Block: block, Stored: stored}
 	c.events = append(c.events, publication{event: event, time: c.now})
 	if len(c.events) > maxEvents {
 		c.events = c.events[len(c.events)-maxEvents:]
@@ -71,8 +71,8 @@
 
 // published returns the events above a sequence that happened until shown,
 // without those whose sequence is a multiple of lostEvery.
-func (c *cache) published(after uint64, shown time.Time, lostEvery uint64) []platform.CacheEvent {
-	events := []platform.CacheEvent{}
+func (c *cache) published(after uint64, shown time.Time, lostEvery uint64) []hosting.CacheEvent {
+	events := []hosting.CacheEvent{}
 	for _, p := range c.events {
 		isLost := lostEvery > 0 && p.event.Sequence%lostEvery == 0
 		if p.event.Sequence > after && !p.time.After(shown) && !isLost {
--- a/standin/engine/control.go
+++ b/standin/engine/control.go
@@ -4,8 +4,8 @@
 	"net/http"
 	"slices"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
-	"github.com/cranberrywalk/cranberrywalk/platformhttp"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
+	"github.com/cranberrywalk/cranberrywalk/hostinghttp"
 	"github.com/cranberrywalk/cranberrywalk/prefix"
 	"github.com/cranberrywalk/cranberrywalk/standin"
 )
@@ -27,20 +27,20 @@
 	e.batch.mu.Lock()
 	events := e.batch.cache.published(standin.Uint(r, "After"), shown, e.parameters.LostEventEvery)
 	e.batch.mu.Unlock()
-	standin.Respond(w, http.StatusOK, platformhttp.CacheEventsResponse{Events: events})
+	standin.Respond(w, http.StatusOK, hostinghttp.CacheEventsResponse{Events: events})
 }
 
 // order sets the models and adapters. An engine that does not check fencing
 // numbers follows every order.
 func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
-	var order platform.Order
+	var order hosting.Order
 	if !standin.Decode(w, r, &order) {
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.parameters.ChecksFencing && order.Fencing < e.fencing {
-		standin.Respond(w, http.StatusConflict, platformhttp.FencedResponse{Seen: e.fencing})
+		standin.Respond(w, http.StatusConflict, hostinghttp.FencedResponse{Seen: e.fencing})
 		return
 	}
 	e.fencing = max(e.fencing, order.Fencing)
@@ -57,7 +57,7 @@
 }
 
 func (e *Engine) exportKV(w http.ResponseWriter, r *http.Request) {
-	var request platformhttp.ExportRequest
+	var request hostinghttp.ExportRequest
 	if !standin.Decode(w, r, &request) {
 		return
 	}
@@ -66,7 +66,7 @@
 		http.Error(w, "no such stream", http.StatusNotFound)
 		return
 	}
-	standin.Respond(w, http.StatusOK, platform.KVCache{
+	standin.Respond(w, http.StatusOK, hosting.KVCache{
 		RequestID: found.id,
 		Blocks:    found.blocks,
 		Tokens:    len(found.blocks) * prefix.BlockTokens,
@@ -75,7 +75,7 @@
 }
 
 func (e *Engine) importKV(w http.ResponseWriter, r *http.Request) {
-	var kv platform.KVCache
+	var kv hosting.KVCache
 	if !standin.Decode(w, r, &kv) {
 		return
 	}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -10,7 +10,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/standin"
 )
 
@@ -31,7 +31,7 @@
 	// fencing is the highest number of an order.
 	fencing uint64
 	// report is the last load report.
-	report platform.LoadReport
+	report hosting.LoadReport
 	// served counts the requests that came without an identity.
 	served int
 }
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -15,8 +15,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
-	"github.com/cranberrywalk/cranberrywalk/platform"
-	"github.com/cranberrywalk/cranberrywalk/platformhttp"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
+	"github.com/cranberrywalk/cranberrywalk/hostinghttp"
 	"github.com/cranberrywalk/cranberrywalk/prefix"
 	"github.com/cranberrywalk/cranberrywalk/standin/engine"
 )
@@ -221,7 +221,7 @@
 
 	d.Assert(d.send("/v1/completions", body).cachedTokens, qt.Equals, 5*prefix.BlockTokens)
 
-	control := platformhttp.NewEngine(d.server.URL, d.server.Client())
+	control := hostinghttp.NewEngine(d.server.URL, d.server.Client())
 	events, err := control.CacheEvents(context.Background(), 2)
 	d.Assert(err, qt.IsNil)
 	d.Assert(events, qt.HasLen, 3)
@@ -241,13 +241,13 @@
 	} {
 		t.Run(scenario.name, func(t *testing.T) {
 			d := newDriver(t, func(p *engine.Parameters) { p.ChecksFencing = scenario.checks })
-			control := platformhttp.NewEngine(d.server.URL, d.server.Client())
+			control := hostinghttp.NewEngine(d.server.URL, d.server.Client())
 			ctx := context.Background()
-			d.Assert(control.Order(ctx, platform.Order{Fencing: 7, Models: []string{"new"}}), qt.IsNil)
+			d.Assert(control.Order(ctx, hosting.Order{Fencing: 7, Models: []string{"new"}}), qt.IsNil)
 
-			err := control.Order(ctx, platform.Order{Fencing: 6, Models: []string{"old"}})
+			err := control.Order(ctx, hosting.Order{Fencing: 6, Models: []string{"old"}})
 
-			var fenced *platform.FencedError
+			var fenced *hosting.FencedError
 			d.Assert(errors.As(err, &fenced), qt.Equals, scenario.checks)
 			load, err := control.Load(ctx)
 			d.Assert(err, qt.IsNil)
@@ -265,10 +265,10 @@
 	from.Assert(fake.BlockUntilContext(context.Background(), 1), qt.IsNil)
 	ctx := context.Background()
 
-	kv, err := platformhttp.NewEngine(from.server.URL, from.server.Client()).ExportKV(ctx, "r1")
+	kv, err := hostinghttp.NewEngine(from.server.URL, from.server.Client()).ExportKV(ctx, "r1")
 	from.Assert(err, qt.IsNil)
 	to := newDriver(t, nil)
-	to.Assert(platformhttp.NewEngine(to.server.URL, to.server.Client()).ImportKV(ctx, kv), qt.IsNil)
+	to.Assert(hostinghttp.NewEngine(to.server.URL, to.server.Client()).ImportKV(ctx, kv), qt.IsNil)
 
 	to.Assert(to.send("/v1/completions", body).cachedTokens, qt.Equals, 5*prefix.BlockTokens)
 	from.engine.Crash()
--- a/standin/logservice/log.go
+++ b/standin/logservice/log.go
@@ -10,7 +10,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
-	"github.com/cranberrywalk/cranberrywalk/platformhttp"
+	"github.com/cranberrywalk/cranberrywalk/hostinghttp"
 	"github.com/cranberrywalk/cranberrywalk/standin"
 )
 
@@ -91,7 +91,7 @@
 		http.Error(w, "too many appends", http.StatusTooManyRequests)
 		return
 	}
-	var request platformhttp.AppendRequest
+	var request hostinghttp.AppendRequest
 	if !standin.Decode(w, r, &request) {
 		return
 	}
@@ -103,7 +103,7 @@
 	if l.losesAnswer() {
 		standin.Abort()
 	}
-	standin.Respond(w, http.StatusOK, platformhttp.AppendResponse{Offset: offset})
+	standin.Respond(w, http.StatusOK, hostinghttp.AppendResponse{Offset: offset})
 }
 
 func (l *Log) read(w http.ResponseWriter, r *http.Request) {
@@ -119,7 +119,7 @@
 	l.await(r, found, from, min(standin.QueryDuration(r, "Wait"), maxWait))
 	batch, kept := found.read(from, limit, l.clock.Now())
 	if !kept {
-		standin.Respond(w, http.StatusGone, platformhttp.TrimmedResponse{First: batch.First})
+		standin.Respond(w, http.StatusGone, hostinghttp.TrimmedResponse{First: batch.First})
 		return
 	}
 	standin.Respond(w, http.StatusOK, batch)
--- a/standin/logservice/log_test.go
+++ b/standin/logservice/log_test.go
@@ -10,8 +10,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
-	"github.com/cranberrywalk/cranberrywalk/platform"
-	"github.com/cranberrywalk/cranberrywalk/platformhttp"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
+	"github.com/cranberrywalk/cranberrywalk/hostinghttp"
 	"github.com/cranberrywalk/cranberrywalk/standin"
 	"github.com/cranberrywalk/cranberrywalk/standin/logservice"
 )
@@ -23,13 +23,13 @@
 	fake := clock.NewFake(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC))
 	server := httptest.NewServer(logservice.New(fake, logservice.Parameters{RetainedRecords: 10, AppendsPerSecond: 1}))
 	defer server.Close()
-	log := platformhttp.NewLog(server.URL, server.Client())
+	log := hostinghttp.NewLog(server.URL, server.Client())
 	_, err := log.Append(ctx, "Claims", [][]byte{[]byte("a")})
 	c.Assert(err, qt.IsNil)
 
 	_, err = log.Append(ctx, "Claims", [][]byte{[]byte("b")})
 
-	var throttled *platform.ThrottledError
+	var throttled *hosting.ThrottledError
 	c.Assert(errors.As(err, &throttled), qt.IsTrue)
 	fake.Advance(time.Second)
 	offset, err := log.Append(ctx, "Claims", [][]byte{[]byte("b")})
@@ -42,7 +42,7 @@
 	fake := clock.NewFake(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC))
 	server := httptest.NewServer(logservice.New(fake, logservice.Parameters{RetainedRecords: 10, Retention: time.Minute}))
 	defer server.Close()
-	log := platformhttp.NewLog(server.URL, server.Client())
+	log := hostinghttp.NewLog(server.URL, server.Client())
 	for range 2 {
 		_, err := log.Append(ctx, "Claims", [][]byte{[]byte("a")})
 		c.Assert(err, qt.IsNil)
@@ -74,7 +74,7 @@
 			service.SetFaults(scenario.faults)
 			read := make(chan error, 1)
 			go func() {
-				_, err := platformhttp.NewLog(server.URL, server.Client()).Read(ctx, "Claims", 0, 1, 0)
+				_, err := hostinghttp.NewLog(server.URL, server.Client()).Read(ctx, "Claims", 0, 1, 0)
 				read <- err
 			}()
 			c.Assert(fake.BlockUntilContext(ctx, 1), qt.IsNil)
@@ -96,7 +96,7 @@
 	callerCtx, leave := context.WithCancel(ctx)
 	appended := make(chan error, 1)
 	go func() {
-		_, err := platformhttp.NewLog(server.URL, server.Client()).Append(callerCtx, "Claims", [][]byte{[]byte("a")})
+		_, err := hostinghttp.NewLog(server.URL, server.Client()).Append(callerCtx, "Claims", [][]byte{[]byte("a")})
 		appended <- err
 	}()
 	c.Assert(fake.BlockUntilContext(ctx, 1), qt.IsNil)
@@ -104,6 +104,6 @@
 
 	leave()
 
-	var uncertain *platform.UncertainError
+	var uncertain *hosting.UncertainError
 	c.Assert(errors.As(<-appended, &uncertain), qt.IsTrue)
 }
--- a/standin/logservice/stream.go
+++ b/standin/logservice/stream.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 )
 
 // stream is one sequence of records.
@@ -13,7 +13,7 @@
 	// parameters bound the records.
 	parameters Parameters
 	// records are consecutive; the first has offset first.
-	records []platform.Record
+	records []hosting.Record
 	first   uint64
 	// appended is closed and replaced by every append.
 	appended chan struct{}
@@ -31,7 +31,7 @@
 	defer s.mu.Unlock()
 	offset := s.next()
 	for i, payload := range payloads {
-		s.records = append(s.records, platform.Record{Offset: offset + uint64(i), Payload: payload, Time: now})
+		s.records = append(s.records, hosting.Record{Offset: offset + uint64(i), Payload: payload, Time: now})
 	}
 	s.trim(now)
 	close(s.appended)
@@ -54,11 +54,11 @@
 
 // read returns up to limit records from offset from onwards. It returns false
 // when retention has removed the record at from.
-func (s *stream) read(from uint64, limit int, now time.Time) (platform.Batch, bool) {
+func (s *stream) read(from uint64, limit int, now time.Time) (hosting.Batch, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.trim(now)
-	batch := platform.Batch{First: s.first, Next: s.next(), Records: []platform.Record{}}
+	batch := hosting.Batch{First: s.first, Next: s.next(), Records: []hosting.Record{}}
 	if from < s.first {
 		return batch, false
 	}
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -11,7 +11,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
-	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/standin"
 )
 
@@ -63,7 +63,7 @@
 func (s *Service) Runs() standin.Runs { return s.runs.Runs() }
 
 func (s *Service) load(w http.ResponseWriter, _ *http.Request) {
-	standin.Respond(w, http.StatusOK, platform.LoadReport{
+	standin.Respond(w, http.StatusOK, hosting.LoadReport{
 		Running: int(s.running.Load()),
 		Time:    s.clock.Now(),
 	})
