--- a/app/errors.go
+++ b/app/errors.go
@@ -62,3 +62,15 @@
 	}
 	return exitFailed
 }
+
+// MissingSettingsError says that neither a flag nor the environment names a
+// settings file.
+type MissingSettingsError struct {
+	// Variable is the environment variable that may name one.
+	Variable string
+}
+
+// Error implements error.
+func (e *MissingSettingsError) Error() string {
+	return "required flag(s) \"settings\" not set, and " + e.Variable + " is empty"
+}
--- a/app/serve.go
+++ b/app/serve.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/spf13/cobra"
 
 	"github.com/cranberrywalk/cranberrywalk/daemon"
+	"github.com/cranberrywalk/cranberrywalk/platform"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 )
 
@@ -16,18 +18,26 @@
 	command := &cobra.Command{
 		Use:   "serve",
 		Short: "Run the daemon of an entry VM",
-		Args:  cobra.NoArgs,
+		Long: "Run the daemon of an entry VM.\n\nWithout --settings, the platform's settings file is used whose path " +
+			"stands in the\nenvironment variable " + platform.SettingsVariable + ".",
+		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			if path := os.Getenv(platform.SettingsVariable); file == "" && path != "" {
+				return serveOnPlatform(ctx, path, cmd.OutOrStdout())
+			}
+			if file == "" {
+				return &InputError{Cause: &MissingSettingsError{Variable: platform.SettingsVariable}}
+			}
 			loaded, err := loadSettings(file)
 			if err != nil {
 				return err
 			}
-			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
-			defer stop()
 			listening := func() { fmt.Fprintln(cmd.OutOrStdout(), "ready", loaded.Callers.Address) }
 			return daemon.New(telemetry.NewCommon(), loaded).Run(ctx, listening)
 		},
 	}
-	addSettingsFlag(command, &file)
+	command.Flags().StringVar(&file, "settings", "", "settings file of the daemon")
 	return command
 }
--- /dev/null
+++ b/app/serveplatform.go
@@ -0,0 +1,32 @@
+package app
+
+import (
+	"context"
+	"io"
+
+	"github.com/go-logr/logr"
+	"k8s.io/klog/v2"
+
+	"github.com/cranberrywalk/cranberrywalk/entry"
+	"github.com/cranberrywalk/cranberrywalk/logsink"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/telemetry"
+)
+
+// serveOnPlatform runs the daemon with the platform's settings file.
+func serveOnPlatform(ctx context.Context, path string, output io.Writer) error {
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		return &InputError{Cause: err}
+	}
+	common := telemetry.NewCommon()
+	sink := logsink.New(logsink.DefaultOptions(), common.Clock, output)
+	common.Log = logr.FromSlogHandler(sink.Handler())
+	klog.SetLogger(common.Log)
+	writing, stop := context.WithCancel(context.WithoutCancel(ctx))
+	go sink.Run(writing)
+	err = entry.New(common, settings).Run(ctx)
+	stop()
+	<-sink.Done()
+	return err
+}
--- /dev/null
+++ b/balance/ticket.go
@@ -0,0 +1,76 @@
+package balance
+
+import "time"
+
+// Result is what an attempt showed about its runner.
+type Result int
+
+const (
+	// Cancelled says nothing about the runner.
+	Cancelled Result = iota
+	// Succeeded is a whole answer.
+	Succeeded
+	// Failed is an answer that broke off, or one that reports a fault.
+	Failed
+	// Rejected is an answer that the request was not run.
+	Rejected
+	// Unreachable means that no connection could be made.
+	Unreachable
+)
+
+var resultNames = [...]string{"Cancelled", "Succeeded", "Failed", "Rejected", "Unreachable"}
+
+// String returns the result's name.
+func (r Result) String() string { return resultNames[r] }
+
+// Ticket counts one request at a runner until it ends.
+type Ticket struct {
+	balancer *Balancer
+	runner   *runner
+	need     Need
+	prefill  int
+	ended    bool
+}
+
+// begin counts a request and is called with the mutex held.
+func (b *Balancer) begin(r *runner, need Need, uncached int) *Ticket {
+	r.running++
+	r.prefill += uncached
+	r.cache.add(need.Prompt)
+	return &Ticket{balancer: b, runner: r, need: need, prefill: uncached}
+}
+
+// Started notes the first event: the prompt has been prefilled.
+func (t *Ticket) Started() {
+	t.balancer.mutex.Lock()
+	defer t.balancer.mutex.Unlock()
+	t.settle()
+}
+
+func (t *Ticket) settle() {
+	t.runner.prefill -= t.prefill
+	t.prefill = 0
+}
+
+// End takes the request off the runner. It has an effect once.
+func (t *Ticket) End(result Result, now time.Time) {
+	b := t.balancer
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if t.ended {
+		return
+	}
+	t.ended = true
+	t.settle()
+	t.runner.running--
+	switch result {
+	case Succeeded:
+		t.runner.note(false, now, b.options.FailureMemory)
+		t.runner.downFor = 0
+	case Failed, Rejected:
+		t.runner.note(true, now, b.options.FailureMemory)
+	case Unreachable:
+		t.runner.note(true, now, b.options.FailureMemory)
+		t.runner.unreachable(now, b.options.FirstDown, b.options.MostDown)
+	}
+}
--- /dev/null
+++ b/catalog/catalog.go
@@ -0,0 +1,108 @@
+// Package catalog holds one version of the operator's configuration: which
+// request goes to which service, who may send it and what each customer may
+// use. A Catalog never changes; a newer version replaces it as a whole. The
+// package has no input or output.
+package catalog
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// Limits bound what a caller may send. Zero means no bound.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int
+}
+
+// Spec is what a Catalog is made of.
+type Spec struct {
+	// Version rises with every configuration, in uneven steps.
+	Version   uint64
+	Routes    []Route
+	Services  []Service
+	Customers []Customer
+	Limits    Limits
+}
+
+// Catalog is one version of the configuration. It is immutable.
+type Catalog struct {
+	spec Spec
+	// routes holds the routes of each host, the longest prefix first.
+	routes    map[string][]Route
+	services  map[string]Service
+	customers map[string]Customer
+	// holders maps an API key to the name of the customer that holds it.
+	holders map[string]string
+}
+
+// New returns the catalog of a spec.
+func New(spec Spec) *Catalog {
+	c := &Catalog{
+		spec:      spec,
+		routes:    make(map[string][]Route),
+		services:  make(map[string]Service, len(spec.Services)),
+		customers: make(map[string]Customer, len(spec.Customers)),
+		holders:   make(map[string]string),
+	}
+	for _, route := range spec.Routes {
+		c.routes[route.Host] = append(c.routes[route.Host], route)
+	}
+	for _, routes := range c.routes {
+		slices.SortStableFunc(routes, func(x, y Route) int { return cmp.Compare(len(y.Prefix), len(x.Prefix)) })
+	}
+	for _, service := range spec.Services {
+		c.services[service.Name] = service
+	}
+	for _, customer := range spec.Customers {
+		c.customers[customer.Name] = customer
+		for _, key := range customer.Keys {
+			c.holders[key] = customer.Name
+		}
+	}
+	return c
+}
+
+// Version returns the version of the configuration.
+func (c *Catalog) Version() uint64 { return c.spec.Version }
+
+// Limits returns the bounds on what callers may send.
+func (c *Catalog) Limits() Limits { return c.spec.Limits }
+
+// Services returns all services.
+func (c *Catalog) Services() []Service { return c.spec.Services }
+
+// Customers returns all customers.
+func (c *Catalog) Customers() []Customer { return c.spec.Customers }
+
+// Match returns the route of the host with the longest prefix that begins the
+// path.
+func (c *Catalog) Match(host, path string) (Route, bool) {
+	for _, route := range c.routes[host] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route, true
+		}
+	}
+	return Route{}, false
+}
+
+// Service returns the service of that name.
+func (c *Catalog) Service(name string) (Service, bool) {
+	service, found := c.services[name]
+	return service, found
+}
+
+// Holder returns the customer that holds an API key.
+func (c *Catalog) Holder(key string) (Customer, bool) {
+	name, found := c.holders[key]
+	if !found {
+		return Customer{}, false
+	}
+	return c.customers[name], true
+}
+
+// NeedsKey reports whether requests on the route must carry a key.
+func (c *Catalog) NeedsKey(route Route) bool {
+	return len(c.spec.Customers) > 0 && !route.Anonymous
+}
--- /dev/null
+++ b/entry/exchange.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/membership"
+)
+
+// exchange is the daemon's side of the talk with other daemons. It implements
+// membership.Handler.
+type exchange struct{ *Entry }
+
+// toldWindows is the number of windows whose counts are told to other daemons.
+const toldWindows = 2
+
+// Digest implements membership.Handler.
+func (x exchange) Digest() membership.Digest {
+	now := x.Clock.Now()
+	digest := membership.Digest{
+		Stopping: x.stopping.Load(),
+		Loads:    x.balancer.Loads(),
+		Uses:     x.quotas.Uses(),
+		Counts:   x.usage.Own(x.usage.Window(x.trueTime.At(now)) - toldWindows),
+		Crashes:  x.suspects.Entries(now),
+	}
+	for topic, f := range x.byTopic {
+		digest.Ends = append(digest.Ends, membership.TopicEnd{Topic: topic, End: f.End()})
+	}
+	digest.Ends = append(digest.Ends, membership.TopicEnd{Topic: dutiesTopic, End: x.duties.End()})
+	return digest
+}
+
+// Hear implements membership.Handler.
+func (x exchange) Hear(digest membership.Digest, delay time.Duration) {
+	now := x.Clock.Now()
+	sender := digest.Sender
+	x.trueTime.Compare(sender.Name, time.UnixMicro(digest.TimeOfDay).Add(delay), now)
+	x.balancer.SetPeer(sender.Name, digest.Loads, now)
+	x.quotas.Hear(sender.Name, sender.Incarnation, digest.Uses, now)
+	x.usage.Hear(sender.Name+"/"+sender.Incarnation, digest.Counts)
+	x.suspects.Merge(digest.Crashes, now)
+	for _, end := range digest.Ends {
+		if end.Topic == dutiesTopic {
+			x.duties.Heard(end.End)
+		}
+	}
+}
+
+// Records implements membership.Handler.
+func (x exchange) Records(request membership.RecordsRequest) membership.RecordsReply {
+	f := x.byTopic[request.Topic]
+	if f == nil {
+		return membership.RecordsReply{}
+	}
+	records, end := f.Since(request.From)
+	return membership.RecordsReply{Records: records, End: end}
+}
--- /dev/null
+++ b/entry/orders.go
@@ -0,0 +1,95 @@
+package entry
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/catalog"
+	"github.com/cranberrywalk/cranberrywalk/duty"
+	"github.com/cranberrywalk/cranberrywalk/inventory"
+	"github.com/cranberrywalk/cranberrywalk/scaling"
+)
+
+// orders plans the runners of all services. It implements duties.Orders.
+type orders struct {
+	*Entry
+	options scaling.Options
+	planner *scaling.Planner
+	// first holds the number of runners of a service when it was first seen.
+	first map[string]int
+}
+
+func newOrders(e *Entry, options scaling.Options) *orders {
+	return &orders{Entry: e, options: options, planner: scaling.New(options), first: make(map[string]int)}
+}
+
+// Due implements duties.Orders.
+func (o *orders) Due(now time.Time) []duty.Order {
+	known := o.gateway.Catalog()
+	if known == nil || !o.fleet.known() {
+		return nil
+	}
+	runners := o.fleet.runners()
+	var due []duty.Order
+	for _, service := range known.Services() {
+		if service.Scaling == nil {
+			continue
+		}
+		zones := countZones(service, runners)
+		due = append(due, o.planner.Plan(scaling.Need{
+			Service: service, Zones: zones, Runners: o.needed(service, zones),
+		}, now)...)
+	}
+	return due
+}
+
+// needed returns the number of runners for the present load.
+func (o *orders) needed(service catalog.Service, zones []scaling.Zone) int {
+	present := 0
+	for _, zone := range zones {
+		present += zone.Reclaimable + zone.Lasting
+	}
+	if o.first[service.Name] == 0 {
+		o.first[service.Name] = present
+	}
+	return o.first[service.Name]
+}
+
+// Done implements duties.Orders.
+func (o *orders) Done(order duty.Order, now time.Time) { o.planner.Done(order, now) }
+
+// Refused implements duties.Orders.
+func (o *orders) Refused(order duty.Order, now time.Time) { o.planner.Refused(order, now) }
+
+// Reset implements duties.Orders.
+func (o *orders) Reset() { o.planner = scaling.New(o.options) }
+
+// countZones counts the runners of a service in every zone where it may run.
+func countZones(service catalog.Service, runners []inventory.Runner) []scaling.Zone {
+	zones := make(map[string]scaling.Zone)
+	for name := range service.Scaling.ZonePrices {
+		zones[name] = scaling.Zone{Name: name}
+	}
+	for _, runner := range runners {
+		zone, listed := zones[runner.Zone]
+		if runner.Service != service.Name || !listed {
+			continue
+		}
+		switch {
+		case runner.State == inventory.Leaving && runner.Reclaimable:
+			zone.Leaving++
+		case runner.State == inventory.Leaving:
+		case runner.Reclaimable:
+			zone.Reclaimable++
+		default:
+			zone.Lasting++
+		}
+		zones[runner.Zone] = zone
+	}
+	var counted []scaling.Zone
+	for _, name := range slices.Sorted(maps.Keys(zones)) {
+		counted = append(counted, zones[name])
+	}
+	return counted
+}
--- /dev/null
+++ b/feed/feed.go
@@ -0,0 +1,212 @@
+// Package feed follows a topic of the platform's metadata store. While the
+// store does not answer this daemon, it follows the topic through other
+// daemons.
+package feed
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/latest"
+	"github.com/cranberrywalk/cranberrywalk/store"
+	"github.com/cranberrywalk/cranberrywalk/telemetry"
+)
+
+// Options sets how a topic is followed.
+type Options struct {
+	Topic string
+	// Period is the time between the beginnings of two reads.
+	Period time.Duration
+	// Wait is how long a read may wait for a first record.
+	Wait time.Duration
+	// Timeout bounds one read, and LostTimeout one of a store that did not
+	// answer the last time.
+	Timeout, LostTimeout time.Duration
+	// OutageAfter is the time without a good read after which records that
+	// were dropped may only have lapsed.
+	OutageAfter time.Duration
+}
+
+// Peers reads a topic at other daemons.
+type Peers interface {
+	// Records returns what another daemon holds from an offset on, and the
+	// offset up to which it knows every record.
+	Records(ctx context.Context, topic string, from uint64) ([]latest.Record, uint64, error)
+}
+
+// Batch is what a read has changed.
+type Batch struct {
+	Records []latest.Record
+	// AfterOutage is true for the first read after the store was away.
+	AfterOutage bool
+}
+
+// Feed follows one topic.
+type Feed struct {
+	common  telemetry.Common
+	options Options
+	store   store.Store
+	peers   Peers
+	// take gets every change, on the goroutine of Run.
+	take func(Batch)
+	done chan struct{}
+
+	mutex sync.Mutex
+	// topic is guarded by mutex.
+	topic *latest.Topic
+	// good is when a read last succeeded; guarded by mutex.
+	good time.Time
+	// read is true after the first whole listing; guarded by mutex.
+	read bool
+	// isLost is true while the store does not answer; guarded by mutex.
+	isLost bool
+}
+
+// New returns a feed that does nothing before Run.
+func New(common telemetry.Common, options Options, s store.Store, peers Peers, take func(Batch)) *Feed {
+	return &Feed{
+		common: common, options: options, store: s, peers: peers, take: take,
+		done: make(chan struct{}), topic: latest.New(), good: common.Clock.Now(),
+	}
+}
+
+// Done is closed by Run when it returns.
+func (f *Feed) Done() <-chan struct{} { return f.done }
+
+// Since returns the records from an offset on and the end of what is known.
+func (f *Feed) Since(offset uint64) ([]latest.Record, uint64) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.topic.Since(offset), f.topic.End()
+}
+
+// End returns the offset up to which every record is known.
+func (f *Feed) End() uint64 {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.topic.End()
+}
+
+// Read reports whether the topic has been read whole.
+func (f *Feed) Read() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.read
+}
+
+// Run follows the topic until ctx ends.
+func (f *Feed) Run(ctx context.Context) {
+	defer close(f.done)
+	for ctx.Err() == nil {
+		began := f.common.Clock.Now()
+		f.round(ctx)
+		rest := f.options.Period - f.common.Clock.Since(began)
+		if rest > 0 && clock.Sleep(ctx, f.common.Clock, rest) != nil {
+			return
+		}
+	}
+}
+
+// round reads the store once, and before it other daemons while it has failed
+// for long.
+func (f *Feed) round(ctx context.Context) {
+	timeout := f.options.Timeout
+	if f.lost() {
+		timeout = f.options.LostTimeout
+		f.readPeers(ctx)
+	}
+	err := f.readStore(ctx, timeout)
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	f.common.Count("Feed.ReadsFailed", 1)
+	f.noteLoss(err)
+}
+
+func (f *Feed) readStore(ctx context.Context, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if !f.Read() {
+		return f.list(ctx)
+	}
+	from := f.End()
+	records, end, err := f.store.ReadKeyed(ctx, f.options.Topic, from, f.options.Wait)
+	var gap *store.GapError
+	if errors.As(err, &gap) {
+		f.common.Log.Info("Records were removed before they were read", "Topic", f.options.Topic, "Offset", from)
+		return f.list(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	f.merge(records, end, true)
+	return nil
+}
+
+func (f *Feed) list(ctx context.Context) error {
+	listing, end, err := f.store.Newest(ctx, f.options.Topic)
+	if err != nil {
+		return err
+	}
+	f.mutex.Lock()
+	changed := f.topic.Replace(listing, end)
+	batch := f.succeed(changed, true)
+	f.read = true
+	f.mutex.Unlock()
+	f.take(batch)
+	return nil
+}
+
+func (f *Feed) readPeers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, f.options.LostTimeout)
+	defer cancel()
+	records, end, err := f.peers.Records(ctx, f.options.Topic, f.End())
+	if err != nil {
+		f.common.Count("Feed.PeerReadsFailed", 1)
+		return
+	}
+	if end <= f.End() {
+		return
+	}
+	f.merge(records, end, false)
+}
+
+func (f *Feed) merge(records []latest.Record, end uint64, fromStore bool) {
+	f.mutex.Lock()
+	changed := f.topic.Merge(records, end)
+	batch := f.succeed(changed, fromStore)
+	f.mutex.Unlock()
+	f.take(batch)
+}
+
+// succeed notes a good read and is called with the mutex held.
+func (f *Feed) succeed(changed []latest.Record, fromStore bool) Batch {
+	now := f.common.Clock.Now()
+	batch := Batch{Records: changed, AfterOutage: f.read && now.Sub(f.good) > f.options.OutageAfter}
+	f.good = now
+	if fromStore && f.isLost {
+		f.isLost = false
+		f.common.Log.Info("The store answers again", "Topic", f.options.Topic)
+	}
+	return batch
+}
+
+func (f *Feed) noteLoss(err error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.isLost {
+		return
+	}
+	f.isLost = true
+	f.common.Log.Info("The store does not answer", "Topic", f.options.Topic, "Error", err.Error())
+}
+
+// lost reports whether the store did not answer the last time.
+func (f *Feed) lost() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.isLost
+}
--- /dev/null
+++ b/gateway/admit.go
@@ -0,0 +1,148 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"hash/maphash"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/call"
+	"github.com/cranberrywalk/cranberrywalk/catalog"
+	"github.com/cranberrywalk/cranberrywalk/quota"
+	"github.com/cranberrywalk/cranberrywalk/request"
+)
+
+// admit decides whether a request is carried. The visit is never nil.
+func (g *Gateway) admit(w http.ResponseWriter, r *http.Request) (*visit, *Refusal) {
+	v := &visit{Gateway: g, writer: w, request: r, accepted: g.Clock.Now()}
+	known := g.Catalog()
+	if known == nil {
+		return v, unavailable("NoConfiguration", waitForStart, nil)
+	}
+	v.catalog = known
+	decoded, err := g.Codec.DecodeCall(r)
+	v.call = decoded
+	if err != nil {
+		return v, denied(http.StatusBadRequest, "BadHeader", err)
+	}
+	if refusal := v.authorize(); refusal != nil {
+		return v, refusal
+	}
+	if refusal := v.readBody(); refusal != nil {
+		return v, refusal
+	}
+	v.bound()
+	if refusal := v.checkLimits(); refusal != nil {
+		v.close()
+		return v, refusal
+	}
+	return v, nil
+}
+
+// authorize finds the route and the customer.
+func (v *visit) authorize() *Refusal {
+	route, found := v.catalog.Match(v.call.Host, v.call.Path)
+	if !found {
+		return denied(http.StatusNotFound, "NoRoute", nil)
+	}
+	v.route = route
+	customer, holds := v.catalog.Holder(v.call.Key)
+	if !holds && v.catalog.NeedsKey(route) {
+		return denied(http.StatusUnauthorized, "UnknownKey", nil)
+	}
+	v.customer = customer
+	v.service = route.Pick(point(v.call.ID))
+	return nil
+}
+
+// pointSeed is the same for all requests of the process.
+var pointSeed = maphash.MakeSeed()
+
+// point returns a number from 0 to 1 for an ID.
+func point(id string) float64 {
+	return float64(maphash.String(pointSeed, id)>>11) / (1 << 53)
+}
+
+func (v *visit) readBody() *Refusal {
+	body := io.Reader(v.request.Body)
+	if most := v.catalog.Limits().MaxBodyBytes; most > 0 {
+		body = http.MaxBytesReader(v.writer, v.request.Body, int64(most))
+	}
+	content, err := io.ReadAll(body)
+	var long *http.MaxBytesError
+	switch {
+	case errors.As(err, &long):
+		return denied(http.StatusRequestEntityTooLarge, "LongBody", err)
+	case err != nil:
+		return denied(http.StatusBadRequest, "BrokenBody", err)
+	}
+	v.call.Body = content
+	return nil
+}
+
+// bound sets when the request is given up.
+func (v *visit) bound() {
+	patience := v.call.Patience
+	if patience <= 0 {
+		patience = v.options.DefaultPatience
+	}
+	if v.route.Timeout > 0 {
+		patience = min(patience, v.route.Timeout)
+	}
+	v.deadline = v.accepted.Add(patience)
+	v.ctx, v.cancel = context.WithDeadlineCause(v.request.Context(), v.deadline, &DeadlineError{Patience: patience})
+	v.machine = request.NewMachine(request.Request{Idempotent: v.route.Repeatable()})
+}
+
+// checkLimits refuses what must not or can't be served now.
+func (v *visit) checkLimits() *Refusal {
+	now := v.Clock.Now()
+	v.fingerprint = v.call.Fingerprint(v.customer.Name)
+	if v.Suspects.Refused(v.fingerprint, now) {
+		return unavailable("CrashesRunners", 0, nil)
+	}
+	if refusal := v.checkRoom(now); refusal != nil {
+		return refusal
+	}
+	v.cost = v.customer.Quota.Cost(v.call.Tokens())
+	var exceeded *quota.ExceededError
+	if err := v.Quotas.Take(v.customer.Name, v.cost, now); errors.As(err, &exceeded) {
+		return &Refusal{
+			Status: http.StatusTooManyRequests, Reason: "QuotaExceeded", RetryAfter: exceeded.RetryAfter, Cause: err,
+		}
+	}
+	v.Retries.Note(v.service, now)
+	return nil
+}
+
+// checkRoom refuses a request at once that would wait too long in the queues of
+// a plain service.
+func (v *visit) checkRoom(now time.Time) *Refusal {
+	service, _ := v.catalog.Service(v.service)
+	if service.Engine != nil {
+		return nil
+	}
+	running, _, slots, runners := v.Balancer.InFlight(v.service, now)
+	if runners > 0 && float64(running) >= v.options.PlainQueue*float64(slots) {
+		return unavailable("ServiceFull", waitForRoom, nil)
+	}
+	return nil
+}
+
+// timeOf returns how long a runner may work at most, from now on.
+func (v *visit) timeLeft(now time.Time) time.Duration { return v.deadline.Sub(now) }
+
+// attemptOf describes an attempt at a runner.
+func (v *visit) attemptOf(runner string, now time.Time) call.Attempt {
+	return call.Attempt{
+		Runner: runner, Customer: v.customer.Name, Patience: v.timeLeft(now), LastEvent: v.lastEvent,
+	}
+}
+
+// isEngine reports whether the request is for a model engine.
+func (v *visit) engine() *catalog.Engine {
+	service, _ := v.catalog.Service(v.service)
+	return service.Engine
+}
--- /dev/null
+++ b/gateway/stream.go
@@ -0,0 +1,169 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/balance"
+	"github.com/cranberrywalk/cranberrywalk/request"
+	"github.com/cranberrywalk/cranberrywalk/upstream"
+)
+
+// serveStream carries a request whose answer is a series of events. Whole events
+// are passed on as they come; a stream that breaks off goes on at another runner
+// where the route allows it.
+func (v *visit) serveStream() {
+	v.lastEvent = v.call.LastEvent
+	for {
+		ticket, err := v.choose()
+		if err != nil {
+			v.giveUp(err, "NoRunner")
+			return
+		}
+		failure := v.attemptStream(ticket)
+		if failure == nil {
+			return
+		}
+		v.settle(ticket, failure)
+		again, reason := v.mayRetry(failure)
+		if !again {
+			v.giveUp(failure, reason)
+			return
+		}
+	}
+}
+
+// attemptStream makes one attempt. It returns nil when the caller has the whole
+// stream, or another answer of the runner.
+func (v *visit) attemptStream(ticket *balance.Ticket) error {
+	ctx, cancel := context.WithCancelCause(v.ctx)
+	defer cancel(nil)
+	silence := v.watchSilence(cancel)
+	defer silence.stop()
+	answer, err := v.send(ctx)
+	if err != nil {
+		return err
+	}
+	if err := v.judge(answer); err != nil {
+		v.discard(answer, err)
+		return err
+	}
+	if answer.Status != http.StatusOK {
+		return v.passStatus(ticket, answer)
+	}
+	if err := v.relay(ctx, ticket, answer, silence); err != nil {
+		answer.Close(false)
+		return err
+	}
+	answer.Close(true)
+	v.succeed(ticket, answer.Status)
+	return nil
+}
+
+// passStatus handles an answer that is no stream.
+func (v *visit) passStatus(ticket *balance.Ticket, answer *upstream.Answer) error {
+	body, err := answer.ReadAll()
+	answer.Close(err == nil)
+	if err != nil {
+		return err
+	}
+	whole := wholeAnswer{status: answer.Status, header: answer.Header, body: body}
+	if v.headWritten || v.isRunnerFault(whole) && (v.route.Repeatable() || !mayPass(answer.Status)) {
+		return &StatusError{Runner: v.choice.Runner.ID, Status: answer.Status}
+	}
+	v.pass(ticket, whole)
+	return nil
+}
+
+// relay passes on the events of a runner until the stream ends.
+func (v *visit) relay(ctx context.Context, ticket *balance.Ticket, answer *upstream.Answer, silence *silenceWatch) error {
+	controller := http.NewResponseController(v.writer)
+	events := newEventReader(answer)
+	for {
+		e, err := events.next()
+		if errors.Is(err, io.EOF) {
+			v.writeHead(answer)
+			return nil
+		}
+		if err != nil {
+			if cause := context.Cause(ctx); cause != nil {
+				err = cause
+			}
+			return &upstream.BrokenError{Address: v.choice.Runner.Address, Cause: err}
+		}
+		if err := v.checkOrder(e); err != nil {
+			return &upstream.BrokenError{Address: v.choice.Runner.Address, Cause: err}
+		}
+		silence.heard()
+		if !v.headWritten || v.machine.State() == request.Dispatched {
+			ticket.Started()
+			v.apply(request.AnswerBegan)
+		}
+		v.writeHead(answer)
+		if _, err := v.writer.Write(e.content); err != nil {
+			return &upstream.BrokenError{Address: v.choice.Runner.Address, Cause: err}
+		}
+		if err := controller.Flush(); err != nil {
+			return &upstream.BrokenError{Address: v.choice.Runner.Address, Cause: err}
+		}
+		if e.hasID {
+			v.lastEvent = e.id
+		}
+	}
+}
+
+// checkOrder refuses an event that does not follow the last one.
+func (v *visit) checkOrder(e event) error {
+	if e.hasID && e.id != v.lastEvent+1 {
+		return &EventError{Want: v.lastEvent + 1, Got: e.id}
+	}
+	return nil
+}
+
+// writeHead writes the head of the first runner's answer, once.
+func (v *visit) writeHead(answer *upstream.Answer) {
+	if v.headWritten {
+		return
+	}
+	v.headWritten = true
+	v.copyHeader(answer.Header)
+	v.writer.WriteHeader(answer.Status)
+}
+
+// silenceWatch ends an attempt whose runner sends nothing for too long.
+type silenceWatch struct {
+	timer interface {
+		Stop() bool
+		Reset(d time.Duration) bool
+	}
+	later time.Duration
+}
+
+// watchSilence returns a watch over an attempt. Streams that can't go on
+// elsewhere are not watched: waiting is all that can be done for them.
+func (v *visit) watchSilence(cancel context.CancelCauseFunc) *silenceWatch {
+	if !v.route.Repeatable() || v.sent+1 >= v.route.MaxAttempts {
+		return &silenceWatch{}
+	}
+	left := v.timeLeft(v.Clock.Now())
+	first := max(2*v.route.Target, v.options.StreamSilence)
+	first = min(first, time.Duration(v.options.FirstEventShare*float64(left)))
+	runner := v.choice.Runner.ID
+	timer := v.Clock.AfterFunc(first, func() { cancel(&SilentError{Runner: runner}) })
+	return &silenceWatch{timer: timer, later: v.options.StreamSilence}
+}
+
+func (w *silenceWatch) heard() {
+	if w.timer != nil {
+		w.timer.Reset(w.later)
+	}
+}
+
+func (w *silenceWatch) stop() {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
--- /dev/null
+++ b/logsink/sink.go
@@ -0,0 +1,160 @@
+// Package logsink writes log records as JSON lines without ever making the
+// writer of a record wait. When records come faster than a bound, the least
+// telling ones are dropped and counted.
+package logsink
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/ring"
+)
+
+// Options bounds the lines.
+type Options struct {
+	// Capacity is the number of records that wait for the writer.
+	Capacity int
+	// LinesPerSecond bounds the lines of ordinary successes, at a level below
+	// slog.LevelInfo. Changes of belief and failures are not counted.
+	LinesPerSecond int
+}
+
+// DefaultOptions returns the defaults.
+func DefaultOptions() Options { return Options{Capacity: 2048, LinesPerSecond: 40} }
+
+// Sink is the queue between the writers of records and the output.
+type Sink struct {
+	options Options
+	clock   clock.Clock
+	started time.Time
+	output  slog.Handler
+	records *ring.Ring[entry]
+	dropped atomic.Int64
+	done    chan struct{}
+
+	mutex sync.Mutex
+	// second is the begin of the second whose ordinary lines are counted;
+	// guarded by mutex.
+	second time.Time
+	lines  int
+}
+
+// entry is a record with the handler that knows its attributes.
+type entry struct {
+	handler slog.Handler
+	record  slog.Record
+}
+
+// New returns a sink whose records wait until Run writes them.
+func New(options Options, c clock.Clock, output io.Writer) *Sink {
+	return &Sink{
+		options: options, clock: c, started: c.Now(), done: make(chan struct{}),
+		output: slog.NewJSONHandler(output, &slog.HandlerOptions{
+			Level: slog.LevelDebug - 4, ReplaceAttr: pascalCase,
+		}),
+		records: ring.New[entry]("log records", options.Capacity),
+	}
+}
+
+// pascalCase names the fields that slog sets itself.
+func pascalCase(groups []string, attribute slog.Attr) slog.Attr {
+	if len(groups) > 0 {
+		return attribute
+	}
+	switch attribute.Key {
+	case slog.TimeKey:
+		attribute.Key = "Time"
+	case slog.LevelKey:
+		attribute.Key = "Level"
+	case slog.MessageKey:
+		attribute.Key = "Event"
+	case "err":
+		attribute.Key = "Error"
+	}
+	return attribute
+}
+
+// Done is closed by Run when it returns.
+func (s *Sink) Done() <-chan struct{} { return s.done }
+
+// Handler returns the handler of a logger on the sink.
+func (s *Sink) Handler() slog.Handler { return handler{sink: s, output: s.output} }
+
+// pause is the time between two looks at the queue.
+const pause = 50 * time.Millisecond
+
+// Run writes records until ctx ends and the queue is empty.
+func (s *Sink) Run(ctx context.Context) {
+	defer close(s.done)
+	for {
+		ended := clock.Sleep(ctx, s.clock, pause) != nil
+		for _, e := range s.records.Drain(s.options.Capacity) {
+			_ = e.handler.Handle(ctx, e.record)
+		}
+		if lost := s.dropped.Swap(0); lost > 0 {
+			record := slog.NewRecord(s.clock.Now(), slog.LevelWarn, "Log lines were dropped", 0)
+			record.AddAttrs(slog.Int64("Lines", lost))
+			_ = s.output.Handle(ctx, record)
+		}
+		if ended {
+			return
+		}
+	}
+}
+
+// admit reports whether a record is written.
+func (s *Sink) admit(record slog.Record) bool {
+	if record.Level >= slog.LevelInfo {
+		return true
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if now := s.clock.Now(); now.Sub(s.second) >= time.Second {
+		s.second, s.lines = now, 0
+	}
+	s.lines++
+	return s.lines <= s.options.LinesPerSecond
+}
+
+func (s *Sink) put(output slog.Handler, record slog.Record) {
+	if !s.admit(record) {
+		s.dropped.Add(1)
+		return
+	}
+	record.AddAttrs(slog.Float64("Steady", s.clock.Since(s.started).Seconds()))
+	if s.records.Put(entry{handler: output, record: record}) != nil {
+		s.dropped.Add(1)
+	}
+}
+
+// handler implements slog.Handler.
+type handler struct {
+	sink   *Sink
+	output slog.Handler
+}
+
+// Enabled implements slog.Handler.
+func (h handler) Enabled(context.Context, slog.Level) bool { return true }
+
+// Handle implements slog.Handler.
+func (h handler) Handle(_ context.Context, record slog.Record) error {
+	h.sink.put(h.output, record)
+	return nil
+}
+
+// WithAttrs implements slog.Handler.
+func (h handler) WithAttrs(attributes []slog.Attr) slog.Handler {
+	h.output = h.output.WithAttrs(attributes)
+	return h
+}
+
+// WithGroup implements slog.Handler.
+func (h handler) WithGroup(name string) slog.Handler {
+	h.output = h.output.WithGroup(name)
+	return h
+}
--- /dev/null
+++ b/membership/digest.go
@@ -0,0 +1,67 @@
+// Package membership joins the entry daemons: each knows the others from the
+// platform's store and exchanges with every one of them, several times a
+// second, what it has seen itself.
+package membership
+
+import (
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/balance"
+	"github.com/cranberrywalk/cranberrywalk/latest"
+	"github.com/cranberrywalk/cranberrywalk/quota"
+	"github.com/cranberrywalk/cranberrywalk/suspect"
+	"github.com/cranberrywalk/cranberrywalk/usage"
+)
+
+// Member is one start of a daemon.
+type Member struct {
+	Name    string
+	Address string
+	Zone    string
+	// Incarnation is unique to the start.
+	Incarnation string
+}
+
+// Digest is what one daemon tells another.
+type Digest struct {
+	Sender Member
+	// TimeOfDay is the sender's, in microseconds since 1970.
+	TimeOfDay int64
+	// Ends holds the offset up to which the sender knows each topic.
+	Ends []TopicEnd
+	// Stopping is true from the begin of a planned stop.
+	Stopping bool
+	Loads    []balance.Load
+	Uses     []quota.Use
+	Counts   []usage.Count
+	Crashes  []suspect.Entry
+}
+
+// TopicEnd is how far a daemon knows a topic.
+type TopicEnd struct {
+	Topic string
+	End   uint64
+}
+
+// RecordsRequest asks for what a daemon holds of a topic.
+type RecordsRequest struct {
+	Topic string
+	From  uint64
+}
+
+// RecordsReply holds records and the offset up to which all are known.
+type RecordsReply struct {
+	Records []latest.Record
+	End     uint64
+}
+
+// Handler is the daemon's side of the exchange.
+type Handler interface {
+	// Digest returns what the daemon tells now. The sender is filled in.
+	Digest() Digest
+	// Hear takes in what another daemon tells. delay is an estimate of the
+	// digest's age.
+	Hear(digest Digest, delay time.Duration)
+	// Records returns what the daemon holds of a topic.
+	Records(request RecordsRequest) RecordsReply
+}
--- /dev/null
+++ b/membership/group.go
@@ -0,0 +1,267 @@
+package membership
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"storj.io/drpc/drpcserver"
+
+	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/latest"
+	"github.com/cranberrywalk/cranberrywalk/telemetry"
+)
+
+// Options sets how daemons exchange.
+type Options struct {
+	Self Member
+	// Seeds are addresses of daemons that may be stale.
+	Seeds []string
+	// Period is the time between two exchanges with the same daemon.
+	Period time.Duration
+	// Timeout bounds a call, and DialTimeout the opening of a connection.
+	Timeout, DialTimeout time.Duration
+	// SilentAfter is the age of a daemon's last word after which it is silent.
+	SilentAfter time.Duration
+	// SilentPeriod is the time between two calls of a silent daemon.
+	SilentPeriod time.Duration
+}
+
+// DefaultOptions returns the defaults of a daemon.
+func DefaultOptions(self Member, seeds []string) Options {
+	return Options{
+		Self: self, Seeds: seeds, Period: 400 * time.Millisecond,
+		Timeout: 600 * time.Millisecond, DialTimeout: 300 * time.Millisecond,
+		SilentAfter: 1500 * time.Millisecond, SilentPeriod: time.Second,
+	}
+}
+
+// Group is a daemon's part in the exchange between all daemons.
+type Group struct {
+	common  telemetry.Common
+	options Options
+	handler Handler
+	client  *client
+	done    chan struct{}
+
+	listener net.Listener
+
+	mutex sync.Mutex
+	// peers holds the other daemons by name; guarded by mutex.
+	peers map[string]*peer
+}
+
+// peer is what is known of another daemon.
+type peer struct {
+	member Member
+	heard  time.Time
+	called time.Time
+	// calling is true while a call is under way.
+	calling bool
+	ends    map[string]uint64
+	// isSilent is true when the daemon was noted as lost.
+	isSilent bool
+}
+
+// New returns a group of one daemon, which does nothing before Run.
+func New(common telemetry.Common, options Options, handler Handler) *Group {
+	return &Group{
+		common: common, options: options, handler: handler,
+		client: newClient(options.DialTimeout), done: make(chan struct{}), peers: make(map[string]*peer),
+	}
+}
+
+// Done is closed by Run when it returns.
+func (g *Group) Done() <-chan struct{} { return g.done }
+
+// Listen binds the address for other daemons. It fails with a *ListenError.
+func (g *Group) Listen() error {
+	listener, err := net.Listen("tcp", g.options.Self.Address)
+	if err != nil {
+		return &ListenError{Address: g.options.Self.Address, Cause: err}
+	}
+	g.listener = listener
+	return nil
+}
+
+// Run answers and calls other daemons until ctx ends.
+func (g *Group) Run(ctx context.Context) {
+	defer close(g.done)
+	defer g.client.close()
+	var duties sync.WaitGroup
+	duties.Go(func() {
+		if err := drpcserver.New(server{group: g}).Serve(ctx, g.listener); err != nil && ctx.Err() == nil {
+			g.common.Log.Error(err, "Other daemons are no longer answered")
+		}
+	})
+	duties.Go(func() { g.exchange(ctx, &duties) })
+	duties.Wait()
+}
+
+// Add makes a daemon known. A newer start replaces an earlier one.
+func (g *Group) Add(member Member) {
+	if member.Name == g.options.Self.Name || member.Name == "" {
+		return
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.add(member)
+}
+
+func (g *Group) add(member Member) *peer {
+	held := g.peers[member.Name]
+	if held == nil {
+		held = &peer{}
+		g.peers[member.Name] = held
+	}
+	held.member = member
+	return held
+}
+
+// Size returns the number of daemons that were heard of lately, with this one.
+func (g *Group) Size() int {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.common.Clock.Now()
+	size := 1
+	for _, p := range g.peers {
+		if now.Sub(p.heard) < g.options.SilentAfter {
+			size++
+		}
+	}
+	return size
+}
+
+// Known returns the number of daemons that are known, with this one.
+func (g *Group) Known() int {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return len(g.peers) + 1
+}
+
+// Records implements feed.Peers: it reads a topic at the daemon that knows most
+// of it.
+func (g *Group) Records(ctx context.Context, topic string, from uint64) ([]latest.Record, uint64, error) {
+	address, found := g.mostKnowing(topic, from)
+	if !found {
+		return nil, 0, &NoPeerError{Topic: topic}
+	}
+	var reply RecordsReply
+	if err := g.client.call(ctx, address, callRecords, &RecordsRequest{Topic: topic, From: from}, &reply); err != nil {
+		return nil, 0, err
+	}
+	return reply.Records, reply.End, nil
+}
+
+func (g *Group) mostKnowing(topic string, from uint64) (string, bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.common.Clock.Now()
+	address, most := "", from
+	for _, p := range g.peers {
+		if end := p.ends[topic]; end > most && now.Sub(p.heard) < g.options.SilentAfter {
+			address, most = p.member.Address, end
+		}
+	}
+	return address, address != ""
+}
+
+// steps is the number of times in a period that calls are started, so that they
+// do not come at once.
+const steps = 4
+
+func (g *Group) exchange(ctx context.Context, calls *sync.WaitGroup) {
+	for _, seed := range g.options.Seeds {
+		if seed != g.options.Self.Address {
+			calls.Go(func() { g.callAddress(ctx, seed) })
+		}
+	}
+	for clock.Sleep(ctx, g.common.Clock, g.options.Period/steps) == nil {
+		for _, p := range g.due() {
+			calls.Go(func() { g.callPeer(ctx, p) })
+		}
+	}
+}
+
+// due returns the daemons to call now. Of two daemons the one with the lower
+// name calls; the other one does when it has heard nothing for long.
+func (g *Group) due() []*peer {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.common.Clock.Now()
+	var due []*peer
+	for _, p := range g.peers {
+		isSilent := now.Sub(p.heard) > g.options.SilentAfter
+		g.noteSilence(p, isSilent)
+		period := g.options.Period
+		if isSilent {
+			period = g.options.SilentPeriod
+		}
+		calls := isSilent || g.options.Self.Name < p.member.Name
+		if !calls || p.calling || now.Sub(p.called) < period {
+			continue
+		}
+		p.calling, p.called = true, now
+		due = append(due, p)
+	}
+	return due
+}
+
+// noteSilence logs a change of belief about a daemon.
+func (g *Group) noteSilence(p *peer, isSilent bool) {
+	if isSilent == p.isSilent {
+		return
+	}
+	p.isSilent = isSilent
+	if isSilent {
+		g.common.Log.Info("A daemon is silent", "Daemon", p.member.Name)
+		return
+	}
+	g.common.Log.Info("A daemon is heard", "Daemon", p.member.Name)
+}
+
+func (g *Group) callPeer(ctx context.Context, p *peer) {
+	g.mutex.Lock()
+	address := p.member.Address
+	g.mutex.Unlock()
+	g.callAddress(ctx, address)
+	g.mutex.Lock()
+	p.calling = false
+	g.mutex.Unlock()
+}
+
+func (g *Group) callAddress(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, g.options.Timeout)
+	defer cancel()
+	began := g.common.Clock.Now()
+	own := g.digest()
+	var theirs Digest
+	if err := g.client.call(ctx, address, callExchange, &own, &theirs); err != nil {
+		g.common.Count("Membership.CallsFailed", 1)
+		return
+	}
+	g.hear(theirs, g.common.Clock.Since(began)/2)
+}
+
+func (g *Group) digest() Digest {
+	digest := g.handler.Digest()
+	digest.Sender = g.options.Self
+	digest.TimeOfDay = g.common.Clock.Now().UnixMicro()
+	return digest
+}
+
+func (g *Group) hear(digest Digest, delay time.Duration) {
+	if digest.Sender.Name == g.options.Self.Name || digest.Sender.Name == "" {
+		return
+	}
+	ends := make(map[string]uint64, len(digest.Ends))
+	for _, end := range digest.Ends {
+		ends[end.Topic] = end.End
+	}
+	g.mutex.Lock()
+	p := g.add(digest.Sender)
+	p.heard, p.ends = g.common.Clock.Now(), ends
+	g.mutex.Unlock()
+	g.handler.Hear(digest, delay)
+}
--- /dev/null
+++ b/membership/server.go
@@ -0,0 +1,31 @@
+package membership
+
+import (
+	"storj.io/drpc"
+)
+
+// server answers other daemons. It implements drpc.Handler.
+type server struct{ group *Group }
+
+// HandleRPC implements drpc.Handler.
+func (s server) HandleRPC(stream drpc.Stream, call string) error {
+	switch call {
+	case callExchange:
+		var theirs Digest
+		if err := stream.MsgRecv(&theirs, encoding{}); err != nil {
+			return err
+		}
+		s.group.hear(theirs, 0)
+		own := s.group.digest()
+		return stream.MsgSend(&own, encoding{})
+	case callRecords:
+		var request RecordsRequest
+		if err := stream.MsgRecv(&request, encoding{}); err != nil {
+			return err
+		}
+		reply := s.group.handler.Records(request)
+		return stream.MsgSend(&reply, encoding{})
+	default:
+		return &UnknownCallError{Call: call}
+	}
+}
--- /dev/null
+++ b/scaling/planner.go
@@ -0,0 +1,242 @@
+// Package scaling decides how many runners of a service are ordered in each
+// zone, and of which kind. Reclaimable runners are cheap, and all of a zone may
+// be taken away at once; the others fill the gap until reclaimable ones are back.
+// The package has no input or output.
+package scaling
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/catalog"
+	"github.com/cranberrywalk/cranberrywalk/duty"
+)
+
+// Options sets how runners are ordered.
+type Options struct {
+	// BlockedFor is how long no reclaimable runner is ordered in a zone that
+	// had none to give or has just lost them.
+	BlockedFor time.Duration
+	// Spare is the part by which the reclaimable runners exceed the number
+	// that is needed, so that the loss of a zone is borne.
+	Spare float64
+	// Settle is how long runners that are no longer needed are kept.
+	Settle time.Duration
+}
+
+// DefaultOptions returns the defaults.
+func DefaultOptions() Options {
+	return Options{BlockedFor: 6 * time.Second, Spare: 0.15, Settle: 3 * time.Second}
+}
+
+// Zone counts the runners of a service in a zone.
+type Zone struct {
+	Name string
+	// Reclaimable and Lasting are ready; Leaving reclaimable ones are not.
+	Reclaimable, Lasting, Leaving int
+}
+
+// Need is what the plan is made for.
+type Need struct {
+	Service catalog.Service
+	Zones   []Zone
+	// Runners is the number that the load needs.
+	Runners int
+}
+
+// key names what an order is about.
+type key struct {
+	service, zone string
+	reclaimable   bool
+}
+
+// Planner plans the orders of one holder of the duty. It is not safe for use by
+// several goroutines.
+type Planner struct {
+	options Options
+	// ordered holds the last orders that took effect, and when.
+	ordered map[key]placed
+	// blocked holds until when no reclaimable runners are ordered.
+	blocked map[key]time.Time
+	// surplus is since when the service has had lasting runners too many.
+	surplus map[string]time.Time
+}
+
+type placed struct {
+	count int
+	at    time.Time
+}
+
+// New returns a planner that has ordered nothing.
+func New(options Options) *Planner {
+	return &Planner{
+		options: options, ordered: make(map[key]placed), blocked: make(map[key]time.Time),
+		surplus: make(map[string]time.Time),
+	}
+}
+
+// Plan returns the orders that are due.
+func (p *Planner) Plan(need Need, now time.Time) []duty.Order {
+	if need.Service.Scaling == nil {
+		return nil
+	}
+	p.noteLosses(need, now)
+	reclaimable := p.planReclaimable(need, now)
+	lasting := p.planLasting(need, reclaimable, now)
+	var orders []duty.Order
+	for _, zone := range need.Zones {
+		orders = p.due(orders, need.Service.Name, zone, true, reclaimable[zone.Name], now)
+		orders = p.due(orders, need.Service.Name, zone, false, lasting[zone.Name], now)
+	}
+	return orders
+}
+
+// Done notes an order that took effect.
+func (p *Planner) Done(order duty.Order, now time.Time) {
+	p.ordered[keyOf(order)] = placed{count: order.Count, at: now}
+}
+
+// Refused notes an order that could not be met.
+func (p *Planner) Refused(order duty.Order, now time.Time) {
+	p.ordered[keyOf(order)] = placed{count: 0, at: now}
+	if order.Reclaimable {
+		p.blocked[keyOf(order)] = now.Add(p.options.BlockedFor)
+	}
+}
+
+func keyOf(order duty.Order) key {
+	return key{service: order.Service, zone: order.Zone, reclaimable: order.Reclaimable}
+}
+
+// noteLosses blocks the zones whose reclaimable runners are being taken away.
+func (p *Planner) noteLosses(need Need, now time.Time) {
+	for _, zone := range need.Zones {
+		k := key{service: need.Service.Name, zone: zone.Name, reclaimable: true}
+		if zone.Leaving == 0 || zone.Reclaimable > 0 {
+			continue
+		}
+		p.blocked[k] = now.Add(p.options.BlockedFor)
+		p.ordered[k] = placed{at: now}
+	}
+}
+
+// planReclaimable spreads the reclaimable runners over the zones that have some
+// to give.
+func (p *Planner) planReclaimable(need Need, now time.Time) map[string]int {
+	open := p.open(need, now)
+	counts := make(map[string]int, len(open))
+	if len(open) == 0 {
+		return counts
+	}
+	limits := need.Service.Scaling
+	wanted := int(math.Ceil(float64(need.Runners) * (1 + p.options.Spare)))
+	for range wanted {
+		best := ""
+		for _, zone := range open {
+			if counts[zone.Name] >= limits.Max-zone.Lasting {
+				continue
+			}
+			if best == "" || counts[zone.Name] < counts[best] {
+				best = zone.Name
+			}
+		}
+		if best == "" {
+			break
+		}
+		counts[best]++
+	}
+	return counts
+}
+
+// open returns the zones that are not blocked, the cheapest first.
+func (p *Planner) open(need Need, now time.Time) []Zone {
+	var open []Zone
+	for _, zone := range need.Zones {
+		k := key{service: need.Service.Name, zone: zone.Name, reclaimable: true}
+		if !now.Before(p.blocked[k]) {
+			open = append(open, zone)
+		}
+	}
+	prices := need.Service.Scaling.ZonePrices
+	slices.SortFunc(open, func(x, y Zone) int {
+		return cmp.Or(cmp.Compare(prices[x.Name], prices[y.Name]), cmp.Compare(x.Name, y.Name))
+	})
+	return open
+}
+
+// planLasting fills what the ready reclaimable runners lack with lasting ones,
+// which are given back a while after they are no longer needed.
+func (p *Planner) planLasting(need Need, reclaimable map[string]int, now time.Time) map[string]int {
+	limits := need.Service.Scaling
+	ready, lasting := 0, 0
+	for _, zone := range need.Zones {
+		ready += zone.Reclaimable
+		lasting += zone.Lasting
+	}
+	missing := max(need.Runners-ready, 0)
+	service := need.Service.Name
+	if missing >= lasting {
+		delete(p.surplus, service)
+	} else if p.surplus[service].IsZero() {
+		p.surplus[service] = now
+	}
+	if missing < lasting && now.Sub(p.surplus[service]) < p.options.Settle {
+		missing = lasting
+	}
+	return spread(need, reclaimable, missing, limits)
+}
+
+// spread divides lasting runners over the zones: those that are there stay, and
+// others come where they are cheapest.
+func spread(need Need, reclaimable map[string]int, wanted int, limits *catalog.Scaling) map[string]int {
+	zones := slices.Clone(need.Zones)
+	slices.SortStableFunc(zones, func(x, y Zone) int {
+		return cmp.Or(cmp.Compare(limits.ZonePrices[x.Name], limits.ZonePrices[y.Name]), cmp.Compare(x.Name, y.Name))
+	})
+	counts := make(map[string]int, len(zones))
+	for _, zone := range zones {
+		least := 0
+		if reclaimable[zone.Name] < limits.Min {
+			least = limits.Min - reclaimable[zone.Name]
+		}
+		counts[zone.Name] = least
+		wanted -= least
+	}
+	place := func(most func(Zone) int) {
+		for progress := true; progress && wanted > 0; {
+			progress = false
+			for _, zone := range zones {
+				if wanted > 0 && counts[zone.Name] < most(zone) {
+					counts[zone.Name]++
+					wanted--
+					progress = true
+				}
+			}
+		}
+	}
+	place(func(zone Zone) int { return zone.Lasting })
+	place(func(zone Zone) int { return limits.Max - max(reclaimable[zone.Name], zone.Reclaimable) })
+	return counts
+}
+
+// due adds an order if it differs from the last one that took effect, or if its
+// runners have not come in time.
+func (p *Planner) due(
+	orders []duty.Order, service string, zone Zone, reclaimable bool, count int, now time.Time,
+) []duty.Order {
+	order := duty.Order{Service: service, Zone: zone.Name, Reclaimable: reclaimable, Count: count}
+	last, known := p.ordered[keyOf(order)]
+	present := zone.Lasting
+	if reclaimable {
+		present = zone.Reclaimable
+	}
+	if !known && count == present {
+		return orders
+	}
+	if known && last.count == count {
+		return orders
+	}
+	return append(orders, order)
+}
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -12,12 +12,14 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 )
 
-// Threshold is the number of crashes, over all daemons, after which a
+// Threshold is the usual number of crashes, over all daemons, after which a
 // request is refused.
 const Threshold = 2
 
 // Options bounds a book.
 type Options struct {
+	// Threshold is the number of crashes after which a request is refused.
+	Threshold int
 	// Lifetime is how long a crash counts.
 	Lifetime time.Duration
 	// MaxEntries bounds the number of fingerprints with crashes.
@@ -28,7 +30,7 @@
 
 // DefaultOptions returns the defaults.
 func DefaultOptions() Options {
-	return Options{Lifetime: 10 * time.Minute, MaxEntries: 1000, MaxAnswered: 4096}
+	return Options{Threshold: Threshold, Lifetime: 10 * time.Minute, MaxEntries: 1000, MaxAnswered: 4096}
 }
 
 // Entry tells what is known of one fingerprint. Entries of all daemons are
@@ -36,7 +38,7 @@
 type Entry struct {
 	Fingerprint uint64
 	// Crashes holds the identities of distinct crashes in ascending order,
-	// at most Threshold of them.
+	// at most the threshold of them.
 	Crashes []uint64
 	Expires time.Time
 }
@@ -104,7 +106,7 @@
 		known = Entry{Fingerprint: entry.Fingerprint}
 		b.makeRoom(now)
 	}
-	crashes := union(known.Crashes, entry.Crashes)
+	crashes := b.union(known.Crashes, entry.Crashes)
 	if slices.Equal(crashes, known.Crashes) {
 		return known, false
 	}
@@ -154,7 +156,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	entry, found := b.entries[fingerprint]
-	return found && now.Before(entry.Expires) && len(entry.Crashes) >= Threshold
+	return found && now.Before(entry.Expires) && len(entry.Crashes) >= b.options.Threshold
 }
 
 // Suspected reports whether a crash counts against the fingerprint.
@@ -179,12 +181,13 @@
 	return entries
 }
 
-// union returns the first Threshold values that x or y holds, ascending.
-func union(x, y []uint64) []uint64 {
+// union returns the first values that x or y holds, ascending, as many as the
+// threshold.
+func (b *Book) union(x, y []uint64) []uint64 {
 	all := slices.Concat(x, y)
 	slices.Sort(all)
 	all = slices.Compact(all)
-	return all[:min(len(all), Threshold)]
+	return all[:min(len(all), b.options.Threshold)]
 }
 
 func minTime(x, y time.Time) time.Time {
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -74,7 +74,7 @@
 
 func TestBookIsBounded(t *testing.T) {
 	c := qt.New(t)
-	book := suspect.New(suspect.Options{Lifetime: time.Hour, MaxEntries: 3, MaxAnswered: 1})
+	book := suspect.New(suspect.Options{Threshold: suspect.Threshold, Lifetime: time.Hour, MaxEntries: 3, MaxAnswered: 1})
 	for i := range uint64(10) {
 		book.Add(i, 1, start.Add(time.Duration(i)*time.Second))
 	}
--- /dev/null
+++ b/upstream/pool.go
@@ -0,0 +1,166 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/telemetry"
+)
+
+// Options sets how runners are connected.
+type Options struct {
+	// DialTimeout bounds the opening of a connection.
+	DialTimeout time.Duration
+	// Silence is the time without an acknowledgement by the other end's
+	// kernel after which a connection is broken.
+	Silence time.Duration
+	// KeepIdle is how long an unused connection is kept when the runner does
+	// not say how long it keeps it.
+	KeepIdle time.Duration
+	// IdleMargin is taken off the time that a runner says.
+	IdleMargin time.Duration
+	// MostAnswerBytes bounds the body of an answer that is kept whole.
+	MostAnswerBytes int
+}
+
+// DefaultOptions returns the defaults.
+func DefaultOptions() Options {
+	return Options{
+		DialTimeout: 400 * time.Millisecond,
+		Silence:     1500 * time.Millisecond,
+		KeepIdle:    4 * time.Second,
+		IdleMargin:  time.Second,
+		// A whole answer is held in memory until it is passed on.
+		MostAnswerBytes: 8 << 20,
+	}
+}
+
+// Pool keeps the connections to all runners. It is safe for use by several
+// goroutines.
+type Pool struct {
+	common  telemetry.Common
+	options Options
+
+	mutex sync.Mutex
+	// idle holds the unused connections by address, the last used one last.
+	idle map[string][]*connection
+	// open counts the connections by address, unused ones included.
+	open map[string]int
+}
+
+// New returns a pool without connections.
+func New(common telemetry.Common, options Options) *Pool {
+	return &Pool{common: common, options: options, idle: make(map[string][]*connection), open: make(map[string]int)}
+}
+
+// take returns an unused connection, or a new one. most bounds the connections
+// to the address; zero means no bound.
+func (p *Pool) take(ctx context.Context, address string, most int) (*connection, error) {
+	for {
+		c := p.pop(address)
+		if c == nil {
+			break
+		}
+		if c.isFresh(p.common.Clock.Now()) {
+			return c, nil
+		}
+		p.drop(c)
+	}
+	if !p.reserve(address, most) {
+		return nil, &FullError{Most: most}
+	}
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		p.release(address)
+		return nil, err
+	}
+	return c, nil
+}
+
+func (p *Pool) pop(address string) *connection {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	idle := p.idle[address]
+	if len(idle) == 0 {
+		return nil
+	}
+	c := idle[len(idle)-1]
+	p.idle[address] = idle[:len(idle)-1]
+	return c
+}
+
+func (p *Pool) reserve(address string, most int) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if most > 0 && p.open[address] >= most {
+		return false
+	}
+	p.open[address]++
+	return true
+}
+
+func (p *Pool) release(address string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.open[address]--
+	if p.open[address] <= 0 {
+		delete(p.open, address)
+	}
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*connection, error) {
+	dialer := net.Dialer{
+		Timeout: p.options.DialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
+		},
+		Control: silenceControl(p.options.Silence),
+	}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	p.common.Count("Upstream.Dials", 1)
+	return newConnection(raw, address), nil
+}
+
+// keep makes a connection available again.
+func (p *Pool) keep(c *connection) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.idle[c.address] = append(p.idle[c.address], c)
+}
+
+// drop closes a connection for good.
+func (p *Pool) drop(c *connection) {
+	_ = c.raw.Close()
+	p.release(c.address)
+}
+
+// CloseIdle closes the unused connections that are past their time, so that
+// none stays for a runner that is gone.
+func (p *Pool) CloseIdle() {
+	now := p.common.Clock.Now()
+	p.mutex.Lock()
+	var old []*connection
+	for address, idle := range p.idle {
+		kept := idle[:0]
+		for _, c := range idle {
+			if now.Before(c.until) {
+				kept = append(kept, c)
+				continue
+			}
+			old = append(old, c)
+		}
+		p.idle[address] = kept
+		if len(kept) == 0 {
+			delete(p.idle, address)
+		}
+	}
+	p.mutex.Unlock()
+	for _, c := range old {
+		p.drop(c)
+	}
+}
