Order runners for the requests under way, with lasting ones until reclaimable ones are ready

Change: orders wait until all runners have written; the number follows the mean of the requests under way and falls slowly; a zone's minimum counts runners that are ready.

--- a/entry/orders.go
+++ b/entry/orders.go
@@ -16,18 +16,22 @@
 	*Entry
 	options scaling.Options
 	planner *scaling.Planner
-	// first holds the number of runners of a service when it was first seen.
-	first map[string]int
+	// demands holds the load of each service since the duty was taken over.
+	demands map[string]*scaling.Demand
+	// since is when the duty was taken over.
+	since time.Time
 }
 
 func newOrders(e *Entry, options scaling.Options) *orders {
-	return &orders{Entry: e, options: options, planner: scaling.New(options), first: make(map[string]int)}
+	o := &orders{Entry: e, options: options}
+	o.Reset()
+	return o
 }
 
 // Due implements duties.Orders.
 func (o *orders) Due(now time.Time) []duty.Order {
 	known := o.gateway.Catalog()
-	if known == nil || !o.fleet.known() {
+	if known == nil || !o.fleet.known() || now.Sub(o.since) < fleetTime {
 		return nil
 	}
 	runners := o.fleet.runners()
@@ -38,22 +42,29 @@
 		}
 		zones := countZones(service, runners)
 		due = append(due, o.planner.Plan(scaling.Need{
-			Service: service, Zones: zones, Runners: o.needed(service, zones),
+			Service: service, Zones: zones, Runners: o.needed(service, zones, now),
 		}, now)...)
 	}
 	return due
 }
 
+// fleetTime is how long after the start of a duty all runners have written of
+// themselves.
+const fleetTime = 3 * time.Second
+
 // needed returns the number of runners for the present load.
-func (o *orders) needed(service catalog.Service, zones []scaling.Zone) int {
+func (o *orders) needed(service catalog.Service, zones []scaling.Zone, now time.Time) int {
 	present := 0
 	for _, zone := range zones {
 		present += zone.Reclaimable + zone.Lasting
 	}
-	if o.first[service.Name] == 0 {
-		o.first[service.Name] = present
+	demand := o.demands[service.Name]
+	if demand == nil {
+		demand = scaling.NewDemand(scaling.DefaultDemandOptions(), present, now)
+		o.demands[service.Name] = demand
 	}
-	return o.first[service.Name]
+	running, _, _, _ := o.balancer.InFlight(service.Name, now)
+	return demand.Runners(running, now)
 }
 
 // Done implements duties.Orders.
@@ -63,7 +74,11 @@
 func (o *orders) Refused(order duty.Order, now time.Time) { o.planner.Refused(order, now) }
 
 // Reset implements duties.Orders.
-func (o *orders) Reset() { o.planner = scaling.New(o.options) }
+func (o *orders) Reset() {
+	o.planner = scaling.New(o.options)
+	o.demands = make(map[string]*scaling.Demand)
+	o.since = o.Clock.Now()
+}
 
 // countZones counts the runners of a service in every zone where it may run.
 func countZones(service catalog.Service, runners []inventory.Runner) []scaling.Zone {
--- /dev/null
+++ b/scaling/demand.go
@@ -0,0 +1,60 @@
+package scaling
+
+import (
+	"math"
+	"time"
+)
+
+// DemandOptions sets how the number of runners follows the load.
+type DemandOptions struct {
+	// RequestsPerRunner is the number of requests under way that one runner
+	// serves well.
+	RequestsPerRunner float64
+	// Hold is how long the number does not fall after the duty was taken over,
+	// since the load before is not known.
+	Hold time.Duration
+	// FallEvery is the time after which the number may fall by one.
+	FallEvery time.Duration
+	// Memory is the time constant of the load's mean.
+	Memory time.Duration
+}
+
+// DefaultDemandOptions returns the defaults.
+func DefaultDemandOptions() DemandOptions {
+	return DemandOptions{
+		RequestsPerRunner: 6, Hold: 15 * time.Second, FallEvery: 3 * time.Second, Memory: 4 * time.Second,
+	}
+}
+
+// Demand follows the load of one service. It is not safe for use by several
+// goroutines.
+type Demand struct {
+	options DemandOptions
+	began   time.Time
+	updated time.Time
+	fell    time.Time
+	mean    float64
+	runners int
+}
+
+// NewDemand returns a demand that knows no load. runners is the number that is
+// there.
+func NewDemand(options DemandOptions, runners int, now time.Time) *Demand {
+	return &Demand{options: options, began: now, updated: now, fell: now, runners: runners}
+}
+
+// Runners returns the number of runners for the requests under way.
+func (d *Demand) Runners(requests int, now time.Time) int {
+	passed := now.Sub(d.updated)
+	weight := 1 - math.Exp(-passed.Seconds()/d.options.Memory.Seconds())
+	d.mean += weight * (float64(requests) - d.mean)
+	d.updated = now
+	wanted := int(math.Ceil(d.mean / d.options.RequestsPerRunner))
+	switch {
+	case wanted >= d.runners:
+		d.runners, d.fell = wanted, now
+	case now.Sub(d.began) >= d.options.Hold && now.Sub(d.fell) >= d.options.FallEvery:
+		d.runners, d.fell = d.runners-1, now
+	}
+	return d.runners
+}
--- a/scaling/planner.go
+++ b/scaling/planner.go
@@ -197,10 +197,7 @@
 	})
 	counts := make(map[string]int, len(zones))
 	for _, zone := range zones {
-		least := 0
-		if reclaimable[zone.Name] < limits.Min {
-			least = limits.Min - reclaimable[zone.Name]
-		}
+		least := max(limits.Min-zone.Reclaimable, 0)
 		counts[zone.Name] = least
 		wanted -= least
 	}
@@ -216,7 +213,7 @@
 			}
 		}
 	}
-	place(func(zone Zone) int { return zone.Lasting })
+	place(func(zone Zone) int { return min(zone.Lasting, limits.Max-zone.Reclaimable) })
 	place(func(zone Zone) int { return limits.Max - max(reclaimable[zone.Name], zone.Reclaimable) })
 	return counts
 }
