Keep the ordered runners from growing with a queue; let few daemons read the store

Change: the number of runners rises only when all that are wanted are ready, by a fifth at once; the lease passes on 2 s after the last renewal; two daemons read the runners for all; the settings file is watched.

--- a/app/serveplatform.go
+++ b/app/serveplatform.go
@@ -25,7 +25,9 @@
 	klog.SetLogger(common.Log)
 	writing, stop := context.WithCancel(context.WithoutCancel(ctx))
 	go sink.Run(writing)
-	err = entry.New(common, settings).Run(ctx)
+	daemon := entry.New(common, settings)
+	go watchSettings(writing, common, path, daemon.Reload)
+	err = daemon.Run(ctx)
 	stop()
 	<-sink.Done()
 	return err
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -38,7 +38,9 @@
 }
 
 // Error implements error.
-func (e *UncertainError) Error() string { return "call " + e.Call + " got no answer: " + e.Cause.Error() }
+func (e *UncertainError) Error() string {
+	return "call " + e.Call + " got no answer: " + e.Cause.Error()
+}
 
 // Unwrap returns the failure underneath.
 func (e *UncertainError) Unwrap() error { return e.Cause }
--- a/duty/holder.go
+++ b/duty/holder.go
@@ -17,7 +17,7 @@
 
 // DefaultOptions returns the options for a lease time of the platform.
 func DefaultOptions(lease time.Duration) Options {
-	return Options{Lease: lease / 2, Margin: lease / 2, Renewal: lease / 4, MostReports: 64}
+	return Options{Lease: lease / 2, Margin: lease / 6, Renewal: lease / 4, MostReports: 64}
 }
 
 // Holder is one process's view of who holds the duties. Times are readings of
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -131,17 +131,27 @@
 func (e *Entry) addFeeds() {
 	e.fleet = newFleet(e, inventory.New(inventory.Options{LapseWait: lapseWait}, platform.DecodeRunner))
 	e.byTopic = make(map[string]*feed.Feed)
-	e.addFeed(platform.ConfigurationTopic, feedPeriod, e.takeConfiguration)
-	e.addFeed(platform.RunnersTopic, feedPeriod, e.fleet.take)
-	e.addFeed(membersTopic, membersPeriod, e.takeMembers)
+	e.addFeed(feed.Options{Topic: platform.ConfigurationTopic, Period: feedPeriod, Wait: configurationWait}, e.takeConfiguration)
+	e.addFeed(feed.Options{
+		Topic: platform.RunnersTopic, Period: feedPeriod, SparePeriod: spareRunnersPeriod, StaleAfter: staleAfter,
+	}, e.fleet.take)
+	e.addFeed(feed.Options{Topic: membersTopic, Period: membersPeriod}, e.takeMembers)
 }
 
 const (
 	// feedPeriod is the time between two reads of what is bound in time.
 	feedPeriod = 400 * time.Millisecond
+	// configurationWait is how long a read waits for a newer configuration. A
+	// connection that has gone silent is noticed after it.
+	configurationWait = 900 * time.Millisecond
+	// spareRunnersPeriod is the time between two reads of the runners by a
+	// daemon that gets them from others, and staleAfter the time without news
+	// after which it reads more often.
+	spareRunnersPeriod = 3 * time.Second
+	staleAfter         = 900 * time.Millisecond
 	// membersPeriod is the time between two reads of the list of daemons, who
 	// also tell each other of themselves.
-	membersPeriod = 2 * time.Second
+	membersPeriod = 5 * time.Second
 	// storeTimeout bounds a call to the store, and lostTimeout one while the
 	// store does not answer.
 	storeTimeout = 800 * time.Millisecond
@@ -151,12 +161,13 @@
 	outageAfter = 2 * time.Second
 )
 
-func (e *Entry) addFeed(topic string, period time.Duration, take func(feed.Batch)) {
-	f := feed.New(e.Common, feed.Options{
-		Topic: topic, Period: period, Timeout: storeTimeout, LostTimeout: lostTimeout, OutageAfter: outageAfter,
-	}, e.store, e.group, take)
+func (e *Entry) addFeed(options feed.Options, take func(feed.Batch)) {
+	options.Timeout = storeTimeout + options.Wait
+	options.LostTimeout = lostTimeout
+	options.OutageAfter = outageAfter
+	f := feed.New(e.Common, options, e.store, e.group, take)
 	e.feeds = append(e.feeds, f)
-	e.byTopic[topic] = f
+	e.byTopic[options.Topic] = f
 }
 
 const (
@@ -200,6 +211,13 @@
 	return !e.stopping.Load() && e.gateway.Catalog() != nil && e.fleet.known()
 }
 
+// Reload takes over what may change while the daemon runs: the addresses of other
+// daemons. Requests under way are not touched.
+func (e *Entry) Reload(settings platform.Settings) {
+	e.group.SetSeeds(settings.Seeds)
+	e.Log.Info("SettingsReloaded", "Seeds", settings.Seeds)
+}
+
 // Done is closed when Run has returned.
 func (e *Entry) Done() <-chan struct{} { return e.done }
 
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -18,12 +18,12 @@
 	planner *scaling.Planner
 	// demands holds the load of each service since the duty was taken over.
 	demands map[string]*scaling.Demand
-	// since is when the duty was taken over.
-	since time.Time
+	// began is when the process began.
+	began time.Time
 }
 
 func newOrders(e *Entry, options scaling.Options) *orders {
-	o := &orders{Entry: e, options: options}
+	o := &orders{Entry: e, options: options, began: e.Clock.Now()}
 	o.Reset()
 	return o
 }
@@ -31,7 +31,7 @@
 // Due implements duties.Orders.
 func (o *orders) Due(now time.Time) []duty.Order {
 	known := o.gateway.Catalog()
-	if known == nil || !o.fleet.known() || now.Sub(o.since) < fleetTime {
+	if known == nil || !o.fleet.known() || now.Sub(o.began) < fleetTime {
 		return nil
 	}
 	runners := o.fleet.runners()
@@ -48,23 +48,23 @@
 	return due
 }
 
-// fleetTime is how long after the start of a duty all runners have written of
-// themselves.
+// fleetTime is how long after the start of the process all runners have written
+// of themselves.
 const fleetTime = 3 * time.Second
 
 // needed returns the number of runners for the present load.
 func (o *orders) needed(service catalog.Service, zones []scaling.Zone, now time.Time) int {
-	present := 0
+	ready := 0
 	for _, zone := range zones {
-		present += zone.Reclaimable + zone.Lasting
+		ready += zone.Reclaimable + zone.Lasting
 	}
 	demand := o.demands[service.Name]
 	if demand == nil {
-		demand = scaling.NewDemand(scaling.DefaultDemandOptions(), present, now)
+		demand = scaling.NewDemand(scaling.DefaultDemandOptions(), ready, now)
 		o.demands[service.Name] = demand
 	}
 	running, _, _, _ := o.balancer.InFlight(service.Name, now)
-	return demand.Runners(running, now)
+	return demand.Runners(running, ready, now)
 }
 
 // Done implements duties.Orders.
@@ -77,7 +77,6 @@
 func (o *orders) Reset() {
 	o.planner = scaling.New(o.options)
 	o.demands = make(map[string]*scaling.Demand)
-	o.since = o.Clock.Now()
 }
 
 // countZones counts the runners of a service in every zone where it may run.
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -18,8 +18,14 @@
 // Options sets how a topic is followed.
 type Options struct {
 	Topic string
-	// Period is the time between the beginnings of two reads.
+	// Period is the time between the beginnings of two rounds.
 	Period time.Duration
+	// SparePeriod is the time between two reads of the store by a daemon that
+	// gets the topic from others; zero means that every round reads the store.
+	SparePeriod time.Duration
+	// StaleAfter is the time without news from others after which such a daemon
+	// reads the store in every round.
+	StaleAfter time.Duration
 	// Wait is how long a read may wait for a first record.
 	Wait time.Duration
 	// Timeout bounds one read, and LostTimeout one of a store that did not
@@ -32,6 +38,9 @@
 
 // Peers reads a topic at other daemons.
 type Peers interface {
+	// ReadsForOthers reports whether this daemon is one of the few that read
+	// the store often.
+	ReadsForOthers() bool
 	// Records returns what another daemon holds from an offset on, and the
 	// offset up to which it knows every record.
 	Records(ctx context.Context, topic string, from uint64) ([]latest.Record, uint64, error)
@@ -61,6 +70,8 @@
 	good time.Time
 	// read is true after the first whole listing; guarded by mutex.
 	read bool
+	// asked is when the store was last read; guarded by mutex.
+	asked time.Time
 	// isLost is true while the store does not answer; guarded by mutex.
 	isLost bool
 }
@@ -110,14 +121,21 @@
 	}
 }
 
-// round reads the store once, and before it other daemons while it has failed
-// for long.
+// round reads the store once. Before it, it reads other daemons while the store
+// does not answer; instead of it, when they read the store for this one.
 func (f *Feed) round(ctx context.Context) {
 	timeout := f.options.Timeout
-	if f.lost() {
+	switch {
+	case f.lost():
 		timeout = f.options.LostTimeout
 		f.readPeers(ctx)
+	case f.isSpare():
+		f.readPeers(ctx)
+		if f.isFresh() {
+			return
+		}
 	}
+	f.noteAsked()
 	err := f.readStore(ctx, timeout)
 	if err == nil || ctx.Err() != nil {
 		return
@@ -126,6 +144,25 @@
 	f.noteLoss(err)
 }
 
+// isSpare reports whether other daemons read the store for this one.
+func (f *Feed) isSpare() bool {
+	return f.options.SparePeriod > 0 && f.Read() && !f.peers.ReadsForOthers()
+}
+
+// isFresh reports whether what other daemons told is enough for now.
+func (f *Feed) isFresh() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	now := f.common.Clock.Now()
+	return now.Sub(f.good) < f.options.StaleAfter && now.Sub(f.asked) < f.options.SparePeriod
+}
+
+func (f *Feed) noteAsked() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.asked = f.common.Clock.Now()
+}
+
 func (f *Feed) readStore(ctx context.Context, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -57,7 +57,9 @@
 type EventError struct{ Want, Got int }
 
 // Error implements error.
-func (e *EventError) Error() string { return fmt.Sprintf("event %d came in place of %d", e.Got, e.Want) }
+func (e *EventError) Error() string {
+	return fmt.Sprintf("event %d came in place of %d", e.Got, e.Want)
+}
 
 // LongEventError says that an event of a stream is larger than allowed.
 type LongEventError struct{ Bytes int }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -145,4 +145,3 @@
 		header["Content-Type"] = nil
 	}
 }
-
--- a/membership/group.go
+++ b/membership/group.go
@@ -140,6 +140,31 @@
 	return len(g.peers) + 1
 }
 
+// readers is the number of daemons that read the store for the others.
+const readers = 2
+
+// ReadsForOthers implements feed.Peers: the daemons with the lowest names among
+// those that are heard read the store.
+func (g *Group) ReadsForOthers() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.common.Clock.Now()
+	lower := 0
+	for name, p := range g.peers {
+		if name < g.options.Self.Name && now.Sub(p.heard) < g.options.SilentAfter {
+			lower++
+		}
+	}
+	return lower < readers
+}
+
+// SetSeeds replaces the addresses that are called at the start.
+func (g *Group) SetSeeds(seeds []string) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.options.Seeds = seeds
+}
+
 // Records implements feed.Peers: it reads a topic at the daemon that knows most
 // of it.
 func (g *Group) Records(ctx context.Context, topic string, from uint64) ([]latest.Record, uint64, error) {
--- a/scaling/demand.go
+++ b/scaling/demand.go
@@ -15,6 +15,9 @@
 	Hold time.Duration
 	// FallEvery is the time after which the number may fall by one.
 	FallEvery time.Duration
+	// RiseEvery is the time after which the number may rise again, so that the
+	// runners of the last step count first.
+	RiseEvery time.Duration
 	// Memory is the time constant of the load's mean.
 	Memory time.Duration
 }
@@ -22,7 +25,7 @@
 // DefaultDemandOptions returns the defaults.
 func DefaultDemandOptions() DemandOptions {
 	return DemandOptions{
-		RequestsPerRunner: 6, Hold: 15 * time.Second, FallEvery: 3 * time.Second, Memory: 4 * time.Second,
+		RequestsPerRunner: 6, Hold: 15 * time.Second, FallEvery: 3 * time.Second, RiseEvery: 5 * time.Second, Memory: 4 * time.Second,
 	}
 }
 
@@ -33,6 +36,7 @@
 	began   time.Time
 	updated time.Time
 	fell    time.Time
+	rose    time.Time
 	mean    float64
 	runners int
 }
@@ -43,18 +47,31 @@
 	return &Demand{options: options, began: now, updated: now, fell: now, runners: runners}
 }
 
-// Runners returns the number of runners for the requests under way.
-func (d *Demand) Runners(requests int, now time.Time) int {
+// Runners returns the number of runners for the requests under way. While fewer
+// are ready than that number, more requests are under way since they wait, and
+// the number stays.
+func (d *Demand) Runners(requests, ready int, now time.Time) int {
 	passed := now.Sub(d.updated)
+	d.updated = now
+	if ready < d.runners {
+		return d.runners
+	}
 	weight := 1 - math.Exp(-passed.Seconds()/d.options.Memory.Seconds())
 	d.mean += weight * (float64(requests) - d.mean)
-	d.updated = now
 	wanted := int(math.Ceil(d.mean / d.options.RequestsPerRunner))
 	switch {
+	case wanted > d.runners && now.Sub(d.rose) >= d.options.RiseEvery:
+		d.runners, d.rose, d.fell = d.runners+min(wanted-d.runners, d.step()), now, now
 	case wanted >= d.runners:
-		d.runners, d.fell = wanted, now
+		d.fell = now
 	case now.Sub(d.began) >= d.options.Hold && now.Sub(d.fell) >= d.options.FallEvery:
 		d.runners, d.fell = d.runners-1, now
 	}
 	return d.runners
 }
+
+// step is the number of runners that are added at once.
+func (d *Demand) step() int { return max(d.runners/stepShare, 1) }
+
+// stepShare is the part of the runners, as a divisor, that a step adds.
+const stepShare = 5
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -193,4 +193,3 @@
 		return false
 	}
 }
-
