--- a/architecture_test.go
+++ b/architecture_test.go
@@ -1,9 +1,12 @@
 package main_test
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
+	"os"
 	"os/exec"
+	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -15,8 +18,25 @@
 
 // corePackages have no input or output.
 var corePackages = []string{
-	"claim", "grant", "lease", "limit", "peer/gossip", "placement", "plan", "prefix", "request",
-	"retry", "roster", "route", "suspect", "timeline",
+	"balance", "call", "catalog", "claim", "duty", "grant", "inventory", "latest", "lease", "limit", "peer/gossip",
+	"placement", "plan", "prefix", "quota", "request", "retry", "roster", "route", "scaling", "store", "suspect",
+	"timeline", "truetime", "usage",
+}
+
+// decidingPackages are those that the adapter to the platform must not import:
+// it translates and decides nothing.
+var decidingPackages = []string{
+	"balance", "dispatch", "duties", "entry", "feed", "gateway", "lease", "limit", "order", "placement", "quota",
+	"retry", "roster", "route", "scaling", "suspect", "truetime", "upstream", "usage",
+}
+
+// platformNames are names of the users' protocol, which nothing but the adapter
+// knows.
+var platformNames = []string{
+	"X-Attempt-Id", "X-Deadline-Ms", "Api-Key", "X-Token-Count", "X-Prefix-Hash", "X-Tenant", "X-Expect-Instance",
+	"X-Response-Signature", "X-Not-Executed", "X-Server-Load", "X-Duty-Holder", "X-Fencing-Token",
+	"route_table", "traffic_split", "engine_name", "kv_capacity_tokens", "uncached_tokens", "api_keys",
+	"keyed.op", "keyed.servers", "log-read", "log-append", "log-newest", "window_id", "desired_count", "preemptible",
 }
 
 // forbidden are the packages, with those below them, that bring input or
@@ -76,3 +96,44 @@
 		return imported == name || strings.HasPrefix(imported, name+"/") && name != "os"
 	})
 }
+
+// TestPlatformNamesStayInTheAdapter looks for names of the users' protocol in
+// all sources but those of the adapter and tests.
+func TestPlatformNamesStayInTheAdapter(t *testing.T) {
+	c := qt.New(t)
+	seen := 0
+	err := filepath.WalkDir(".", func(path string, entry os.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if entry.IsDir() && (path == "platform" || path == ".git") {
+			return filepath.SkipDir
+		}
+		if filepath.Ext(path) != ".go" || strings.HasSuffix(path, "_test.go") {
+			return nil
+		}
+		content, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		seen++
+		for _, name := range platformNames {
+			c.Check(bytes.Contains(content, []byte(name)), qt.IsFalse, qt.Commentf("%s names %s", path, name))
+		}
+		return nil
+	})
+	c.Assert(err, qt.IsNil)
+	c.Check(seen > 100, qt.IsTrue)
+}
+
+// TestAdapterDecidesNothing asks the go tool what the adapter imports.
+func TestAdapterDecidesNothing(t *testing.T) {
+	c := qt.New(t)
+	output, err := exec.Command("go", "list", "-deps", module+"/platform").Output()
+	c.Assert(err, qt.IsNil)
+	imported := strings.Fields(string(output))
+	c.Check(slices.Contains(imported, module+"/catalog"), qt.IsTrue)
+	for _, name := range decidingPackages {
+		c.Check(slices.Contains(imported, module+"/"+name), qt.IsFalse, qt.Commentf("platform imports %s", name))
+	}
+}
--- a/call/call.go
+++ b/call/call.go
@@ -4,12 +4,14 @@
 package call
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
+// Header holds header fields by canonical name, as net/http does.
+type Header map[string][]string
+
 // Part is a piece of a prompt that other requests may share.
 type Part struct {
 	// ID names the content of the piece.
@@ -27,7 +29,7 @@
 	Target string
 	Method string
 	// Header holds the fields that are passed on.
-	Header http.Header
+	Header Header
 	Body   []byte
 	// Key is the caller's API key, or empty.
 	Key string
--- /dev/null
+++ b/catalog/catalog_test.go
@@ -0,0 +1,68 @@
+package catalog_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cranberrywalk/cranberrywalk/catalog"
+)
+
+func route(name, host, prefix string) catalog.Route {
+	return catalog.Route{Name: name, Host: host, Prefix: prefix, Splits: []catalog.Split{{Service: name, Weight: 1}}}
+}
+
+func TestMatchTakesTheLongestPrefix(t *testing.T) {
+	known := catalog.New(catalog.Spec{Routes: []catalog.Route{
+		route("short", "a.example", "/p/"), route("long", "a.example", "/p/q/"), route("other", "b.example", "/"),
+	}})
+	for _, scenario := range []struct {
+		name, host, path, route string
+		found                   bool
+	}{
+		{"short prefix", "a.example", "/p/x", "short", true},
+		{"long prefix", "a.example", "/p/q/x", "long", true},
+		{"prefix without its slash", "a.example", "/p", "", false},
+		{"part of a name", "a.example", "/pq/", "", false},
+		{"root", "b.example", "/any", "other", true},
+		{"other host", "c.example", "/p/x", "", false},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			c := qt.New(t)
+			got, found := known.Match(scenario.host, scenario.path)
+			c.Check(found, qt.Equals, scenario.found)
+			c.Check(got.Name, qt.Equals, scenario.route)
+		})
+	}
+}
+
+func TestPickFollowsTheWeights(t *testing.T) {
+	c := qt.New(t)
+	split := catalog.Route{Splits: []catalog.Split{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	counts := map[string]int{}
+	for i := range 1000 {
+		counts[split.Pick(float64(i)/1000)]++
+	}
+	c.Check(counts, qt.DeepEquals, map[string]int{"a": 900, "b": 100})
+}
+
+func TestKeysAreThoseOfTheVersion(t *testing.T) {
+	c := qt.New(t)
+	known := catalog.New(catalog.Spec{Customers: []catalog.Customer{{Name: "library", Keys: []string{"k1", "k2"}}}})
+	holder, found := known.Holder("k2")
+	c.Check(found, qt.IsTrue)
+	c.Check(holder.Name, qt.Equals, "library")
+	_, found = known.Holder("")
+	c.Check(found, qt.IsFalse)
+	c.Check(known.NeedsKey(catalog.Route{}), qt.IsTrue)
+	c.Check(known.NeedsKey(catalog.Route{Anonymous: true}), qt.IsFalse)
+	c.Check(catalog.New(catalog.Spec{}).NeedsKey(catalog.Route{}), qt.IsFalse)
+}
+
+func TestQuotaCost(t *testing.T) {
+	c := qt.New(t)
+	tokens := catalog.Quota{InTokens: true, PlainTokens: 200}
+	c.Check(tokens.Cost(1500), qt.Equals, 1500.0)
+	c.Check(tokens.Cost(0), qt.Equals, 200.0)
+	c.Check(catalog.Quota{}.Cost(1500), qt.Equals, 1.0)
+}
--- a/duty/holder.go
+++ b/duty/holder.go
@@ -69,17 +69,23 @@
 		h.reports[report.Window] = report
 	}
 	h.forget()
-	h.end++
-	h.changed = now
+	h.pass(now)
 	if h.holder != h.self {
 		h.until = time.Time{}
 	}
 }
 
 // Skip passes an entry that can't be read.
-func (h *Holder) Skip(now time.Time) {
+func (h *Holder) Skip(now time.Time) { h.pass(now) }
+
+// pass moves the end by one entry. An entry that another daemon has told of is
+// as old as that word.
+func (h *Holder) pass(now time.Time) {
 	h.end++
 	h.changed = now
+	if h.end <= h.heard && h.heardAt.Before(now) {
+		h.changed = h.heardAt
+	}
 }
 
 // unknownHolder stands for a process that may hold the duties and whose entries
--- /dev/null
+++ b/feed/feed_test.go
@@ -0,0 +1,233 @@
+package feed_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"github.com/cranberrywalk/cranberrywalk/feed"
+	"github.com/cranberrywalk/cranberrywalk/latest"
+	"github.com/cranberrywalk/cranberrywalk/store"
+	"github.com/cranberrywalk/cranberrywalk/telemetry"
+)
+
+// fakeStore holds one topic.
+type fakeStore struct {
+	store.Store
+	mutex   sync.Mutex
+	records []latest.Record
+	first   uint64
+	down    bool
+	reads   int
+}
+
+func (s *fakeStore) put(key, value string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.records = append(s.records, latest.Record{Key: key, Value: []byte(value), Offset: uint64(len(s.records))})
+}
+
+func (s *fakeStore) set(change func(*fakeStore)) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	change(s)
+}
+
+func (s *fakeStore) Newest(context.Context, string) ([]latest.Record, uint64, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.reads++
+	if s.down {
+		return nil, 0, &store.UnavailableError{Status: 503}
+	}
+	topic := latest.New()
+	topic.Merge(s.records, uint64(len(s.records)))
+	var listing []latest.Record
+	for _, record := range topic.Since(0) {
+		if !record.Dropped() {
+			listing = append(listing, record)
+		}
+	}
+	return listing, uint64(len(s.records)), nil
+}
+
+func (s *fakeStore) ReadKeyed(_ context.Context, _ string, from uint64, _ time.Duration) ([]latest.Record, uint64, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.reads++
+	switch {
+	case s.down:
+		return nil, 0, &store.UnavailableError{Status: 503}
+	case from < s.first:
+		return nil, 0, &store.GapError{First: s.first}
+	default:
+		return s.records[from:], uint64(len(s.records)), nil
+	}
+}
+
+// fakePeers is another daemon that reads the same store.
+type fakePeers struct {
+	mutex   sync.Mutex
+	topic   *latest.Topic
+	isSpare bool
+}
+
+func (p *fakePeers) ReadsForOthers() bool { return !p.isSpare }
+
+func (p *fakePeers) Records(_ context.Context, _ string, from uint64) ([]latest.Record, uint64, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.topic.Since(from), p.topic.End(), nil
+}
+
+func (p *fakePeers) copyFrom(s *fakeStore) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.topic.Merge(s.records, uint64(len(s.records)))
+}
+
+type rig struct {
+	c     *qt.C
+	store *fakeStore
+	peers *fakePeers
+	feed  *feed.Feed
+
+	mutex   sync.Mutex
+	batches []feed.Batch
+}
+
+func newRig(t *testing.T, change func(*feed.Options)) *rig {
+	r := &rig{c: qt.New(t), store: &fakeStore{}, peers: &fakePeers{topic: latest.New()}}
+	common := telemetry.NewCommon()
+	common.Log = logr.Discard()
+	options := feed.Options{
+		Topic: "x", Period: 5 * time.Millisecond, Timeout: time.Second, LostTimeout: time.Second, OutageAfter: 100 * time.Millisecond,
+	}
+	if change != nil {
+		change(&options)
+	}
+	r.feed = feed.New(common, options, r.store, r.peers, func(b feed.Batch) {
+		r.mutex.Lock()
+		defer r.mutex.Unlock()
+		r.batches = append(r.batches, b)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go r.feed.Run(ctx)
+	r.c.Cleanup(func() {
+		cancel()
+		<-r.feed.Done()
+	})
+	return r
+}
+
+// value returns the newest value of a key that was handed on.
+func (r *rig) value(key string) string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	value := ""
+	for _, batch := range r.batches {
+		for _, record := range batch.Records {
+			if record.Key == key {
+				value = string(record.Value)
+			}
+		}
+	}
+	return value
+}
+
+func (r *rig) eventually(what string, holds func() bool) {
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	r.c.Fatalf("never: %s", what)
+}
+
+func TestChangesAreHandedOn(t *testing.T) {
+	r := newRig(t, nil)
+	r.store.put("a", "1")
+	r.eventually("first", func() bool { return r.value("a") == "1" })
+	r.store.put("a", "2")
+	r.eventually("second", func() bool { return r.value("a") == "2" })
+}
+
+func TestForgottenHistoryLosesNothing(t *testing.T) {
+	r := newRig(t, nil)
+	r.store.put("a", "1")
+	r.eventually("first", func() bool { return r.value("a") == "1" })
+	r.store.set(func(s *fakeStore) {
+		s.records = append(s.records, latest.Record{Key: "b", Value: []byte("2"), Offset: 1}, latest.Record{Key: "a", Offset: 2})
+		s.first = 3
+	})
+	r.eventually("the record in the gap", func() bool { return r.value("b") == "2" })
+	r.eventually("the key dropped in the gap", func() bool { return r.value("a") == "" })
+}
+
+func TestPeersStandInWhileTheStoreTurnsThisDaemonAway(t *testing.T) {
+	r := newRig(t, nil)
+	r.store.put("a", "1")
+	r.eventually("first", func() bool { return r.value("a") == "1" })
+	r.store.set(func(s *fakeStore) { s.down = true })
+	r.store.put("a", "2")
+	r.peers.copyFrom(r.store)
+	r.eventually("the change that peers know", func() bool { return r.value("a") == "2" })
+}
+
+func TestDaemonThatStartsWhileTurnedAway(t *testing.T) {
+	r := newRig(t, nil)
+	r.store.set(func(s *fakeStore) { s.down = true })
+	r.store.put("a", "1")
+	r.peers.copyFrom(r.store)
+	r.eventually("the record that peers know", func() bool { return r.value("a") == "1" })
+}
+
+func TestFirstReadAfterAnOutageSaysSo(t *testing.T) {
+	r := newRig(t, nil)
+	r.store.put("a", "1")
+	r.eventually("first", func() bool { return r.value("a") == "1" })
+	r.store.set(func(s *fakeStore) { s.down = true })
+	time.Sleep(200 * time.Millisecond)
+	r.store.set(func(s *fakeStore) {
+		s.records = append(s.records, latest.Record{Key: "a", Offset: 1})
+		s.down = false
+	})
+	r.eventually("the dropped key", func() bool { return r.value("a") == "" })
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	after := 0
+	for _, batch := range r.batches {
+		if batch.AfterOutage {
+			after++
+			r.c.Check(batch.Records, qt.HasLen, 1)
+		}
+	}
+	r.c.Check(after, qt.Equals, 1)
+}
+
+func TestSpareDaemonLeavesTheStoreAlone(t *testing.T) {
+	r := newRig(t, func(o *feed.Options) { o.SparePeriod, o.StaleAfter = time.Hour, time.Hour })
+	r.peers.isSpare = true
+	r.store.put("a", "1")
+	r.eventually("first", func() bool { return r.value("a") == "1" })
+	r.store.set(func(s *fakeStore) { s.reads = 0 })
+	r.store.put("a", "2")
+	r.peers.copyFrom(r.store)
+	r.eventually("second", func() bool { return r.value("a") == "2" })
+	r.store.mutex.Lock()
+	defer r.store.mutex.Unlock()
+	r.c.Check(r.store.reads <= 1, qt.IsTrue, qt.Commentf("%d reads", r.store.reads))
+}
+
+func TestSpareDaemonReadsWhenItsReadersFallSilent(t *testing.T) {
+	r := newRig(t, func(o *feed.Options) { o.SparePeriod, o.StaleAfter = time.Hour, 50*time.Millisecond })
+	r.peers.isSpare = true
+	r.store.put("a", "1")
+	r.eventually("first", func() bool { return r.value("a") == "1" })
+	r.store.put("a", "2")
+	r.eventually("second", func() bool { return r.value("a") == "2" })
+}
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -16,15 +16,16 @@
 	if v.machine.Outcome() == request.NotRun && !v.began {
 		v.Quotas.GiveBack(v.customer.Name, v.cost)
 	}
+	if v.request.Context().Err() != nil {
+		v.ended(0, "CallerLeft", failure)
+		// Nobody is left to read an answer.
+		panic(http.ErrAbortHandler)
+	}
 	if v.headWritten {
 		v.ended(0, reason, failure)
 		// The caller must see that the answer is not whole.
 		panic(http.ErrAbortHandler)
 	}
-	if v.request.Context().Err() != nil {
-		v.ended(0, "CallerLeft", failure)
-		return
-	}
 	v.refuse(v.refusalOf(failure, reason))
 }
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -9,6 +9,7 @@
 
 	"github.com/cranberrywalk/cranberrywalk/balance"
 	"github.com/cranberrywalk/cranberrywalk/catalog"
+	"github.com/cranberrywalk/cranberrywalk/request"
 	"github.com/cranberrywalk/cranberrywalk/upstream"
 )
 
@@ -115,6 +116,7 @@
 
 // passFault gives the caller a runner's answer that says that it failed.
 func (v *visit) passFault(answer wholeAnswer, reason string) {
+	v.apply(request.GivenUp)
 	v.write(answer)
 	v.ended(answer.status, "RunnerFailed", &NoRetryError{Reason: reason})
 }
--- /dev/null
+++ b/gateway/rig_test.go
@@ -0,0 +1,204 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"github.com/cranberrywalk/cranberrywalk/balance"
+	"github.com/cranberrywalk/cranberrywalk/catalog"
+	"github.com/cranberrywalk/cranberrywalk/gateway"
+	"github.com/cranberrywalk/cranberrywalk/inventory"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/platform/standin"
+	"github.com/cranberrywalk/cranberrywalk/quota"
+	"github.com/cranberrywalk/cranberrywalk/retry"
+	"github.com/cranberrywalk/cranberrywalk/suspect"
+	"github.com/cranberrywalk/cranberrywalk/telemetry"
+	"github.com/cranberrywalk/cranberrywalk/truetime"
+	"github.com/cranberrywalk/cranberrywalk/upstream"
+	"github.com/cranberrywalk/cranberrywalk/usage"
+)
+
+// rig is a gateway in front of runners that follow scripts.
+type rig struct {
+	c       *qt.C
+	gateway *gateway.Gateway
+	server  *httptest.Server
+	runners []*standin.Runner
+	quotas  *quota.Book
+	usage   *usage.Book
+	suspect *suspect.Book
+}
+
+// alone is a group of one daemon.
+type alone struct{}
+
+func (alone) Known() int { return 1 }
+
+const (
+	testHost = "desk.example"
+	testKey  = "key-of-library"
+)
+
+// spec is the configuration of the rig: one route for each kind of request.
+func spec() catalog.Spec {
+	splits := []catalog.Split{{Service: "desk", Weight: 1}}
+	route := func(name string, kind catalog.Kind) catalog.Route {
+		return catalog.Route{
+			Name: name, Host: testHost, Prefix: "/" + name + "/", Kind: kind, Splits: splits,
+			Timeout: 3 * time.Second, Target: 200 * time.Millisecond, MaxAttempts: 2,
+		}
+	}
+	resumable := route("resumable", catalog.Stream)
+	resumable.Resumable = true
+	return catalog.Spec{
+		Version:   1,
+		Routes:    []catalog.Route{route("once", catalog.Once), route("again", catalog.Idempotent), route("stream", catalog.Stream), resumable},
+		Services:  []catalog.Service{{Name: "desk", MaxConnections: 50}},
+		Customers: []catalog.Customer{{Name: "library", Keys: []string{testKey}}},
+	}
+}
+
+// newRig starts a runner for each script. The first one is preferred, since the
+// others are in another zone.
+func newRig(t *testing.T, scripts ...func(standin.Arrival) standin.Behaviour) *rig {
+	c := qt.New(t)
+	common := telemetry.NewCommon()
+	common.Log = logr.Discard()
+	now := common.Clock.Now()
+	r := &rig{c: c, quotas: quota.New(quota.DefaultOptions()), usage: usage.New(time.Hour, 4)}
+	options := suspect.DefaultOptions()
+	options.Threshold = 3
+	r.suspect = suspect.New(options)
+	balancer := balance.New(balance.DefaultOptions("zone-1"), rand.New(rand.NewPCG(1, 2)))
+	var entries []inventory.Runner
+	for i, script := range scripts {
+		runner, err := standin.NewRunner("i-"+string(rune('a'+i)), script)
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(runner.Close)
+		r.runners = append(r.runners, runner)
+		zone := "zone-1"
+		if i > 0 {
+			zone = "zone-2"
+		}
+		entries = append(entries, inventory.Runner{ID: runner.ID, Service: "desk", Address: runner.Address(), Zone: zone, Slots: 6})
+	}
+	balancer.SetRunners(entries, func(string) int { return 0 })
+	gatewayOptions := gateway.DefaultOptions()
+	gatewayOptions.StreamSilence = 300 * time.Millisecond
+	gatewayOptions.FirstEventShare = 0.2
+	r.gateway = gateway.New(common, gateway.Parts{
+		Codec: platform.Codec{}, Balancer: balancer, Upstream: upstream.New(common, upstream.DefaultOptions()),
+		Quotas: r.quotas, Suspects: r.suspect, Usage: r.usage, TrueTime: truetime.New(time.Minute, now),
+		Retries: gateway.NewRetries(retry.WindowOptions{Length: 10 * time.Second, Ratio: 0.2, Slack: 20, Share: 1}),
+		Group:   alone{},
+	}, gatewayOptions)
+	r.set(spec())
+	r.server = httptest.NewServer(r.gateway)
+	c.Cleanup(r.server.Close)
+	return r
+}
+
+func (r *rig) set(spec catalog.Spec) {
+	r.gateway.SetCatalog(catalog.New(spec))
+	r.quotas.SetCustomers(spec.Customers, time.Now())
+}
+
+// reply is what the caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	// broken is true when the answer did not end as one that is whole.
+	broken bool
+}
+
+type change func(*http.Request)
+
+func with(name, value string) change { return func(r *http.Request) { r.Header.Set(name, value) } }
+
+func (r *rig) request(ctx context.Context, path string, changes ...change) *http.Request {
+	method, body := http.MethodPost, io.Reader(strings.NewReader("a question"))
+	if strings.HasPrefix(path, "/again/") {
+		method, body = http.MethodGet, nil
+	}
+	request, err := http.NewRequestWithContext(ctx, method, r.server.URL+path, body)
+	r.c.Assert(err, qt.IsNil)
+	request.Host = testHost
+	request.Header.Set("X-Attempt-Id", "attempt-1")
+	request.Header.Set("Api-Key", testKey)
+	request.Header.Set("X-Deadline-Ms", "2000")
+	for _, change := range changes {
+		change(request)
+	}
+	return request
+}
+
+// send sends a request on a connection of its own.
+func (r *rig) send(path string, changes ...change) reply {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	response, err := client.Do(r.request(context.Background(), path, changes...))
+	if err != nil {
+		return reply{broken: true}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(body), broken: err != nil}
+}
+
+// arrivals counts the requests that reached each runner.
+func (r *rig) arrivals() []int {
+	var counts []int
+	for _, runner := range r.runners {
+		counts = append(counts, len(runner.Arrivals()))
+	}
+	return counts
+}
+
+// always returns a script that does the same with every request.
+func always(behaviour standin.Behaviour) func(standin.Arrival) standin.Behaviour {
+	return func(standin.Arrival) standin.Behaviour { return behaviour }
+}
+
+// inTurn returns a script that does each thing once, and the last one from then
+// on.
+func inTurn(behaviours ...standin.Behaviour) func(standin.Arrival) standin.Behaviour {
+	next := make(chan standin.Behaviour, len(behaviours))
+	for _, behaviour := range behaviours {
+		next <- behaviour
+	}
+	last := behaviours[len(behaviours)-1]
+	return func(standin.Arrival) standin.Behaviour {
+		select {
+		case behaviour := <-next:
+			return behaviour
+		default:
+			return last
+		}
+	}
+}
+
+// rawExchange writes bytes to the gateway and returns what comes back until the
+// connection ends.
+func (r *rig) rawExchange(content string) string {
+	conn, err := net.Dial("tcp", r.server.Listener.Addr().String())
+	r.c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	_, err = io.WriteString(conn, content)
+	r.c.Assert(err, qt.IsNil)
+	r.c.Assert(conn.SetReadDeadline(time.Now().Add(5*time.Second)), qt.IsNil)
+	answer, err := io.ReadAll(bufio.NewReader(conn))
+	r.c.Assert(err, qt.IsNil)
+	return string(answer)
+}
--- /dev/null
+++ b/gateway/stream_test.go
@@ -0,0 +1,119 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cranberrywalk/cranberrywalk/platform/standin"
+)
+
+func TestStreams(t *testing.T) {
+	stream := standin.Behaviour{Events: 6}
+	for _, scenario := range []struct {
+		name          string
+		path          string
+		first, second standin.Behaviour
+		status        int
+		body          string
+		broken        bool
+		arrivals      []int
+	}{
+		{"whole", "/stream/a", stream, stream, 200, standin.Events(6), false, []int{1, 0}},
+		{"goes on at another runner", "/resumable/a", standin.Behaviour{Events: 6, BreakAfter: 3}, stream, 200, standin.Events(6), false, []int{1, 1}},
+		{"goes on after a silence", "/resumable/a", standin.Behaviour{Events: 6, HangAfter: 3}, stream, 200, standin.Events(6), false, []int{1, 1}},
+		{"begins at another runner", "/resumable/a", standin.Behaviour{Silent: true}, stream, 200, standin.Events(6), false, []int{1, 1}},
+		{"broken off where it can't go on", "/stream/a", standin.Behaviour{Events: 6, BreakAfter: 3}, stream, 200, standin.Events(3), true, []int{1, 0}},
+		{"rejected and begun elsewhere", "/stream/a", standin.Behaviour{Status: 503, NotRun: true}, stream, 200, standin.Events(6), false, []int{1, 1}},
+		{"failed before its first event", "/stream/a", standin.Behaviour{Reset: true}, stream, 502, "", false, []int{1, 0}},
+		{"a failure that is no stream", "/stream/a", standin.Behaviour{Status: 500, Body: "no"}, stream, 500, "no", false, []int{1, 0}},
+		{"a failure of a stream that can be repeated", "/resumable/a", standin.Behaviour{Status: 500, Body: "no"}, stream, 200, standin.Events(6), false, []int{1, 1}},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			r := newRig(t, always(scenario.first), always(scenario.second))
+			got := r.send(scenario.path)
+			r.c.Check(got.status, qt.Equals, scenario.status)
+			r.c.Check(got.body, qt.Equals, scenario.body)
+			r.c.Check(got.broken, qt.Equals, scenario.broken)
+			r.c.Check(r.arrivals(), qt.DeepEquals, scenario.arrivals)
+		})
+	}
+}
+
+func TestResumedStreamKeepsTheHeadOfItsFirstRunner(t *testing.T) {
+	r := newRig(t, always(standin.Behaviour{Events: 6, BreakAfter: 2}), always(standin.Behaviour{Events: 6}))
+	got := r.send("/resumable/a")
+	r.c.Check(got.header.Get("X-Response-Signature"), qt.Equals, "i-a.signed")
+	r.c.Check(r.runners[1].Arrivals()[0].Header.Get("Last-Event-Id"), qt.Equals, "2")
+}
+
+func TestCallerResumesAStream(t *testing.T) {
+	r := newRig(t, always(standin.Behaviour{Events: 4}))
+	got := r.send("/resumable/a", with("Last-Event-Id", "2"))
+	r.c.Check(got.body, qt.Equals, standin.Event(3)+standin.Event(4))
+}
+
+func TestEventsArePassedOnAsTheyCome(t *testing.T) {
+	r := newRig(t, always(standin.Behaviour{Events: 3, Gap: 200 * time.Millisecond}))
+	began := time.Now()
+	response, err := http.DefaultClient.Do(r.request(context.Background(), "/stream/a"))
+	r.c.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	line, err := bufio.NewReader(response.Body).ReadString('\n')
+	r.c.Assert(err, qt.IsNil)
+	r.c.Check(line, qt.Equals, "id: 1\n")
+	r.c.Check(time.Since(began) < 500*time.Millisecond, qt.IsTrue)
+}
+
+// TestRunnerStopsWhenTheCallerLeaves covers a caller that leaves before, in and
+// after the first event.
+func TestRunnerStopsWhenTheCallerLeaves(t *testing.T) {
+	for _, scenario := range []struct {
+		name   string
+		path   string
+		script standin.Behaviour
+	}{
+		{"before an answer", "/again/a", standin.Behaviour{Silent: true}},
+		{"before the first event", "/stream/a", standin.Behaviour{Silent: true}},
+		{"after the first event", "/stream/a", standin.Behaviour{Events: 3, HangAfter: 1}},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			r := newRig(t, always(scenario.script))
+			ctx, cancel := context.WithTimeout(context.Background(), 150*time.Millisecond)
+			defer cancel()
+			response, err := http.DefaultClient.Do(r.request(ctx, scenario.path))
+			if err == nil {
+				<-ctx.Done()
+				_ = response.Body.Close()
+			}
+			left := time.Now()
+			seen := func() bool { return !r.runners[0].Arrivals()[0].LeftAt.IsZero() }
+			for !seen() && time.Since(left) < 2*time.Second {
+				time.Sleep(5 * time.Millisecond)
+			}
+			r.c.Assert(seen(), qt.IsTrue)
+			r.c.Check(r.runners[0].Arrivals()[0].LeftAt.Sub(left) < 400*time.Millisecond, qt.IsTrue)
+		})
+	}
+}
+
+func TestSmuggledRequestIsNotRun(t *testing.T) {
+	r := newRig(t, always(whole))
+	head := "POST /once/a HTTP/1.1\r\nHost: " + testHost + "\r\nX-Attempt-Id: one\r\nApi-Key: " + testKey + "\r\nConnection: close\r\n"
+	inner := "POST /once/b HTTP/1.1\r\nHost: " + testHost + "\r\nX-Attempt-Id: two\r\n\r\n"
+	r.rawExchange(head + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + inner)
+	for _, arrival := range r.runners[0].Arrivals() {
+		r.c.Check(arrival.Header.Get("X-Attempt-Id"), qt.Equals, "one")
+		r.c.Check(arrival.Body, qt.Equals, "")
+	}
+}
+
+func TestUsageCountsEachRequestOnce(t *testing.T) {
+	r := newRig(t, always(standin.Behaviour{Events: 6, BreakAfter: 3}), always(standin.Behaviour{Events: 6}))
+	r.send("/resumable/a")
+	r.c.Check(r.usage.Total(r.usage.Window(time.Now())), qt.DeepEquals, map[string]int64{"library": 1})
+}
--- /dev/null
+++ b/truetime/truetime_test.go
@@ -0,0 +1,43 @@
+package truetime_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cranberrywalk/cranberrywalk/truetime"
+)
+
+func TestMiddleOfTheClocks(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, scenario := range []struct {
+		name string
+		// offsets are those of the peers' clocks against the own one.
+		offsets []time.Duration
+		want    time.Duration
+	}{
+		{"alone", nil, 0},
+		{"two of five have jumped", []time.Duration{0, 0, 2400 * time.Millisecond, 2400 * time.Millisecond}, 0},
+		{"the own one has jumped", []time.Duration{-time.Hour, -time.Hour, -time.Hour}, -time.Hour},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			c := qt.New(t)
+			clock := truetime.New(time.Minute, start)
+			for i, offset := range scenario.offsets {
+				clock.Compare(string(rune('a'+i)), start.Add(offset), start)
+			}
+			c.Check(clock.At(start), qt.Equals, start.Add(scenario.want))
+		})
+	}
+}
+
+func TestOldComparisonsAreNotUsed(t *testing.T) {
+	c := qt.New(t)
+	start := time.Unix(1000, 0)
+	clock := truetime.New(time.Second, start)
+	clock.Compare("a", start.Add(time.Hour), start)
+	clock.Compare("b", start.Add(time.Hour), start)
+	later := start.Add(2 * time.Second)
+	c.Check(clock.At(later), qt.Equals, later)
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -94,7 +94,7 @@
 		}()
 	}
 	c.used = true
-	response, err := readHead(c, request.Method)
+	response, err := readHead(c, request.Method) //nolint:bodyclose // Answer.Close ends or keeps the connection.
 	if err != nil {
 		return nil, &BrokenError{Address: request.Address, Cause: err}
 	}
--- /dev/null
+++ b/usage/book_test.go
@@ -0,0 +1,42 @@
+package usage_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cranberrywalk/cranberrywalk/usage"
+)
+
+var start = time.Unix(1000, 0)
+
+func TestTotalCountsProcessesThatDied(t *testing.T) {
+	c := qt.New(t)
+	book := usage.New(5*time.Second, 4)
+	book.Began("library", start)
+	first := []usage.Count{{Window: 200, Customer: "library", Requests: 3}}
+	book.Hear("b/first", first)
+	book.Hear("b/first", first)
+	book.Hear("b/second", []usage.Count{{Window: 200, Customer: "library", Requests: 2}})
+	c.Check(book.Total(200), qt.DeepEquals, map[string]int64{"library": 6})
+	c.Check(book.Total(201), qt.DeepEquals, map[string]int64{})
+}
+
+func TestOlderWordChangesNothing(t *testing.T) {
+	c := qt.New(t)
+	book := usage.New(5*time.Second, 4)
+	book.Hear("b", []usage.Count{{Window: 200, Customer: "library", Requests: 5}})
+	book.Hear("b", []usage.Count{{Window: 200, Customer: "library", Requests: 4}})
+	c.Check(book.Total(200), qt.DeepEquals, map[string]int64{"library": 5})
+}
+
+func TestOldWindowsAreForgotten(t *testing.T) {
+	c := qt.New(t)
+	book := usage.New(5*time.Second, 2)
+	for i := range 10 {
+		book.Began("library", start.Add(time.Duration(i)*5*time.Second))
+	}
+	c.Check(book.Own(0), qt.HasLen, 3)
+	c.Check(book.End(book.Window(start)), qt.Equals, start.Add(5*time.Second))
+}
