Move streams off runners that leave; read peers' topics whole when needed

The first orders counted ten of eighteen runners. A runner that had been replaced at its address took single attempts. Ruled out: resuming, which these routes forbid; backups, which cost every stream. Extracts of a topic know from where drops are known. Orders wait 4.5 s for all runners and spare a quarter.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -186,6 +186,19 @@
 	return best, b.begin(chosen, need, best.Uncached), nil
 }
 
+// Return counts a request at a runner that it is sent back to. The ticket must be
+// ended once.
+func (b *Balancer) Return(id string) *Ticket {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	r := b.runners[id]
+	if r == nil {
+		// The runner has left the inventory and is counted for nobody.
+		r = newRunner(inventory.Runner{ID: id})
+	}
+	return b.begin(r, Need{}, 0)
+}
+
 // candidates returns the runners that may take a request. Those that are left
 // out as unreachable come in when there is no other.
 func (b *Balancer) candidates(need Need, now time.Time) (usable []*runner, known int) {
@@ -195,7 +208,7 @@
 			continue
 		}
 		known++
-		if r.entry.State != inventory.Ready || contains(need.Excluded, id) {
+		if r.entry.State != inventory.Ready || r.isReplaced || contains(need.Excluded, id) {
 			continue
 		}
 		if now.Before(r.downUntil) {
@@ -261,7 +274,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	for _, r := range b.runners {
-		if r.entry.Service != service || r.entry.State != inventory.Ready || now.Before(r.downUntil) {
+		if r.entry.Service != service || r.entry.State != inventory.Ready || r.isReplaced || now.Before(r.downUntil) {
 			continue
 		}
 		ran, tokens := b.total(r, now)
--- a/balance/runner.go
+++ b/balance/runner.go
@@ -24,6 +24,8 @@
 	// last time that it was left out.
 	downUntil time.Time
 	downFor   time.Duration
+	// isReplaced is true when another runner was seen at the address.
+	isReplaced bool
 }
 
 func newRunner(entry inventory.Runner) *runner {
--- a/balance/ticket.go
+++ b/balance/ticket.go
@@ -16,9 +16,11 @@
 	Rejected
 	// Unreachable means that no connection could be made.
 	Unreachable
+	// Replaced means that another runner has the address.
+	Replaced
 )
 
-var resultNames = [...]string{"Cancelled", "Succeeded", "Failed", "Rejected", "Unreachable"}
+var resultNames = [...]string{"Cancelled", "Succeeded", "Failed", "Rejected", "Unreachable", "Replaced"}
 
 // String returns the result's name.
 func (r Result) String() string { return resultNames[r] }
@@ -72,5 +74,7 @@
 	case Unreachable:
 		t.runner.note(true, now, b.options.FailureMemory)
 		t.runner.unreachable(now, b.options.FirstDown, b.options.MostDown)
+	case Replaced:
+		t.runner.isReplaced = true
 	}
 }
--- a/call/call.go
+++ b/call/call.go
@@ -68,6 +68,17 @@
 	Patience time.Duration
 	// LastEvent is the last event that the caller has, or zero.
 	LastEvent int
+	// Continues is the stopped run that the attempt goes on with, or nil.
+	Continues *StoppedRun
+}
+
+// StoppedRun is a run whose memory was kept when it was stopped.
+type StoppedRun struct {
+	// Source is the address of the runner that stopped the run.
+	Source string
+	// Handle names the memory at the source and at the runner to which it was
+	// copied.
+	Handle string
 }
 
 // AnswerHead is what a runner says about its answer.
@@ -78,6 +89,9 @@
 	Signed bool
 	// NotRun is true when the runner says that it did not run the call.
 	NotRun bool
+	// OtherRunner is true when another runner than the one that was meant has
+	// the address.
+	OtherRunner bool
 	// Load is the runner's load as it answered, if it tells it.
 	Load *Load
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -119,6 +119,7 @@
 	e.gateway = gateway.New(e.Common, gateway.Parts{
 		Codec: platform.Codec{}, Balancer: e.balancer, Upstream: e.upstream, Quotas: e.quotas,
 		Suspects: e.suspects, Usage: e.usage, TrueTime: e.trueTime, Group: e.group,
+		Mover: platform.NewMover(newClient()),
 		Retries: gateway.NewRetries(retry.WindowOptions{
 			Length: bounds.RetryWindow, Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Share: budgetShare,
 		}),
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cranberrywalk/cranberrywalk/latest"
 	"github.com/cranberrywalk/cranberrywalk/membership"
 )
 
@@ -47,11 +48,10 @@
 }
 
 // Records implements membership.Handler.
-func (x exchange) Records(request membership.RecordsRequest) membership.RecordsReply {
+func (x exchange) Records(request membership.RecordsRequest) latest.Extract {
 	f := x.byTopic[request.Topic]
 	if f == nil {
-		return membership.RecordsReply{}
+		return latest.Extract{}
 	}
-	records, end := f.Since(request.From)
-	return membership.RecordsReply{Records: records, End: end}
+	return f.Extract(request.From)
 }
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -36,6 +36,11 @@
 	}
 	f.log(changes)
 	f.balancer.SetRunners(runners, f.cacheTokens)
+	for _, change := range changes {
+		if change.Gone || change.Runner.State == inventory.Leaving {
+			f.gateway.Leave(change.Runner.ID)
+		}
+	}
 }
 
 // refresh tells the balancer of the runners after a change of configuration.
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -50,7 +50,7 @@
 
 // fleetTime is how long after the start of the process all runners have written
 // of themselves.
-const fleetTime = 3 * time.Second
+const fleetTime = 4500 * time.Millisecond
 
 // needed returns the number of runners for the present load.
 func (o *orders) needed(service catalog.Service, zones []scaling.Zone, now time.Time) int {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -41,9 +41,9 @@
 	// ReadsForOthers reports whether this daemon is one of the few that read
 	// the store often.
 	ReadsForOthers() bool
-	// Records returns what another daemon holds from an offset on, and the
-	// offset up to which it knows every record.
-	Records(ctx context.Context, topic string, from uint64) ([]latest.Record, uint64, error)
+	// Records returns what another daemon holds for one that knows every record
+	// up to an offset.
+	Records(ctx context.Context, topic string, from uint64) (latest.Extract, error)
 }
 
 // Batch is what a read has changed.
@@ -87,11 +87,12 @@
 // Done is closed by Run when it returns.
 func (f *Feed) Done() <-chan struct{} { return f.done }
 
-// Since returns the records from an offset on and the end of what is known.
-func (f *Feed) Since(offset uint64) ([]latest.Record, uint64) {
+// Extract returns what is held for a daemon that knows every record up to an
+// offset.
+func (f *Feed) Extract(from uint64) latest.Extract {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.topic.Since(offset), f.topic.End()
+	return f.topic.Extract(from)
 }
 
 // End returns the offset up to which every record is known.
@@ -179,7 +180,7 @@
 	if err != nil {
 		return err
 	}
-	f.merge(records, end, true)
+	f.merge(latest.Extract{Records: records, End: end}, true)
 	return nil
 }
 
@@ -200,20 +201,20 @@
 func (f *Feed) readPeers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, f.options.LostTimeout)
 	defer cancel()
-	records, end, err := f.peers.Records(ctx, f.options.Topic, f.End())
+	extract, err := f.peers.Records(ctx, f.options.Topic, f.End())
 	if err != nil {
 		f.common.Count("Feed.PeerReadsFailed", 1)
 		return
 	}
-	if end <= f.End() {
+	if extract.End <= f.End() {
 		return
 	}
-	f.merge(records, end, false)
+	f.merge(extract, false)
 }
 
-func (f *Feed) merge(records []latest.Record, end uint64, fromStore bool) {
+func (f *Feed) merge(extract latest.Extract, fromStore bool) {
 	f.mutex.Lock()
-	changed := f.topic.Merge(records, end)
+	changed := f.topic.Take(extract)
 	batch := f.succeed(changed, fromStore)
 	f.mutex.Unlock()
 	f.take(batch)
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -78,10 +78,10 @@
 
 func (p *fakePeers) ReadsForOthers() bool { return !p.isSpare }
 
-func (p *fakePeers) Records(_ context.Context, _ string, from uint64) ([]latest.Record, uint64, error) {
+func (p *fakePeers) Records(_ context.Context, _ string, from uint64) (latest.Extract, error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.topic.Since(from), p.topic.End(), nil
+	return p.topic.Extract(from), nil
 }
 
 func (p *fakePeers) copyFrom(s *fakeStore) {
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -138,6 +138,7 @@
 func (v *visit) attemptOf(runner string, now time.Time) call.Attempt {
 	return call.Attempt{
 		Runner: runner, Customer: v.customer.Name, Patience: v.timeLeft(now), LastEvent: v.lastEvent,
+		Continues: v.continues,
 	}
 }
 
--- /dev/null
+++ b/gateway/departure_test.go
@@ -0,0 +1,89 @@
+package gateway_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cranberrywalk/cranberrywalk/call"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/platform/standin"
+)
+
+// fakeMover stops runs at the rig's first runner.
+type fakeMover struct {
+	mutex  sync.Mutex
+	stops  int
+	copied bool
+	err    error
+	// stop is called for each stop that succeeds.
+	stop func()
+}
+
+func (m *fakeMover) Stop(_ context.Context, source, _, _ string) (call.StoppedRun, bool, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.stops++
+	if m.err != nil {
+		return call.StoppedRun{}, false, m.err
+	}
+	m.stop()
+	return call.StoppedRun{Source: source, Handle: "h1"}, m.copied, nil
+}
+
+// TestStreamsOfALeavingRunner has a stream at a runner that leaves; the second
+// script is what its new runner does.
+func TestStreamsOfALeavingRunner(t *testing.T) {
+	slow := standin.Behaviour{Events: 40, Gap: 20 * time.Millisecond}
+	for _, scenario := range []struct {
+		name   string
+		path   string
+		copied bool
+		err    error
+		second standin.Behaviour
+		broken bool
+		// arrivals counts the requests at each runner.
+		arrivals []int
+	}{
+		{"goes on with its memory", "/single/a", true, nil, standin.Behaviour{Events: 40}, false, []int{1, 1}},
+		{"goes back when there was no room", "/single/a", false, nil, standin.Behaviour{Events: 40}, false, []int{2, 0}},
+		{"goes back when its new runner does not take it", "/single/a", true, nil, standin.Behaviour{Status: 503, NotRun: true}, false, []int{2, 1}},
+		{"stays when it can't be stopped", "/single/a", true, &platform.MoveError{Status: 404}, standin.Behaviour{Events: 40}, false, []int{1, 0}},
+		{"is not run anew when its new runner breaks off", "/single/a", true, nil, standin.Behaviour{Reset: true}, true, []int{1, 1}},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			stopped := make(chan struct{})
+			var once sync.Once
+			first := func(arrival standin.Arrival) standin.Behaviour {
+				if arrival.Header.Get("Kv-From") != "" {
+					return standin.Behaviour{Events: 40}
+				}
+				return slow
+			}
+			r := newRig(t, first, always(scenario.second))
+			r.mover.copied, r.mover.err = scenario.copied, scenario.err
+			r.mover.stop = func() { once.Do(func() { close(stopped); r.runners[0].Break() }) }
+			go func() {
+				for len(r.runners[0].Arrivals()) == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				time.Sleep(100 * time.Millisecond)
+				r.gateway.Leave(r.runners[0].ID)
+			}()
+			got := r.send(scenario.path)
+			r.c.Check(got.broken, qt.Equals, scenario.broken)
+			if !scenario.broken {
+				r.c.Check(got.body, qt.Equals, standin.Events(40))
+			}
+			r.c.Check(r.arrivals(), qt.DeepEquals, scenario.arrivals)
+			for _, runner := range r.runners {
+				for _, arrival := range runner.Arrivals()[min(1, len(runner.Arrivals())):] {
+					r.c.Check(arrival.Header.Get("Kv-From"), qt.Equals, r.runners[0].Address()+"/h1")
+				}
+			}
+		})
+	}
+}
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -35,6 +35,8 @@
 type RejectedError struct {
 	Runner string
 	Status int
+	// Replaced is true when another runner has the address.
+	Replaced bool
 }
 
 // Error implements error.
@@ -66,3 +68,9 @@
 
 // Error implements error.
 func (e *LongEventError) Error() string { return fmt.Sprintf("an event has over %d bytes", e.Bytes) }
+
+// LostRunError says that a stopped run can't go on anywhere.
+type LostRunError struct{ Runner string }
+
+// Error implements error.
+func (e *LostRunError) Error() string { return "the run that was stopped at " + e.Runner + " is lost" }
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -88,3 +88,12 @@
 		"Runner", v.choice.Runner.ID, "LastEvent", v.lastEvent, "Milliseconds", took.Milliseconds(),
 		"ConfigurationVersion", version, "Cause", text)
 }
+
+// reasonOf names why no runner was chosen.
+func reasonOf(failure error) string {
+	var lost *LostRunError
+	if errors.As(failure, &lost) {
+		return "RunLost"
+	}
+	return "NoRunner"
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,7 +4,9 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -36,6 +38,14 @@
 	RefusalHeader(callID string, retryAfter time.Duration) http.Header
 }
 
+// Mover stops runs and copies their memory.
+type Mover interface {
+	// Stop ends a run at its runner and copies its memory to the target.
+	// copied is false when the run can only go on at its source. An error
+	// means that the run was not stopped, or that its memory is lost.
+	Stop(ctx context.Context, source, callID, target string) (run call.StoppedRun, copied bool, err error)
+}
+
 // Group counts the daemons.
 type Group interface {
 	// Known is the number of daemons that are known, with this one.
@@ -56,6 +66,11 @@
 	// or an idempotent request after which an attempt without an answer is
 	// given up for another one.
 	FirstEventShare float64
+	// MoveAfter is how long a stream stays at a runner that leaves, since many
+	// end in that time.
+	MoveAfter time.Duration
+	// MoveTimeout bounds the move of a stream to another runner.
+	MoveTimeout time.Duration
 	// PlainQueue bounds the requests at a plain service, in slots.
 	PlainQueue float64
 	// ConnectionShare is the part of a runner's connections that the daemons
@@ -67,7 +82,7 @@
 func DefaultOptions() Options {
 	return Options{
 		MostUnwritten: 6, DefaultPatience: 30 * time.Second, StreamSilence: 1500 * time.Millisecond,
-		FirstEventShare: 0.4, PlainQueue: 4, ConnectionShare: 0.9,
+		FirstEventShare: 0.4, MoveAfter: 400 * time.Millisecond, MoveTimeout: 500 * time.Millisecond, PlainQueue: 4, ConnectionShare: 0.9,
 	}
 }
 
@@ -82,6 +97,7 @@
 	TrueTime *truetime.Clock
 	Retries  *Retries
 	Group    Group
+	Mover    Mover
 }
 
 // Gateway serves callers. It is safe for use by several goroutines.
@@ -91,11 +107,17 @@
 	options Options
 	// catalog is nil until a configuration is known.
 	catalog atomic.Pointer[catalog.Catalog]
+
+	mutex sync.Mutex
+	// streams holds the streams under way by runner; guarded by mutex.
+	streams map[string]map[*visit]struct{}
 }
 
 // New returns a gateway without a configuration.
 func New(common telemetry.Common, parts Parts, options Options) *Gateway {
-	return &Gateway{Common: common, Parts: parts, options: options}
+	return &Gateway{
+		Common: common, Parts: parts, options: options, streams: make(map[string]map[*visit]struct{}),
+	}
 }
 
 // SetCatalog puts a configuration in force.
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -39,6 +39,7 @@
 	quotas  *quota.Book
 	usage   *usage.Book
 	suspect *suspect.Book
+	mover   *fakeMover
 }
 
 // alone is a group of one daemon.
@@ -60,11 +61,13 @@
 			Timeout: 3 * time.Second, Target: 200 * time.Millisecond, MaxAttempts: 2,
 		}
 	}
+	single := route("single", catalog.Stream)
+	single.MaxAttempts = 1
 	resumable := route("resumable", catalog.Stream)
 	resumable.Resumable = true
 	return catalog.Spec{
 		Version:   1,
-		Routes:    []catalog.Route{route("once", catalog.Once), route("again", catalog.Idempotent), route("stream", catalog.Stream), resumable},
+		Routes:    []catalog.Route{route("once", catalog.Once), route("again", catalog.Idempotent), route("stream", catalog.Stream), single, resumable},
 		Services:  []catalog.Service{{Name: "desk", MaxConnections: 50}},
 		Customers: []catalog.Customer{{Name: "library", Keys: []string{testKey}}},
 	}
@@ -77,7 +80,7 @@
 	common := telemetry.NewCommon()
 	common.Log = logr.Discard()
 	now := common.Clock.Now()
-	r := &rig{c: c, quotas: quota.New(quota.DefaultOptions()), usage: usage.New(time.Hour, 4)}
+	r := &rig{c: c, quotas: quota.New(quota.DefaultOptions()), usage: usage.New(time.Hour, 4), mover: &fakeMover{}}
 	options := suspect.DefaultOptions()
 	options.Threshold = 3
 	r.suspect = suspect.New(options)
@@ -98,11 +101,13 @@
 	gatewayOptions := gateway.DefaultOptions()
 	gatewayOptions.StreamSilence = 300 * time.Millisecond
 	gatewayOptions.FirstEventShare = 0.2
+	gatewayOptions.MoveAfter = 10 * time.Millisecond
 	r.gateway = gateway.New(common, gateway.Parts{
 		Codec: platform.Codec{}, Balancer: balancer, Upstream: upstream.New(common, upstream.DefaultOptions()),
 		Quotas: r.quotas, Suspects: r.suspect, Usage: r.usage, TrueTime: truetime.New(time.Minute, now),
 		Retries: gateway.NewRetries(retry.WindowOptions{Length: 10 * time.Second, Ratio: 0.2, Slack: 20, Share: 1}),
 		Group:   alone{},
+		Mover:   r.mover,
 	}, gatewayOptions)
 	r.set(spec())
 	r.server = httptest.NewServer(r.gateway)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -17,23 +17,60 @@
 // where the route allows it.
 func (v *visit) serveStream() {
 	v.lastEvent = v.call.LastEvent
+	ticket, err := v.choose()
 	for {
-		ticket, err := v.choose()
 		if err != nil {
-			v.giveUp(err, "NoRunner")
+			v.giveUp(err, reasonOf(err))
 			return
 		}
 		failure := v.attemptStream(ticket)
 		if failure == nil {
 			return
 		}
+		if d := v.departed(); d != nil && v.ctx.Err() == nil {
+			ticket = v.follow(ticket, d)
+			continue
+		}
 		v.settle(ticket, failure)
 		again, reason := v.mayRetry(failure)
 		if !again {
 			v.giveUp(failure, reason)
 			return
 		}
+		ticket, err = v.chooseAgain()
+	}
+}
+
+// chooseAgain picks the runner after a failure. A stopped run that its new
+// runner did not take goes back to where it was stopped; when that fails too,
+// its memory is lost, and only a stream that can be resumed goes on.
+func (v *visit) chooseAgain() (*balance.Ticket, error) {
+	if v.continues == nil {
+		return v.choose()
+	}
+	if v.stoppedAt != nil {
+		v.setChoice(*v.stoppedAt)
+		v.stoppedAt = nil
+		return v.Balancer.Return(v.choice.Runner.ID), nil
 	}
+	v.continues = nil
+	if !v.route.Repeatable() {
+		return nil, &LostRunError{Runner: v.choice.Runner.ID}
+	}
+	return v.choose()
+}
+
+// follow prepares the attempt that goes on with a run that was moved.
+func (v *visit) follow(ticket *balance.Ticket, d *departure) *balance.Ticket {
+	ticket.End(balance.Cancelled, v.Clock.Now())
+	v.apply(request.AttemptSuspended)
+	v.continues, v.stoppedAt = d.run, nil
+	if v.choice.Runner.ID != d.choice.Runner.ID {
+		source := v.choice
+		v.stoppedAt = &source
+	}
+	v.setChoice(d.choice)
+	return d.ticket
 }
 
 // attemptStream makes one attempt. It returns nil when the caller has the whole
@@ -43,6 +80,9 @@
 	defer cancel(nil)
 	silence := v.watchSilence(cancel)
 	defer silence.stop()
+	runner := v.choice.Runner.ID
+	v.enter(runner)
+	defer v.exit(runner)
 	answer, err := v.send(ctx)
 	if err != nil {
 		return err
--- a/gateway/visit.go
+++ b/gateway/visit.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/balance"
@@ -48,6 +50,15 @@
 	headWritten bool
 	// choice is that of the present attempt.
 	choice balance.Choice
+	// continues is the stopped run with which the present attempt goes on, and
+	// stoppedAt the runner that stopped it, until the run was sent back there.
+	continues *call.StoppedRun
+	stoppedAt *balance.Choice
+
+	// mutex guards what the removal of a runner changes.
+	mutex sync.Mutex
+	// leaving is the move of the present attempt to another runner, or nil.
+	leaving *departure
 }
 
 func (v *visit) close() { v.cancel() }
@@ -70,17 +81,28 @@
 	return v.machine.Attempt()
 }
 
-// choose picks the runner of the next attempt.
-func (v *visit) choose() (*balance.Ticket, error) {
-	need := balance.Need{Service: v.service, Excluded: v.excluded}
+// need describes the request for the choice of a runner.
+func (v *visit) need() balance.Need {
+	need := balance.Need{Service: v.service, Excluded: slices.Clone(v.excluded)}
 	if v.engine() != nil {
 		need.Prompt, need.PromptTokens = v.call.Prompt, max(v.call.PromptTokens, 1)
 	}
-	choice, ticket, err := v.Balancer.Choose(need, v.Clock.Now())
+	return need
+}
+
+func (v *visit) setChoice(choice balance.Choice) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.choice = choice
+}
+
+// choose picks the runner of the next attempt.
+func (v *visit) choose() (*balance.Ticket, error) {
+	choice, ticket, err := v.Balancer.Choose(v.need(), v.Clock.Now())
 	if err != nil {
 		return nil, err
 	}
-	v.choice = choice
+	v.setChoice(choice)
 	v.Log.V(1).Info("RunnerChosen", "Request", v.call.ID, "Runner", choice.Runner.ID, "Cost", choice.Cost,
 		"NextCost", finite(choice.NextCost), "Candidates", choice.Candidates, "Uncached", choice.Uncached,
 		"Attempt", v.machine.Attempt()+1)
@@ -118,7 +140,7 @@
 	head := v.Codec.DecodeAnswer(answer.Status, answer.Header)
 	runner := v.choice.Runner.ID
 	if head.NotRun {
-		return &RejectedError{Runner: runner, Status: answer.Status}
+		return &RejectedError{Runner: runner, Status: answer.Status, Replaced: head.OtherRunner}
 	}
 	if head.ID != "" && head.ID != v.call.ID {
 		return &upstream.BrokenError{
@@ -155,7 +177,7 @@
 		v.unwritten++
 		v.apply(request.AttemptUnwritten)
 	case errors.As(failure, &rejected):
-		v.sent++
+		v.countRejection(rejected)
 		v.apply(request.AttemptUnwritten)
 	default:
 		v.sent++
@@ -168,6 +190,17 @@
 		"Reason", failure.Error(), "LastEvent", v.lastEvent)
 }
 
+// countRejection counts an attempt that did not run. One that met another runner
+// than was meant is no attempt at a runner of the service, and one that was to go
+// on with a stopped run is part of the attempt before.
+func (v *visit) countRejection(rejected *RejectedError) {
+	if rejected.Replaced || v.continues != nil {
+		v.unwritten++
+		return
+	}
+	v.sent++
+}
+
 // resultOf tells what a failure says about the runner.
 func (v *visit) resultOf(failure error) balance.Result {
 	var unwritten *upstream.UnwrittenError
@@ -181,6 +214,8 @@
 		return balance.Cancelled
 	case errors.As(failure, &unwritten):
 		return balance.Unreachable
+	case errors.As(failure, &rejected) && rejected.Replaced:
+		return balance.Replaced
 	case errors.As(failure, &rejected):
 		return balance.Rejected
 	default:
@@ -217,7 +252,7 @@
 	if errors.As(failure, &unwritten) {
 		return v.unwritten < v.options.MostUnwritten, "Unreachable"
 	}
-	if v.sent >= v.route.MaxAttempts {
+	if v.sent >= v.route.MaxAttempts || v.unwritten >= v.options.MostUnwritten {
 		return false, "AttemptsUsedUp"
 	}
 	if !v.Retries.Take(v.service, v.Group.Known(), v.Clock.Now()) {
--- a/latest/topic.go
+++ b/latest/topic.go
@@ -26,6 +26,18 @@
 	records map[string]Record
 	// end is the offset up to which every record is known. It never falls.
 	end uint64
+	// floor is the offset from which every dropped key is known as well.
+	floor uint64
+}
+
+// Extract is what one holder of a topic hands to another.
+type Extract struct {
+	Records []Record
+	// End is the offset up to which the records are complete.
+	End uint64
+	// Whole is true when the records are those of all keys, so that a key
+	// which is missing was dropped.
+	Whole bool
 }
 
 // New returns a topic without records.
@@ -60,9 +72,34 @@
 			dropped = append(dropped, Record{Key: key, Offset: end - 1})
 		}
 	}
+	if t.end == 0 {
+		t.floor = end
+	}
 	return t.Merge(append(dropped, listing...), end)
 }
 
+// Extract returns what another holder needs that knows every record up to an
+// offset.
+func (t *Topic) Extract(from uint64) Extract {
+	if from < t.floor {
+		return Extract{Records: t.live(), End: t.end, Whole: true}
+	}
+	return Extract{Records: t.Since(from), End: t.end}
+}
+
+// Take takes in what another holder extracted.
+func (t *Topic) Take(extract Extract) []Record {
+	if extract.Whole {
+		return t.Replace(extract.Records, extract.End)
+	}
+	return t.Merge(extract.Records, extract.End)
+}
+
+// live returns the records of the keys that were not dropped.
+func (t *Topic) live() []Record {
+	return slices.DeleteFunc(t.Since(0), Record.Dropped)
+}
+
 // Since returns the records at or after an offset, in order.
 func (t *Topic) Since(offset uint64) []Record {
 	var records []Record
@@ -71,7 +108,9 @@
 			records = append(records, record)
 		}
 	}
-	slices.SortFunc(records, func(x, y Record) int { return cmp.Compare(x.Offset, y.Offset) })
+	slices.SortFunc(records, func(x, y Record) int {
+		return cmp.Or(cmp.Compare(x.Offset, y.Offset), cmp.Compare(x.Key, y.Key))
+	})
 	return records
 }
 
--- a/latest/topic_test.go
+++ b/latest/topic_test.go
@@ -53,3 +53,19 @@
 	c.Check(since[0].Dropped(), qt.IsTrue)
 	c.Check(topic.Since(2), qt.HasLen, 0)
 }
+
+// TestHolderThatBeganLaterDoesNotKnowWhatWasDropped is a daemon that started
+// anew and is read by one that missed the drop of a key.
+func TestHolderThatBeganLaterDoesNotKnowWhatWasDropped(t *testing.T) {
+	c := qt.New(t)
+	older := latest.New()
+	older.Replace([]latest.Record{record("stays", "1", 0), record("dropped", "1", 1)}, 2)
+	younger := latest.New()
+	younger.Replace([]latest.Record{record("stays", "1", 0), record("came", "1", 3)}, 4)
+
+	changed := older.Take(younger.Extract(older.End()))
+
+	c.Check(keys(changed), qt.DeepEquals, []string{"dropped=", "came=1"})
+	c.Check(older.Extract(2).Whole, qt.IsFalse)
+	c.Check(keys(older.Extract(2).Records), qt.DeepEquals, []string{"came=1", "dropped="})
+}
--- a/logsink/sink.go
+++ b/logsink/sink.go
@@ -91,15 +91,15 @@
 // Run writes records until ctx ends and the queue is empty.
 func (s *Sink) Run(ctx context.Context) {
 	defer close(s.done)
+	told := s.clock.Now()
 	for {
 		ended := clock.Sleep(ctx, s.clock, pause) != nil
 		for _, e := range s.records.Drain(s.options.Capacity) {
 			_ = e.handler.Handle(ctx, e.record)
 		}
-		if lost := s.dropped.Swap(0); lost > 0 {
-			record := slog.NewRecord(s.clock.Now(), slog.LevelWarn, "Log lines were dropped", 0)
-			record.AddAttrs(slog.Int64("Lines", lost))
-			_ = s.output.Handle(ctx, record)
+		if ended || s.clock.Since(told) >= time.Second {
+			told = s.clock.Now()
+			s.tellDropped(ctx)
 		}
 		if ended {
 			return
@@ -107,6 +107,17 @@
 	}
 }
 
+// tellDropped writes how many lines were dropped since it was last told.
+func (s *Sink) tellDropped(ctx context.Context) {
+	lost := s.dropped.Swap(0)
+	if lost == 0 {
+		return
+	}
+	record := slog.NewRecord(s.clock.Now(), slog.LevelWarn, "LinesDropped", 0)
+	record.AddAttrs(slog.Int64("Lines", lost))
+	_ = s.output.Handle(ctx, record)
+}
+
 // admit reports whether a record is written.
 func (s *Sink) admit(record slog.Record) bool {
 	if record.Level >= slog.LevelInfo {
--- a/membership/digest.go
+++ b/membership/digest.go
@@ -49,12 +49,6 @@
 	From  uint64
 }
 
-// RecordsReply holds records and the offset up to which all are known.
-type RecordsReply struct {
-	Records []latest.Record
-	End     uint64
-}
-
 // Handler is the daemon's side of the exchange.
 type Handler interface {
 	// Digest returns what the daemon tells now. The sender is filled in.
@@ -63,5 +57,5 @@
 	// digest's age.
 	Hear(digest Digest, delay time.Duration)
 	// Records returns what the daemon holds of a topic.
-	Records(request RecordsRequest) RecordsReply
+	Records(request RecordsRequest) latest.Extract
 }
--- a/membership/group.go
+++ b/membership/group.go
@@ -167,16 +167,16 @@
 
 // Records implements feed.Peers: it reads a topic at the daemon that knows most
 // of it.
-func (g *Group) Records(ctx context.Context, topic string, from uint64) ([]latest.Record, uint64, error) {
+func (g *Group) Records(ctx context.Context, topic string, from uint64) (latest.Extract, error) {
 	address, found := g.mostKnowing(topic, from)
 	if !found {
-		return nil, 0, &NoPeerError{Topic: topic}
+		return latest.Extract{}, &NoPeerError{Topic: topic}
 	}
-	var reply RecordsReply
-	if err := g.client.call(ctx, address, callRecords, &RecordsRequest{Topic: topic, From: from}, &reply); err != nil {
-		return nil, 0, err
+	var extract latest.Extract
+	if err := g.client.call(ctx, address, callRecords, &RecordsRequest{Topic: topic, From: from}, &extract); err != nil {
+		return latest.Extract{}, err
 	}
-	return reply.Records, reply.End, nil
+	return extract, nil
 }
 
 func (g *Group) mostKnowing(topic string, from uint64) (string, bool) {
--- a/request/machine.go
+++ b/request/machine.go
@@ -42,6 +42,9 @@
 	// AttemptUnwritten is AttemptFailed with proof that no byte was written
 	// and that none will be.
 	AttemptUnwritten
+	// AttemptSuspended says that an attempt is over since its run was stopped,
+	// and that the run can go on from there at another backend server.
+	AttemptSuspended
 	// RelayAnswered says that the holder of the claim gave a whole answer.
 	RelayAnswered
 	// RelayNotRun says that the holder of the claim proved NotRun.
@@ -52,7 +55,7 @@
 
 var eventNames = [...]string{
 	"ClaimWon", "ClaimLost", "AttemptBegan", "AnswerBegan", "AnswerWhole",
-	"AttemptFailed", "AttemptUnwritten", "RelayAnswered", "RelayNotRun", "GivenUp",
+	"AttemptFailed", "AttemptUnwritten", "AttemptSuspended", "RelayAnswered", "RelayNotRun", "GivenUp",
 }
 
 // String returns the event's name.
@@ -94,6 +97,8 @@
 	open bool
 	// written is true when a settled attempt may have written a byte.
 	written bool
+	// suspended is true while the run can go on where it was stopped.
+	suspended bool
 	// outcome is Pending until the state is Ended and never changes after.
 	outcome Outcome
 }
@@ -120,7 +125,7 @@
 	if m.idempotent {
 		return true
 	}
-	return !m.written && (!m.keyed || m.claimWon)
+	return (!m.written || m.suspended) && (!m.keyed || m.claimWon)
 }
 
 // MayRelease reports whether the claim may be given back: it was won, and
@@ -148,7 +153,7 @@
 		next, applies = m.applyClaim(event.Kind)
 	case AttemptBegan:
 		next, applies = m.begin(event.Attempt)
-	case AnswerBegan, AnswerWhole, AttemptFailed, AttemptUnwritten:
+	case AnswerBegan, AnswerWhole, AttemptFailed, AttemptUnwritten, AttemptSuspended:
 		next, applies = m.applyAttempt(event)
 	case RelayAnswered, RelayNotRun:
 		next, applies = m.applyRelay(event.Kind)
@@ -203,9 +208,11 @@
 		}
 		m.open = false
 		return m, true
+	case AttemptSuspended:
+		m.open, m.written, m.suspended = false, true, true
+		return m, true
 	default:
-		m.open = false
-		m.written = true
+		m.open, m.written, m.suspended = false, true, false
 		return m, true
 	}
 }
--- a/request/machine_test.go
+++ b/request/machine_test.go
@@ -79,6 +79,28 @@
 	c.Assert(after, qt.Equals, m)
 }
 
+func TestSuspendedRunGoesOnAndIsNeverNotRun(t *testing.T) {
+	c := qt.New(t)
+	m := request.NewMachine(request.Request{})
+	step := func(kind request.EventKind) {
+		next, err := m.Apply(eventFor(m, kind))
+		c.Assert(err, qt.IsNil)
+		m = next
+	}
+	step(request.AttemptBegan)
+	step(request.AnswerBegan)
+	step(request.AttemptSuspended)
+	c.Check(m.MayAttempt(), qt.IsTrue)
+	step(request.AttemptBegan)
+	step(request.AttemptUnwritten)
+	c.Check(m.MayAttempt(), qt.IsTrue, qt.Commentf("the run still stands where it was stopped"))
+	step(request.AttemptBegan)
+	step(request.AttemptFailed)
+	c.Check(m.MayAttempt(), qt.IsFalse)
+	step(request.GivenUp)
+	c.Check(m.Outcome(), qt.Equals, request.Unknown)
+}
+
 func TestFingerprintCoversContentOnly(t *testing.T) {
 	c := qt.New(t)
 	r := request.Request{ID: "r1", Service: "loans", Kind: request.Service, Path: "/a", Body: []byte("b")}
--- a/scaling/planner.go
+++ b/scaling/planner.go
@@ -28,7 +28,7 @@
 
 // DefaultOptions returns the defaults.
 func DefaultOptions() Options {
-	return Options{BlockedFor: 6 * time.Second, Spare: 0.15, Settle: 3 * time.Second}
+	return Options{BlockedFor: 6 * time.Second, Spare: 0.25, Settle: 3 * time.Second}
 }
 
 // Zone counts the runners of a service in a zone.
