Order reclaimable runners as soon as some are known, and let the number fall faster

Cause: the lasting runners that are there at the start were paid for until 4 s into the traffic, and 15 s of load were kept for longer than needed. Change: first orders after 1.2 s for the runners that have written; lasting ones are given back when enough reclaimable ones are ready; the number may fall by one a second.

--- a/entry/orders.go
+++ b/entry/orders.go
@@ -31,7 +31,7 @@
 // Due implements duties.Orders.
 func (o *orders) Due(now time.Time) []duty.Order {
 	known := o.gateway.Catalog()
-	if known == nil || !o.fleet.known() || now.Sub(o.began) < fleetTime {
+	if known == nil || !o.fleet.known() || now.Sub(o.began) < firstTime {
 		return nil
 	}
 	runners := o.fleet.runners()
@@ -41,8 +41,12 @@
 			continue
 		}
 		zones := countZones(service, runners)
+		isNew := now.Sub(o.began) < fleetTime
+		if isNew {
+			delete(o.demands, service.Name)
+		}
 		due = append(due, o.planner.Plan(scaling.Need{
-			Service: service, Zones: zones, Runners: o.needed(service, zones, now),
+			Service: service, Zones: zones, Runners: o.needed(service, zones, now), KeepLasting: isNew,
 		}, now)...)
 	}
 	return due
@@ -52,15 +56,20 @@
 // of themselves.
 const fleetTime = 4500 * time.Millisecond
 
+// firstTime is how long after the start of the process the first reclaimable
+// runners are ordered, for those that have written by then.
+const firstTime = 1200 * time.Millisecond
+
 // needed returns the number of runners for the present load.
 func (o *orders) needed(service catalog.Service, zones []scaling.Zone, now time.Time) int {
-	ready := 0
+	ready, lasting := 0, 0
 	for _, zone := range zones {
 		ready += zone.Reclaimable + zone.Lasting
+		lasting += zone.Lasting
 	}
 	demand := o.demands[service.Name]
 	if demand == nil {
-		demand = scaling.NewDemand(scaling.DefaultDemandOptions(), ready, now)
+		demand = scaling.NewDemand(scaling.DefaultDemandOptions(), max(lasting, ready-lasting), now)
 		o.demands[service.Name] = demand
 	}
 	running, _, _, _ := o.balancer.InFlight(service.Name, now)
--- a/scaling/demand.go
+++ b/scaling/demand.go
@@ -25,7 +25,7 @@
 // DefaultDemandOptions returns the defaults.
 func DefaultDemandOptions() DemandOptions {
 	return DemandOptions{
-		RequestsPerRunner: 6, Hold: 15 * time.Second, FallEvery: 3 * time.Second, RiseEvery: 5 * time.Second, Memory: 4 * time.Second,
+		RequestsPerRunner: 6, Hold: 15 * time.Second, FallEvery: time.Second, RiseEvery: 5 * time.Second, Memory: 4 * time.Second,
 	}
 }
 
--- a/scaling/planner.go
+++ b/scaling/planner.go
@@ -28,7 +28,7 @@
 
 // DefaultOptions returns the defaults.
 func DefaultOptions() Options {
-	return Options{BlockedFor: 6 * time.Second, Spare: 0.25, Settle: 3 * time.Second}
+	return Options{BlockedFor: 6 * time.Second, Spare: 0.25, Settle: time.Second}
 }
 
 // Zone counts the runners of a service in a zone.
@@ -44,6 +44,9 @@
 	Zones   []Zone
 	// Runners is the number that the load needs.
 	Runners int
+	// KeepLasting leaves the lasting runners as they are, since not all of
+	// them are known yet.
+	KeepLasting bool
 }
 
 // key names what an order is about.
@@ -87,8 +90,10 @@
 	lasting := p.planLasting(need, reclaimable, now)
 	var orders []duty.Order
 	for _, zone := range need.Zones {
-		orders = p.due(orders, need.Service.Name, zone, true, reclaimable[zone.Name], now)
-		orders = p.due(orders, need.Service.Name, zone, false, lasting[zone.Name], now)
+		orders = p.due(orders, need.Service.Name, zone, true, reclaimable[zone.Name])
+		if !need.KeepLasting {
+			orders = p.due(orders, need.Service.Name, zone, false, lasting[zone.Name])
+		}
 	}
 	return orders
 }
@@ -221,7 +226,7 @@
 // due adds an order if it differs from the last one that took effect, or if its
 // runners have not come in time.
 func (p *Planner) due(
-	orders []duty.Order, service string, zone Zone, reclaimable bool, count int, now time.Time,
+	orders []duty.Order, service string, zone Zone, reclaimable bool, count int,
 ) []duty.Order {
 	order := duty.Order{Service: service, Zone: zone.Name, Reclaimable: reclaimable, Count: count}
 	last, known := p.ordered[keyOf(order)]
