Let a daemon that starts forgive what its peers used before, and learn the counts it missed

Cause: a restarted daemon took all that its peers had ever granted for use since its own start and refused every customer for tens of seconds (22 refusals in a quarter second after a loss of power); mean use was taken from the last interval alone, so that daemons which were cut off overspent (11.9 rates in a window of 8 s, allowed 10.7); a new holder of the duties lacked the counts of processes that had died before its start (118 of 544 requests). Change: first words heard in the first 3 s are a base; rates are means over 1.5 s; a new daemon is told what others heard; a stopping one says farewell.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -190,7 +190,7 @@
 		Store: e.store, Platform: platform.NewDuties(e.settings.DutiesAddress, e.self.Name, newClient()),
 		Usage: e.usage, TrueTime: e.trueTime, Orders: newOrders(e, scaling.DefaultOptions()),
 	}, duties.Options{
-		Topic: dutiesTopic, Self: e.self.Name + "/" + e.self.Incarnation, Period: dutiesPeriod, Timeout: storeTimeout,
+		Topic: dutiesTopic, Self: process(e.self), Period: dutiesPeriod, Timeout: storeTimeout,
 		UsageAfter: usageAfter, UsageLimit: usageLimit, OrderPeriod: orderPeriod,
 		HasUsage: e.settings.HasUsageDuty, HasScaling: e.settings.HasScalingDuty,
 		Lease: duty.DefaultOptions(lease),
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -15,15 +15,19 @@
 const toldWindows = 2
 
 // Digest implements membership.Handler.
-func (x exchange) Digest() membership.Digest {
+func (x exchange) Digest(toNew bool) membership.Digest {
 	now := x.Clock.Now()
+	from := x.usage.Window(x.trueTime.At(now)) - toldWindows
 	digest := membership.Digest{
 		Stopping: x.stopping.Load(),
 		Loads:    x.balancer.Loads(),
 		Uses:     x.quotas.Uses(),
-		Counts:   x.usage.Own(x.usage.Window(x.trueTime.At(now)) - toldWindows),
+		Counts:   x.usage.Own(from),
 		Crashes:  x.suspects.Entries(now),
 	}
+	if toNew {
+		digest.Heard = x.usage.Heard(from)
+	}
 	for topic, f := range x.byTopic {
 		digest.Ends = append(digest.Ends, membership.TopicEnd{Topic: topic, End: f.End()})
 	}
@@ -38,7 +42,12 @@
 	x.trueTime.Compare(sender.Name, time.UnixMicro(digest.TimeOfDay).Add(delay), now)
 	x.balancer.SetPeer(sender.Name, digest.Loads, now)
 	x.quotas.Hear(sender.Name, sender.Incarnation, digest.Uses, now)
-	x.usage.Hear(sender.Name+"/"+sender.Incarnation, digest.Counts)
+	x.usage.Hear(process(sender), digest.Counts)
+	for _, heard := range digest.Heard {
+		if heard.Process != process(x.self) {
+			x.usage.Hear(heard.Process, heard.Counts)
+		}
+	}
 	x.suspects.Merge(digest.Crashes, now)
 	for _, end := range digest.Ends {
 		if end.Topic == dutiesTopic {
@@ -55,3 +64,6 @@
 	}
 	return f.Extract(request.From)
 }
+
+// process names one start of a daemon.
+func process(member membership.Member) string { return member.Name + "/" + member.Incarnation }
--- a/entry/run.go
+++ b/entry/run.go
@@ -112,8 +112,14 @@
 		_ = e.callers.Close()
 	}
 	_ = e.readiness.Close()
+	farewell, end := context.WithTimeout(context.Background(), farewellTime)
+	defer end()
+	e.group.Farewell(farewell)
 }
 
+// farewellTime bounds the last word to other daemons.
+const farewellTime = 300 * time.Millisecond
+
 // noticeTime is how long the platform goes on to send callers to a daemon that
 // is no longer ready.
 const noticeTime = 2500 * time.Millisecond
--- a/membership/digest.go
+++ b/membership/digest.go
@@ -34,7 +34,12 @@
 	Loads    []balance.Load
 	Uses     []quota.Use
 	Counts   []usage.Count
-	Crashes  []suspect.Entry
+	// Heard holds the counts of other processes, for a daemon that has just
+	// started and did not hear them itself.
+	Heard   []usage.ProcessCounts
+	Crashes []suspect.Entry
+	// IsNew is true while the sender has just started.
+	IsNew bool
 }
 
 // TopicEnd is how far a daemon knows a topic.
@@ -51,8 +56,9 @@
 
 // Handler is the daemon's side of the exchange.
 type Handler interface {
-	// Digest returns what the daemon tells now. The sender is filled in.
-	Digest() Digest
+	// Digest returns what the daemon tells now, to a daemon that may have just
+	// started. The sender is filled in.
+	Digest(toNew bool) Digest
 	// Hear takes in what another daemon tells. delay is an estimate of the
 	// digest's age.
 	Hear(digest Digest, delay time.Duration)
--- a/membership/group.go
+++ b/membership/group.go
@@ -26,6 +26,8 @@
 	SilentAfter time.Duration
 	// SilentPeriod is the time between two calls of a silent daemon.
 	SilentPeriod time.Duration
+	// NewFor is how long after its start a daemon is told what others heard.
+	NewFor time.Duration
 }
 
 // DefaultOptions returns the defaults of a daemon.
@@ -33,7 +35,7 @@
 	return Options{
 		Self: self, Seeds: seeds, Period: 400 * time.Millisecond,
 		Timeout: 600 * time.Millisecond, DialTimeout: 300 * time.Millisecond,
-		SilentAfter: 1500 * time.Millisecond, SilentPeriod: time.Second,
+		SilentAfter: 1500 * time.Millisecond, SilentPeriod: time.Second, NewFor: 2 * time.Second,
 	}
 }
 
@@ -44,6 +46,7 @@
 	handler Handler
 	client  *client
 	done    chan struct{}
+	began   time.Time
 
 	listener net.Listener
 
@@ -69,6 +72,7 @@
 	return &Group{
 		common: common, options: options, handler: handler,
 		client: newClient(options.DialTimeout), done: make(chan struct{}), peers: make(map[string]*peer),
+		began: common.Clock.Now(),
 	}
 }
 
@@ -196,6 +200,22 @@
 // do not come at once.
 const steps = 4
 
+// Farewell tells all daemons a last time, so that they know all that this one
+// has counted. It returns when they were told or ctx has ended.
+func (g *Group) Farewell(ctx context.Context) {
+	g.mutex.Lock()
+	var addresses []string
+	for _, p := range g.peers {
+		addresses = append(addresses, p.member.Address)
+	}
+	g.mutex.Unlock()
+	var calls sync.WaitGroup
+	for _, address := range addresses {
+		calls.Go(func() { g.callAddress(ctx, address) })
+	}
+	calls.Wait()
+}
+
 func (g *Group) exchange(ctx context.Context, calls *sync.WaitGroup) {
 	for _, seed := range g.options.Seeds {
 		if seed != g.options.Self.Address {
@@ -260,7 +280,7 @@
 	ctx, cancel := context.WithTimeout(ctx, g.options.Timeout)
 	defer cancel()
 	began := g.common.Clock.Now()
-	own := g.digest()
+	own := g.digest(false)
 	var theirs Digest
 	if err := g.client.call(ctx, address, callExchange, &own, &theirs); err != nil {
 		g.common.Count("Membership.CallsFailed", 1)
@@ -269,9 +289,10 @@
 	g.hear(theirs, g.common.Clock.Since(began)/2)
 }
 
-func (g *Group) digest() Digest {
-	digest := g.handler.Digest()
+func (g *Group) digest(toNew bool) Digest {
+	digest := g.handler.Digest(toNew)
 	digest.Sender = g.options.Self
+	digest.IsNew = g.common.Clock.Since(g.began) < g.options.NewFor
 	digest.TimeOfDay = g.common.Clock.Now().UnixMicro()
 	return digest
 }
--- a/membership/server.go
+++ b/membership/server.go
@@ -16,7 +16,7 @@
 			return err
 		}
 		s.group.hear(theirs, 0)
-		own := s.group.digest()
+		own := s.group.digest(theirs.IsNew)
 		return stream.MsgSend(&own, encoding{})
 	case callRecords:
 		var request RecordsRequest
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -19,14 +20,16 @@
 	SilentAfter time.Duration
 	// ForgetAfter is the age after which a silent peer is taken to be gone.
 	ForgetAfter time.Duration
-	// StartLevel is the part of the burst that a daemon which has just begun
-	// grants, since others may have used the rest.
-	StartLevel float64
+	// RateMemory is the time constant of the mean use of a peer.
+	RateMemory time.Duration
+	// NewFor is how long after its start a daemon takes what it first hears of
+	// a peer as used before that start.
+	NewFor time.Duration
 }
 
 // DefaultOptions returns the defaults.
 func DefaultOptions() Options {
-	return Options{SilentAfter: 1500 * time.Millisecond, ForgetAfter: 30 * time.Second, StartLevel: 0.5}
+	return Options{SilentAfter: 1500 * time.Millisecond, ForgetAfter: 30 * time.Second, RateMemory: 1500 * time.Millisecond, NewFor: 3 * time.Second}
 }
 
 // Use is what one process has granted to a customer since it started.
@@ -55,6 +58,8 @@
 	mutex     sync.Mutex
 	customers map[string]*account
 	peers     map[string]*peer
+	// started is when the first customers were set.
+	started time.Time
 }
 
 // account is the estimate for one customer.
@@ -73,10 +78,33 @@
 	incarnation string
 	heard       time.Time
 	used        map[string]float64
-	// rates is the use a second between its last two words.
+	// rates is the mean use a second. Grants come in bursts, all in one
+	// interval between two words and none in the next.
 	rates map[string]float64
 }
 
+func newPeer(incarnation string, now time.Time) *peer {
+	return &peer{
+		incarnation: incarnation, heard: now, used: make(map[string]float64), rates: make(map[string]float64),
+	}
+}
+
+// noteRate takes in the use in the seconds since the last word.
+func (p *peer) noteRate(customer string, units, since float64, memory time.Duration) {
+	if since <= 0 {
+		return
+	}
+	weight := 1 - math.Exp(-since/memory.Seconds())
+	p.rates[customer] += weight * (max(units/since, 0) - p.rates[customer])
+}
+
+// forgive takes what the peer has granted so far as used earlier.
+func (p *peer) forgive(uses []Use) {
+	for _, use := range uses {
+		p.used[use.Customer] = use.Units
+	}
+}
+
 // New returns a book without customers.
 func New(options Options) *Book {
 	return &Book{options: options, customers: make(map[string]*account), peers: make(map[string]*peer)}
@@ -86,11 +114,14 @@
 func (b *Book) SetCustomers(customers []catalog.Customer, now time.Time) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	if b.started.IsZero() {
+		b.started = now
+	}
 	next := make(map[string]*account, len(customers))
 	for _, customer := range customers {
 		held := b.customers[customer.Name]
 		if held == nil {
-			held = &account{level: customer.Quota.Burst * b.options.StartLevel, updated: now}
+			held = &account{level: customer.Quota.Burst, updated: now}
 		}
 		held.quota = customer.Quota
 		held.level = min(held.level, customer.Quota.Burst)
@@ -148,16 +179,18 @@
 	defer b.mutex.Unlock()
 	p := b.peers[name]
 	if p == nil || p.incarnation != incarnation {
-		p = &peer{incarnation: incarnation, used: make(map[string]float64), rates: make(map[string]float64), heard: now}
+		isEarlier := p == nil && (b.started.IsZero() || now.Sub(b.started) < b.options.NewFor)
+		p = newPeer(incarnation, now)
+		if isEarlier {
+			p.forgive(uses)
+		}
 		b.peers[name] = p
 	}
 	since := now.Sub(p.heard).Seconds()
 	for _, use := range uses {
 		more := use.Units - p.used[use.Customer]
 		p.used[use.Customer] = use.Units
-		if since > 0 {
-			p.rates[use.Customer] = max(more/since, 0)
-		}
+		p.noteRate(use.Customer, more, since, b.options.RateMemory)
 		if a := b.customers[use.Customer]; a != nil {
 			b.advance(use.Customer, a, now)
 			a.level = min(a.level-more, a.quota.Burst)
--- a/usage/book.go
+++ b/usage/book.go
@@ -17,6 +17,12 @@
 	Requests int64
 }
 
+// ProcessCounts are the counts of one process.
+type ProcessCounts struct {
+	Process string
+	Counts  []Count
+}
+
 // Book holds the counts of all processes. It is safe for use by several
 // goroutines.
 type Book struct {
@@ -59,8 +65,26 @@
 func (b *Book) Own(from int64) []Count {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	return list(b.own, from)
+}
+
+// Heard returns the counts of the other processes for the windows from one on.
+func (b *Book) Heard(from int64) []ProcessCounts {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	var heard []ProcessCounts
+	for process, held := range b.others {
+		if counts := list(held, from); len(counts) > 0 {
+			heard = append(heard, ProcessCounts{Process: process, Counts: counts})
+		}
+	}
+	slices.SortFunc(heard, func(x, y ProcessCounts) int { return cmp.Compare(x.Process, y.Process) })
+	return heard
+}
+
+func list(held map[int64]map[string]int64, from int64) []Count {
 	var counts []Count
-	for window, customers := range b.own {
+	for window, customers := range held {
 		if window < from {
 			continue
 		}
--- a/usage/book_test.go
+++ b/usage/book_test.go
@@ -40,3 +40,16 @@
 	c.Check(book.Own(0), qt.HasLen, 3)
 	c.Check(book.End(book.Window(start)), qt.Equals, start.Add(5*time.Second))
 }
+
+// TestNewHolderLearnsOfProcessesThatDied is a daemon that starts after another
+// process has died and is told of it by a third.
+func TestNewHolderLearnsOfProcessesThatDied(t *testing.T) {
+	c := qt.New(t)
+	third, fresh := usage.New(5*time.Second, 4), usage.New(5*time.Second, 4)
+	third.Hear("dead", []usage.Count{{Window: 200, Customer: "library", Requests: 7}, {Window: 190, Customer: "library", Requests: 1}})
+	for _, heard := range third.Heard(199) {
+		fresh.Hear(heard.Process, heard.Counts)
+	}
+	c.Check(fresh.Total(200), qt.DeepEquals, map[string]int64{"library": 7})
+	c.Check(fresh.Total(190), qt.DeepEquals, map[string]int64{})
+}
