--- a/scaling/planner.go
+++ b/scaling/planner.go
@@ -150,7 +150,7 @@
 	for range wanted {
 		best := ""
 		for _, zone := range open {
-			if counts[zone.Name] >= limits.Max-zone.Lasting {
+			if counts[zone.Name] >= limits.Max-p.held(need, zone) {
 				continue
 			}
 			if best == "" || counts[zone.Name] < counts[best] {
@@ -189,37 +189,47 @@
 // planLasting fills what the ready reclaimable runners lack with lasting ones,
 // which are given back a while after they are no longer needed.
 func (p *Planner) planLasting(need Need, reclaimable map[string]int, now time.Time) map[string]int {
-	limits := need.Service.Scaling
-	ready, lasting := 0, 0
+	ready, held := 0, 0
 	for _, zone := range need.Zones {
 		ready += zone.Reclaimable
-		lasting += zone.Lasting
+		held += p.held(need, zone)
 	}
-	missing := max(int(math.Ceil(float64(need.Runners)*p.options.LastingShare))-ready, 0)
+	wanted := int(math.Ceil(float64(need.Runners) * p.options.LastingShare))
+	missing := max(wanted-ready, 0)
 	service := need.Service.Name
-	if missing >= lasting {
+	switch {
+	case missing >= held:
 		delete(p.surplus, service)
-	} else if p.surplus[service].IsZero() {
+	case p.surplus[service].IsZero():
 		p.surplus[service] = now
 	}
-	if missing < lasting && now.Sub(p.surplus[service]) < p.options.Settle {
-		missing = lasting
+	if missing < held && now.Sub(p.surplus[service]) < p.options.Settle {
+		missing = held
+	}
+	return p.spread(need, reclaimable, missing)
+}
+
+// held returns the lasting runners of a zone that are ready or on their way.
+func (p *Planner) held(need Need, zone Zone) int {
+	last, known := p.ordered[key{service: need.Service.Name, zone: zone.Name}]
+	if !known {
+		return zone.Lasting
 	}
-	return spread(need, reclaimable, missing, limits)
+	return last.count
 }
 
-// spread divides lasting runners over the zones: those that are there stay, and
-// others come where they are cheapest.
-func spread(need Need, reclaimable map[string]int, wanted int, limits *catalog.Scaling) map[string]int {
+// spread divides lasting runners over the zones: those that are there or on
+// their way stay, and others come where they are cheapest.
+func (p *Planner) spread(need Need, reclaimable map[string]int, wanted int) map[string]int {
+	limits := need.Service.Scaling
 	zones := slices.Clone(need.Zones)
 	slices.SortStableFunc(zones, func(x, y Zone) int {
 		return cmp.Or(cmp.Compare(limits.ZonePrices[x.Name], limits.ZonePrices[y.Name]), cmp.Compare(x.Name, y.Name))
 	})
 	counts := make(map[string]int, len(zones))
 	for _, zone := range zones {
-		least := max(limits.Min-zone.Reclaimable, 0)
-		counts[zone.Name] = least
-		wanted -= least
+		counts[zone.Name] = max(limits.Min-zone.Reclaimable, 0)
+		wanted -= counts[zone.Name]
 	}
 	place := func(most func(Zone) int) {
 		for progress := true; progress && wanted > 0; {
@@ -233,7 +243,7 @@
 			}
 		}
 	}
-	place(func(zone Zone) int { return min(zone.Lasting, limits.Max-zone.Reclaimable) })
+	place(func(zone Zone) int { return min(p.held(need, zone), limits.Max-zone.Reclaimable) })
 	place(func(zone Zone) int { return limits.Max - max(reclaimable[zone.Name], zone.Reclaimable) })
 	return counts
 }
--- a/scaling/planner_test.go
+++ b/scaling/planner_test.go
@@ -191,3 +191,34 @@
 	c.Check(run(48, 60), qt.Equals, 8)
 	c.Check(run(120, 40), qt.Equals, 20)
 }
+
+// TestLastingRunnersOnTheirWayStay is a loss of most runners while each boots for
+// seconds: what was ordered is not taken back before it is there.
+func TestLastingRunnersOnTheirWayStay(t *testing.T) {
+	c := qt.New(t)
+	cloud := newCloud(0)
+	p := scaling.New(scaling.DefaultOptions())
+	now := cloud.rounds(p, 12, start, 10)
+	for _, name := range zoneNames {
+		cloud.closed[name] = true
+	}
+	cloud.zones["a"].Reclaimable, cloud.zones["b"].Reclaimable = 0, 0
+	ordered := map[string]int{}
+	for range 8 {
+		now = now.Add(500 * time.Millisecond)
+		for _, order := range p.Plan(cloud.need(12), now) {
+			if order.Reclaimable {
+				p.Refused(order, now)
+				continue
+			}
+			c.Check(order.Count >= ordered[order.Zone], qt.IsTrue, qt.Commentf("%+v after %d", order, ordered[order.Zone]))
+			ordered[order.Zone] = order.Count
+			p.Done(order, now)
+		}
+	}
+	total := 0
+	for _, count := range ordered {
+		total += count
+	}
+	c.Check(total >= 3, qt.IsTrue, qt.Commentf("%v", ordered))
+}
