Test whole systems of daemons against the platform's stand-ins; mend what incidents showed

Change: a process that has started anew is known to have ended, so that its duties are taken over at once; a lost topic is read without a wait; a daemon that starts is told the other daemons.

--- a/duties/duties.go
+++ b/duties/duties.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"time"
 
@@ -106,6 +107,17 @@
 	d.holder.Heard(end, d.now())
 }
 
+// Started notes a start of a daemon: its earlier processes have ended. The names
+// of processes rise with the time of their start.
+func (d *Duties) Started(daemon, process string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	held := d.holder.HeldBy()
+	if held < process && strings.HasPrefix(held, daemon+"/") {
+		d.holder.Ended(held)
+	}
+}
+
 // now reads the clock that also moves while the VM is suspended.
 func (d *Duties) now() time.Time { return clock.SinceBoot(d.Clock) }
 
@@ -209,6 +221,15 @@
 		return
 	}
 	d.holder.Fold(record, d.now())
+	if d.isOwnEarlier(d.holder.HeldBy()) {
+		d.holder.Ended(d.holder.HeldBy())
+	}
+}
+
+// isOwnEarlier reports whether a process was an earlier start of this daemon.
+func (d *Duties) isOwnEarlier(process string) bool {
+	daemon, _, _ := strings.Cut(d.options.Self, "/")
+	return process != d.options.Self && strings.HasPrefix(process, daemon+"/")
 }
 
 // append adds a record at the end of what is known. It reports whether the
--- a/duty/holder.go
+++ b/duty/holder.go
@@ -146,6 +146,18 @@
 	return h.fence, h.holder == h.self && now.Before(h.until)
 }
 
+// Ended notes that a process has ended, since another one has started in its
+// place. It cannot act any more.
+func (h *Holder) Ended(process string) {
+	if h.holder == process && process != h.self {
+		h.holder = ""
+	}
+}
+
+// HeldBy returns the process that holds the duties, or may hold them; it is empty
+// when nobody does.
+func (h *Holder) HeldBy() string { return h.holder }
+
 // Lose ends the own lease, since another process has a higher number.
 func (h *Holder) Lose(now time.Time) {
 	h.until = time.Time{}
--- a/duty/holder_test.go
+++ b/duty/holder_test.go
@@ -187,6 +187,20 @@
 	c.Check(l.take("b", later), qt.IsTrue)
 }
 
+// TestHolderThatStartedAnewIsReplacedAtOnce is a kill of all processes: the one
+// that held the duties is known to have ended.
+func TestHolderThatStartedAnewIsReplacedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	l := newLog("a/1", "b/2")
+	l.take("a/1", start)
+	b := l.catchUp("b/2", start)
+	c.Check(b.MayTake(start), qt.IsFalse)
+	b.Ended("c/1")
+	c.Check(b.MayTake(start), qt.IsFalse)
+	b.Ended("a/1")
+	c.Check(b.MayTake(start), qt.IsTrue)
+}
+
 func TestRecordsAreReadBack(t *testing.T) {
 	c := qt.New(t)
 	record := duty.Record{Holder: "a", Takes: true, Reports: []duty.Report{{Window: 3, Counts: map[string]int64{"x": 1}}}}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -49,6 +49,7 @@
 		}
 	}
 	x.suspects.Merge(digest.Crashes, now)
+	x.duties.Started(sender.Name, process(sender))
 	for _, end := range digest.Ends {
 		if end.Topic == dutiesTopic {
 			x.duties.Heard(end.End)
--- /dev/null
+++ b/entry/rig_test.go
@@ -0,0 +1,223 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"github.com/cranberrywalk/cranberrywalk/entry"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/platform/standin"
+	"github.com/cranberrywalk/cranberrywalk/telemetry"
+)
+
+// site is a whole system on loopback: a store, a cloud, runners and daemons.
+type site struct {
+	c       *qt.C
+	store   *standin.Store
+	cloud   *standin.Cloud
+	daemons []*daemon
+	runners []*standin.Runner
+	version int
+	keys    []string
+	limit   int
+}
+
+// daemon is one entry daemon of the site.
+type daemon struct {
+	settings platform.Settings
+	entry    *entry.Entry
+	cancel   context.CancelFunc
+}
+
+const (
+	testHost  = "desk.example"
+	deskRoute = "/desk/"
+	talkRoute = "/talk/"
+	readRoute = "/read/"
+)
+
+// record is what the operator and the runners write.
+type record map[string]any
+
+func newSite(t *testing.T, daemons int) *site {
+	s := &site{c: qt.New(t), store: standin.NewStore(), keys: []string{"key-1", "key-2"}}
+	s.c.Cleanup(s.store.Close)
+	cloud, err := standin.NewCloud()
+	s.c.Assert(err, qt.IsNil)
+	s.cloud = cloud
+	s.c.Cleanup(cloud.Close)
+	s.configure()
+	for i := range daemons {
+		s.start(i)
+	}
+	return s
+}
+
+// configure writes a newer configuration.
+func (s *site) configure() {
+	s.version += 3
+	route := func(name, prefix, kind string, more record) record {
+		r := record{
+			"name": name, "host": testHost, "path_prefix": prefix, "kind": kind, "service": "desk",
+			"timeout_ms": 5000, "target_latency_ms": 300, "max_attempts": 2,
+		}
+		for field, value := range more {
+			r[field] = value
+		}
+		return r
+	}
+	s.c.Assert(s.store.PutJSON("keyed.op", "config", record{
+		"version": s.version,
+		"route_table": []record{
+			route("desk", deskRoute, "non_idempotent", nil),
+			route("read", readRoute, "idempotent", nil),
+			route("talk", talkRoute, "streaming", record{"resumable": true, "target_gap_ms": 500}),
+		},
+		"services": []record{{"name": "desk", "max_connections": 100}},
+		"tenants":  []record{{"name": "library", "api_keys": s.keys, "rate_per_s": s.limit, "burst": s.limit}},
+	}), qt.IsNil)
+}
+
+// addRunner starts a runner and writes its record.
+func (s *site) addRunner(script func(standin.Arrival) standin.Behaviour) *standin.Runner {
+	runner, err := standin.NewRunner(fmt.Sprintf("i-%d", len(s.runners)), script)
+	s.c.Assert(err, qt.IsNil)
+	s.c.Cleanup(runner.Close)
+	s.runners = append(s.runners, runner)
+	s.describe(runner, "ready")
+	return runner
+}
+
+func (s *site) describe(runner *standin.Runner, state string) {
+	s.c.Assert(s.store.PutJSON("keyed.servers", runner.ID, record{
+		"service": "desk", "address": runner.Address(), "zone": "zone-1", "slots": 8, "state": state, "sequence": time.Now().UnixNano(),
+	}), qt.IsNil)
+}
+
+// start starts the daemon of a number, on addresses of its own.
+func (s *site) start(number int) *daemon {
+	address, err := s.store.Open(fmt.Sprintf("entry-%d", number))
+	s.c.Assert(err, qt.IsNil)
+	settings := platform.Settings{
+		Name: fmt.Sprintf("entry-%d", number), Zone: "zone-1", StoreAddress: address, DutiesAddress: s.cloud.Address(),
+		CallersAddress: freeAddress(s.c), ReadyAddress: freeAddress(s.c), PeerAddress: freeAddress(s.c),
+		MetricsAddress: freeAddress(s.c), HasUsageDuty: true,
+		Bounds: platform.Bounds{
+			LeaseTime: time.Second, UsageWindow: 2 * time.Second, StopGrace: 2 * time.Second,
+			RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
+		},
+	}
+	if len(s.daemons) > 0 {
+		settings.Seeds = []string{s.daemons[0].settings.PeerAddress}
+	}
+	d := &daemon{settings: settings}
+	s.run(d)
+	s.daemons = append(s.daemons, d)
+	return d
+}
+
+func (s *site) run(d *daemon) {
+	common := telemetry.NewCommon()
+	common.Log = logr.Discard()
+	ctx, cancel := context.WithCancel(context.Background())
+	d.entry, d.cancel = entry.New(common, d.settings), cancel
+	go func() {
+		if err := d.entry.Run(ctx); err != nil {
+			s.c.Errorf("daemon %s: %v", d.settings.Name, err)
+		}
+	}()
+	s.c.Cleanup(func() {
+		// All stop at once, which takes as long as one does.
+		for _, other := range s.daemons {
+			other.cancel()
+		}
+		cancel()
+		<-d.entry.Done()
+	})
+}
+
+func freeAddress(c *qt.C) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// ready waits until all daemons are ready and know each other.
+func (s *site) ready() {
+	for _, d := range s.daemons {
+		s.eventually("ready", 5*time.Second, func() bool { return s.isReady(d) })
+	}
+	time.Sleep(700 * time.Millisecond)
+}
+
+func (s *site) isReady(d *daemon) bool {
+	response, err := http.Get("http://" + d.settings.ReadyAddress + "/-/readyz")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (s *site) eventually(what string, within time.Duration, holds func() bool) {
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	s.c.Fatalf("not within %v: %s", within, what)
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	body   string
+	broken bool
+}
+
+var (
+	attemptMutex sync.Mutex
+	attempts     int
+)
+
+func nextAttempt() string {
+	attemptMutex.Lock()
+	defer attemptMutex.Unlock()
+	attempts++
+	return fmt.Sprintf("attempt-%d", attempts)
+}
+
+// send sends a request to a daemon.
+func (s *site) send(d *daemon, path, key string) reply {
+	method, body := http.MethodPost, io.Reader(strings.NewReader("a question"))
+	if strings.HasPrefix(path, readRoute) {
+		method, body = http.MethodGet, nil
+	}
+	request, err := http.NewRequest(method, "http://"+d.settings.CallersAddress+path, body)
+	s.c.Assert(err, qt.IsNil)
+	request.Host = testHost
+	request.Header.Set("X-Attempt-Id", nextAttempt())
+	request.Header.Set("Api-Key", key)
+	request.Header.Set("X-Deadline-Ms", "4000")
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return reply{broken: true}
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, body: string(content), broken: err != nil}
+}
+
+func answering(standin.Arrival) standin.Behaviour { return standin.Behaviour{Body: "answer"} }
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -132,10 +132,11 @@
 // round reads the store once. Before it, it reads other daemons while the store
 // does not answer; instead of it, when they read the store for this one.
 func (f *Feed) round(ctx context.Context) {
-	timeout := f.options.Timeout
+	timeout, wait := f.options.Timeout, f.options.Wait
 	switch {
-	case f.lost():
-		timeout = f.options.LostTimeout
+	case f.Lost():
+		// A read that waited for news would fail again when there is none.
+		timeout, wait = f.options.LostTimeout, 0
 		f.readPeers(ctx)
 	case f.isSpare():
 		f.readPeers(ctx)
@@ -144,7 +145,7 @@
 		}
 	}
 	f.noteAsked()
-	err := f.readStore(ctx, timeout)
+	err := f.readStore(ctx, timeout, wait)
 	if err == nil || ctx.Err() != nil {
 		return
 	}
@@ -171,14 +172,14 @@
 	f.asked = f.common.Clock.Now()
 }
 
-func (f *Feed) readStore(ctx context.Context, timeout time.Duration) error {
+func (f *Feed) readStore(ctx context.Context, timeout, wait time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if !f.Read() {
 		return f.list(ctx)
 	}
 	from := f.End()
-	records, end, err := f.store.ReadKeyed(ctx, f.options.Topic, from, f.options.Wait)
+	records, end, err := f.store.ReadKeyed(ctx, f.options.Topic, from, wait)
 	var gap *store.GapError
 	if errors.As(err, &gap) {
 		f.common.Log.Info("RecordsGone", "Topic", f.options.Topic, "Offset", from)
@@ -249,8 +250,8 @@
 	f.common.Log.Info("StoreLost", "Topic", f.options.Topic, "Error", err.Error())
 }
 
-// lost reports whether the store did not answer the last time.
-func (f *Feed) lost() bool {
+// Lost reports whether the store did not answer the last time.
+func (f *Feed) Lost() bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	return f.isLost
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -25,6 +25,12 @@
 	reads   int
 }
 
+func (s *fakeStore) end() uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return uint64(len(s.records))
+}
+
 func (s *fakeStore) put(key, value string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -55,7 +61,14 @@
 	return listing, uint64(len(s.records)), nil
 }
 
-func (s *fakeStore) ReadKeyed(_ context.Context, _ string, from uint64, _ time.Duration) ([]latest.Record, uint64, error) {
+func (s *fakeStore) ReadKeyed(ctx context.Context, _ string, from uint64, wait time.Duration) ([]latest.Record, uint64, error) {
+	if s.end() <= from {
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return nil, 0, &store.UnavailableError{Cause: ctx.Err()}
+		}
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.reads++
@@ -209,6 +222,20 @@
 	r.c.Check(after, qt.Equals, 1)
 }
 
+// TestStoreIsBackWithoutNews is a topic in which nothing is written after the
+// store was away: the first read must not wait longer than it may take.
+func TestStoreIsBackWithoutNews(t *testing.T) {
+	r := newRig(t, func(o *feed.Options) {
+		o.Wait, o.Timeout, o.LostTimeout = 200*time.Millisecond, 400*time.Millisecond, 50*time.Millisecond
+	})
+	r.store.put("a", "1")
+	r.eventually("first", func() bool { return r.value("a") == "1" })
+	r.store.set(func(s *fakeStore) { s.down = true })
+	r.eventually("the loss", r.feed.Lost)
+	r.store.set(func(s *fakeStore) { s.down = false })
+	r.eventually("the return", func() bool { return !r.feed.Lost() })
+}
+
 func TestSpareDaemonLeavesTheStoreAlone(t *testing.T) {
 	r := newRig(t, func(o *feed.Options) { o.SparePeriod, o.StaleAfter = time.Hour, time.Hour })
 	r.peers.isSpare = true
--- a/membership/digest.go
+++ b/membership/digest.go
@@ -38,6 +38,9 @@
 	// started and did not hear them itself.
 	Heard   []usage.ProcessCounts
 	Crashes []suspect.Entry
+	// Members are the daemons that the sender knows, for one that has just
+	// started.
+	Members []Member
 	// IsNew is true while the sender has just started.
 	IsNew bool
 }
--- a/membership/group.go
+++ b/membership/group.go
@@ -291,12 +291,41 @@
 
 func (g *Group) digest(toNew bool) Digest {
 	digest := g.handler.Digest(toNew)
+	if toNew {
+		digest.Members = g.members()
+	}
 	digest.Sender = g.options.Self
 	digest.IsNew = g.common.Clock.Since(g.began) < g.options.NewFor
 	digest.TimeOfDay = g.common.Clock.Now().UnixMicro()
 	return digest
 }
 
+// members returns the daemons that were heard of lately.
+func (g *Group) members() []Member {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.common.Clock.Now()
+	var members []Member
+	for _, p := range g.peers {
+		if now.Sub(p.heard) < g.options.SilentAfter {
+			members = append(members, p.member)
+		}
+	}
+	return members
+}
+
+// introduce makes daemons known that were not.
+func (g *Group) introduce(members []Member) {
+	for _, member := range members {
+		g.mutex.Lock()
+		_, known := g.peers[member.Name]
+		g.mutex.Unlock()
+		if !known {
+			g.Add(member)
+		}
+	}
+}
+
 func (g *Group) hear(digest Digest, delay time.Duration) {
 	if digest.Sender.Name == g.options.Self.Name || digest.Sender.Name == "" {
 		return
@@ -309,5 +338,6 @@
 	p := g.add(digest.Sender)
 	p.heard, p.ends = g.common.Clock.Now(), ends
 	g.mutex.Unlock()
+	g.introduce(digest.Members)
 	g.handler.Hear(digest, delay)
 }
