--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -138,7 +138,9 @@
 	s.c.Assert(s.store.PutJSON("keyed.servers", first.ID, record{
 		"service": "desk", "address": other.Address(), "zone": "zone-1", "slots": 8, "state": "ready",
 	}), qt.IsNil)
-	s.eventually("the runner's new address", applyTime, func() bool { return len(other.Arrivals()) > 0 || s.send(s.daemons[0], deskRoute+"a", "key-1").status != 200 })
+	s.eventually("the runner's new address", applyTime, func() bool {
+		return len(other.Arrivals()) > 0 || s.send(s.daemons[0], deskRoute+"a", "key-1").status != 200
+	})
 	for _, arrival := range other.Arrivals() {
 		s.c.Check(arrival.Ran, qt.IsFalse)
 	}
