Leave out zones whose runners do not answer

Ruled out: taking one silent runner for a cut zone, which shuts out crashed runners' zones. Change: two silent runners of another zone with no answer in between, or one while none of its daemons is heard, leave the zone out for a second; opening a connection may take 250 ms (400 before), and unacknowledged bytes a second (1.5 before). Test: TestZoneIsCutOff.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -35,6 +35,8 @@
 	FailureMemory time.Duration
 	// FirstDown and MostDown bound how long an unreachable runner is left out.
 	FirstDown, MostDown time.Duration
+	// CutRetry is how long a zone is left out whose runners do not answer.
+	CutRetry time.Duration
 	// PeerMemory is how long the loads that a peer told are used.
 	PeerMemory time.Duration
 	// CacheShare is the part of a runner's memory that is taken to hold
@@ -47,7 +49,7 @@
 	return Options{
 		Zone: zone, Uncached: 3, Running: 60, OtherZone: 500, OtherZonePlain: 0.5,
 		Failing: 20, FailingEngine: 60000, FailureMemory: 3 * time.Second,
-		FirstDown: 500 * time.Millisecond, MostDown: 4 * time.Second,
+		FirstDown: 500 * time.Millisecond, MostDown: 4 * time.Second, CutRetry: time.Second,
 		PeerMemory: 3 * time.Second, CacheShare: 0.5,
 	}
 }
@@ -107,6 +109,7 @@
 	random  *rand.Rand
 	runners map[string]*runner
 	peers   map[string]peerLoads
+	zones   map[string]*zone
 }
 
 // New returns a balancer without runners.
@@ -114,6 +117,7 @@
 	return &Balancer{
 		options: options, random: random,
 		runners: make(map[string]*runner), peers: make(map[string]peerLoads),
+		zones: make(map[string]*zone),
 	}
 }
 
@@ -199,8 +203,13 @@
 	return b.begin(r, Need{}, 0)
 }
 
+// isCutOff reports whether the way to a runner of another zone seems to be cut.
+func (b *Balancer) isCutOff(r *runner, now time.Time) bool {
+	return r.entry.Zone != b.options.Zone && b.zoneOf(r.entry.Zone).isCut(now)
+}
+
 // candidates returns the runners that may take a request. Those that are left
-// out as unreachable come in when there is no other.
+// out as unreachable or cut off come in when there is no other.
 func (b *Balancer) candidates(need Need, now time.Time) (usable []*runner, known int) {
 	var down []*runner
 	for id, r := range b.runners {
@@ -211,7 +220,7 @@
 		if r.entry.State != inventory.Ready || r.isReplaced || contains(need.Excluded, id) {
 			continue
 		}
-		if now.Before(r.downUntil) {
+		if now.Before(r.downUntil) || b.isCutOff(r, now) {
 			down = append(down, r)
 			continue
 		}
--- a/balance/ticket.go
+++ b/balance/ticket.go
@@ -18,9 +18,11 @@
 	Unreachable
 	// Replaced means that another runner has the address.
 	Replaced
+	// Silent means that nothing came back in time.
+	Silent
 )
 
-var resultNames = [...]string{"Cancelled", "Succeeded", "Failed", "Rejected", "Unreachable", "Replaced"}
+var resultNames = [...]string{"Cancelled", "Succeeded", "Failed", "Rejected", "Unreachable", "Replaced", "Silent"}
 
 // String returns the result's name.
 func (r Result) String() string { return resultNames[r] }
@@ -47,6 +49,7 @@
 	t.balancer.mutex.Lock()
 	defer t.balancer.mutex.Unlock()
 	t.settle()
+	t.balancer.zoneOf(t.runner.entry.Zone).noteAnswer()
 }
 
 func (t *Ticket) settle() {
@@ -65,11 +68,18 @@
 	t.ended = true
 	t.settle()
 	t.runner.running--
+	zone := b.zoneOf(t.runner.entry.Zone)
+	switch result {
+	case Succeeded, Rejected, Replaced:
+		zone.noteAnswer()
+	case Unreachable, Silent:
+		zone.noteSilence(t.runner.entry.ID, now, b.options.CutRetry)
+	}
 	switch result {
 	case Succeeded:
 		t.runner.note(false, now, b.options.FailureMemory)
 		t.runner.downFor = 0
-	case Failed, Rejected:
+	case Failed, Rejected, Silent:
 		t.runner.note(true, now, b.options.FailureMemory)
 	case Unreachable:
 		t.runner.note(true, now, b.options.FailureMemory)
--- /dev/null
+++ b/balance/zone.go
@@ -0,0 +1,60 @@
+package balance
+
+import "time"
+
+// zone is what is known of the way to the runners of an availability zone.
+type zone struct {
+	// silent holds the runners that did not answer since one of the zone last
+	// did.
+	silent map[string]struct{}
+	// cutUntil is when a zone that seems to be cut off is tried again.
+	cutUntil time.Time
+	// mute is true while no daemon of the zone is heard.
+	mute bool
+}
+
+// cutRunners is the number of runners of a zone that must be silent, with none
+// that answers, before the way to the zone is taken to be cut.
+const cutRunners = 2
+
+// noteSilence takes in that a runner did not answer.
+func (z *zone) noteSilence(runner string, now time.Time, retry time.Duration) {
+	z.silent[runner] = struct{}{}
+	if len(z.silent) >= cutRunners && !now.Before(z.cutUntil) {
+		z.cutUntil = now.Add(retry)
+	}
+}
+
+// noteAnswer takes in that a runner answered.
+func (z *zone) noteAnswer() {
+	clear(z.silent)
+	z.cutUntil = time.Time{}
+}
+
+// isCut reports whether the zone is left out. A zone whose daemons are mute is
+// cut after a single silent runner.
+func (z *zone) isCut(now time.Time) bool {
+	return now.Before(z.cutUntil) || z.mute && len(z.silent) > 0
+}
+
+// zoneOf returns the state of a zone and is called with the mutex held.
+func (b *Balancer) zoneOf(name string) *zone {
+	z := b.zones[name]
+	if z == nil {
+		z = &zone{silent: make(map[string]struct{})}
+		b.zones[name] = z
+	}
+	return z
+}
+
+// SetMuteZones tells of which zones no daemon is heard.
+func (b *Balancer) SetMuteZones(mute []string) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for _, z := range b.zones {
+		z.mute = false
+	}
+	for _, name := range mute {
+		b.zoneOf(name).mute = true
+	}
+}
--- /dev/null
+++ b/balance/zone_test.go
@@ -0,0 +1,113 @@
+package balance_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cranberrywalk/cranberrywalk/balance"
+	"github.com/cranberrywalk/cranberrywalk/inventory"
+)
+
+var start = time.Unix(1000, 0)
+
+// newBalancer returns a balancer of a daemon in zone a, with two runners of a
+// service in each of four zones.
+func newBalancer() *balance.Balancer {
+	b := balance.New(balance.DefaultOptions("a"), rand.New(rand.NewPCG(1, 2)))
+	var runners []inventory.Runner
+	for _, zone := range []string{"a", "b", "c", "d"} {
+		for i := range 2 {
+			runners = append(runners, inventory.Runner{ID: fmt.Sprint(zone, i), Service: "desk", Zone: zone, Slots: 6})
+		}
+	}
+	b.SetRunners(runners, func(string) int { return 100000 })
+	return b
+}
+
+// TestZoneIsCutOff is a daemon whose zone is cut off from the others: requests
+// that go there are silent.
+func TestZoneIsCutOff(t *testing.T) {
+	c := qt.New(t)
+	b := newBalancer()
+	now, lost := start, 0
+	// Two thousand requests in ten seconds, each of which takes 50 ms at home.
+	type open struct {
+		ticket *balance.Ticket
+		ends   time.Time
+		result balance.Result
+	}
+	var running []open
+	for range 2000 {
+		now = now.Add(5 * time.Millisecond)
+		left := running[:0]
+		for _, o := range running {
+			if now.Before(o.ends) {
+				left = append(left, o)
+				continue
+			}
+			o.ticket.End(o.result, now)
+		}
+		running = left
+		choice, ticket, err := b.Choose(balance.Need{Service: "desk"}, now)
+		c.Assert(err, qt.IsNil)
+		if choice.Runner.Zone == "a" {
+			running = append(running, open{ticket, now.Add(50 * time.Millisecond), balance.Succeeded})
+			continue
+		}
+		lost++
+		running = append(running, open{ticket, now.Add(250 * time.Millisecond), balance.Unreachable})
+	}
+	c.Check(lost < 200, qt.IsTrue, qt.Commentf("%d of 2000 requests went over the cut", lost))
+}
+
+func TestZoneThatAnswersIsNotCutOff(t *testing.T) {
+	c := qt.New(t)
+	b := newBalancer()
+	zones := map[string]int{}
+	now := start
+	for i := range 400 {
+		now = now.Add(5 * time.Millisecond)
+		choice, ticket, err := b.Choose(balance.Need{Service: "desk", Excluded: []string{"a0", "a1"}}, now)
+		c.Assert(err, qt.IsNil)
+		zones[choice.Runner.Zone]++
+		result := balance.Succeeded
+		if i%3 == 0 {
+			result = balance.Silent
+		}
+		ticket.End(result, now)
+	}
+	for _, zone := range []string{"b", "c", "d"} {
+		c.Check(zones[zone] > 50, qt.IsTrue, qt.Commentf("%v", zones))
+	}
+}
+
+func TestCutZoneIsTriedWhenThereIsNoOther(t *testing.T) {
+	c := qt.New(t)
+	b := newBalancer()
+	excluded := []string{"a0", "a1", "b0", "b1", "c0", "c1"}
+	for range 4 {
+		_, ticket, err := b.Choose(balance.Need{Service: "desk", Excluded: excluded}, start)
+		c.Assert(err, qt.IsNil)
+		ticket.End(balance.Unreachable, start)
+	}
+}
+
+func TestMuteZoneIsCutAfterOneSilentRunner(t *testing.T) {
+	c := qt.New(t)
+	b := newBalancer()
+	b.SetMuteZones([]string{"b", "c", "d"})
+	excluded := []string{"a0", "a1"}
+	for range 3 {
+		choice, ticket, err := b.Choose(balance.Need{Service: "desk", Excluded: excluded}, start)
+		c.Assert(err, qt.IsNil)
+		excluded = append(excluded, choice.Runner.ID)
+		ticket.End(balance.Silent, start)
+	}
+	choice, _, err := b.Choose(balance.Need{Service: "desk"}, start)
+	c.Assert(err, qt.IsNil)
+	c.Check(choice.Runner.Zone, qt.Equals, "a")
+}
--- a/entry/run.go
+++ b/entry/run.go
@@ -73,6 +73,7 @@
 	parts.Go(func() { e.group.Run(background) })
 	parts.Go(func() { e.announce(background) })
 	parts.Go(func() { e.clean(background) })
+	parts.Go(func() { e.watchZones(background) })
 	parts.Go(func() { e.duties.Run(duties) })
 	for _, f := range e.feeds {
 		parts.Go(func() { f.Run(background) })
@@ -155,6 +156,16 @@
 	}
 }
 
+// zonesPeriod is the time between two looks for zones of which nothing is heard.
+const zonesPeriod = 200 * time.Millisecond
+
+// watchZones tells the balancer of which zones no daemon is heard.
+func (e *Entry) watchZones(ctx context.Context) {
+	for clock.Sleep(ctx, e.Clock, zonesPeriod) == nil {
+		e.balancer.SetMuteZones(e.group.MuteZones())
+	}
+}
+
 // clean closes connections to runners that are not used any more.
 func (e *Entry) clean(ctx context.Context) {
 	for clock.Sleep(ctx, e.Clock, cleanPeriod) == nil {
--- a/gateway/visit.go
+++ b/gateway/visit.go
@@ -50,6 +50,9 @@
 	began bool
 	// lastEvent is the last event of the stream that the caller has.
 	lastEvent int
+	// answered is true when the runner of the present attempt sent the head of
+	// an answer.
+	answered bool
 	// headWritten is true when the head of the answer has been written.
 	headWritten bool
 	// choice is that of the present attempt.
@@ -137,6 +140,7 @@
 		most = max(int(share), 1)
 	}
 	v.apply(request.AttemptBegan)
+	v.answered = false
 	began := v.Clock.Now()
 	defer func() { v.Meters.Time(v.route.Kind.String(), metric.Connect, v.Clock.Since(began)) }()
 	return v.Upstream.Send(ctx, upstream.Request{
@@ -149,6 +153,7 @@
 // judge checks the head of an answer. It returns nil for an answer that the
 // caller may get.
 func (v *visit) judge(answer *upstream.Answer) error {
+	v.answered = true
 	head := v.Codec.DecodeAnswer(answer.Status, answer.Header)
 	runner := v.choice.Runner.ID
 	if head.NotRun {
@@ -221,13 +226,16 @@
 	var rejected *RejectedError
 	var full *upstream.FullError
 	var silent *SilentError
+	var timeout interface{ Timeout() bool }
 	switch {
-	case errors.As(failure, &silent):
-		return balance.Failed
+	case errors.As(failure, &silent), v.isOverdue():
+		return balance.Silent
 	case v.ctx.Err() != nil, errors.As(failure, &full):
 		return balance.Cancelled
 	case errors.As(failure, &unwritten):
 		return balance.Unreachable
+	case errors.As(failure, &timeout) && timeout.Timeout():
+		return balance.Silent
 	case errors.As(failure, &rejected) && rejected.Replaced:
 		return balance.Replaced
 	case errors.As(failure, &rejected):
@@ -237,6 +245,13 @@
 	}
 }
 
+// isOverdue reports whether the time for the request has passed without any
+// answer of the runner.
+func (v *visit) isOverdue() bool {
+	var overdue *DeadlineError
+	return !v.answered && errors.As(context.Cause(v.ctx), &overdue)
+}
+
 // noteCrash suspects the content of a request whose runner broke off.
 func (v *visit) noteCrash(failure error, now time.Time) {
 	var broken *upstream.BrokenError
--- a/membership/group.go
+++ b/membership/group.go
@@ -24,6 +24,9 @@
 	Timeout, DialTimeout time.Duration
 	// SilentAfter is the age of a daemon's last word after which it is silent.
 	SilentAfter time.Duration
+	// MuteAfter is the time without a word of any daemon of a zone after which
+	// the zone is mute. Two words are missed by then.
+	MuteAfter time.Duration
 	// SilentPeriod is the time between two calls of a silent daemon.
 	SilentPeriod time.Duration
 	// NewFor is how long after its start a daemon is told what others heard.
@@ -35,7 +38,7 @@
 	return Options{
 		Self: self, Seeds: seeds, Period: 400 * time.Millisecond,
 		Timeout: 600 * time.Millisecond, DialTimeout: 300 * time.Millisecond,
-		SilentAfter: 1500 * time.Millisecond, SilentPeriod: time.Second, NewFor: 2 * time.Second,
+		SilentAfter: 1500 * time.Millisecond, MuteAfter: time.Second, SilentPeriod: time.Second, NewFor: 2 * time.Second,
 	}
 }
 
@@ -137,6 +140,28 @@
 	return size
 }
 
+// MuteZones returns the zones that have daemons of which none is heard.
+func (g *Group) MuteZones() []string {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.common.Clock.Now()
+	heard := make(map[string]bool)
+	for _, p := range g.peers {
+		if now.Sub(p.heard) < g.options.MuteAfter {
+			heard[p.member.Zone] = true
+		} else if !heard[p.member.Zone] {
+			heard[p.member.Zone] = false
+		}
+	}
+	var mute []string
+	for zone, isHeard := range heard {
+		if !isHeard {
+			mute = append(mute, zone)
+		}
+	}
+	return mute
+}
+
 // Known returns the number of daemons that are known, with this one.
 func (g *Group) Known() int {
 	g.mutex.Lock()
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -28,8 +28,8 @@
 // DefaultOptions returns the defaults.
 func DefaultOptions() Options {
 	return Options{
-		DialTimeout: 400 * time.Millisecond,
-		Silence:     1500 * time.Millisecond,
+		DialTimeout: 250 * time.Millisecond,
+		Silence:     time.Second,
 		KeepIdle:    4 * time.Second,
 		IdleMargin:  time.Second,
 		// A whole answer is held in memory until it is passed on.
