--- a/balance/runner.go
+++ b/balance/runner.go
@@ -63,7 +63,7 @@
 
 // guessedShare is the part of a shared prompt that is taken to be cached at the
 // runner that all daemons prefer for it, before anything was sent there.
-const guessedShare = 0.8
+const guessedShare = 1.0
 
 // uncached estimates the prompt tokens that the runner has to prefill.
 func (r *runner) uncached(need Need, preferred bool) int {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -150,10 +150,10 @@
 	// connection that has gone silent is noticed after it.
 	configurationWait = 900 * time.Millisecond
 	// spareRunnersPeriod is the time between two reads of the runners by a
-	// daemon that gets them from others, and staleAfter the time without news
-	// after which it reads more often.
+	// daemon that gets them from others, and staleAfter the age of what it holds
+	// above which it reads the store itself.
 	spareRunnersPeriod = 3 * time.Second
-	staleAfter         = 900 * time.Millisecond
+	staleAfter         = time.Second
 	// membersPeriod is the time between two reads of the list of daemons, who
 	// also tell each other of themselves.
 	membersPeriod = 5 * time.Second
@@ -161,6 +161,8 @@
 	// store does not answer.
 	storeTimeout = 800 * time.Millisecond
 	lostTimeout  = 500 * time.Millisecond
+	// peerTimeout bounds a read at another daemon, which may be paused.
+	peerTimeout = 250 * time.Millisecond
 	// outageAfter is the time without a good read after which dropped records
 	// may only have lapsed.
 	outageAfter = 2 * time.Second
@@ -169,6 +171,7 @@
 func (e *Entry) addFeed(options feed.Options, take func(feed.Batch)) {
 	options.Timeout = storeTimeout + options.Wait
 	options.LostTimeout = lostTimeout
+	options.PeerTimeout = peerTimeout
 	options.OutageAfter = outageAfter
 	f := feed.New(e.Common, options, e.store, e.group, take)
 	e.feeds = append(e.feeds, f)
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/cranberrywalk/cranberrywalk/latest"
 	"github.com/cranberrywalk/cranberrywalk/membership"
 )
 
@@ -58,12 +57,12 @@
 }
 
 // Records implements membership.Handler.
-func (x exchange) Records(request membership.RecordsRequest) latest.Extract {
+func (x exchange) Records(request membership.RecordsRequest) membership.RecordsReply {
 	f := x.byTopic[request.Topic]
 	if f == nil {
-		return latest.Extract{}
+		return membership.RecordsReply{}
 	}
-	return f.Extract(request.From)
+	return membership.RecordsReply{Extract: f.Extract(request.From), Age: x.Clock.Since(f.Good())}
 }
 
 // process names one start of a daemon.
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -23,14 +23,16 @@
 	// SparePeriod is the time between two reads of the store by a daemon that
 	// gets the topic from others; zero means that every round reads the store.
 	SparePeriod time.Duration
-	// StaleAfter is the time without news from others after which such a daemon
-	// reads the store in every round.
+	// StaleAfter is the age of what is held above which such a daemon reads the
+	// store itself.
 	StaleAfter time.Duration
 	// Wait is how long a read may wait for a first record.
 	Wait time.Duration
 	// Timeout bounds one read, and LostTimeout one of a store that did not
 	// answer the last time.
 	Timeout, LostTimeout time.Duration
+	// PeerTimeout bounds one read at another daemon.
+	PeerTimeout time.Duration
 	// OutageAfter is the time without a good read after which records that
 	// were dropped may only have lapsed.
 	OutageAfter time.Duration
@@ -42,8 +44,8 @@
 	// the store often.
 	ReadsForOthers() bool
 	// Records returns what another daemon holds for one that knows every record
-	// up to an offset.
-	Records(ctx context.Context, topic string, from uint64) (latest.Extract, error)
+	// up to an offset, and how long ago that daemon read it.
+	Records(ctx context.Context, topic string, from uint64) (latest.Extract, time.Duration, error)
 }
 
 // Batch is what a read has changed.
@@ -66,7 +68,7 @@
 	mutex sync.Mutex
 	// topic is guarded by mutex.
 	topic *latest.Topic
-	// good is when a read last succeeded; guarded by mutex.
+	// good is when the store was in the state that is held; guarded by mutex.
 	good time.Time
 	// read is true after the first whole listing; guarded by mutex.
 	read bool
@@ -102,7 +104,8 @@
 	return f.topic.End()
 }
 
-// Good returns when the topic was last read, in the store or at another daemon.
+// Good returns when the topic was last read in the store, here or by the daemon
+// that it was taken from.
 func (f *Feed) Good() time.Time {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -188,7 +191,7 @@
 	if err != nil {
 		return err
 	}
-	f.merge(latest.Extract{Records: records, End: end}, true)
+	f.merge(latest.Extract{Records: records, End: end}, 0, true)
 	return nil
 }
 
@@ -199,7 +202,7 @@
 	}
 	f.mutex.Lock()
 	changed := f.topic.Replace(listing, end)
-	batch := f.succeed(changed, true)
+	batch := f.succeed(changed, 0, true)
 	f.read = true
 	f.mutex.Unlock()
 	f.take(batch)
@@ -207,9 +210,9 @@
 }
 
 func (f *Feed) readPeers(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, f.options.LostTimeout)
+	ctx, cancel := context.WithTimeout(ctx, f.options.PeerTimeout)
 	defer cancel()
-	extract, err := f.peers.Records(ctx, f.options.Topic, f.End())
+	extract, age, err := f.peers.Records(ctx, f.options.Topic, f.End())
 	if err != nil {
 		f.common.Count("Feed.PeerReadsFailed", 1)
 		return
@@ -217,22 +220,25 @@
 	if extract.End <= f.End() {
 		return
 	}
-	f.merge(extract, false)
+	f.merge(extract, age, false)
 }
 
-func (f *Feed) merge(extract latest.Extract, fromStore bool) {
+func (f *Feed) merge(extract latest.Extract, age time.Duration, fromStore bool) {
 	f.mutex.Lock()
 	changed := f.topic.Take(extract)
-	batch := f.succeed(changed, fromStore)
+	batch := f.succeed(changed, age, fromStore)
 	f.mutex.Unlock()
 	f.take(batch)
 }
 
-// succeed notes a good read and is called with the mutex held.
-func (f *Feed) succeed(changed []latest.Record, fromStore bool) Batch {
-	now := f.common.Clock.Now()
-	batch := Batch{Records: changed, AfterOutage: f.read && now.Sub(f.good) > f.options.OutageAfter}
-	f.good = now
+// succeed notes a read that is as good as one of the store some time ago. It is
+// called with the mutex held.
+func (f *Feed) succeed(changed []latest.Record, age time.Duration, fromStore bool) Batch {
+	good := f.common.Clock.Now().Add(-age)
+	batch := Batch{Records: changed, AfterOutage: f.read && good.Sub(f.good) > f.options.OutageAfter}
+	if good.After(f.good) {
+		f.good = good
+	}
 	if fromStore && f.isLost {
 		f.isLost = false
 		f.common.Log.Info("StoreBack", "Topic", f.options.Topic)
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -87,14 +87,22 @@
 	mutex   sync.Mutex
 	topic   *latest.Topic
 	isSpare bool
+	// age is how long ago the daemon read the store.
+	age time.Duration
 }
 
 func (p *fakePeers) ReadsForOthers() bool { return !p.isSpare }
 
-func (p *fakePeers) Records(_ context.Context, _ string, from uint64) (latest.Extract, error) {
+func (p *fakePeers) Records(_ context.Context, _ string, from uint64) (latest.Extract, time.Duration, error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.topic.Extract(from), nil
+	return p.topic.Extract(from), p.age, nil
+}
+
+func (p *fakePeers) setAge(age time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.age = age
 }
 
 func (p *fakePeers) copyFrom(s *fakeStore) {
@@ -118,7 +126,7 @@
 	common := telemetry.NewCommon()
 	common.Log = logr.Discard()
 	options := feed.Options{
-		Topic: "x", Period: 5 * time.Millisecond, Timeout: time.Second, LostTimeout: time.Second, OutageAfter: 100 * time.Millisecond,
+		Topic: "x", Period: 5 * time.Millisecond, Timeout: time.Second, LostTimeout: time.Second, PeerTimeout: time.Second, OutageAfter: 100 * time.Millisecond,
 	}
 	if change != nil {
 		change(&options)
@@ -250,6 +258,26 @@
 	r.c.Check(r.store.reads <= 1, qt.IsTrue, qt.Commentf("%d reads", r.store.reads))
 }
 
+// TestOldNewsOfAReaderIsNotFresh is a reader that hands on what it read before it
+// was paused: that is not the state of the store.
+func TestOldNewsOfAReaderIsNotFresh(t *testing.T) {
+	r := newRig(t, nil)
+	r.store.put("a", "1")
+	r.eventually("first", func() bool { return r.value("a") == "1" })
+	r.store.set(func(s *fakeStore) { s.down = true })
+	r.peers.setAge(time.Hour)
+	last := r.feed.Good()
+	r.store.put("a", "2")
+	r.peers.copyFrom(r.store)
+	r.eventually("second", func() bool { return r.value("a") == "2" })
+	r.c.Check(r.feed.Good().Sub(last) < 100*time.Millisecond, qt.IsTrue)
+	time.Sleep(150 * time.Millisecond)
+	r.store.put("a", "3")
+	r.peers.copyFrom(r.store)
+	r.eventually("third", func() bool { return r.value("a") == "3" })
+	r.c.Check(r.feed.Good().Sub(last) < 100*time.Millisecond, qt.IsTrue)
+}
+
 func TestSpareDaemonReadsWhenItsReadersFallSilent(t *testing.T) {
 	r := newRig(t, func(o *feed.Options) { o.SparePeriod, o.StaleAfter = time.Hour, 50*time.Millisecond })
 	r.peers.isSpare = true
--- a/membership/digest.go
+++ b/membership/digest.go
@@ -57,6 +57,13 @@
 	From  uint64
 }
 
+// RecordsReply holds what a daemon knows of a topic.
+type RecordsReply struct {
+	Extract latest.Extract
+	// Age is how long ago the store was in that state.
+	Age time.Duration
+}
+
 // Handler is the daemon's side of the exchange.
 type Handler interface {
 	// Digest returns what the daemon tells now, to a daemon that may have just
@@ -66,5 +73,5 @@
 	// digest's age.
 	Hear(digest Digest, delay time.Duration)
 	// Records returns what the daemon holds of a topic.
-	Records(request RecordsRequest) latest.Extract
+	Records(request RecordsRequest) RecordsReply
 }
--- a/membership/group.go
+++ b/membership/group.go
@@ -196,16 +196,16 @@
 
 // Records implements feed.Peers: it reads a topic at the daemon that knows most
 // of it.
-func (g *Group) Records(ctx context.Context, topic string, from uint64) (latest.Extract, error) {
+func (g *Group) Records(ctx context.Context, topic string, from uint64) (latest.Extract, time.Duration, error) {
 	address, found := g.mostKnowing(topic, from)
 	if !found {
-		return latest.Extract{}, &NoPeerError{Topic: topic}
+		return latest.Extract{}, 0, &NoPeerError{Topic: topic}
 	}
-	var extract latest.Extract
-	if err := g.client.call(ctx, address, callRecords, &RecordsRequest{Topic: topic, From: from}, &extract); err != nil {
-		return latest.Extract{}, err
+	var reply RecordsReply
+	if err := g.client.call(ctx, address, callRecords, &RecordsRequest{Topic: topic, From: from}, &reply); err != nil {
+		return latest.Extract{}, 0, err
 	}
-	return extract, nil
+	return reply.Extract, reply.Age, nil
 }
 
 func (g *Group) mostKnowing(topic string, from uint64) (string, bool) {
@@ -214,7 +214,7 @@
 	now := g.common.Clock.Now()
 	address, most := "", from
 	for _, p := range g.peers {
-		if end := p.ends[topic]; end > most && now.Sub(p.heard) < g.options.SilentAfter {
+		if end := p.ends[topic]; end > most && now.Sub(p.heard) < g.options.MuteAfter {
 			address, most = p.member.Address, end
 		}
 	}
