Choose runners in a fixed order; try the load without congestion, and take it back

Tried: the requests under way times the shortest mean stay over the present one, by Little's law at one daemon.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -4,8 +4,11 @@
 package balance
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -110,6 +113,9 @@
 	runners map[string]*runner
 	peers   map[string]peerLoads
 	zones   map[string]*zone
+	// ordered holds the runners by ID, so that choices do not depend on the order
+	// of a map.
+	ordered []*runner
 }
 
 // New returns a balancer without runners.
@@ -137,6 +143,7 @@
 		next[entry.ID] = held
 	}
 	b.runners = next
+	b.ordered = slices.SortedFunc(maps.Values(next), func(x, y *runner) int { return cmp.Compare(x.entry.ID, y.entry.ID) })
 }
 
 // SetPeer replaces what a peer has at the runners.
@@ -155,9 +162,9 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	var loads []Load
-	for id, r := range b.runners {
+	for _, r := range b.ordered {
 		if r.running > 0 {
-			loads = append(loads, Load{Runner: id, Running: r.running, PrefillTokens: r.prefill})
+			loads = append(loads, Load{Runner: r.entry.ID, Running: r.running, PrefillTokens: r.prefill})
 		}
 	}
 	return loads
@@ -212,12 +219,12 @@
 // out as unreachable or cut off come in when there is no other.
 func (b *Balancer) candidates(need Need, now time.Time) (usable []*runner, known int) {
 	var down []*runner
-	for id, r := range b.runners {
+	for _, r := range b.ordered {
 		if r.entry.Service != need.Service {
 			continue
 		}
 		known++
-		if r.entry.State != inventory.Ready || r.isReplaced || contains(need.Excluded, id) {
+		if r.entry.State != inventory.Ready || r.isReplaced || slices.Contains(need.Excluded, r.entry.ID) {
 			continue
 		}
 		if now.Before(r.downUntil) || b.isCutOff(r, now) {
@@ -232,15 +239,6 @@
 	return usable, known
 }
 
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
-
 // noise spreads the choices of daemons that see the same costs.
 const noise = 0.05
 
@@ -277,20 +275,27 @@
 	return running, prefill
 }
 
-// InFlight returns the requests that all daemons have at the runners of a
-// service which take requests, and the slots of those runners.
-func (b *Balancer) InFlight(service string, now time.Time) (running, prefill, slots, runners int) {
+// ServiceLoad is what is known of the load of a service.
+type ServiceLoad struct {
+	// Requests are those that all daemons have at its runners.
+	Requests int
+	// Runners take requests; Slots is the sum of theirs.
+	Runners, Slots int
+}
+
+// Load returns the load of a service.
+func (b *Balancer) Load(service string, now time.Time) ServiceLoad {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	for _, r := range b.runners {
+	var load ServiceLoad
+	for _, r := range b.ordered {
 		if r.entry.Service != service || r.entry.State != inventory.Ready || r.isReplaced || now.Before(r.downUntil) {
 			continue
 		}
-		ran, tokens := b.total(r, now)
-		running += ran
-		prefill += tokens
-		slots += r.entry.Slots
-		runners++
+		requests, _ := b.total(r, now)
+		load.Requests += requests
+		load.Slots += r.entry.Slots
+		load.Runners++
 	}
-	return running, prefill, slots, runners
+	return load
 }
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -72,8 +72,7 @@
 		demand = scaling.NewDemand(scaling.DefaultDemandOptions(), max(lasting, ready-lasting), now)
 		o.demands[service.Name] = demand
 	}
-	running, _, _, _ := o.balancer.InFlight(service.Name, now)
-	return demand.Runners(running, ready, now)
+	return demand.Runners(o.balancer.Load(service.Name, now).Requests, ready, now)
 }
 
 // Done implements duties.Orders.
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -124,8 +124,8 @@
 	if service.Engine != nil {
 		return nil
 	}
-	running, _, slots, runners := v.Balancer.InFlight(v.service, now)
-	if runners > 0 && float64(running) >= v.options.PlainQueue*float64(slots) {
+	load := v.Balancer.Load(v.service, now)
+	if load.Runners > 0 && float64(load.Requests) >= v.options.PlainQueue*float64(load.Slots) {
 		return unavailable("ServiceFull", waitForRoom, nil)
 	}
 	return nil
