--- a/balance/zone.go
+++ b/balance/zone.go
@@ -5,22 +5,28 @@
 // zone is what is known of the way to the runners of an availability zone.
 type zone struct {
 	// silent holds the runners that did not answer since one of the zone last
-	// did.
-	silent map[string]struct{}
+	// did, and attempts counts the attempts there.
+	silent   map[string]struct{}
+	attempts int
 	// cutUntil is when a zone that seems to be cut off is tried again.
 	cutUntil time.Time
 	// mute is true while no daemon of the zone is heard.
 	mute bool
 }
 
-// cutRunners is the number of runners of a zone that must be silent, with none
-// that answers, before the way to the zone is taken to be cut.
-const cutRunners = 2
+// cutRunners is the number of runners of a zone that must be silent in at least
+// cutAttempts attempts, with none that answers, before the way to the zone is
+// taken to be cut.
+const (
+	cutRunners  = 2
+	cutAttempts = 4
+)
 
 // noteSilence takes in that a runner did not answer.
 func (z *zone) noteSilence(runner string, now time.Time, retry time.Duration) {
 	z.silent[runner] = struct{}{}
-	if len(z.silent) >= cutRunners && !now.Before(z.cutUntil) {
+	z.attempts++
+	if len(z.silent) >= cutRunners && z.attempts >= cutAttempts && !now.Before(z.cutUntil) {
 		z.cutUntil = now.Add(retry)
 	}
 }
@@ -28,6 +34,7 @@
 // noteAnswer takes in that a runner answered.
 func (z *zone) noteAnswer() {
 	clear(z.silent)
+	z.attempts = 0
 	z.cutUntil = time.Time{}
 }
 
