Take a runner that sends to other requests for slow, not for silent

Change: the watch over an attempt counts from the runner's last event to any request here. Test: TestSlowRunnerIsNotTakenForASilentOne failed before.

--- a/balance/runner.go
+++ b/balance/runner.go
@@ -24,6 +24,8 @@
 	// last time that it was left out.
 	downUntil time.Time
 	downFor   time.Duration
+	// heard is when the runner last sent something to this daemon.
+	heard time.Time
 	// isReplaced is true when another runner was seen at the address.
 	isReplaced bool
 }
--- a/balance/ticket.go
+++ b/balance/ticket.go
@@ -44,6 +44,21 @@
 	return &Ticket{balancer: b, runner: r, need: need, prefill: uncached}
 }
 
+// Heard notes that the runner has sent something.
+func (t *Ticket) Heard(now time.Time) {
+	t.balancer.mutex.Lock()
+	defer t.balancer.mutex.Unlock()
+	t.runner.heard = now
+}
+
+// LastHeard returns when the runner last sent something to any request of this
+// daemon.
+func (t *Ticket) LastHeard() time.Time {
+	t.balancer.mutex.Lock()
+	defer t.balancer.mutex.Unlock()
+	return t.runner.heard
+}
+
 // Started notes the first event: the prompt has been prefilled.
 func (t *Ticket) Started() {
 	t.balancer.mutex.Lock()
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -164,6 +166,17 @@
 	return reply{status: response.StatusCode, header: response.Header, body: string(body), broken: err != nil}
 }
 
+// sendMany sends requests at once, each with an ID of its own.
+func (r *rig) sendMany(path string, count int) []reply {
+	replies := make([]reply, count)
+	var sent sync.WaitGroup
+	for i := range count {
+		sent.Go(func() { replies[i] = r.send(path, with("X-Attempt-Id", fmt.Sprint("attempt-", i))) })
+	}
+	sent.Wait()
+	return replies
+}
+
 // arrivals counts the requests that reached each runner.
 func (r *rig) arrivals() []int {
 	var counts []int
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/balance"
 	"github.com/cranberrywalk/cranberrywalk/metric"
@@ -79,7 +78,7 @@
 func (v *visit) attemptStream(ticket *balance.Ticket) error {
 	ctx, cancel := context.WithCancelCause(v.ctx)
 	defer cancel(nil)
-	silence := v.watchSilence(cancel)
+	silence := v.watchSilence(ticket, cancel)
 	defer silence.stop()
 	runner := v.choice.Runner.ID
 	v.enter(runner)
@@ -138,7 +137,7 @@
 		if err := v.checkOrder(e); err != nil {
 			return &upstream.BrokenError{Address: v.choice.Runner.Address, Cause: err}
 		}
-		silence.heard()
+		silence.heard(v.Clock.Now())
 		if !v.headWritten || v.machine.State() == request.Dispatched {
 			ticket.Started()
 			v.apply(request.AnswerBegan)
@@ -183,38 +182,3 @@
 	v.copyHeader(answer.Header)
 	v.writer.WriteHeader(answer.Status)
 }
-
-// silenceWatch ends an attempt whose runner sends nothing for too long.
-type silenceWatch struct {
-	timer interface {
-		Stop() bool
-		Reset(d time.Duration) bool
-	}
-	later time.Duration
-}
-
-// watchSilence returns a watch over an attempt. Streams that can't go on
-// elsewhere are not watched: waiting is all that can be done for them.
-func (v *visit) watchSilence(cancel context.CancelCauseFunc) *silenceWatch {
-	if !v.route.Repeatable() || v.sent+1 >= v.route.MaxAttempts {
-		return &silenceWatch{}
-	}
-	left := v.timeLeft(v.Clock.Now())
-	first := max(2*v.route.Target, v.options.StreamSilence)
-	first = min(first, time.Duration(v.options.FirstEventShare*float64(left)))
-	runner := v.choice.Runner.ID
-	timer := v.Clock.AfterFunc(first, func() { cancel(&SilentError{Runner: runner}) })
-	return &silenceWatch{timer: timer, later: v.options.StreamSilence}
-}
-
-func (w *silenceWatch) heard() {
-	if w.timer != nil {
-		w.timer.Reset(w.later)
-	}
-}
-
-func (w *silenceWatch) stop() {
-	if w.timer != nil {
-		w.timer.Stop()
-	}
-}
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -101,6 +102,23 @@
 	}
 }
 
+// TestSlowRunnerIsNotTakenForASilentOne is a runner that has lost its peers and
+// works off a queue: each stream waits long, but the runner sends to others.
+func TestSlowRunnerIsNotTakenForASilentOne(t *testing.T) {
+	var turn sync.Mutex
+	busy := func(standin.Arrival) standin.Behaviour {
+		turn.Lock()
+		defer turn.Unlock()
+		time.Sleep(150 * time.Millisecond)
+		return standin.Behaviour{Events: 3}
+	}
+	r := newRig(t, busy)
+	for _, got := range r.sendMany("/resumable/a", 6) {
+		r.c.Check(got.body, qt.Equals, standin.Events(3))
+	}
+	r.c.Check(r.arrivals(), qt.DeepEquals, []int{6}, qt.Commentf("no stream is sent again"))
+}
+
 func TestSmuggledRequestIsNotRun(t *testing.T) {
 	r := newRig(t, always(whole))
 	head := "POST /once/a HTTP/1.1\r\nHost: " + testHost + "\r\nX-Attempt-Id: one\r\nApi-Key: " + testKey + "\r\nConnection: close\r\n"
