Let one daemon read the store for all

Change: daemons tell how old what they hold is; one that hears of the same state from a reader takes its own for fresh. One reader (two before); the others read themselves when what they hold is older than 1.1 s. Test: TestQuietTopicIsFreshWhileAReaderSaysSo.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -136,11 +136,16 @@
 func (e *Entry) addFeeds() {
 	e.fleet = newFleet(e, inventory.New(inventory.Options{LapseWait: lapseWait}, platform.DecodeRunner))
 	e.byTopic = make(map[string]*feed.Feed)
-	e.addFeed(feed.Options{Topic: platform.ConfigurationTopic, Period: feedPeriod, Wait: configurationWait}, e.takeConfiguration)
 	e.addFeed(feed.Options{
-		Topic: platform.RunnersTopic, Period: feedPeriod, SparePeriod: spareRunnersPeriod, StaleAfter: staleAfter,
+		Topic: platform.ConfigurationTopic, Period: feedPeriod, Wait: configurationWait,
+		SparePeriod: sparePeriod, StaleAfter: staleAfter,
+	}, e.takeConfiguration)
+	e.addFeed(feed.Options{
+		Topic: platform.RunnersTopic, Period: feedPeriod, SparePeriod: sparePeriod, StaleAfter: staleAfter,
 	}, e.fleet.take)
-	e.addFeed(feed.Options{Topic: membersTopic, Period: membersPeriod}, e.takeMembers)
+	e.addFeed(feed.Options{
+		Topic: membersTopic, Period: membersPeriod, SparePeriod: spareMembersPeriod, StaleAfter: 2 * membersPeriod,
+	}, e.takeMembers)
 }
 
 const (
@@ -148,15 +153,16 @@
 	feedPeriod = 400 * time.Millisecond
 	// configurationWait is how long a read waits for a newer configuration. A
 	// connection that has gone silent is noticed after it.
-	configurationWait = 900 * time.Millisecond
-	// spareRunnersPeriod is the time between two reads of the runners by a
-	// daemon that gets them from others, and staleAfter the age of what it holds
-	// above which it reads the store itself.
-	spareRunnersPeriod = 3 * time.Second
-	staleAfter         = time.Second
+	configurationWait = 500 * time.Millisecond
+	// sparePeriod is the time between two reads by a daemon that gets a topic
+	// from others, and staleAfter the age of what it holds above which it reads
+	// the store itself.
+	sparePeriod = 4 * time.Second
+	staleAfter  = 1100 * time.Millisecond
 	// membersPeriod is the time between two reads of the list of daemons, who
 	// also tell each other of themselves.
-	membersPeriod = 5 * time.Second
+	membersPeriod      = 5 * time.Second
+	spareMembersPeriod = 20 * time.Second
 	// storeTimeout bounds a call to the store, and lostTimeout one while the
 	// store does not answer.
 	storeTimeout = 800 * time.Millisecond
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -28,7 +28,8 @@
 		digest.Heard = x.usage.Heard(from)
 	}
 	for topic, f := range x.byTopic {
-		digest.Ends = append(digest.Ends, membership.TopicEnd{Topic: topic, End: f.End()})
+		end := membership.TopicEnd{Topic: topic, End: f.End(), Age: now.Sub(f.Good())}
+		digest.Ends = append(digest.Ends, end)
 	}
 	digest.Ends = append(digest.Ends, membership.TopicEnd{Topic: dutiesTopic, End: x.duties.End()})
 	return digest
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -43,11 +43,21 @@
 	// ReadsForOthers reports whether this daemon is one of the few that read
 	// the store often.
 	ReadsForOthers() bool
+	// Newest tells what the daemon knows that knows most of a topic; false when
+	// none is heard.
+	Newest(topic string) (Knowledge, bool)
 	// Records returns what another daemon holds for one that knows every record
 	// up to an offset, and how long ago that daemon read it.
 	Records(ctx context.Context, topic string, from uint64) (latest.Extract, time.Duration, error)
 }
 
+// Knowledge is how far a daemon knows a topic.
+type Knowledge struct {
+	End uint64
+	// Age is how long ago the store was in that state.
+	Age time.Duration
+}
+
 // Batch is what a read has changed.
 type Batch struct {
 	Records []latest.Record
@@ -209,7 +219,17 @@
 	return nil
 }
 
+// readPeers takes over what another daemon knows more, or that what is held is
+// still the state of the store.
 func (f *Feed) readPeers(ctx context.Context) {
+	newest, found := f.peers.Newest(f.options.Topic)
+	if !found || newest.End < f.End() {
+		return
+	}
+	if newest.End == f.End() && f.Read() {
+		f.confirm(newest.Age)
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, f.options.PeerTimeout)
 	defer cancel()
 	extract, age, err := f.peers.Records(ctx, f.options.Topic, f.End())
@@ -231,6 +251,15 @@
 	f.take(batch)
 }
 
+// confirm notes that what is held was the state of the store some time ago.
+func (f *Feed) confirm(age time.Duration) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if good := f.common.Clock.Now().Add(-age); good.After(f.good) {
+		f.good = good
+	}
+}
+
 // succeed notes a read that is as good as one of the store some time ago. It is
 // called with the mutex held.
 func (f *Feed) succeed(changed []latest.Record, age time.Duration, fromStore bool) Batch {
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -93,6 +93,12 @@
 
 func (p *fakePeers) ReadsForOthers() bool { return !p.isSpare }
 
+func (p *fakePeers) Newest(string) (feed.Knowledge, bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return feed.Knowledge{End: p.topic.End(), Age: p.age}, true
+}
+
 func (p *fakePeers) Records(_ context.Context, _ string, from uint64) (latest.Extract, time.Duration, error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -278,6 +284,26 @@
 	r.c.Check(r.feed.Good().Sub(last) < 100*time.Millisecond, qt.IsTrue)
 }
 
+// TestQuietTopicIsFreshWhileAReaderSaysSo is a topic in which nothing happens: a
+// spare daemon does not read the store as long as a reader confirms its state.
+func TestQuietTopicIsFreshWhileAReaderSaysSo(t *testing.T) {
+	r := newRig(t, func(o *feed.Options) { o.SparePeriod, o.StaleAfter = time.Hour, 50*time.Millisecond })
+	r.store.put("a", "1")
+	r.peers.copyFrom(r.store)
+	r.peers.isSpare = true
+	r.eventually("first", func() bool { return r.value("a") == "1" })
+	time.Sleep(100 * time.Millisecond)
+	r.store.set(func(s *fakeStore) { s.reads = 0 })
+	time.Sleep(200 * time.Millisecond)
+	r.store.set(func(s *fakeStore) { r.c.Check(s.reads, qt.Equals, 0) })
+	r.peers.setAge(time.Minute)
+	r.eventually("an own read", func() bool {
+		read := false
+		r.store.set(func(s *fakeStore) { read = s.reads > 0 })
+		return read
+	})
+}
+
 func TestSpareDaemonReadsWhenItsReadersFallSilent(t *testing.T) {
 	r := newRig(t, func(o *feed.Options) { o.SparePeriod, o.StaleAfter = time.Hour, 50*time.Millisecond })
 	r.peers.isSpare = true
--- a/membership/digest.go
+++ b/membership/digest.go
@@ -49,6 +49,8 @@
 type TopicEnd struct {
 	Topic string
 	End   uint64
+	// Age is how long ago the store was in that state.
+	Age time.Duration
 }
 
 // RecordsRequest asks for what a daemon holds of a topic.
--- a/membership/group.go
+++ b/membership/group.go
@@ -9,6 +9,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/feed"
 	"github.com/cranberrywalk/cranberrywalk/latest"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 )
@@ -65,7 +66,7 @@
 	called time.Time
 	// calling is true while a call is under way.
 	calling bool
-	ends    map[string]uint64
+	ends    map[string]TopicEnd
 	// isSilent is true when the daemon was noted as lost.
 	isSilent bool
 }
@@ -169,8 +170,9 @@
 	return len(g.peers) + 1
 }
 
-// readers is the number of daemons that read the store for the others.
-const readers = 2
+// readers is the number of daemons that read the store for the others, who notice
+// by the age of what they hold when it does not.
+const readers = 1
 
 // ReadsForOthers implements feed.Peers: the daemons with the lowest names among
 // those that are heard read the store.
@@ -194,10 +196,36 @@
 	g.options.Seeds = seeds
 }
 
+// Newest implements feed.Peers.
+func (g *Group) Newest(topic string) (feed.Knowledge, bool) {
+	_, knowledge, found := g.newest(topic)
+	return knowledge, found
+}
+
+// newest returns the daemon that knows most of a topic and, of several, the one
+// that read it last.
+func (g *Group) newest(topic string) (address string, best feed.Knowledge, found bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.common.Clock.Now()
+	for _, p := range g.peers {
+		end, told := p.ends[topic]
+		since := now.Sub(p.heard)
+		if !told || since >= g.options.MuteAfter {
+			continue
+		}
+		known := feed.Knowledge{End: end.End, Age: end.Age + since}
+		if !found || known.End > best.End || known.End == best.End && known.Age < best.Age {
+			address, best, found = p.member.Address, known, true
+		}
+	}
+	return address, best, found
+}
+
 // Records implements feed.Peers: it reads a topic at the daemon that knows most
 // of it.
 func (g *Group) Records(ctx context.Context, topic string, from uint64) (latest.Extract, time.Duration, error) {
-	address, found := g.mostKnowing(topic, from)
+	address, _, found := g.newest(topic)
 	if !found {
 		return latest.Extract{}, 0, &NoPeerError{Topic: topic}
 	}
@@ -208,19 +236,6 @@
 	return reply.Extract, reply.Age, nil
 }
 
-func (g *Group) mostKnowing(topic string, from uint64) (string, bool) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	now := g.common.Clock.Now()
-	address, most := "", from
-	for _, p := range g.peers {
-		if end := p.ends[topic]; end > most && now.Sub(p.heard) < g.options.MuteAfter {
-			address, most = p.member.Address, end
-		}
-	}
-	return address, address != ""
-}
-
 // steps is the number of times in a period that calls are started, so that they
 // do not come at once.
 const steps = 4
@@ -355,9 +370,9 @@
 	if digest.Sender.Name == g.options.Self.Name || digest.Sender.Name == "" {
 		return
 	}
-	ends := make(map[string]uint64, len(digest.Ends))
+	ends := make(map[string]TopicEnd, len(digest.Ends))
 	for _, end := range digest.Ends {
-		ends[end.Topic] = end.End
+		ends[end.Topic] = end
 	}
 	g.mutex.Lock()
 	p := g.add(digest.Sender)
