--- /dev/null
+++ b/membership/membership_test.go
@@ -0,0 +1,166 @@
+package membership_test
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"github.com/cranberrywalk/cranberrywalk/latest"
+	"github.com/cranberrywalk/cranberrywalk/membership"
+	"github.com/cranberrywalk/cranberrywalk/telemetry"
+)
+
+// fakeHandler is a daemon's side of the exchange.
+type fakeHandler struct {
+	mutex  sync.Mutex
+	ends   []membership.TopicEnd
+	heard  map[string]int
+	toNew  int
+	extras latest.Extract
+}
+
+func (h *fakeHandler) Digest(toNew bool) membership.Digest {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if toNew {
+		h.toNew++
+	}
+	return membership.Digest{Ends: h.ends}
+}
+
+func (h *fakeHandler) Hear(digest membership.Digest, _ time.Duration) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.heard == nil {
+		h.heard = make(map[string]int)
+	}
+	h.heard[digest.Sender.Name]++
+}
+
+func (h *fakeHandler) Records(membership.RecordsRequest) membership.RecordsReply {
+	return membership.RecordsReply{Extract: h.extras, Age: time.Second}
+}
+
+func (h *fakeHandler) hears(name string) int {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.heard[name]
+}
+
+// daemon is one member of a group on loopback.
+type daemon struct {
+	member  membership.Member
+	handler *fakeHandler
+	group   *membership.Group
+	cancel  context.CancelFunc
+}
+
+func start(c *qt.C, name, zone string, seeds ...string) *daemon {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	address := listener.Addr().String()
+	c.Assert(listener.Close(), qt.IsNil)
+	d := &daemon{
+		member:  membership.Member{Name: name, Address: address, Zone: zone, Incarnation: "first"},
+		handler: &fakeHandler{},
+	}
+	options := membership.DefaultOptions(d.member, seeds)
+	options.Period, options.SilentPeriod = 40*time.Millisecond, 100*time.Millisecond
+	options.MuteAfter, options.SilentAfter = 300*time.Millisecond, 400*time.Millisecond
+	common := telemetry.NewCommon()
+	common.Log = logr.Discard()
+	d.group = membership.New(common, options, d.handler)
+	c.Assert(d.group.Listen(), qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	go d.group.Run(ctx)
+	c.Cleanup(d.stop)
+	return d
+}
+
+func (d *daemon) stop() {
+	d.cancel()
+	<-d.group.Done()
+}
+
+func eventually(c *qt.C, what string, holds func() bool) {
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	c.Fatalf("never: %s", what)
+}
+
+func TestDaemonsLearnOfEachOtherThroughASeed(t *testing.T) {
+	c := qt.New(t)
+	seed := start(c, "a", "zone-1")
+	b := start(c, "b", "zone-2", seed.member.Address)
+	eventually(c, "the seed hears b", func() bool { return seed.handler.hears("b") > 0 })
+	late := start(c, "c", "zone-3", seed.member.Address)
+	eventually(c, "b hears c", func() bool { return b.handler.hears("c") > 1 })
+	eventually(c, "c hears b", func() bool { return late.handler.hears("b") > 1 })
+	c.Check(late.group.Known(), qt.Equals, 3)
+	c.Check(seed.handler.toNew > 0, qt.IsTrue)
+}
+
+func TestOneDaemonReadsForTheOthers(t *testing.T) {
+	c := qt.New(t)
+	a := start(c, "a", "zone-1")
+	b := start(c, "b", "zone-2", a.member.Address)
+	eventually(c, "both hear", func() bool { return a.handler.hears("b") > 0 && b.handler.hears("a") > 0 })
+	c.Check(a.group.ReadsForOthers(), qt.IsTrue)
+	c.Check(b.group.ReadsForOthers(), qt.IsFalse)
+	a.stop()
+	eventually(c, "b reads itself", b.group.ReadsForOthers)
+}
+
+func TestZoneIsMuteWhenNoneOfItsDaemonsIsHeard(t *testing.T) {
+	c := qt.New(t)
+	a := start(c, "a", "zone-1")
+	b := start(c, "b", "zone-2", a.member.Address)
+	d := start(c, "d", "zone-2", a.member.Address)
+	eventually(c, "a hears all", func() bool { return a.handler.hears("b") > 0 && a.handler.hears("d") > 0 })
+	c.Check(a.group.MuteZones(), qt.HasLen, 0)
+	b.stop()
+	time.Sleep(500 * time.Millisecond)
+	c.Check(a.group.MuteZones(), qt.HasLen, 0)
+	d.stop()
+	eventually(c, "the zone is mute", func() bool { return len(a.group.MuteZones()) == 1 })
+}
+
+func TestRecordsComeFromTheDaemonThatKnowsMost(t *testing.T) {
+	c := qt.New(t)
+	a := start(c, "a", "zone-1")
+	_, found := a.group.Newest("x")
+	c.Check(found, qt.IsFalse)
+	knowing := start(c, "b", "zone-2", a.member.Address)
+	knowing.handler.ends = []membership.TopicEnd{{Topic: "x", End: 9, Age: 3 * time.Second}}
+	knowing.handler.extras = latest.Extract{End: 9, Records: []latest.Record{{Key: "k", Value: []byte("v"), Offset: 8}}}
+	other := start(c, "d", "zone-2", a.member.Address)
+	other.handler.ends = []membership.TopicEnd{{Topic: "x", End: 4}}
+	eventually(c, "a hears all", func() bool { return a.handler.hears("b") > 1 && a.handler.hears("d") > 1 })
+	newest, found := a.group.Newest("x")
+	c.Check(found, qt.IsTrue)
+	c.Check(newest.End, qt.Equals, uint64(9))
+	c.Check(newest.Age >= 3*time.Second, qt.IsTrue)
+	extract, age, err := a.group.Records(context.Background(), "x", 5)
+	c.Assert(err, qt.IsNil)
+	c.Check(extract, qt.DeepEquals, knowing.handler.extras)
+	c.Check(age, qt.Equals, time.Second)
+}
+
+func TestFarewellReachesEveryDaemon(t *testing.T) {
+	c := qt.New(t)
+	a := start(c, "a", "zone-1")
+	b := start(c, "b", "zone-2", a.member.Address)
+	eventually(c, "both hear", func() bool { return a.handler.hears("b") > 0 && b.handler.hears("a") > 0 })
+	before := a.handler.hears("b")
+	b.group.Farewell(context.Background())
+	c.Check(a.handler.hears("b") > before, qt.IsTrue)
+}
