--- /dev/null
+++ b/duties/duties_test.go
@@ -0,0 +1,167 @@
+package duties_test
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"github.com/cranberrywalk/cranberrywalk/duties"
+	"github.com/cranberrywalk/cranberrywalk/duty"
+	"github.com/cranberrywalk/cranberrywalk/platform"
+	"github.com/cranberrywalk/cranberrywalk/platform/standin"
+	"github.com/cranberrywalk/cranberrywalk/telemetry"
+	"github.com/cranberrywalk/cranberrywalk/truetime"
+	"github.com/cranberrywalk/cranberrywalk/usage"
+)
+
+// window is the length of a window of usage, and lease the platform's lease time.
+const (
+	window = 300 * time.Millisecond
+	lease  = 600 * time.Millisecond
+)
+
+// noOrders is a fleet that is as it should be.
+type noOrders struct{}
+
+func (noOrders) Due(time.Time) []duty.Order    { return nil }
+func (noOrders) Done(duty.Order, time.Time)    {}
+func (noOrders) Refused(duty.Order, time.Time) {}
+func (noOrders) Reset()                        {}
+
+// process is one daemon's part in the duties.
+type process struct {
+	duties *duties.Duties
+	usage  *usage.Book
+	cancel context.CancelFunc
+}
+
+type rig struct {
+	c     *qt.C
+	store *standin.Store
+	cloud *standin.Cloud
+}
+
+func newRig(t *testing.T) *rig {
+	r := &rig{c: qt.New(t), store: standin.NewStore()}
+	r.c.Cleanup(r.store.Close)
+	cloud, err := standin.NewCloud()
+	r.c.Assert(err, qt.IsNil)
+	r.c.Cleanup(cloud.Close)
+	r.cloud = cloud
+	return r
+}
+
+func (r *rig) start(name string) *process {
+	address, err := r.store.Open(name)
+	r.c.Assert(err, qt.IsNil)
+	common := telemetry.NewCommon()
+	common.Log = logr.Discard()
+	book := usage.New(window, 40)
+	p := &process{usage: book}
+	p.duties = duties.New(common, duties.Parts{
+		Store: platform.NewStore(address, &http.Client{}), Usage: book, Orders: noOrders{},
+		Platform: platform.NewDuties(r.cloud.Address(), name, &http.Client{}),
+		TrueTime: truetime.New(time.Minute, common.Clock.Now()),
+	}, duties.Options{
+		Topic: "duties", Self: name + "/1", Period: 20 * time.Millisecond, Timeout: 200 * time.Millisecond,
+		UsageAfter: 50 * time.Millisecond, UsageLimit: 5 * time.Second, OrderPeriod: time.Second,
+		HasUsage: true, Lease: duty.DefaultOptions(lease),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	go p.duties.Run(ctx)
+	r.c.Cleanup(func() {
+		cancel()
+		<-p.duties.Done()
+	})
+	return p
+}
+
+func (r *rig) eventually(what string, holds func() bool) {
+	for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	r.c.Fatalf("never: %s", what)
+}
+
+// reports returns the counts of each window, which must not differ between two
+// reports of one window.
+func (r *rig) reports() map[int64]int64 {
+	counts := make(map[int64]int64)
+	for _, report := range r.cloud.Reports() {
+		if held, twice := counts[report.Window]; twice {
+			r.c.Assert(report.Counts["library"], qt.Equals, held)
+		}
+		counts[report.Window] = report.Counts["library"]
+	}
+	return counts
+}
+
+// count lets processes count a request in every window.
+func count(ctx context.Context, books ...*usage.Book) {
+	for ctx.Err() == nil {
+		for _, book := range books {
+			book.Began("library", time.Now())
+		}
+		time.Sleep(window)
+	}
+}
+
+func TestOneProcessReports(t *testing.T) {
+	r := newRig(t)
+	a, b := r.start("a"), r.start("b")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go count(ctx, a.usage, b.usage)
+	r.eventually("three windows", func() bool { return len(r.reports()) >= 3 })
+	holders := map[string]bool{}
+	for _, report := range r.cloud.Reports() {
+		holders[report.Holder] = true
+	}
+	r.c.Check(holders, qt.HasLen, 1)
+}
+
+// TestReportsUnderFaults has the store lose answers and carry writes out late, the
+// cloud lose answers, and the holder stopped.
+func TestReportsUnderFaults(t *testing.T) {
+	for name, fault := range map[string]standin.Fault{
+		"lost answers": standin.Lost, "late writes": standin.Late, "refusals": standin.Refused,
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			a, b := r.start("a"), r.start("b")
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go count(ctx, a.usage, b.usage)
+			var mutex sync.Mutex
+			calls := 0
+			r.store.SetFault(func(call standin.Call) standin.Fault {
+				mutex.Lock()
+				defer mutex.Unlock()
+				calls++
+				if call.Path == "/-/log-append" && calls%3 == 0 {
+					return fault
+				}
+				return standin.None
+			})
+			r.cloud.Lose(2)
+			r.eventually("two windows", func() bool { return len(r.reports()) >= 2 })
+			a.cancel()
+			<-a.duties.Done()
+			before := len(r.reports())
+			r.eventually("windows after the stop", func() bool { return len(r.reports()) >= before+2 })
+			highest := uint64(0)
+			for _, report := range r.cloud.Reports() {
+				r.c.Check(report.Fence >= highest, qt.IsTrue)
+				highest = max(highest, report.Fence)
+			}
+		})
+	}
+}
--- a/gateway/plain_test.go
+++ b/gateway/plain_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -106,6 +108,22 @@
 	r.c.Check(got.header.Get("X-Attempt-Id"), qt.Equals, "attempt-2")
 }
 
+// TestEarlyAnswerToALongBody is a runner that answers before it has read the body
+// and takes what follows on the connection for the rest of it.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	r := newRig(t, inTurn(standin.Behaviour{Early: true, Status: 400, Body: "no"}, whole))
+	long := strings.Repeat("a long question ", 100000)
+	got := r.send("/once/a", func(request *http.Request) {
+		request.Body = io.NopCloser(strings.NewReader(long))
+		request.ContentLength = int64(len(long))
+	})
+	r.c.Check(got.status, qt.Equals, http.StatusBadRequest)
+	r.c.Check(r.send("/once/b").status, qt.Equals, http.StatusOK)
+	first := r.runners[0].Arrivals()[0]
+	r.c.Check(strings.HasPrefix(long, first.Body), qt.IsTrue, qt.Commentf("other bytes came in place of the body"))
+	r.c.Check(r.arrivals(), qt.DeepEquals, []int{2})
+}
+
 func TestClosedIdleConnectionCostsNoRequest(t *testing.T) {
 	r := newRig(t, inTurn(whole, whole))
 	r.c.Assert(r.send("/once/a").status, qt.Equals, http.StatusOK)
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -46,6 +46,12 @@
 	return membership.RecordsReply{Extract: h.extras, Age: time.Second}
 }
 
+func (h *fakeHandler) tell(ends ...membership.TopicEnd) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.ends = ends
+}
+
 func (h *fakeHandler) hears(name string) int {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
@@ -106,6 +112,8 @@
 	eventually(c, "b hears c", func() bool { return b.handler.hears("c") > 1 })
 	eventually(c, "c hears b", func() bool { return late.handler.hears("b") > 1 })
 	c.Check(late.group.Known(), qt.Equals, 3)
+	seed.handler.mutex.Lock()
+	defer seed.handler.mutex.Unlock()
 	c.Check(seed.handler.toNew > 0, qt.IsTrue)
 }
 
@@ -140,14 +148,15 @@
 	_, found := a.group.Newest("x")
 	c.Check(found, qt.IsFalse)
 	knowing := start(c, "b", "zone-2", a.member.Address)
-	knowing.handler.ends = []membership.TopicEnd{{Topic: "x", End: 9, Age: 3 * time.Second}}
 	knowing.handler.extras = latest.Extract{End: 9, Records: []latest.Record{{Key: "k", Value: []byte("v"), Offset: 8}}}
+	knowing.handler.tell(membership.TopicEnd{Topic: "x", End: 9, Age: 3 * time.Second})
 	other := start(c, "d", "zone-2", a.member.Address)
-	other.handler.ends = []membership.TopicEnd{{Topic: "x", End: 4}}
-	eventually(c, "a hears all", func() bool { return a.handler.hears("b") > 1 && a.handler.hears("d") > 1 })
-	newest, found := a.group.Newest("x")
-	c.Check(found, qt.IsTrue)
-	c.Check(newest.End, qt.Equals, uint64(9))
+	other.handler.tell(membership.TopicEnd{Topic: "x", End: 4})
+	eventually(c, "a hears all", func() bool {
+		newest, found := a.group.Newest("x")
+		return found && newest.End == 9 && a.handler.hears("d") > 1
+	})
+	newest, _ := a.group.Newest("x")
 	c.Check(newest.Age >= 3*time.Second, qt.IsTrue)
 	extract, age, err := a.group.Records(context.Background(), "x", 5)
 	c.Assert(err, qt.IsNil)
