--- a/entry/rig_test.go
+++ b/entry/rig_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -15,6 +14,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/cranberrywalk/cranberrywalk/entry"
+	"github.com/cranberrywalk/cranberrywalk/fleet"
 	"github.com/cranberrywalk/cranberrywalk/platform"
 	"github.com/cranberrywalk/cranberrywalk/platform/standin"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
@@ -147,10 +147,9 @@
 }
 
 func freeAddress(c *qt.C) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := fleet.FreeAddress()
 	c.Assert(err, qt.IsNil)
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 // ready waits until all daemons are ready and know each other.
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"testing"
 	"time"
@@ -10,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
 
+	"github.com/cranberrywalk/cranberrywalk/fleet"
 	"github.com/cranberrywalk/cranberrywalk/latest"
 	"github.com/cranberrywalk/cranberrywalk/membership"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
@@ -67,10 +67,8 @@
 }
 
 func start(c *qt.C, name, zone string, seeds ...string) *daemon {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := fleet.FreeAddress()
 	c.Assert(err, qt.IsNil)
-	address := listener.Addr().String()
-	c.Assert(listener.Close(), qt.IsNil)
 	d := &daemon{
 		member:  membership.Member{Name: name, Address: address, Zone: zone, Incarnation: "first"},
 		handler: &fakeHandler{},
