Call seeds again until they are heard

Cause: TestQuotaHoldsOverAllDaemons failed in one of five runs with 195 of 110 granted: the seed was not listening yet when the others called it once, so that the three daemons knew each other only 5 s later and each granted the whole rate. Conclusion: on the platform all machines start within 0.3 s, in any order: it could happen there too.

--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -13,11 +13,7 @@
 const steps = 4
 
 func (g *Group) exchange(ctx context.Context, calls *sync.WaitGroup) {
-	for _, seed := range g.options.Seeds {
-		if seed != g.options.Self.Address {
-			calls.Go(func() { g.callAddress(ctx, seed) })
-		}
-	}
+	calls.Go(func() { g.callSeeds(ctx, calls) })
 	for clock.Sleep(ctx, g.common.Clock, g.options.Period/steps) == nil {
 		for _, p := range g.due() {
 			calls.Go(func() { g.callPeer(ctx, p) })
@@ -25,6 +21,37 @@
 	}
 }
 
+// callSeeds calls the seeds from which nothing was heard yet, for as long as this
+// daemon is new: all may start at once, in any order.
+func (g *Group) callSeeds(ctx context.Context, calls *sync.WaitGroup) {
+	for g.common.Clock.Since(g.began) < g.options.NewFor {
+		for _, seed := range g.unheardSeeds() {
+			calls.Go(func() { g.callAddress(ctx, seed) })
+		}
+		if clock.Sleep(ctx, g.common.Clock, g.options.Period) != nil {
+			return
+		}
+	}
+}
+
+func (g *Group) unheardSeeds() []string {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	heard := map[string]bool{g.options.Self.Address: true}
+	for _, p := range g.peers {
+		if !p.heard.IsZero() {
+			heard[p.member.Address] = true
+		}
+	}
+	var unheard []string
+	for _, seed := range g.options.Seeds {
+		if !heard[seed] {
+			unheard = append(unheard, seed)
+		}
+	}
+	return unheard
+}
+
 // due returns the daemons to call now. Of two daemons the one with the lower
 // name calls; the other one does when it has heard nothing for long.
 func (g *Group) due() []*peer {
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -69,10 +69,11 @@
 func start(c *qt.C, name, zone string, seeds ...string) *daemon {
 	address, err := fleet.FreeAddress()
 	c.Assert(err, qt.IsNil)
-	d := &daemon{
-		member:  membership.Member{Name: name, Address: address, Zone: zone, Incarnation: "first"},
-		handler: &fakeHandler{},
-	}
+	return startAt(c, membership.Member{Name: name, Address: address, Zone: zone, Incarnation: "first"}, seeds...)
+}
+
+func startAt(c *qt.C, member membership.Member, seeds ...string) *daemon {
+	d := &daemon{member: member, handler: &fakeHandler{}}
 	options := membership.DefaultOptions(d.member, seeds)
 	options.Period, options.SilentPeriod = 40*time.Millisecond, 100*time.Millisecond
 	options.MuteAfter, options.SilentAfter = 300*time.Millisecond, 400*time.Millisecond
@@ -115,6 +116,19 @@
 	c.Check(seed.handler.toNew > 0, qt.IsTrue)
 }
 
+// TestSeedThatStartsLast is a start of all daemons at once, of which the seed is
+// the last to listen.
+func TestSeedThatStartsLast(t *testing.T) {
+	c := qt.New(t)
+	address, err := fleet.FreeAddress()
+	c.Assert(err, qt.IsNil)
+	early := start(c, "b", "zone-2", address)
+	time.Sleep(100 * time.Millisecond)
+	seed := startAt(c, membership.Member{Name: "a", Address: address, Zone: "zone-1", Incarnation: "first"})
+	eventually(c, "the early one hears the seed", func() bool { return early.handler.hears("a") > 0 })
+	eventually(c, "the seed hears the early one", func() bool { return seed.handler.hears("b") > 0 })
+}
+
 func TestOneDaemonReadsForTheOthers(t *testing.T) {
 	c := qt.New(t)
 	a := start(c, "a", "zone-1")
