--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -50,7 +50,7 @@
 // DefaultOptions returns the defaults for a daemon in a zone.
 func DefaultOptions(zone string) Options {
 	return Options{
-		Zone: zone, Uncached: 5, Running: 60, OtherZone: 500, OtherZonePlain: 0.5,
+		Zone: zone, Uncached: 5, Running: 60, OtherZone: 2000, OtherZonePlain: 0.5,
 		Failing: 20, FailingEngine: 60000, FailureMemory: 3 * time.Second,
 		FirstDown: 500 * time.Millisecond, MostDown: 4 * time.Second, CutRetry: time.Second,
 		PeerMemory: 3 * time.Second, CacheShare: 0.5,
--- a/duty/holder.go
+++ b/duty/holder.go
@@ -17,7 +17,7 @@
 
 // DefaultOptions returns the options for a lease time of the platform.
 func DefaultOptions(lease time.Duration) Options {
-	return Options{Lease: lease / 2, Margin: lease / 6, Renewal: lease / 4, MostReports: 64}
+	return Options{Lease: lease / 3, Margin: lease / 8, Renewal: lease / 6, MostReports: 64}
 }
 
 // Holder is one process's view of who holds the duties. Times are readings of
@@ -28,6 +28,8 @@
 	self    string
 	// end is the offset after the last folded entry.
 	end uint64
+	// began is when the process began.
+	began time.Time
 	// changed is when the end last moved, as seen here.
 	changed time.Time
 	// holder is the process that wrote the last entry, or empty when it gave
@@ -47,7 +49,7 @@
 
 // NewHolder returns the view of a process that has read nothing.
 func NewHolder(options Options, self string, now time.Time) *Holder {
-	return &Holder{options: options, self: self, changed: now, reports: make(map[int64]Report)}
+	return &Holder{options: options, self: self, began: now, changed: now, reports: make(map[int64]Report)}
 }
 
 // End returns the offset of the next entry to fold.
@@ -106,14 +108,14 @@
 	}
 }
 
-// MustRead reports whether the log has to be read to learn whether the duties
-// can be taken over.
+// MustRead reports whether the log has to be read: nobody holds the duties, or
+// nothing was heard of the holder for a lease. It is read again and again then,
+// since only a log that does not grow for long shows that the holder is gone.
 func (h *Holder) MustRead(now time.Time) bool {
 	if h.holder == h.self {
 		return false
 	}
-	wait := h.options.Lease + h.options.Margin
-	return h.holder == "" || now.Sub(h.changed) >= wait && now.Sub(h.heardAt) >= wait
+	return h.holder == "" || now.Sub(h.heardAt) >= h.options.Lease && now.Sub(h.began) >= h.options.Lease
 }
 
 // MayTake reports whether the duties can be taken over.
--- a/scaling/planner.go
+++ b/scaling/planner.go
@@ -22,9 +22,9 @@
 	// Spare is the part by which the reclaimable runners exceed the number
 	// that is needed, so that the loss of a zone is borne.
 	Spare float64
-	// LastingShare is the part of the number that is needed up to which
-	// lasting runners fill in for reclaimable ones.
-	LastingShare float64
+	// Reserve is the part of the number that is needed which is to be left when
+	// a zone loses its reclaimable runners while some zone has none to give.
+	Reserve float64
 	// BootMargin is added to the boot time before an ordered runner is taken
 	// to be lost.
 	BootMargin time.Duration
@@ -34,7 +34,7 @@
 
 // DefaultOptions returns the defaults.
 func DefaultOptions() Options {
-	return Options{BlockedFor: 6 * time.Second, Spare: 0.5, LastingShare: 1, Settle: time.Second, BootMargin: 4 * time.Second}
+	return Options{BlockedFor: 6 * time.Second, Spare: 0.5, Reserve: 0.75, Settle: time.Second, BootMargin: 4 * time.Second}
 }
 
 // Zone counts the runners of a service in a zone.
@@ -189,13 +189,20 @@
 // planLasting fills what the ready reclaimable runners lack with lasting ones,
 // which are given back a while after they are no longer needed.
 func (p *Planner) planLasting(need Need, reclaimable map[string]int, now time.Time) map[string]int {
-	ready, held := 0, 0
+	ready, largest, held := 0, 0, 0
+	isScarce := false
 	for _, zone := range need.Zones {
 		ready += zone.Reclaimable
+		largest = max(largest, zone.Reclaimable)
 		held += p.held(need, zone)
+		isScarce = isScarce || p.isBlocked(need.Service.Name, zone.Name, now)
+	}
+	missing := max(need.Runners-ready, 0)
+	if isScarce {
+		// What the largest zone may lose can't be replaced by others like it.
+		reserve := int(math.Ceil(float64(need.Runners) * p.options.Reserve))
+		missing = max(missing, reserve-(ready-largest))
 	}
-	wanted := int(math.Ceil(float64(need.Runners) * p.options.LastingShare))
-	missing := max(wanted-ready, 0)
 	service := need.Service.Name
 	switch {
 	case missing >= held:
--- a/scaling/planner_test.go
+++ b/scaling/planner_test.go
@@ -222,3 +222,21 @@
 	}
 	c.Check(total >= 3, qt.IsTrue, qt.Commentf("%v", ordered))
 }
+
+// TestLastZoneIsReclaimed is the loss of the last zone with reclaimable runners
+// while none are to be had: most of what is needed must be there at that moment.
+func TestLastZoneIsReclaimed(t *testing.T) {
+	c := qt.New(t)
+	cloud := newCloud(0)
+	p := scaling.New(scaling.DefaultOptions())
+	now := cloud.rounds(p, 8, start, 10)
+	cloud.reclaim("a", zoneNames...)
+	now = cloud.rounds(p, 8, now, 6)
+	cloud.reclaim("b")
+	now = cloud.rounds(p, 8, now, 6)
+	cloud.reclaim("c")
+	cloud.rounds(p, 8, now, 6)
+	cloud.reclaim("d")
+	_, lasting := cloud.total()
+	c.Check(lasting >= 6, qt.IsTrue, qt.Commentf("%d lasting runners are left of the 8 that are needed", lasting))
+}
