Make the begin of a departure one step, and tell crashes for five seconds only

Cause, found by reading: a stream could be found at its runner and leave it before the move was noted, so that the next attempt waited for a move that was not its own; every digest held all crashes of ten minutes. Change: the runner of a stream and its move are under one lock; recent crashes are told, all to a daemon that starts.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -13,6 +13,9 @@
 // toldWindows is the number of windows whose counts are told to other daemons.
 const toldWindows = 2
 
+// toldCrashes is how long a crash is told to other daemons.
+const toldCrashes = 5 * time.Second
+
 // Digest implements membership.Handler.
 func (x exchange) Digest(toNew bool) membership.Digest {
 	now := x.Clock.Now()
@@ -22,10 +25,11 @@
 		Loads:    x.balancer.Loads(),
 		Uses:     x.quotas.Uses(),
 		Counts:   x.usage.Own(from),
-		Crashes:  x.suspects.Entries(now),
+		Crashes:  x.suspects.Recent(toldCrashes, now),
 	}
 	if toNew {
 		digest.Heard = x.usage.Heard(from)
+		digest.Crashes = x.suspects.Entries(now)
 	}
 	for topic, f := range x.byTopic {
 		end := membership.TopicEnd{Topic: topic, End: f.End(), Age: now.Sub(f.Good())}
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -131,7 +131,7 @@
 	return nil
 }
 
-// timeOf returns how long a runner may work at most, from now on.
+// timeLeft returns how long a runner may work at most, from now on.
 func (v *visit) timeLeft(now time.Time) time.Duration { return v.deadline.Sub(now) }
 
 // attemptOf describes an attempt at a runner.
@@ -142,7 +142,7 @@
 	}
 }
 
-// isEngine reports whether the request is for a model engine.
+// engine returns the model engine that the request is for, or nil.
 func (v *visit) engine() *catalog.Engine {
 	service, _ := v.catalog.Service(v.service)
 	return service.Engine
--- a/gateway/departure.go
+++ b/gateway/departure.go
@@ -12,6 +12,8 @@
 type departure struct {
 	// done is closed when the move has succeeded or failed.
 	done chan struct{}
+	// source is the choice of the attempt that is left.
+	source balance.Choice
 	// run is the stopped run, or nil when the stream was left where it is. It
 	// is set before done is closed.
 	run *call.StoppedRun
@@ -31,6 +33,9 @@
 
 // enter notes that the stream is at a runner, and exit that it is no longer.
 func (v *visit) enter(runner string) {
+	v.mutex.Lock()
+	v.at = runner
+	v.mutex.Unlock()
 	v.Gateway.mutex.Lock()
 	defer v.Gateway.mutex.Unlock()
 	if v.streams[runner] == nil {
@@ -40,6 +45,9 @@
 }
 
 func (v *visit) exit(runner string) {
+	v.mutex.Lock()
+	v.at = ""
+	v.mutex.Unlock()
 	v.Gateway.mutex.Lock()
 	defer v.Gateway.mutex.Unlock()
 	delete(v.streams[runner], v)
@@ -48,61 +56,66 @@
 	}
 }
 
-// isAt reports whether the stream is at a runner.
-func (v *visit) isAt(runner string) bool {
-	v.Gateway.mutex.Lock()
-	defer v.Gateway.mutex.Unlock()
-	_, there := v.streams[runner][v]
-	return there
-}
-
 // depart stops the run at its runner and has its memory copied to another one.
 // The stream then breaks off and goes on from there.
 func (v *visit) depart(runner string) {
-	if clock.Sleep(v.ctx, v.Clock, v.options.MoveAfter) != nil || !v.isAt(runner) {
+	if clock.Sleep(v.ctx, v.Clock, v.options.MoveAfter) != nil {
 		return
 	}
-	d := &departure{done: make(chan struct{})}
-	v.mutex.Lock()
-	if v.leaving != nil {
-		v.mutex.Unlock()
+	d, need, leaves := v.beginDeparture(runner)
+	if !leaves {
 		return
 	}
-	v.leaving = d
-	source := v.choice
-	v.mutex.Unlock()
 	defer close(d.done)
-	v.move(d, source)
+	v.move(d, need)
 }
 
-func (v *visit) move(d *departure, source balance.Choice) {
+// beginDeparture returns a departure from the runner, and what the request needs
+// of the next one, if the stream is still there.
+func (v *visit) beginDeparture(runner string) (*departure, balance.Need, bool) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	if v.at != runner || v.leaving != nil {
+		return nil, balance.Need{}, false
+	}
+	v.leaving = &departure{done: make(chan struct{}), source: v.choice}
+	need := v.need()
+	need.Excluded = append(need.Excluded, runner)
+	return v.leaving, need, true
+}
+
+func (v *visit) move(d *departure, need balance.Need) {
 	if !v.Retries.Take(v.service, v.Group.Known(), v.Clock.Now()) {
-		v.Log.Info("StreamStays", "Request", v.call.ID, "Runner", source.Runner.ID, "Reason", "RetryBudgetUsedUp")
+		v.noteStay(d, "RetryBudgetUsedUp")
 		return
 	}
-	need := v.need()
-	need.Excluded = append(need.Excluded, source.Runner.ID)
 	choice, ticket, err := v.Balancer.Choose(need, v.Clock.Now())
 	if err != nil {
-		v.Log.Info("StreamStays", "Request", v.call.ID, "Runner", source.Runner.ID, "Reason", err.Error())
+		v.noteStay(d, err.Error())
 		return
 	}
 	ctx, cancel := context.WithTimeout(v.ctx, v.options.MoveTimeout)
 	defer cancel()
-	run, copied, err := v.Mover.Stop(ctx, source.Runner.Address, v.call.ID, choice.Runner.Address)
+	source := d.source.Runner
+	run, copied, err := v.Mover.Stop(ctx, source.Address, v.call.ID, choice.Runner.Address)
 	if err != nil {
 		ticket.End(balance.Cancelled, v.Clock.Now())
-		v.Count("Streams.NotMoved", 1)
-		v.Log.Info("StreamStays", "Request", v.call.ID, "Runner", source.Runner.ID, "Reason", err.Error())
+		v.noteStay(d, err.Error())
 		return
 	}
 	if !copied {
 		ticket.End(balance.Cancelled, v.Clock.Now())
-		choice, ticket = source, v.Balancer.Return(source.Runner.ID)
+		choice, ticket = d.source, v.Balancer.Return(source.ID)
 	}
 	d.run, d.choice, d.ticket = &run, choice, ticket
 	v.Count("Streams.Moved", 1)
-	v.Log.Info("StreamMoved", "Request", v.call.ID, "From", source.Runner.ID, "To", choice.Runner.ID, "Copied", copied)
+	v.Log.Info("StreamMoved", "Request", v.call.ID, "From", source.ID, "To", choice.Runner.ID, "Copied", copied)
+}
+
+// noteStay tells why a stream was left where it is.
+func (v *visit) noteStay(d *departure, reason string) {
+	v.Count("Streams.NotMoved", 1)
+	v.Log.Info("StreamStays", "Request", v.call.ID, "Runner", d.source.Runner.ID, "Reason", reason)
 }
 
 // departed returns the move that ended the attempt, or nil. It waits for one
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -168,12 +168,16 @@
 }
 
 // Entries returns what has not expired, by fingerprint.
-func (b *Book) Entries(now time.Time) []Entry {
+func (b *Book) Entries(now time.Time) []Entry { return b.Recent(b.options.Lifetime, now) }
+
+// Recent returns what was added within a time, by fingerprint.
+func (b *Book) Recent(within time.Duration, now time.Time) []Entry {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var entries []Entry
 	for _, entry := range b.entries {
-		if now.Before(entry.Expires) {
+		added := entry.Expires.Add(-b.options.Lifetime)
+		if now.Before(entry.Expires) && now.Sub(added) <= within {
 			entries = append(entries, entry)
 		}
 	}
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -84,3 +84,18 @@
 }
 
 func newBook() *suspect.Book { return suspect.New(suspect.DefaultOptions()) }
+
+// TestRecentCrashesAreTold is a daemon that tells others of crashes several times
+// a second: what it has told for long need not be told again.
+func TestRecentCrashesAreTold(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	book := suspect.New(suspect.DefaultOptions())
+	book.Add(1, 11, now)
+	later := now.Add(10 * time.Second)
+	book.Add(2, 22, later)
+	c.Check(book.Entries(later), qt.HasLen, 2)
+	recent := book.Recent(3*time.Second, later)
+	c.Assert(recent, qt.HasLen, 1)
+	c.Check(recent[0].Fingerprint, qt.Equals, uint64(2))
+}
