Log what requests met on the way, and what the daemon comes to believe of runners and zones

Cause: a request whose process dies had no line at all, and runners left out and cut zones were not told. Change: RequestAccepted and RunnerChosen, thinned first; RunnerDown, RunnerUp, RunnerReplaced, ZoneCut, ZoneBack.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -42,6 +42,9 @@
 	CutRetry time.Duration
 	// PeerMemory is how long the loads that a peer told are used.
 	PeerMemory time.Duration
+	// Believed is told of changes of belief, with the balancer locked; it may be
+	// nil.
+	Believed func(Belief)
 	// CacheShare is the part of a runner's memory that is taken to hold
 	// prompts that were sent there.
 	CacheShare float64
--- a/balance/ticket.go
+++ b/balance/ticket.go
@@ -64,7 +64,7 @@
 	t.balancer.mutex.Lock()
 	defer t.balancer.mutex.Unlock()
 	t.settle()
-	t.balancer.zoneOf(t.runner.entry.Zone).noteAnswer()
+	t.balancer.noteAnswer(t.runner)
 }
 
 func (t *Ticket) settle() {
@@ -83,23 +83,42 @@
 	t.ended = true
 	t.settle()
 	t.runner.running--
-	zone := b.zoneOf(t.runner.entry.Zone)
-	switch result {
-	case Succeeded, Rejected, Replaced:
-		zone.noteAnswer()
-	case Unreachable, Silent:
-		zone.noteSilence(t.runner.entry.ID, now, b.options.CutRetry)
-	}
+	b.noteWay(t.runner, result, now)
 	switch result {
 	case Succeeded:
 		t.runner.note(false, now, b.options.FailureMemory)
+		if t.runner.downFor > 0 {
+			b.believe(RunnerUp, t.runner)
+		}
 		t.runner.downFor = 0
 	case Failed, Rejected, Silent:
 		t.runner.note(true, now, b.options.FailureMemory)
 	case Unreachable:
 		t.runner.note(true, now, b.options.FailureMemory)
+		if t.runner.downFor == 0 {
+			b.believe(RunnerDown, t.runner)
+		}
 		t.runner.unreachable(now, b.options.FirstDown, b.options.MostDown)
 	case Replaced:
 		t.runner.isReplaced = true
+		b.believe(RunnerReplaced, t.runner)
+	}
+}
+
+// noteWay takes in what a result says about the way to the runner's zone.
+func (b *Balancer) noteWay(r *runner, result Result, now time.Time) {
+	switch result {
+	case Succeeded, Rejected, Replaced:
+		b.noteAnswer(r)
+	case Unreachable, Silent:
+		if b.zoneOf(r.entry.Zone).noteSilence(r.entry.ID, now, b.options.CutRetry) {
+			b.believe(ZoneCut, r)
+		}
+	}
+}
+
+func (b *Balancer) noteAnswer(r *runner) {
+	if b.zoneOf(r.entry.Zone).noteAnswer() {
+		b.believe(ZoneBack, r)
 	}
 }
--- a/balance/zone.go
+++ b/balance/zone.go
@@ -22,20 +22,27 @@
 	cutAttempts = 4
 )
 
-// noteSilence takes in that a runner did not answer.
-func (z *zone) noteSilence(runner string, now time.Time, retry time.Duration) {
+// noteSilence takes in that a runner did not answer. It reports whether the zone
+// is left out from now on.
+func (z *zone) noteSilence(runner string, now time.Time, retry time.Duration) bool {
 	z.silent[runner] = struct{}{}
 	z.attempts++
 	if len(z.silent) >= cutRunners && z.attempts >= cutAttempts && !now.Before(z.cutUntil) {
+		isNews := z.cutUntil.IsZero()
 		z.cutUntil = now.Add(retry)
+		return isNews
 	}
+	return false
 }
 
-// noteAnswer takes in that a runner answered.
-func (z *zone) noteAnswer() {
+// noteAnswer takes in that a runner answered. It reports whether the zone was left
+// out until now.
+func (z *zone) noteAnswer() bool {
+	wasCut := !z.cutUntil.IsZero()
 	clear(z.silent)
 	z.attempts = 0
 	z.cutUntil = time.Time{}
+	return wasCut
 }
 
 // isCut reports whether the zone is left out. A zone whose daemons are mute is
--- a/balance/zone_test.go
+++ b/balance/zone_test.go
@@ -30,6 +30,35 @@
 	return b
 }
 
+// TestBeliefsAreToldOnce follows what is told of a runner and of a zone that go and
+// come back.
+func TestBeliefsAreToldOnce(t *testing.T) {
+	c := qt.New(t)
+	var told []balance.Belief
+	options := balance.DefaultOptions("a")
+	options.Believed = func(belief balance.Belief) { told = append(told, belief) }
+	b := newBalancerWith(options)
+	excluded := []string{"a0", "a1", "c0", "c1", "d0", "d1"}
+	try := func(result balance.Result, now time.Time) {
+		_, ticket, err := b.Choose(balance.Need{Service: "desk", Excluded: excluded}, now)
+		c.Assert(err, qt.IsNil)
+		ticket.End(result, now)
+	}
+	for range 6 {
+		try(balance.Unreachable, start)
+	}
+	kinds := map[balance.BeliefKind]int{}
+	for _, belief := range told {
+		kinds[belief.Kind]++
+	}
+	c.Check(kinds, qt.DeepEquals, map[balance.BeliefKind]int{balance.RunnerDown: 2, balance.ZoneCut: 1})
+	told = nil
+	try(balance.Succeeded, start.Add(10*time.Second))
+	c.Check(told, qt.HasLen, 2)
+	c.Check(told[0], qt.Equals, balance.Belief{Kind: balance.ZoneBack, Zone: "b"})
+	c.Check(told[1].Kind, qt.Equals, balance.RunnerUp)
+}
+
 // TestZoneIsCutOff is a daemon whose zone is cut off from the others: requests
 // that go there are silent.
 func TestZoneIsCutOff(t *testing.T) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -76,7 +76,7 @@
 			Name: settings.Name, Address: settings.PeerAddress, Zone: settings.Zone, Incarnation: ulid.Make().String(),
 		},
 		store:    platform.NewStore(settings.StoreAddress, newClient()),
-		balancer: balance.New(balance.DefaultOptions(settings.Zone), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		balancer: balance.New(balanceOptions(common, settings.Zone), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		upstream: upstream.New(common, upstream.DefaultOptions()),
 		quotas:   quota.New(quota.DefaultOptions()),
 		suspects: suspect.New(suspectOptions()),
@@ -105,6 +105,14 @@
 	budgetShare = 0.7
 )
 
+func balanceOptions(common telemetry.Common, zone string) balance.Options {
+	options := balance.DefaultOptions(zone)
+	options.Believed = func(belief balance.Belief) {
+		common.Log.Info(string(belief.Kind), "Runner", belief.Runner, "Zone", belief.Zone)
+	}
+	return options
+}
+
 func suspectOptions() suspect.Options {
 	options := suspect.DefaultOptions()
 	options.Threshold = crashThreshold
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -147,7 +147,7 @@
 
 // contextEvents are changes of belief that concern every request of a process.
 var contextEvents = []string{
-	"ConfigurationTaken", "StoreLost", "StoreBack", "Stopping", "Started", "LinesDropped",
+	"ConfigurationTaken", "StoreLost", "StoreBack", "Stopping", "Started", "ZoneCut", "ZoneBack", "LinesDropped",
 }
 
 func contextOf(steps, lines []Line) []Line {
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -114,6 +114,9 @@
 		}
 	}
 	v.Retries.Note(v.service, now)
+	v.Log.V(1).Info("RequestAccepted", "Request", v.call.ID, "Customer", v.customer.Name, "Route", v.route.Name,
+		"Service", v.service, "Tokens", v.call.Tokens(), "Milliseconds", v.timeLeft(now).Milliseconds(),
+		"ConfigurationVersion", v.catalog.Version())
 	return nil
 }
 
--- a/gateway/visit.go
+++ b/gateway/visit.go
@@ -108,6 +108,9 @@
 		return nil, err
 	}
 	v.setChoice(choice)
+	v.Log.V(1).Info("RunnerChosen", append([]any{
+		"Request", v.call.ID, "Attempt", v.machine.Attempt() + 1,
+	}, v.choiceFields()...)...)
 	return ticket, nil
 }
 
--- a/logsink/sink.go
+++ b/logsink/sink.go
@@ -27,7 +27,7 @@
 }
 
 // DefaultOptions returns the defaults.
-func DefaultOptions() Options { return Options{Capacity: 2048, Ordinary: 20, Telling: 200} }
+func DefaultOptions() Options { return Options{Capacity: 2048, Ordinary: 40, Telling: 200} }
 
 // Sink is the queue between the writers of records and the output.
 type Sink struct {
