Keep the platform's names in platform/ for tests too

Cause: tests and the soak wrote the operator's and the runners' records with names of the wire, each in its own way; the architecture test looked at no tests. Change: the stand-in writes configurations and runners' records from types; names that tests need are its constants; the soak lies in platform/, since it speaks the wire; the architecture test looks at tests too.

--- a/architecture_test.go
+++ b/architecture_test.go
@@ -98,7 +98,7 @@
 }
 
 // TestPlatformNamesStayInTheAdapter looks for names of the users' protocol in
-// all sources but those of the adapter and tests.
+// all sources but those of the adapter.
 func TestPlatformNamesStayInTheAdapter(t *testing.T) {
 	c := qt.New(t)
 	seen := 0
@@ -109,7 +109,7 @@
 		if entry.IsDir() && (path == "platform" || path == ".git") {
 			return filepath.SkipDir
 		}
-		if filepath.Ext(path) != ".go" || strings.HasSuffix(path, "_test.go") {
+		if filepath.Ext(path) != ".go" || path == "architecture_test.go" {
 			return nil
 		}
 		content, err := os.ReadFile(path)
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -9,7 +9,7 @@
 	"path/filepath"
 	"time"
 
-	"github.com/cranberrywalk/cranberrywalk/soak"
+	"github.com/cranberrywalk/cranberrywalk/platform/soak"
 )
 
 func main() {
--- a/duties/duties_test.go
+++ b/duties/duties_test.go
@@ -145,7 +145,7 @@
 			r.store.SetFault(func(call standin.Call) standin.Fault {
 				mutex.Lock()
 				defer mutex.Unlock()
-				if call.Path != "/-/log-append" {
+				if call.Path != standin.PathAppend {
 					return standin.None
 				}
 				// Every third append fails; counted with the reads, the same
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -58,7 +58,7 @@
 			time.Sleep(time.Second)
 			s.keys = s.keys[:1]
 			s.configure()
-			s.describe(leaving, "draining")
+			s.describe(leaving, true)
 			changed := time.Now()
 			s.eventually("the key is taken away", applyTime, func() bool {
 				return s.send(away, deskRoute+"a", "key-2").status == http.StatusUnauthorized
@@ -96,13 +96,13 @@
 	s.ready()
 	s.turnAway("", standin.Refused)
 	time.Sleep(2500 * time.Millisecond)
-	s.store.Put("keyed.servers", runner.ID, nil)
+	s.store.DropRunner(runner.ID)
 	s.turnAway("", standin.None)
 	for range 10 {
 		time.Sleep(100 * time.Millisecond)
 		s.c.Check(s.send(s.daemons[0], deskRoute+"a", "key-1").status, qt.Equals, 200)
 	}
-	s.describe(runner, "ready")
+	s.describe(runner, false)
 	time.Sleep(2 * time.Second)
 	s.c.Check(s.send(s.daemons[0], deskRoute+"a", "key-1").status, qt.Equals, 200)
 }
@@ -115,8 +115,8 @@
 	s.turnAway("", standin.Refused)
 	s.keys = s.keys[:1]
 	s.configure()
-	s.store.Forget("keyed.op")
-	s.store.Forget("keyed.servers")
+	s.store.Forget(standin.TopicConfiguration)
+	s.store.Forget(standin.TopicRunners)
 	s.turnAway("", standin.None)
 	for _, d := range s.daemons {
 		s.eventually("the newest configuration", applyTime, func() bool {
@@ -135,8 +135,8 @@
 	other, err := standin.NewRunner("i-other", answering)
 	s.c.Assert(err, qt.IsNil)
 	s.c.Cleanup(other.Close)
-	s.c.Assert(s.store.PutJSON("keyed.servers", first.ID, record{
-		"service": "desk", "address": other.Address(), "zone": "zone-1", "slots": 8, "state": "ready",
+	s.c.Assert(s.store.PutRunner(standin.RunnerRecord{
+		ID: first.ID, Service: "desk", Address: other.Address(), Zone: "zone-1",
 	}), qt.IsNil)
 	s.eventually("the runner's new address", applyTime, func() bool {
 		return len(other.Arrivals()) > 0 || s.send(s.daemons[0], deskRoute+"a", "key-1").status != 200
--- a/entry/rig_test.go
+++ b/entry/rig_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
 
+	"github.com/cranberrywalk/cranberrywalk/catalog"
 	"github.com/cranberrywalk/cranberrywalk/entry"
 	"github.com/cranberrywalk/cranberrywalk/fleet"
 	"github.com/cranberrywalk/cranberrywalk/platform"
@@ -46,9 +47,6 @@
 	readRoute = "/read/"
 )
 
-// record is what the operator and the runners write.
-type record map[string]any
-
 func newSite(t *testing.T, daemons int) *site {
 	s := &site{c: qt.New(t), store: standin.NewStore(), keys: []string{"key-1", "key-2"}}
 	s.c.Cleanup(s.store.Close)
@@ -66,25 +64,13 @@
 // configure writes a newer configuration.
 func (s *site) configure() {
 	s.version += 3
-	route := func(name, prefix, kind string, more record) record {
-		r := record{
-			"name": name, "host": testHost, "path_prefix": prefix, "kind": kind, "service": "desk",
-			"timeout_ms": 5000, "target_latency_ms": 300, "max_attempts": 2,
-		}
-		for field, value := range more {
-			r[field] = value
-		}
-		return r
-	}
-	s.c.Assert(s.store.PutJSON("keyed.op", "config", record{
-		"version": s.version,
-		"route_table": []record{
-			route("desk", deskRoute, "non_idempotent", nil),
-			route("read", readRoute, "idempotent", nil),
-			route("talk", talkRoute, "streaming", record{"resumable": true, "target_gap_ms": 500}),
+	s.c.Assert(s.store.PutConfiguration(standin.Configuration{
+		Version: s.version, Host: testHost, Service: "desk", Customer: "library", Keys: s.keys, Limit: s.limit,
+		Routes: []standin.Route{
+			{Name: "desk", Kind: catalog.Once},
+			{Name: "read", Kind: catalog.Idempotent},
+			{Name: "talk", Kind: catalog.Stream, Resumable: true},
 		},
-		"services": []record{{"name": "desk", "max_connections": 100}},
-		"tenants":  []record{{"name": "library", "api_keys": s.keys, "rate_per_s": s.limit, "burst": s.limit}},
 	}), qt.IsNil)
 }
 
@@ -94,13 +80,13 @@
 	s.c.Assert(err, qt.IsNil)
 	s.c.Cleanup(runner.Close)
 	s.runners = append(s.runners, runner)
-	s.describe(runner, "ready")
+	s.describe(runner, false)
 	return runner
 }
 
-func (s *site) describe(runner *standin.Runner, state string) {
-	s.c.Assert(s.store.PutJSON("keyed.servers", runner.ID, record{
-		"service": "desk", "address": runner.Address(), "zone": "zone-1", "slots": 8, "state": state, "sequence": time.Now().UnixNano(),
+func (s *site) describe(runner *standin.Runner, isLeaving bool) {
+	s.c.Assert(s.store.PutRunner(standin.RunnerRecord{
+		ID: runner.ID, Service: "desk", Address: runner.Address(), Zone: "zone-1", Leaving: isLeaving,
 	}), qt.IsNil)
 }
 
@@ -206,9 +192,9 @@
 	request, err := http.NewRequest(method, "http://"+d.settings.CallersAddress+path, body)
 	s.c.Assert(err, qt.IsNil)
 	request.Host = testHost
-	request.Header.Set("X-Attempt-Id", nextAttempt())
-	request.Header.Set("Api-Key", key)
-	request.Header.Set("X-Deadline-Ms", "4000")
+	request.Header.Set(standin.HeaderCallID, nextAttempt())
+	request.Header.Set(standin.HeaderKey, key)
+	request.Header.Set(standin.HeaderPatience, "4000")
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	if err != nil {
--- a/gateway/departure_test.go
+++ b/gateway/departure_test.go
@@ -58,7 +58,7 @@
 			stopped := make(chan struct{})
 			var once sync.Once
 			first := func(arrival standin.Arrival) standin.Behaviour {
-				if arrival.Header.Get("Kv-From") != "" {
+				if arrival.Header.Get(standin.HeaderContinues) != "" {
 					return standin.Behaviour{Events: 40}
 				}
 				return slow
@@ -81,7 +81,7 @@
 			r.c.Check(r.arrivals(), qt.DeepEquals, scenario.arrivals)
 			for _, runner := range r.runners {
 				for _, arrival := range runner.Arrivals()[min(1, len(runner.Arrivals())):] {
-					r.c.Check(arrival.Header.Get("Kv-From"), qt.Equals, r.runners[0].Address()+"/h1")
+					r.c.Check(arrival.Header.Get(standin.HeaderContinues), qt.Equals, r.runners[0].Address()+"/h1")
 				}
 			}
 		})
--- a/gateway/plain_test.go
+++ b/gateway/plain_test.go
@@ -79,7 +79,7 @@
 func TestAnswerThatTakesTooLongEndsAtTheDeadline(t *testing.T) {
 	r := newRig(t, always(standin.Behaviour{Silent: true}))
 	began := time.Now()
-	got := r.send("/once/a", with("X-Deadline-Ms", "300"))
+	got := r.send("/once/a", with(standin.HeaderPatience, "300"))
 	r.c.Check(got.status, qt.Equals, http.StatusGatewayTimeout)
 	r.c.Check(time.Since(began) < 600*time.Millisecond, qt.IsTrue)
 }
@@ -91,21 +91,21 @@
 	changed.Routes[0].Timeout = 200 * time.Millisecond
 	r.set(changed)
 	began := time.Now()
-	got := r.send("/once/a", with("X-Deadline-Ms", "60000"))
+	got := r.send("/once/a", with(standin.HeaderPatience, "60000"))
 	r.c.Check(got.status, qt.Equals, http.StatusGatewayTimeout)
 	r.c.Check(time.Since(began) < time.Second, qt.IsTrue)
-	left := r.runners[0].Arrivals()[0].Header.Get("X-Deadline-Ms")
+	left := r.runners[0].Arrivals()[0].Header.Get(standin.HeaderPatience)
 	r.c.Check(len(left) <= 3, qt.IsTrue, qt.Commentf("the runner was given %s ms", left))
 }
 
 func TestExtraAnswerIsNotTakenForTheNextOne(t *testing.T) {
-	extra := "HTTP/1.1 200 OK\r\nX-Attempt-Id: attempt-0\r\nX-Response-Signature: s\r\nContent-Length: 5\r\n\r\nother"
+	extra := "HTTP/1.1 200 OK\r\n" + standin.HeaderCallID + ": attempt-0\r\n" + standin.HeaderSignature + ": s\r\nContent-Length: 5\r\n\r\nother"
 	r := newRig(t, inTurn(standin.Behaviour{Body: "answer", Extra: extra}, whole))
 	r.c.Assert(r.send("/once/a").body, qt.Equals, "answer")
 	time.Sleep(50 * time.Millisecond)
-	got := r.send("/once/a", with("X-Attempt-Id", "attempt-2"))
+	got := r.send("/once/a", with(standin.HeaderCallID, "attempt-2"))
 	r.c.Check(got.body, qt.Equals, "answer")
-	r.c.Check(got.header.Get("X-Attempt-Id"), qt.Equals, "attempt-2")
+	r.c.Check(got.header.Get(standin.HeaderCallID), qt.Equals, "attempt-2")
 }
 
 // TestEarlyAnswerToALongBody is a runner that answers before it has read the body
@@ -137,15 +137,15 @@
 
 func TestWhatTheCallerMayNotSet(t *testing.T) {
 	r := newRig(t, always(whole))
-	r.c.Assert(r.send("/once/a?x=%2F..&y", with("X-Tenant", "other"), with("X-Hold", "1"), with("Kv-From", "h"),
-		with("X-Expect-Instance", "i-z"), with("X-Request-Urgency", "0"), with("X-Own", "kept"),
+	r.c.Assert(r.send("/once/a?x=%2F..&y", with(standin.HeaderCustomer, "other"), with("X-Hold", "1"), with(standin.HeaderContinues, "h"),
+		with(standin.HeaderRunner, "i-z"), with("X-Request-Urgency", "0"), with("X-Own", "kept"),
 		with("Connection", "X-Secret"), with("X-Secret", "s")).status, qt.Equals, http.StatusOK)
 	arrival := r.runners[0].Arrivals()[0]
 	r.c.Check(arrival.Target, qt.Equals, "/once/a?x=%2F..&y")
-	r.c.Check(arrival.Header.Get("X-Tenant"), qt.Equals, "library")
-	r.c.Check(arrival.Header.Get("X-Expect-Instance"), qt.Equals, "i-a")
+	r.c.Check(arrival.Header.Get(standin.HeaderCustomer), qt.Equals, "library")
+	r.c.Check(arrival.Header.Get(standin.HeaderRunner), qt.Equals, "i-a")
 	r.c.Check(arrival.Header.Get("X-Own"), qt.Equals, "kept")
-	for _, name := range []string{"Api-Key", "X-Hold", "Kv-From", "X-Request-Urgency", "X-Secret"} {
+	for _, name := range []string{standin.HeaderKey, "X-Hold", standin.HeaderContinues, "X-Request-Urgency", "X-Secret"} {
 		r.c.Check(arrival.Header.Get(name), qt.Equals, "", qt.Commentf("%s", name))
 	}
 }
@@ -158,8 +158,8 @@
 		status int
 	}{
 		{"no route", "/none/a", with("X-Own", ""), http.StatusNotFound},
-		{"unknown key", "/once/a", with("Api-Key", "wrong"), http.StatusUnauthorized},
-		{"deadline that is no number", "/once/a", with("X-Deadline-Ms", "soon"), http.StatusBadRequest},
+		{"unknown key", "/once/a", with(standin.HeaderKey, "wrong"), http.StatusUnauthorized},
+		{"deadline that is no number", "/once/a", with(standin.HeaderPatience, "soon"), http.StatusBadRequest},
 	} {
 		t.Run(scenario.name, func(t *testing.T) {
 			r := newRig(t, always(whole))
@@ -190,7 +190,7 @@
 	crash := always(standin.Behaviour{Reset: true})
 	r := newRig(t, crash, crash)
 	for i := range 6 {
-		r.send("/again/crash", with("X-Attempt-Id", fmt.Sprint("attempt-", i)))
+		r.send("/again/crash", with(standin.HeaderCallID, fmt.Sprint("attempt-", i)))
 	}
 	total := 0
 	for _, count := range r.arrivals() {
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -145,9 +145,9 @@
 	request, err := http.NewRequestWithContext(ctx, method, r.server.URL+path, body)
 	r.c.Assert(err, qt.IsNil)
 	request.Host = testHost
-	request.Header.Set("X-Attempt-Id", "attempt-1")
-	request.Header.Set("Api-Key", testKey)
-	request.Header.Set("X-Deadline-Ms", "2000")
+	request.Header.Set(standin.HeaderCallID, "attempt-1")
+	request.Header.Set(standin.HeaderKey, testKey)
+	request.Header.Set(standin.HeaderPatience, "2000")
 	for _, change := range changes {
 		change(request)
 	}
@@ -171,7 +171,7 @@
 	replies := make([]reply, count)
 	var sent sync.WaitGroup
 	for i := range count {
-		sent.Go(func() { replies[i] = r.send(path, with("X-Attempt-Id", fmt.Sprint("attempt-", i))) })
+		sent.Go(func() { replies[i] = r.send(path, with(standin.HeaderCallID, fmt.Sprint("attempt-", i))) })
 	}
 	sent.Wait()
 	return replies
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -48,13 +48,13 @@
 func TestResumedStreamKeepsTheHeadOfItsFirstRunner(t *testing.T) {
 	r := newRig(t, always(standin.Behaviour{Events: 6, BreakAfter: 2}), always(standin.Behaviour{Events: 6}))
 	got := r.send("/resumable/a")
-	r.c.Check(got.header.Get("X-Response-Signature"), qt.Equals, "i-a.signed")
-	r.c.Check(r.runners[1].Arrivals()[0].Header.Get("Last-Event-Id"), qt.Equals, "2")
+	r.c.Check(got.header.Get(standin.HeaderSignature), qt.Equals, "i-a.signed")
+	r.c.Check(r.runners[1].Arrivals()[0].Header.Get(standin.HeaderLastEvent), qt.Equals, "2")
 }
 
 func TestCallerResumesAStream(t *testing.T) {
 	r := newRig(t, always(standin.Behaviour{Events: 4}))
-	got := r.send("/resumable/a", with("Last-Event-Id", "2"))
+	got := r.send("/resumable/a", with(standin.HeaderLastEvent, "2"))
 	r.c.Check(got.body, qt.Equals, standin.Event(3)+standin.Event(4))
 }
 
@@ -121,11 +121,11 @@
 
 func TestSmuggledRequestIsNotRun(t *testing.T) {
 	r := newRig(t, always(whole))
-	head := "POST /once/a HTTP/1.1\r\nHost: " + testHost + "\r\nX-Attempt-Id: one\r\nApi-Key: " + testKey + "\r\nConnection: close\r\n"
-	inner := "POST /once/b HTTP/1.1\r\nHost: " + testHost + "\r\nX-Attempt-Id: two\r\n\r\n"
+	head := "POST /once/a HTTP/1.1\r\nHost: " + testHost + "\r\n" + standin.HeaderCallID + ": one\r\n" + standin.HeaderKey + ": " + testKey + "\r\nConnection: close\r\n"
+	inner := "POST /once/b HTTP/1.1\r\nHost: " + testHost + "\r\n" + standin.HeaderCallID + ": two\r\n\r\n"
 	r.rawExchange(head + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + inner)
 	for _, arrival := range r.runners[0].Arrivals() {
-		r.c.Check(arrival.Header.Get("X-Attempt-Id"), qt.Equals, "one")
+		r.c.Check(arrival.Header.Get(standin.HeaderCallID), qt.Equals, "one")
 		r.c.Check(arrival.Body, qt.Equals, "")
 	}
 }
