Let requests wait a moment for a daemon that has just started

Ruled out: opening the listener later, which resets connections instead. Change: requests wait up to 0.25 s for the configuration and the runners. Test: TestRequestsAtADaemonThatHasJustStarted.

--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -30,12 +30,12 @@
 	changes = append(changes, f.inventory.Expire(now)...)
 	runners := f.inventory.Runners()
 	f.mutex.Unlock()
-	f.isKnown.Store(true)
-	if len(changes) == 0 {
-		return
+	if len(changes) > 0 {
+		f.log(changes)
+		f.balancer.SetRunners(runners, f.cacheTokens)
 	}
-	f.log(changes)
-	f.balancer.SetRunners(runners, f.cacheTokens)
+	f.isKnown.Store(true)
+	f.begin()
 	for _, change := range changes {
 		if change.Gone || change.Runner.State == inventory.Leaving {
 			f.gateway.Leave(change.Runner.ID)
--- a/entry/take.go
+++ b/entry/take.go
@@ -32,10 +32,19 @@
 	e.gateway.SetCatalog(next)
 	e.quotas.SetCustomers(next.Customers(), e.Clock.Now())
 	e.fleet.refresh()
+	e.begin()
 	e.metrics.Version(next.Version())
 	e.Log.Info("ConfigurationTaken", "Version", next.Version(), "Offset", record.Offset)
 }
 
+// begin lets callers' requests in as soon as the configuration and the runners are
+// known.
+func (e *Entry) begin() {
+	if e.gateway.Catalog() != nil && e.fleet.known() {
+		e.gateway.Begin()
+	}
+}
+
 // takeMembers makes the daemons known that the store names.
 func (e *Entry) takeMembers(batch feed.Batch) {
 	for _, record := range batch.Records {
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -17,6 +17,7 @@
 // admit decides whether a request is carried. The visit is never nil.
 func (g *Gateway) admit(w http.ResponseWriter, r *http.Request) (*visit, *Refusal) {
 	v := &visit{Gateway: g, writer: w, request: r, accepted: g.Clock.Now()}
+	g.awaitBegin(r.Context())
 	known := g.Catalog()
 	if known == nil {
 		return v, unavailable("NoConfiguration", waitForStart, nil)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -57,6 +57,9 @@
 type Options struct {
 	// MostUnwritten bounds the attempts of a request that wrote nothing.
 	MostUnwritten int
+	// StartWait is how long a request waits at a daemon that has just started
+	// for the configuration and the runners.
+	StartWait time.Duration
 	// DefaultPatience is the time for a request that doesn't say how long its
 	// caller waits.
 	DefaultPatience time.Duration
@@ -82,7 +85,7 @@
 // DefaultOptions returns the defaults.
 func DefaultOptions() Options {
 	return Options{
-		MostUnwritten: 6, DefaultPatience: 30 * time.Second, StreamSilence: 1500 * time.Millisecond,
+		MostUnwritten: 6, StartWait: 250 * time.Millisecond, DefaultPatience: 30 * time.Second, StreamSilence: 1500 * time.Millisecond,
 		FirstEventShare: 0.4, MoveAfter: 400 * time.Millisecond, MoveTimeout: 500 * time.Millisecond, PlainQueue: 4, ConnectionShare: 0.9,
 	}
 }
@@ -111,6 +114,9 @@
 	options Options
 	// catalog is nil until a configuration is known.
 	catalog atomic.Pointer[catalog.Catalog]
+	// begun is closed by Begin.
+	begun     chan struct{}
+	beginOnce sync.Once
 
 	mutex sync.Mutex
 	// streams holds the streams under way by runner; guarded by mutex.
@@ -120,7 +126,8 @@
 // New returns a gateway without a configuration.
 func New(common telemetry.Common, parts Parts, options Options) *Gateway {
 	return &Gateway{
-		Common: common, Parts: parts, options: options, streams: make(map[string]map[*visit]struct{}),
+		Common: common, Parts: parts, options: options, begun: make(chan struct{}),
+		streams: make(map[string]map[*visit]struct{}),
 	}
 }
 
@@ -130,6 +137,26 @@
 // Catalog returns the configuration in force, or nil.
 func (g *Gateway) Catalog() *catalog.Catalog { return g.catalog.Load() }
 
+// Begin lets requests in. Those that came before have waited for it for a moment.
+func (g *Gateway) Begin() { g.beginOnce.Do(func() { close(g.begun) }) }
+
+// awaitBegin waits for Begin, but not for long: a daemon that has just started
+// reads what it needs within milliseconds if the store answers.
+func (g *Gateway) awaitBegin(ctx context.Context) {
+	select {
+	case <-g.begun:
+		return
+	default:
+	}
+	timer := g.Clock.NewTimer(g.options.StartWait)
+	defer timer.Stop()
+	select {
+	case <-g.begun:
+	case <-timer.Chan():
+	case <-ctx.Done():
+	}
+}
+
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	v, refusal := g.admit(w, r)
--- a/gateway/plain_test.go
+++ b/gateway/plain_test.go
@@ -169,6 +169,26 @@
 	}
 }
 
+// TestRequestsAtADaemonThatHasJustStarted are those of all callers after a loss of
+// power: they come before the daemon has read the configuration.
+func TestRequestsAtADaemonThatHasJustStarted(t *testing.T) {
+	r := newWaitingRig(t, always(whole))
+	r.gateway.SetCatalog(nil)
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		r.set(spec())
+		r.gateway.Begin()
+	}()
+	for _, got := range r.sendMany("/once/a", 5) {
+		r.c.Check(got.status, qt.Equals, http.StatusOK)
+	}
+	late := newWaitingRig(t, always(whole))
+	late.gateway.SetCatalog(nil)
+	began := time.Now()
+	r.c.Check(late.send("/once/a").status, qt.Equals, http.StatusServiceUnavailable)
+	r.c.Check(time.Since(began) < time.Second, qt.IsTrue)
+}
+
 func TestNoConfigurationYetIsNoDenial(t *testing.T) {
 	r := newRig(t, always(whole))
 	r.gateway.SetCatalog(nil)
