Drop what nothing reads

Cause, found by reading: settings, a runner's load and an engine's slots were decoded for nobody; the bound on headers looked as if it were kept.

--- a/call/call.go
+++ b/call/call.go
@@ -92,11 +92,4 @@
 	// OtherRunner is true when another runner than the one that was meant has
 	// the address.
 	OtherRunner bool
-	// Load is the runner's load as it answered, if it tells it.
-	Load *Load
-}
-
-// Load counts the requests at a runner.
-type Load struct {
-	Running, Waiting, Slots int
 }
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -12,8 +12,7 @@
 
 // Limits bound what a caller may send. Zero means no bound.
 type Limits struct {
-	MaxHeaderBytes int
-	MaxBodyBytes   int
+	MaxBodyBytes int
 }
 
 // Spec is what a Catalog is made of.
--- a/catalog/service.go
+++ b/catalog/service.go
@@ -16,8 +16,6 @@
 
 // Engine describes the model engine on each runner of a service.
 type Engine struct {
-	// Slots is the number of requests that run at once.
-	Slots int
 	// CacheTokens is the memory for running requests and cached prompts.
 	CacheTokens int
 }
