Carry the exchanges of both interfaces over one pool of connections

Cause: `backend` and `upstream` each had a pool of connections, a proof of what was written and a bound on answers. The first one stood on net/http's transport with a gate around each connection, against the transport's own repeats.

Ruled out: moving the platform's path onto `backend`. Its fresh connection for each request that may not run twice is priced there and costs a handshake. Merging `lease` and `duty` in the same way: one log takes every append and gives it a time, the other takes an append only at the offset that it names; docs/PLATFORM.md says so.

Change: `backend` keeps what belongs to the product's own interface (identity, events, silence, faults) and sends through `upstream.Pool`. The pool learned what that needs: a fresh connection on request, a bound on unused connections, a bound on the head of an answer (none before, for either interface), whether a connection was reused, and a call for each read. The gate and the second pool are gone.

Also: callers' connections are bounded by the configuration's header and idle timeouts (`connlimit`), which may change while connections are open; net/http's bounds may not. Header fields over the configuration's bound get 431.

Conclusion: one way to the runners. Left of the two pairs: `lease`/`duty`.

--- a/backend/answer.go
+++ b/backend/answer.go
@@ -6,8 +6,10 @@
 	"errors"
 	"io"
 	"net/http"
-	"sync/atomic"
+	"sync"
 	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/upstream"
 )
 
 // attemptsInDeadline is how many attempts of an idempotent call have time
@@ -16,14 +18,14 @@
 
 // Answer is an exchange whose answer has begun.
 type Answer struct {
-	link     *Link
-	call     Call
-	ctx      context.Context
-	cancel   context.CancelCauseFunc
-	gate     *gate
-	response *http.Response
-	// reused is true when the connection had served an earlier call.
-	reused atomic.Bool
+	link   *Link
+	call   Call
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	// answer is nil until the head of the answer has arrived.
+	answer *upstream.Answer
+	// ended makes the exchange end once.
+	ended sync.Once
 	// reader is set by the first call of Next.
 	reader  *bufio.Reader
 	silence *silence
@@ -35,7 +37,6 @@
 	a := &Answer{link: l, call: call}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	a.silence = newSilence(l.Clock, l.boundOf(call), a.onSilence)
-	a.gate = &gate{single: !call.Idempotent, onRead: a.silence.heard}
 	return a
 }
 
@@ -53,76 +54,79 @@
 }
 
 // onSilence ends the exchange.
-func (a *Answer) onSilence() {
-	a.cancel(&SilentError{})
-	a.gate.abort()
-}
+func (a *Answer) onSilence() { a.cancel(&SilentError{}) }
 
 // fail ends the exchange, closes its connection and returns the fault.
-func (a *Answer) fail(kind FaultKind, cause error) error {
-	a.silence.pause()
-	written := a.gate.abort()
+func (a *Answer) fail(kind FaultKind, cause error) *FaultError {
+	fault := &FaultError{Backend: a.call.Backend, Kind: kind, Written: true, Cause: cause}
 	var silent *SilentError
 	switch ended := context.Cause(a.ctx); {
 	case errors.As(ended, &silent):
-		kind, cause = Silent, ended
-		abandoned := a.link.pool.abandonIdle(a.call.Address)
+		fault.Kind, fault.Cause = Silent, ended
+		abandoned := a.link.pool.CloseIdleTo(a.call.Address)
 		a.link.Count("BackendConnectionsAbandoned", int64(abandoned))
 	case ended != nil:
-		kind, cause = Cancelled, ended
+		fault.Kind, fault.Cause = Cancelled, ended
+	}
+	if a.answer != nil {
+		fault.Reused = a.answer.Reused
 	}
-	a.cancel(nil)
-	if a.response != nil {
-		_ = a.response.Body.Close()
+	a.end(false)
+	a.link.Count("BackendFaults."+string(fault.Kind), 1)
+	return fault
+}
+
+// failToSend ends an exchange that has no answer, and returns the fault.
+func (a *Answer) failToSend(kind FaultKind, err error) error {
+	fault := a.fail(kind, err)
+	var unwritten *upstream.UnwrittenError
+	fault.Written = !errors.As(err, &unwritten)
+	var broken *upstream.BrokenError
+	if errors.As(err, &broken) {
+		fault.Reused = broken.Reused
 	}
-	a.link.Count("BackendFaults."+string(kind), 1)
-	return &FaultError{Backend: a.call.Backend, Kind: kind, Written: written, Reused: a.reused.Load(), Cause: cause}
+	return fault
+}
+
+// end ends the exchange. The connection is kept when isWhole is true and
+// nothing is left to read on it.
+func (a *Answer) end(isWhole bool) {
+	a.ended.Do(func() {
+		a.silence.pause()
+		if a.answer != nil {
+			a.answer.Close(isWhole)
+		}
+		a.cancel(nil)
+	})
 }
 
 // Status returns the HTTP status.
-func (a *Answer) Status() int { return a.response.StatusCode }
+func (a *Answer) Status() int { return a.answer.Status }
 
 // Header returns the header fields.
-func (a *Answer) Header() http.Header { return a.response.Header }
+func (a *Answer) Header() http.Header { return a.answer.Header }
 
 // Close ends the exchange before its end and closes the connection.
 func (a *Answer) Close() { _ = a.fail(Cancelled, nil) }
 
 // Reject ends an exchange whose answer is not a stream, and returns the fault.
 func (a *Answer) Reject() error {
-	return a.fail(Malformed, &ContentTypeError{ContentType: a.response.Header.Get("Content-Type")})
-}
-
-// finish ends the exchange after its end.
-func (a *Answer) finish() {
-	a.silence.pause()
-	a.gate.release()
-	_ = a.response.Body.Close()
-	a.cancel(nil)
-}
-
-// delimited reports whether the end of the body can be told from a lost
-// connection.
-func (a *Answer) delimited() bool {
-	if a.call.Method == http.MethodHead {
-		return true
-	}
-	return a.response.ContentLength >= 0 || len(a.response.TransferEncoding) > 0
+	return a.fail(Malformed, &ContentTypeError{ContentType: a.answer.Header.Get("Content-Type")})
 }
 
 // Whole reads the body to its end. Every error is a *FaultError.
 func (a *Answer) Whole() ([]byte, error) {
-	if !a.delimited() {
+	if !a.answer.IsDelimited() {
 		return nil, a.fail(Truncated, &UndelimitedError{})
 	}
 	a.silence.listen()
-	body, err := io.ReadAll(io.LimitReader(a.response.Body, int64(a.link.options.MaxAnswerBytes)+1))
+	body, err := io.ReadAll(io.LimitReader(a.answer, int64(a.link.options.MaxAnswerBytes)+1))
 	if err != nil {
 		return nil, a.fail(Truncated, err)
 	}
 	if len(body) > a.link.options.MaxAnswerBytes {
 		return nil, a.fail(TooLarge, &LengthError{Bytes: a.link.options.MaxAnswerBytes})
 	}
-	a.finish()
+	a.end(true)
 	return body, nil
 }
--- a/backend/link.go
+++ b/backend/link.go
@@ -4,17 +4,17 @@
 package backend
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"net"
 	"net/http"
-	"net/http/httptrace"
+	"net/url"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cranberrywalk/cranberrywalk/clock"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
+	"github.com/cranberrywalk/cranberrywalk/upstream"
 )
 
 const (
@@ -46,7 +46,7 @@
 	// MaxAnswerBytes bounds the body of an answer.
 	MaxAnswerBytes int
 	// MaxHeaderBytes bounds the head of an answer.
-	MaxHeaderBytes int64
+	MaxHeaderBytes int
 }
 
 // DefaultOptions returns the defaults.
@@ -89,12 +89,11 @@
 type Link struct {
 	telemetry.Common
 	options Options
-	pool    *pool
-	// pooled keeps connections for idempotent calls.
-	pooled *http.Transport
-	// fresh makes a connection for every call. Its requests are never
-	// replayed, because net/http replays only on reused connections.
-	fresh *http.Transport
+	pool    *upstream.Pool
+	// stop ends the goroutine that closes old connections.
+	stop func()
+	// cleaner is that goroutine.
+	cleaner sync.WaitGroup
 	// drains counts the ended streams whose connections are not settled.
 	drains sync.WaitGroup
 	done   chan struct{}
@@ -102,20 +101,33 @@
 
 // New returns a link without connections.
 func New(common telemetry.Common, options Options) *Link {
-	l := &Link{Common: common, options: options, pool: newPool(options.DialTimeout), done: make(chan struct{})}
-	l.pooled = l.transport()
-	l.fresh = l.transport()
-	l.fresh.DisableKeepAlives = true
+	ctx, stop := context.WithCancel(context.Background())
+	l := &Link{
+		Common: common, options: options, stop: stop, done: make(chan struct{}),
+		pool: upstream.New(common, options.connections()),
+	}
+	l.cleaner.Go(func() { l.closeOldConnections(ctx) })
 	return l
 }
 
-func (l *Link) transport() *http.Transport {
-	return &http.Transport{
-		DialContext:            l.pool.dial,
-		DisableCompression:     true,
-		MaxIdleConnsPerHost:    l.options.IdleConnections,
-		IdleConnTimeout:        l.options.IdleTimeout,
-		MaxResponseHeaderBytes: l.options.MaxHeaderBytes,
+// idleMargin is taken off the time for which a backend server keeps an unused
+// connection.
+const idleMargin = time.Second
+
+// connections returns the bounds on the connections.
+func (o Options) connections() upstream.Options {
+	return upstream.Options{
+		DialTimeout: o.DialTimeout, Silence: o.StreamSilence,
+		KeepIdle: o.IdleTimeout, IdleMargin: idleMargin, MostIdle: o.IdleConnections,
+		MostHeadBytes: o.MaxHeaderBytes, MostAnswerBytes: o.MaxAnswerBytes,
+	}
+}
+
+// closeOldConnections closes the connections that were unused for long, until
+// ctx ends.
+func (l *Link) closeOldConnections(ctx context.Context) {
+	for clock.Sleep(ctx, l.Clock, l.options.IdleTimeout) == nil {
+		l.pool.CloseIdle()
 	}
 }
 
@@ -125,9 +137,10 @@
 // Close drops the idle connections and waits for the goroutines of the link.
 // It is called once, after the last call.
 func (l *Link) Close() {
-	l.pooled.CloseIdleConnections()
-	l.fresh.CloseIdleConnections()
+	l.stop()
+	l.cleaner.Wait()
 	l.drains.Wait()
+	l.pool.CloseAllIdle()
 	close(l.done)
 }
 
@@ -150,56 +163,47 @@
 	a := l.newAnswer(ctx, call)
 	request, err := a.newRequest()
 	if err != nil {
-		return nil, a.fail(Malformed, err)
+		return nil, a.failToSend(Malformed, &upstream.UnwrittenError{Address: call.Address, Cause: err})
 	}
 	a.silence.listen()
-	transport := l.pooled
-	if call.Fresh || !call.Idempotent {
-		transport = l.fresh
-	}
-	response, err := transport.RoundTrip(request) //nolint:bodyclose // The Answer closes it.
+	a.answer, err = l.pool.Send(a.ctx, request)
 	if err != nil {
-		return nil, a.fail(l.classify(err), err)
+		return nil, a.failToSend(kindOf(err), err)
 	}
-	a.response = response
-	if got := response.Header.Get(RequestIDHeader); got != call.ID {
+	if got := a.answer.Header.Get(RequestIDHeader); got != call.ID {
 		return nil, a.fail(Foreign, &IdentityError{Want: call.ID, Got: got})
 	}
 	return a, nil
 }
 
-// classify names a failure before the head of the answer.
-func (*Link) classify(err error) FaultKind {
-	var operation *net.OpError
-	if errors.As(err, &operation) && operation.Op == "dial" {
+// kindOf names a failure before the head of the answer.
+func kindOf(err error) FaultKind {
+	var dial *upstream.DialError
+	if errors.As(err, &dial) {
 		return Refused
 	}
 	return Closed
 }
 
-// newRequest builds the HTTP request of the attempt.
-func (a *Answer) newRequest() (*http.Request, error) {
-	ctx := httptrace.WithClientTrace(withGate(a.ctx, a.gate), &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) {
-			a.reused.Store(info.Reused)
-			if c, ok := info.Conn.(*conn); ok {
-				a.gate.adopt(c)
-			}
-		},
-	})
-	request, err := http.NewRequestWithContext(ctx, a.call.Method, "http://"+a.call.Address+a.call.Path, bytes.NewReader(a.call.Body))
+// newRequest returns the HTTP request of the attempt. Its target has no byte
+// that could end the request line.
+func (a *Answer) newRequest() (upstream.Request, error) {
+	target, err := url.ParseRequestURI(a.call.Path)
 	if err != nil {
-		return nil, err
+		return upstream.Request{}, err
 	}
-	request.GetBody = nil
-	request.Header = a.call.Header.Clone()
-	if request.Header == nil {
-		request.Header = make(http.Header)
+	header := a.call.Header.Clone()
+	if header == nil {
+		header = make(http.Header)
 	}
-	request.Header.Set(RequestIDHeader, a.call.ID)
+	header.Set(RequestIDHeader, a.call.ID)
 	if !a.call.Deadline.IsZero() {
 		left := max(a.call.Deadline.Sub(a.link.Clock.Now()).Milliseconds(), 0)
-		request.Header.Set(DeadlineHeader, strconv.FormatInt(left, 10))
+		header.Set(DeadlineHeader, strconv.FormatInt(left, 10))
 	}
-	return request, nil
+	return upstream.Request{
+		Address: a.call.Address, Host: a.call.Address, Fresh: a.call.Fresh || !a.call.Idempotent,
+		Method: a.call.Method, Target: target.RequestURI(), Header: header, Body: a.call.Body,
+		Heard: a.silence.heard,
+	}, nil
 }
--- a/backend/stream.go
+++ b/backend/stream.go
@@ -72,7 +72,7 @@
 
 // IsStream reports whether the answer is a stream of server-sent events.
 func (a *Answer) IsStream() bool {
-	kind, _, err := mime.ParseMediaType(a.response.Header.Get("Content-Type"))
+	kind, _, err := mime.ParseMediaType(a.answer.Header.Get("Content-Type"))
 	return err == nil && kind == "text/event-stream"
 }
 
@@ -80,7 +80,7 @@
 // over. Every error is a *FaultError.
 func (a *Answer) Next() (Chunk, error) {
 	if a.reader == nil {
-		body := io.LimitReader(a.response.Body, int64(a.link.options.MaxAnswerBytes)+1)
+		body := io.LimitReader(a.answer, int64(a.link.options.MaxAnswerBytes)+1)
 		a.reader = bufio.NewReaderSize(body, streamBuffer)
 	}
 	a.silence.listen()
@@ -151,6 +151,6 @@
 			a.Close()
 			return
 		}
-		a.finish()
+		a.end(true)
 	})
 }
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -8,11 +8,18 @@
 	"cmp"
 	"slices"
 	"strings"
+	"time"
 )
 
 // Limits bound what a caller may send. Zero means no bound.
 type Limits struct {
-	MaxBodyBytes int
+	// MaxHeaderBytes bounds the names and values of all header fields.
+	MaxHeaderBytes int
+	MaxBodyBytes   int
+	// HeaderTimeout bounds the time for the header fields of a request.
+	HeaderTimeout time.Duration
+	// IdleTimeout bounds the time for which a connection is unused.
+	IdleTimeout time.Duration
 }
 
 // Spec is what a Catalog is made of.
--- /dev/null
+++ b/connlimit/connlimit_test.go
@@ -0,0 +1,122 @@
+package connlimit_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cranberrywalk/cranberrywalk/connlimit"
+	"github.com/cranberrywalk/cranberrywalk/telemetry"
+)
+
+const (
+	short = 50 * time.Millisecond
+	// long is more than any scenario waits.
+	long = time.Minute
+	// patience is when a scenario fails that waits for a close.
+	patience = 5 * time.Second
+)
+
+// rig is a server with limits, and one connection of a caller.
+type rig struct {
+	c      *qt.C
+	bounds atomic.Pointer[connlimit.Bounds]
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+func newRig(t *testing.T, bounds connlimit.Bounds, handler http.HandlerFunc) *rig {
+	r := &rig{c: qt.New(t)}
+	r.bounds.Store(&bounds)
+	limiter := connlimit.New(telemetry.NewCommon(), func() connlimit.Bounds { return *r.bounds.Load() })
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: long, ConnState: limiter.OnState}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	r.c.Assert(err, qt.IsNil)
+	go func() { _ = server.Serve(limiter.Listen(listener)) }()
+	r.c.Cleanup(func() { _ = server.Close() })
+	r.conn, err = net.Dial("tcp", listener.Addr().String())
+	r.c.Assert(err, qt.IsNil)
+	r.c.Cleanup(func() { _ = r.conn.Close() })
+	r.reader = bufio.NewReader(r.conn)
+	return r
+}
+
+func (r *rig) write(content string) {
+	_, err := io.WriteString(r.conn, content)
+	r.c.Assert(err, qt.IsNil)
+}
+
+func (r *rig) readAnswer() {
+	answer, err := http.ReadResponse(r.reader, nil)
+	r.c.Assert(err, qt.IsNil)
+	_, err = io.Copy(io.Discard, answer.Body)
+	r.c.Assert(err, qt.IsNil)
+	r.c.Assert(answer.Body.Close(), qt.IsNil)
+}
+
+// waitForClose fails unless the server closes the connection.
+func (r *rig) waitForClose() {
+	r.c.Assert(r.conn.SetReadDeadline(time.Now().Add(patience)), qt.IsNil)
+	_, err := r.reader.ReadByte()
+	r.c.Assert(err, qt.Equals, io.EOF)
+}
+
+const get = "GET / HTTP/1.1\r\nHost: library\r\n\r\n"
+
+func answer(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }
+
+func TestUnusedConnectionIsClosed(t *testing.T) {
+	r := newRig(t, connlimit.Bounds{Idle: short, Head: long}, answer)
+	r.waitForClose()
+}
+
+func TestConnectionThatFallsIdleIsClosed(t *testing.T) {
+	r := newRig(t, connlimit.Bounds{Idle: long, Head: long}, answer)
+	r.bounds.Store(&connlimit.Bounds{Idle: short, Head: long})
+	r.write(get)
+	r.readAnswer()
+	r.waitForClose()
+}
+
+func TestHeadThatTakesTooLongIsCut(t *testing.T) {
+	r := newRig(t, connlimit.Bounds{Idle: long, Head: short}, answer)
+	r.write("GET / HTTP/1.1\r\nHost:")
+	r.waitForClose()
+}
+
+func TestLongRequestIsNotCut(t *testing.T) {
+	r := newRig(t, connlimit.Bounds{Idle: short, Head: short}, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(4 * short)
+		w.WriteHeader(http.StatusOK)
+	})
+	r.write(get)
+	r.readAnswer()
+}
+
+func TestSlowBodyIsNotCut(t *testing.T) {
+	r := newRig(t, connlimit.Bounds{Idle: long, Head: short}, func(w http.ResponseWriter, request *http.Request) {
+		_, err := io.Copy(io.Discard, request.Body)
+		if err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	r.write("POST / HTTP/1.1\r\nHost: library\r\nContent-Length: 2\r\n\r\na")
+	time.Sleep(4 * short)
+	r.write("b")
+	r.readAnswer()
+}
+
+func TestNoBoundKeepsConnections(t *testing.T) {
+	r := newRig(t, connlimit.Bounds{}, answer)
+	time.Sleep(2 * short)
+	r.write(get)
+	r.readAnswer()
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/oklog/ulid/v2"
 
 	"github.com/cranberrywalk/cranberrywalk/balance"
+	"github.com/cranberrywalk/cranberrywalk/connlimit"
 	"github.com/cranberrywalk/cranberrywalk/duties"
 	"github.com/cranberrywalk/cranberrywalk/duty"
 	"github.com/cranberrywalk/cranberrywalk/feed"
@@ -37,23 +38,25 @@
 	settings platform.Settings
 	self     membership.Member
 
-	store     *platform.Store
-	balancer  *balance.Balancer
-	upstream  *upstream.Pool
-	quotas    *quota.Book
-	suspects  *suspect.Book
-	usage     *usage.Book
-	trueTime  *truetime.Clock
-	metrics   *metric.Set
-	gateway   *gateway.Gateway
-	group     *membership.Group
-	duties    *duties.Duties
-	fleet     *fleet
-	feeds     []*feed.Feed
-	byTopic   map[string]*feed.Feed
-	callers   *http.Server
-	readiness *http.Server
-	exposed   *http.Server
+	store    *platform.Store
+	balancer *balance.Balancer
+	upstream *upstream.Pool
+	quotas   *quota.Book
+	suspects *suspect.Book
+	usage    *usage.Book
+	trueTime *truetime.Clock
+	metrics  *metric.Set
+	gateway  *gateway.Gateway
+	group    *membership.Group
+	duties   *duties.Duties
+	fleet    *fleet
+	feeds    []*feed.Feed
+	byTopic  map[string]*feed.Feed
+	// connections bounds the waits for callers.
+	connections *connlimit.Limiter
+	callers     *http.Server
+	readiness   *http.Server
+	exposed     *http.Server
 
 	// stopping is true from the begin of a planned stop.
 	stopping atomic.Bool
--- a/entry/run.go
+++ b/entry/run.go
@@ -10,13 +10,13 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/connlimit"
 )
 
 const (
-	// headerTime bounds the time for the head of a request.
-	headerTime = 5 * time.Second
-	// idleTime is longer than callers keep unused connections.
-	idleTime = 60 * time.Second
+	// headerTime bounds the time for the head of a request whatever the
+	// configuration says.
+	headerTime = 60 * time.Second
 	// stopMargin is left of the platform's grace when requests are ended.
 	stopMargin = 800 * time.Millisecond
 	// defaultGrace is used when the platform tells no grace.
@@ -28,8 +28,9 @@
 )
 
 func (e *Entry) addServers() {
+	e.connections = connlimit.New(e.Common, e.callerBounds)
 	e.callers = &http.Server{
-		Handler: e.gateway, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime,
+		Handler: e.gateway, ReadHeaderTimeout: headerTime, ConnState: e.connections.OnState,
 	}
 	e.metrics.Gauge("runners_age_seconds", "Time since the runners were last read.", func() float64 {
 		return e.runnersAge().Seconds()
@@ -38,6 +39,22 @@
 	e.readiness = &http.Server{Handler: http.HandlerFunc(e.answerReady), ReadHeaderTimeout: headerTime}
 }
 
+// The bounds for callers before a configuration is known.
+const (
+	defaultHeadTimeout = 5 * time.Second
+	defaultIdleTimeout = 60 * time.Second
+)
+
+// callerBounds returns the bounds of the configuration in force.
+func (e *Entry) callerBounds() connlimit.Bounds {
+	known := e.gateway.Catalog()
+	if known == nil {
+		return connlimit.Bounds{Head: defaultHeadTimeout, Idle: defaultIdleTimeout}
+	}
+	limits := known.Limits()
+	return connlimit.Bounds{Head: limits.HeaderTimeout, Idle: limits.IdleTimeout}
+}
+
 func (e *Entry) answerReady(w http.ResponseWriter, _ *http.Request) {
 	if e.ready() {
 		w.WriteHeader(http.StatusOK)
@@ -67,7 +84,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var parts sync.WaitGroup
 	duties, stopDuties := context.WithCancel(background)
-	parts.Go(func() { e.serve(e.callers, callers) })
+	parts.Go(func() { e.serve(e.callers, e.connections.Listen(callers)) })
 	parts.Go(func() { e.serve(e.readiness, readiness) })
 	parts.Go(func() { e.serve(e.exposed, exposed) })
 	parts.Go(func() { e.group.Run(background) })
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -23,6 +23,9 @@
 		return v, unavailable("NoConfiguration", waitForStart, nil)
 	}
 	v.catalog = known
+	if refusal := v.checkHeader(); refusal != nil {
+		return v, refusal
+	}
 	decoded, err := g.Codec.DecodeCall(r)
 	v.call = decoded
 	if err != nil {
@@ -66,6 +69,24 @@
 	return float64(maphash.String(pointSeed, id)>>11) / (1 << 53)
 }
 
+// checkHeader refuses header fields that are larger than allowed.
+func (v *visit) checkHeader() *Refusal {
+	most := v.catalog.Limits().MaxHeaderBytes
+	if most <= 0 {
+		return nil
+	}
+	size := 0
+	for name, values := range v.request.Header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	if size > most {
+		return denied(http.StatusRequestHeaderFieldsTooLarge, "LongHeader", nil)
+	}
+	return nil
+}
+
 func (v *visit) readBody() *Refusal {
 	body := io.Reader(v.request.Body)
 	if most := v.catalog.Limits().MaxBodyBytes; most > 0 {
--- a/gateway/plain_test.go
+++ b/gateway/plain_test.go
@@ -206,6 +206,17 @@
 	r.c.Check(r.arrivals(), qt.DeepEquals, []int{0})
 }
 
+func TestLongHeaderIsRefused(t *testing.T) {
+	r := newRig(t, always(whole))
+	changed := spec()
+	changed.Limits.MaxHeaderBytes = 1000
+	r.set(changed)
+	r.c.Check(r.send("/once/a").status, qt.Equals, http.StatusOK)
+	long := with("X-Note", strings.Repeat("x", 1000))
+	r.c.Check(r.send("/once/a", long).status, qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
+	r.c.Check(r.arrivals(), qt.DeepEquals, []int{1})
+}
+
 func TestRequestThatCrashesRunnersIsStopped(t *testing.T) {
 	crash := always(standin.Behaviour{Reset: true})
 	r := newRig(t, crash, crash)
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -15,12 +15,17 @@
 	// MostConnections bounds the connections to the runner; zero means no
 	// bound.
 	MostConnections int
-	Method          string
+	// Fresh asks for a new connection.
+	Fresh  bool
+	Method string
 	// Target is the path and query, sent as it is.
 	Target string
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Heard is called after each read of the answer that returned bytes; it
+	// may be nil.
+	Heard func()
 }
 
 // Answer is a runner's answer whose body has not been read. Close must be
@@ -28,6 +33,8 @@
 type Answer struct {
 	Status int
 	Header http.Header
+	// Reused is true when the connection had carried an earlier request.
+	Reused bool
 
 	pool       *Pool
 	connection *connection
@@ -43,7 +50,7 @@
 // Send writes a request and reads the head of its answer. It fails with an
 // *UnwrittenError or a *BrokenError. When ctx ends, the connection is closed.
 func (p *Pool) Send(ctx context.Context, request Request) (*Answer, error) {
-	c, err := p.take(ctx, request.Address, request.MostConnections)
+	c, err := p.take(ctx, request)
 	if err != nil {
 		return nil, &UnwrittenError{Address: request.Address, Cause: err}
 	}
@@ -69,7 +76,7 @@
 	}
 	var broken *BrokenError
 	if errors.As(err, &broken) {
-		return &BrokenError{Address: broken.Address, Cause: cause}
+		return &BrokenError{Address: broken.Address, Reused: broken.Reused, Cause: cause}
 	}
 	return err
 }
@@ -79,41 +86,54 @@
 const inlineBytes = 8 << 10
 
 func (p *Pool) exchange(c *connection, request Request) (*Answer, error) {
-	content := encode(request)
+	isReused := c.used
+	c.used = true
+	c.heard = request.Heard
+	written, err := c.write(encode(request))
+	if err != nil {
+		return nil, err
+	}
+	response, err := c.readHead(request.Method, p.options.MostHeadBytes) //nolint:bodyclose // Answer.Close ends or keeps the connection.
+	if err != nil {
+		return nil, &BrokenError{Address: request.Address, Reused: isReused, Cause: err}
+	}
+	return &Answer{
+		Status: response.StatusCode, Header: response.Header, Reused: isReused,
+		pool: p, connection: c, response: response, written: written,
+	}, nil
+}
+
+// write writes a short request at once and a longer one in the background. The
+// channel tells when the whole request has been written.
+func (c *connection) write(content []byte) (chan error, error) {
 	written := make(chan error, 1)
-	if len(content) <= inlineBytes {
-		count, err := c.raw.Write(content)
-		if err != nil {
-			return nil, writeFailure(request.Address, count, err)
-		}
-		written <- nil
-	} else {
+	if len(content) > inlineBytes {
 		go func() {
 			_, err := c.raw.Write(content)
 			written <- err
 		}()
+		return written, nil
 	}
-	c.used = true
-	response, err := readHead(c, request.Method) //nolint:bodyclose // Answer.Close ends or keeps the connection.
+	count, err := c.raw.Write(content)
 	if err != nil {
-		return nil, &BrokenError{Address: request.Address, Cause: err}
+		return nil, c.writeFailure(count, err)
 	}
-	return &Answer{
-		Status: response.StatusCode, Header: response.Header,
-		pool: p, connection: c, response: response, written: written,
-	}, nil
+	written <- nil
+	return written, nil
 }
 
 // writeFailure tells whether the kernel took a byte.
-func writeFailure(address string, count int, err error) error {
+func (c *connection) writeFailure(count int, err error) error {
 	if count == 0 {
-		return &UnwrittenError{Address: address, Cause: err}
+		return &UnwrittenError{Address: c.address, Cause: err}
 	}
-	return &BrokenError{Address: address, Cause: err}
+	return &BrokenError{Address: c.address, Cause: err}
 }
 
 // readHead reads the head of the final answer.
-func readHead(c *connection, method string) (*http.Response, error) {
+func (c *connection) readHead(method string, most int) (*http.Response, error) {
+	c.headLeft = most
+	defer func() { c.headLeft = noHead }()
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
@@ -142,6 +162,13 @@
 // headBytes is room for the head of a usual request.
 const headBytes = 1 << 10
 
+// IsDelimited reports whether the end of the body can be told from a lost
+// connection.
+func (a *Answer) IsDelimited() bool {
+	isHead := a.response.Request != nil && a.response.Request.Method == http.MethodHead
+	return isHead || a.response.ContentLength >= 0 || len(a.response.TransferEncoding) > 0
+}
+
 // Read reads the body. The end of a body that has no length is the runner's
 // orderly close of the connection.
 func (a *Answer) Read(buffer []byte) (int, error) {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -21,6 +21,11 @@
 	KeepIdle time.Duration
 	// IdleMargin is taken off the time that a runner says.
 	IdleMargin time.Duration
+	// MostIdle bounds the unused connections to one address; zero means no
+	// bound.
+	MostIdle int
+	// MostHeadBytes bounds the head of an answer.
+	MostHeadBytes int
 	// MostAnswerBytes bounds the body of an answer that is kept whole.
 	MostAnswerBytes int
 }
@@ -32,6 +37,8 @@
 		Silence:     time.Second,
 		KeepIdle:    4 * time.Second,
 		IdleMargin:  time.Second,
+
+		MostHeadBytes: 64 << 10,
 		// A whole answer is held in memory until it is passed on.
 		MostAnswerBytes: 8 << 20,
 	}
@@ -55,30 +62,37 @@
 	return &Pool{common: common, options: options, idle: make(map[string][]*connection), open: make(map[string]int)}
 }
 
-// take returns an unused connection, or a new one. most bounds the connections
-// to the address; zero means no bound.
-func (p *Pool) take(ctx context.Context, address string, most int) (*connection, error) {
-	for {
-		c := p.pop(address)
-		if c == nil {
-			break
-		}
-		if c.isFresh(p.common.Clock.Now()) {
+// take returns a connection for a request: an unused one unless the request
+// asks for a new one.
+func (p *Pool) take(ctx context.Context, request Request) (*connection, error) {
+	if !request.Fresh {
+		if c := p.takeIdle(request.Address); c != nil {
 			return c, nil
 		}
-		p.drop(c)
 	}
-	if !p.reserve(address, most) {
-		return nil, &FullError{Most: most}
+	if !p.reserve(request.Address, request.MostConnections) {
+		return nil, &FullError{Most: request.MostConnections}
 	}
-	c, err := p.dial(ctx, address)
+	c, err := p.dial(ctx, request.Address)
 	if err != nil {
-		p.release(address)
-		return nil, err
+		p.release(request.Address)
+		return nil, &DialError{Cause: err}
 	}
 	return c, nil
 }
 
+// takeIdle returns an unused connection that still works, or nil. It drops
+// those that do not.
+func (p *Pool) takeIdle(address string) *connection {
+	for {
+		c := p.pop(address)
+		if c == nil || c.isFresh(p.common.Clock.Now()) {
+			return c
+		}
+		p.drop(c)
+	}
+}
+
 func (p *Pool) pop(address string) *connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -126,11 +140,23 @@
 	return newConnection(raw, address), nil
 }
 
-// keep makes a connection available again.
+// keep makes a connection available again, unless there are enough.
 func (p *Pool) keep(c *connection) {
+	c.heard = nil
+	if !p.putIdle(c) {
+		p.drop(c)
+	}
+}
+
+func (p *Pool) putIdle(c *connection) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.idle[c.address] = append(p.idle[c.address], c)
+	idle := p.idle[c.address]
+	if p.options.MostIdle > 0 && len(idle) >= p.options.MostIdle {
+		return false
+	}
+	p.idle[c.address] = append(idle, c)
+	return true
 }
 
 // drop closes a connection for good.
@@ -143,24 +169,47 @@
 // none stays for a runner that is gone.
 func (p *Pool) CloseIdle() {
 	now := p.common.Clock.Now()
+	p.closeIdle(func(c *connection) bool { return !now.Before(c.until) })
+}
+
+// CloseIdleTo closes the unused connections to an address and returns their
+// number.
+func (p *Pool) CloseIdleTo(address string) int {
+	return p.closeIdle(func(c *connection) bool { return c.address == address })
+}
+
+// CloseAllIdle closes all unused connections.
+func (p *Pool) CloseAllIdle() {
+	p.closeIdle(func(*connection) bool { return true })
+}
+
+// closeIdle closes the unused connections that are chosen, and returns their
+// number.
+func (p *Pool) closeIdle(isChosen func(*connection) bool) int {
+	chosen := p.removeIdle(isChosen)
+	for _, c := range chosen {
+		p.drop(c)
+	}
+	return len(chosen)
+}
+
+func (p *Pool) removeIdle(isChosen func(*connection) bool) []*connection {
 	p.mutex.Lock()
-	var old []*connection
+	defer p.mutex.Unlock()
+	var chosen []*connection
 	for address, idle := range p.idle {
 		kept := idle[:0]
 		for _, c := range idle {
-			if now.Before(c.until) {
-				kept = append(kept, c)
+			if isChosen(c) {
+				chosen = append(chosen, c)
 				continue
 			}
-			old = append(old, c)
+			kept = append(kept, c)
 		}
 		p.idle[address] = kept
 		if len(kept) == 0 {
 			delete(p.idle, address)
 		}
 	}
-	p.mutex.Unlock()
-	for _, c := range old {
-		p.drop(c)
-	}
+	return chosen
 }
