Count the queue phase of requests and the calls to the store

Cause: the metrics had no time between the arrival of a request and its first attempt, and showed of the calls to the store only the failures that feeds and duties count, so that a slow or refusing store could not be told from a daemon that reads seldom.

Ruled out: counting in `platform`, which decides nothing and would have to know the metrics; counting at each caller, which is three places.

Change: `store.Watched` wraps any store and tells of each call its name, topic, result and time. The phase Queue is noted at the first attempt.

Shown by TestEachCallIsToldWithItsResult, TestPhasesOfARequestAreCounted and TestExposition, which failed before.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -25,6 +25,7 @@
 	"github.com/cranberrywalk/cranberrywalk/quota"
 	"github.com/cranberrywalk/cranberrywalk/retry"
 	"github.com/cranberrywalk/cranberrywalk/scaling"
+	"github.com/cranberrywalk/cranberrywalk/store"
 	"github.com/cranberrywalk/cranberrywalk/suspect"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 	"github.com/cranberrywalk/cranberrywalk/truetime"
@@ -38,7 +39,7 @@
 	settings platform.Settings
 	self     membership.Member
 
-	store    *platform.Store
+	store    store.Store
 	balancer *balance.Balancer
 	upstream *upstream.Pool
 	quotas   *quota.Book
@@ -78,7 +79,6 @@
 		self: membership.Member{
 			Name: settings.Name, Address: settings.PeerAddress, Zone: settings.Zone, Incarnation: ulid.Make().String(),
 		},
-		store:    platform.NewStore(settings.StoreAddress, newClient()),
 		balancer: balance.New(balanceOptions(common, settings.Zone), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		upstream: upstream.New(common, upstream.DefaultOptions()),
 		quotas:   quota.New(quota.DefaultOptions()),
@@ -87,6 +87,7 @@
 		trueTime: truetime.New(clockMemory, now),
 		metrics:  metric.New(common.Metrics),
 	}
+	e.store = store.NewWatched(platform.NewStore(settings.StoreAddress, newClient()), common.Clock, e.countStoreCall)
 	e.group = membership.New(common, membership.DefaultOptions(e.self, settings.Seeds), exchange{e})
 	e.addGateway()
 	e.addFeeds()
@@ -108,6 +109,10 @@
 	budgetShare = 0.7
 )
 
+func (e *Entry) countStoreCall(call store.Call) {
+	e.metrics.StoreCall(call.Name, call.Topic, string(call.Result), call.Took)
+}
+
 func balanceOptions(common telemetry.Common, zone string) balance.Options {
 	options := balance.DefaultOptions(zone)
 	options.Believed = func(belief balance.Belief) {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -25,6 +25,9 @@
 	v.apply(request.AttemptBegan)
 	v.answered = false
 	began := v.Clock.Now()
+	if v.machine.Attempt() == 1 {
+		v.Meters.Time(v.route.Kind.String(), metric.Queue, began.Sub(v.accepted))
+	}
 	defer func() { v.Meters.Time(v.route.Kind.String(), metric.Connect, v.Clock.Since(began)) }()
 	return v.Upstream.Send(ctx, upstream.Request{
 		Address: runner.Address, MostConnections: most,
--- a/gateway/plain_test.go
+++ b/gateway/plain_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -206,6 +207,21 @@
 	r.c.Check(r.arrivals(), qt.DeepEquals, []int{0})
 }
 
+func TestPhasesOfARequestAreCounted(t *testing.T) {
+	r := newRig(t, always(standin.Behaviour{Reset: true}), always(whole))
+	r.c.Assert(r.send("/again/a").status, qt.Equals, http.StatusOK)
+	recorder := httptest.NewRecorder()
+	r.gateway.Meters.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	shown := recorder.Body.String()
+	for _, line := range []string{
+		`cranberrywalk_phase_seconds_count{Kind="Idempotent",Phase="Queue"} 1`,
+		`cranberrywalk_phase_seconds_count{Kind="Idempotent",Phase="Connect"} 2`,
+		`cranberrywalk_phase_seconds_count{Kind="Idempotent",Phase="Whole"} 1`,
+	} {
+		r.c.Check(strings.Contains(shown, line+"\n"), qt.IsTrue, qt.Commentf("%s in\n%s", line, shown))
+	}
+}
+
 func TestLongHeaderIsRefused(t *testing.T) {
 	r := newRig(t, always(whole))
 	changed := spec()
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -20,6 +20,8 @@
 
 // The phases of a request.
 const (
+	// Queue is from the arrival of a request to the begin of its first attempt.
+	Queue Phase = "Queue"
 	// Connect is from the begin of an attempt to the head of its answer, or to
 	// its failure.
 	Connect Phase = "Connect"
@@ -36,7 +38,10 @@
 	requests *prometheus.CounterVec
 	attempts *prometheus.CounterVec
 	phases   *prometheus.HistogramVec
-	version  prometheus.Gauge
+	// calls and callTimes are those to the store.
+	calls     *prometheus.CounterVec
+	callTimes *prometheus.HistogramVec
+	version   prometheus.Gauge
 }
 
 // phaseBuckets are upper bounds in seconds.
@@ -55,11 +60,17 @@
 		phases: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "phase_seconds", Help: "Time of the phases of requests.", Buckets: phaseBuckets,
 		}, []string{"Kind", "Phase"}),
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "store_calls_total", Help: "Calls to the store that have ended.",
+		}, []string{"Call", "Topic", "Result"}),
+		callTimes: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "store_call_seconds", Help: "Time of the calls to the store.", Buckets: phaseBuckets,
+		}, []string{"Call"}),
 		version: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "configuration_version", Help: "Version of the configuration in force.",
 		}),
 	}
-	s.registry.MustRegister(s.requests, s.attempts, s.phases, s.version, counterCollector{counters: counters})
+	s.registry.MustRegister(s.requests, s.attempts, s.phases, s.calls, s.callTimes, s.version, counterCollector{counters: counters})
 	return s
 }
 
@@ -82,6 +93,12 @@
 	s.phases.WithLabelValues(kind, string(phase)).Observe(d.Seconds())
 }
 
+// StoreCall counts a call to the store that has ended.
+func (s *Set) StoreCall(name, topic, result string, took time.Duration) {
+	s.calls.WithLabelValues(name, topic, result).Inc()
+	s.callTimes.WithLabelValues(name).Observe(took.Seconds())
+}
+
 // Version notes the version of the configuration in force.
 func (s *Set) Version(version uint64) { s.version.Set(float64(version)) }
 
--- a/metric/metric_test.go
+++ b/metric/metric_test.go
@@ -22,6 +22,7 @@
 	set.Attempt("i-2", "Failed")
 	set.Forget("i-2")
 	set.Time("Stream", metric.FirstEvent, 40*time.Millisecond)
+	set.StoreCall("Newest", "runners", "Done", 4*time.Millisecond)
 	set.Version(7)
 	set.Gauge("runners_age_seconds", "Age of the runners.", func() float64 { return 0.5 })
 
@@ -33,6 +34,8 @@
 		`cranberrywalk_requests_total{Kind="Stream",Outcome="Answered",Reason="Answered",Service="desk"} 1`,
 		`cranberrywalk_attempts_total{Result="Failed",Runner="i-1"} 1`,
 		`cranberrywalk_phase_seconds_bucket{Kind="Stream",Phase="FirstEvent",le="0.05"} 1`,
+		`cranberrywalk_store_calls_total{Call="Newest",Result="Done",Topic="runners"} 1`,
+		`cranberrywalk_store_call_seconds_bucket{Call="Newest",le="0.005"} 1`,
 		`cranberrywalk_configuration_version 7`,
 		`cranberrywalk_runners_age_seconds 0.5`,
 		`cranberrywalk_Feed_ReadsFailed_total 3`,
--- /dev/null
+++ b/store/watched.go
@@ -0,0 +1,116 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/latest"
+)
+
+// CallResult says how a call ended.
+type CallResult string
+
+const (
+	// Done means that the call was carried out.
+	Done CallResult = "Done"
+	// Unavailable means that there was no answer, or a refusal.
+	Unavailable CallResult = "Unavailable"
+	// Unreadable means that the answer can't be read.
+	Unreadable CallResult = "Unreadable"
+	// Gap means that the records to be read are gone.
+	Gap CallResult = "Gap"
+	// Conflict means that the topic ends elsewhere.
+	Conflict CallResult = "Conflict"
+	// Failed is any other failure.
+	Failed CallResult = "Failed"
+)
+
+// Call is a call that has ended.
+type Call struct {
+	// Name is that of the method.
+	Name   string
+	Topic  string
+	Result CallResult
+	// Took includes the time for which a read waited for records.
+	Took time.Duration
+}
+
+// Watched passes the calls on to another store and tells of each. It
+// implements Store.
+type Watched struct {
+	inner Store
+	clock clock.Clock
+	watch func(Call)
+}
+
+// NewWatched returns a store that calls watch after each call, in the
+// goroutine of the caller.
+func NewWatched(inner Store, clock clock.Clock, watch func(Call)) *Watched {
+	return &Watched{inner: inner, clock: clock, watch: watch}
+}
+
+// Newest implements Store.
+func (w *Watched) Newest(ctx context.Context, topic string) ([]latest.Record, uint64, error) {
+	began := w.clock.Now()
+	records, end, err := w.inner.Newest(ctx, topic)
+	w.tell("Newest", topic, began, err)
+	return records, end, err
+}
+
+// ReadKeyed implements Store.
+func (w *Watched) ReadKeyed(ctx context.Context, topic string, from uint64, wait time.Duration) ([]latest.Record, uint64, error) {
+	began := w.clock.Now()
+	records, end, err := w.inner.ReadKeyed(ctx, topic, from, wait)
+	w.tell("ReadKeyed", topic, began, err)
+	return records, end, err
+}
+
+// Put implements Store.
+func (w *Watched) Put(ctx context.Context, topic, key string, value []byte) error {
+	began := w.clock.Now()
+	err := w.inner.Put(ctx, topic, key, value)
+	w.tell("Put", topic, began, err)
+	return err
+}
+
+// Read implements Store.
+func (w *Watched) Read(ctx context.Context, topic string, from uint64, wait time.Duration) ([][]byte, error) {
+	began := w.clock.Now()
+	records, err := w.inner.Read(ctx, topic, from, wait)
+	w.tell("Read", topic, began, err)
+	return records, err
+}
+
+// Append implements Store.
+func (w *Watched) Append(ctx context.Context, topic string, at uint64, record []byte) error {
+	began := w.clock.Now()
+	err := w.inner.Append(ctx, topic, at, record)
+	w.tell("Append", topic, began, err)
+	return err
+}
+
+func (w *Watched) tell(name, topic string, began time.Time, err error) {
+	w.watch(Call{Name: name, Topic: topic, Result: resultOf(err), Took: w.clock.Since(began)})
+}
+
+func resultOf(err error) CallResult {
+	var unavailable *UnavailableError
+	var answer *AnswerError
+	var gap *GapError
+	var conflict *ConflictError
+	switch {
+	case err == nil:
+		return Done
+	case errors.As(err, &unavailable):
+		return Unavailable
+	case errors.As(err, &answer):
+		return Unreadable
+	case errors.As(err, &gap):
+		return Gap
+	case errors.As(err, &conflict):
+		return Conflict
+	}
+	return Failed
+}
--- /dev/null
+++ b/store/watched_test.go
@@ -0,0 +1,84 @@
+package store_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/latest"
+	"github.com/cranberrywalk/cranberrywalk/store"
+)
+
+// slow is a store whose calls take a second and end in the same way.
+type slow struct {
+	clock interface{ Advance(time.Duration) }
+	err   error
+}
+
+func (s *slow) call() error {
+	s.clock.Advance(time.Second)
+	return s.err
+}
+
+func (s *slow) Newest(context.Context, string) ([]latest.Record, uint64, error) {
+	return []latest.Record{{Key: "a"}}, 3, s.call()
+}
+
+func (s *slow) ReadKeyed(context.Context, string, uint64, time.Duration) ([]latest.Record, uint64, error) {
+	return nil, 4, s.call()
+}
+
+func (s *slow) Put(context.Context, string, string, []byte) error { return s.call() }
+
+func (s *slow) Read(context.Context, string, uint64, time.Duration) ([][]byte, error) {
+	return nil, s.call()
+}
+
+func (s *slow) Append(context.Context, string, uint64, []byte) error { return s.call() }
+
+func TestEachCallIsToldWithItsResult(t *testing.T) {
+	for _, scenario := range []struct {
+		name   string
+		err    error
+		result store.CallResult
+	}{
+		{"done", nil, store.Done},
+		{"no answer", &store.UnavailableError{Call: "x"}, store.Unavailable},
+		{"bad answer", &store.AnswerError{Call: "x"}, store.Unreadable},
+		{"records gone", &store.GapError{First: 2}, store.Gap},
+		{"other end", &store.ConflictError{End: 2}, store.Conflict},
+		{"anything else", errors.New("no disk"), store.Failed},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			c := qt.New(t)
+			fake := clock.NewFake(time.Unix(0, 0))
+			var told []store.Call
+			watched := store.NewWatched(&slow{clock: fake, err: scenario.err}, fake, func(call store.Call) {
+				told = append(told, call)
+			})
+			ctx := context.Background()
+
+			records, end, err := watched.Newest(ctx, "t")
+			c.Check(err, qt.Equals, scenario.err)
+			c.Check(records, qt.HasLen, 1)
+			c.Check(end, qt.Equals, uint64(3))
+			_, end, err = watched.ReadKeyed(ctx, "t", 0, 0)
+			c.Check(err, qt.Equals, scenario.err)
+			c.Check(end, qt.Equals, uint64(4))
+			c.Check(watched.Put(ctx, "t", "k", nil), qt.Equals, scenario.err)
+			_, err = watched.Read(ctx, "t", 0, 0)
+			c.Check(err, qt.Equals, scenario.err)
+			c.Check(watched.Append(ctx, "t", 0, nil), qt.Equals, scenario.err)
+
+			names := []string{"Newest", "ReadKeyed", "Put", "Read", "Append"}
+			c.Assert(told, qt.HasLen, len(names))
+			for i, name := range names {
+				c.Check(told[i], qt.Equals, store.Call{Name: name, Topic: "t", Result: scenario.result, Took: time.Second})
+			}
+		})
+	}
+}
