Exchange directly up to 100 daemons, each no more often in all

Cause: relays at 61 daemons hold up requests.

Change: relays only over 100 daemons. Below, each pair exchanges directly, and the period grows with the number of daemons, so that one has at most 80 exchanges a second (0.76 s at 61 daemons). News of the store is told in two steps over 16 daemons: to the own zone and the first relay of each other.

The longer period is not yet measured.

Shown by TestLargeMeshExchangesNoMoreOften and TestNewsTakesTwoStepsInALargeMesh.

--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -80,10 +80,10 @@
 // period returns the time between two exchanges with the same daemon. It is called
 // with the mutex held.
 func (g *Group) period() time.Duration {
-	if g.isMesh() {
-		return g.options.Period
+	if !g.isMesh() {
+		return g.options.RelayPeriod
 	}
-	return g.options.RelayPeriod
+	return max(g.options.Period, time.Duration(len(g.peers))*g.options.PeriodPerDaemon)
 }
 
 // noteSilence logs a change of belief about a daemon.
--- a/membership/group.go
+++ b/membership/group.go
@@ -19,9 +19,14 @@
 	Seeds []string
 	// MeshMost is the number of daemons up to which all exchange directly.
 	MeshMost int
-	// Period is the time between two exchanges with the same daemon, and
-	// RelayPeriod that time in a larger group, where news pass relays.
-	Period, RelayPeriod time.Duration
+	// TellMost is the number of daemons up to which one tells news to all.
+	TellMost int
+	// Period is the time between two exchanges with the same daemon. It grows
+	// to PeriodPerDaemon for each daemon, so that a daemon of a large group
+	// exchanges no more often in all.
+	Period, PeriodPerDaemon time.Duration
+	// RelayPeriod is that time in a group with relays.
+	RelayPeriod time.Duration
 	// Timeout bounds a call, and DialTimeout the opening of a connection.
 	Timeout, DialTimeout time.Duration
 	// SilentAfter is the age of a daemon's last word after which it is silent.
@@ -38,8 +43,8 @@
 // DefaultOptions returns the defaults of a daemon.
 func DefaultOptions(self Member, seeds []string) Options {
 	return Options{
-		Self: self, Seeds: seeds, MeshMost: 16,
-		Period: 400 * time.Millisecond, RelayPeriod: 200 * time.Millisecond,
+		Self: self, Seeds: seeds, MeshMost: 100, TellMost: 16,
+		Period: 400 * time.Millisecond, PeriodPerDaemon: 12500 * time.Microsecond, RelayPeriod: 200 * time.Millisecond,
 		Timeout: 600 * time.Millisecond, DialTimeout: 300 * time.Millisecond,
 		SilentAfter: 1500 * time.Millisecond, MuteAfter: time.Second, SilentPeriod: time.Second, NewFor: 2 * time.Second,
 	}
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -223,7 +223,7 @@
 		options := membership.DefaultOptions(membership.Member{
 			Name: name, Address: address, Zone: []string{"zone-1", "zone-2"}[i%2], Incarnation: "first",
 		}, nil)
-		options.MeshMost = 4
+		options.MeshMost, options.TellMost = 4, 4
 		if i > 0 {
 			options.Seeds = []string{daemons[0].member.Address}
 		}
--- a/membership/relay_internal_test.go
+++ b/membership/relay_internal_test.go
@@ -18,7 +18,9 @@
 func groupOf(c *qt.C, size, zones, self int) *Group {
 	common := telemetry.NewCommon()
 	common.Clock = clock.NewFake(start)
-	g := New(common, DefaultOptions(memberOf(self, zones), nil), nil)
+	options := DefaultOptions(memberOf(self, zones), nil)
+	options.MeshMost = 16
+	g := New(common, options, nil)
 	for i := range size {
 		if i != self {
 			g.add(memberOf(i, zones)).heard = start
@@ -103,7 +105,7 @@
 	c.Check(g.newTopology(start).relays["edge-000"], qt.IsTrue)
 	c.Check(g.newTopology(start).relays["edge-004"], qt.IsTrue)
 	for _, name := range []string{"edge-000", "edge-004"} {
-		g.peers[name].heard = start.Add(-g.options.SilentAfter - g.relayDelay())
+		g.peers[name].heard = start.Add(-g.options.SilentAfter - g.extraAge())
 	}
 	links := g.newTopology(start)
 	c.Check(links.relays["edge-000"], qt.IsFalse)
@@ -149,7 +151,7 @@
 	c.Check(g.relayed(links, to, held, start), qt.HasLen, 58)
 	c.Check(g.relayed(links, memberOf(21, 4), nil, start), qt.HasLen, 0, qt.Commentf("another zone has relays of its own"))
 	c.Check(g.relayed(links, memberOf(1, 4), nil, start), qt.HasLen, 15, qt.Commentf("relays of other zones get the own zone"))
-	g.peers["edge-001"].heard = start.Add(-g.options.MuteAfter - g.relayDelay())
+	g.peers["edge-001"].heard = start.Add(-g.options.MuteAfter - g.extraAge())
 	c.Check(g.relayed(links, to, nil, start), qt.HasLen, 58, qt.Commentf("old news is not passed on"))
 }
 
@@ -187,3 +189,40 @@
 	c.Check(links.relays["edge-044"], qt.IsTrue)
 	c.Check(g.ReadsForOthers(), qt.IsFalse)
 }
+
+// TestLargeMeshExchangesNoMoreOften is a group that is too small for relays.
+func TestLargeMeshExchangesNoMoreOften(t *testing.T) {
+	c := qt.New(t)
+	options := DefaultOptions(memberOf(0, 4), nil)
+	for _, size := range []int{7, 32, 61, 99} {
+		g := New(telemetry.NewCommon(), options, nil)
+		for i := 1; i < size; i++ {
+			g.add(memberOf(i, 4)).heard = start
+		}
+		perSecond := float64(size-1) / g.period().Seconds()
+		c.Check(perSecond <= 81, qt.IsTrue, qt.Commentf("%d daemons: %.0f exchanges a second", size, perSecond))
+		c.Check(g.extraAge() >= g.period()-options.Period, qt.IsTrue)
+	}
+}
+
+// TestNewsTakesTwoStepsInALargeMesh is a reader of the store, another daemon of its
+// zone, and relays and other daemons of another zone.
+func TestNewsTakesTwoStepsInALargeMesh(t *testing.T) {
+	c := qt.New(t)
+	view := func(self int) topology {
+		g := New(telemetry.NewCommon(), DefaultOptions(memberOf(self, 4), nil), nil)
+		for i := range 61 {
+			if i != self {
+				g.add(memberOf(i, 4)).heard = start
+			}
+		}
+		return g.newTopology(start)
+	}
+	reader, none := memberOf(0, 4), Member{}
+	c.Check(view(0).tells(memberOf(4, 4), none), qt.IsTrue)
+	c.Check(view(0).tells(memberOf(1, 4), none), qt.IsTrue)
+	c.Check(view(0).tells(memberOf(5, 4), none), qt.IsFalse, qt.Commentf("the first one of its zone tells it"))
+	c.Check(view(1).tells(memberOf(9, 4), reader), qt.IsTrue)
+	c.Check(view(1).tells(memberOf(2, 4), reader), qt.IsFalse)
+	c.Check(view(9).tells(memberOf(13, 4), reader), qt.IsFalse, qt.Commentf("it is no relay"))
+}
--- a/membership/topology.go
+++ b/membership/topology.go
@@ -18,6 +18,8 @@
 	self Member
 	// isMesh is true when all daemons exchange directly.
 	isMesh bool
+	// tellsAll is true when a daemon tells news to all others itself.
+	tellsAll bool
 	// relays holds the names of the relays of all zones.
 	relays map[string]bool
 	// first holds the name of the first relay of each zone.
@@ -27,7 +29,7 @@
 // topology returns the present one, made anew a few times in a period. It is called
 // with the mutex held.
 func (g *Group) topology(now time.Time) topology {
-	if now.Sub(g.linkedAt) >= g.options.Period/steps || g.isMesh() {
+	if now.Sub(g.linkedAt) >= g.options.Period/steps || len(g.peers) < g.options.TellMost {
 		g.links, g.linkedAt = g.newTopology(now), now
 	}
 	return g.links
@@ -39,8 +41,8 @@
 
 // newTopology makes a topology in which a daemon that is not heard is no relay.
 func (g *Group) newTopology(now time.Time) topology {
-	t := topology{self: g.options.Self, isMesh: g.isMesh()}
-	if t.isMesh {
+	t := topology{self: g.options.Self, isMesh: g.isMesh(), tellsAll: len(g.peers) < g.options.TellMost}
+	if t.isMesh && t.tellsAll {
 		return t
 	}
 	zones := map[string][]Member{t.self.Zone: {t.self}}
@@ -63,20 +65,20 @@
 // isHeard reports whether a daemon's last word is so new that the daemon is taken to
 // live. It is called with the mutex held.
 func (g *Group) isHeard(p *peer, now time.Time) bool {
-	return now.Sub(p.heard) < g.options.SilentAfter+g.relayDelay()
+	return now.Sub(p.heard) < g.options.SilentAfter+g.extraAge()
 }
 
 // isCurrent reports whether a daemon's last word is so new that the way to it is
 // taken to work. It is called with the mutex held.
 func (g *Group) isCurrent(p *peer, now time.Time) bool {
-	return now.Sub(p.heard) < g.options.MuteAfter+g.relayDelay()
+	return now.Sub(p.heard) < g.options.MuteAfter+g.extraAge()
 }
 
-// relayDelay is how much older the words of other daemons are in a large group:
-// two relays lie between daemons of different zones.
-func (g *Group) relayDelay() time.Duration {
+// extraAge is how much older the words of other daemons are in a large group: the
+// period is longer, or two relays lie between daemons of different zones.
+func (g *Group) extraAge() time.Duration {
 	if g.isMesh() {
-		return 0
+		return g.period() - g.options.Period
 	}
 	return 2 * g.options.RelayPeriod
 }
@@ -118,7 +120,7 @@
 func (t topology) tells(to, sender Member) bool {
 	isOwn := sender.Name == ""
 	switch {
-	case t.isMesh:
+	case t.tellsAll:
 		return isOwn
 	case to.Zone == t.self.Zone:
 		return isOwn || t.relays[t.self.Name]
