--- a/logsink/sink.go
+++ b/logsink/sink.go
@@ -38,7 +38,7 @@
 	// writer gathers the lines of one look at the queue into one write.
 	writer *bufio.Writer
 	// target is the output under the writer.
-	target io.Writer
+	target  io.Writer
 	output  slog.Handler
 	records *ring.Ring[entry]
 	dropped atomic.Int64
