Wait for all three timers in the test of silent backend servers

Cause: the test advanced its clock when two timers ran. One of them can be the client's timer for idle connections, and then the silence timeout of the attempt starts after the only advance and never expires. Change: the test waits for the deadline, the silence timeout and the idle timer.

--- a/dispatch/matrix_test.go
+++ b/dispatch/matrix_test.go
@@ -114,6 +114,11 @@
 	checkInvariants(c, b, r, w)
 }
 
+// timersOfSilentAttempt is the number of timers that run while an attempt waits for
+// a silent backend server: the client's for idle connections, the deadline and the
+// silence timeout.
+const timersOfSilentAttempt = 3
+
 // injectFault triggers the fault after the first backend server has stopped
 // responding and the caller has received what was sent before.
 func (b *testbed) injectFault(ctx context.Context, fault string, r request.Request, delivered chan struct{}, cancel func()) {
@@ -126,9 +131,7 @@
 	<-delivered
 	switch fault {
 	case "silent":
-		// Wait until the timers for the deadline and for the silent backend
-		// server are running.
-		if b.clock.BlockUntilContext(ctx, 2) != nil {
+		if b.clock.BlockUntilContext(ctx, timersOfSilentAttempt) != nil {
 			return
 		}
 		b.clock.Advance(time.Minute)
