--- a/duties/duties.go
+++ b/duties/duties.go
@@ -13,6 +13,7 @@
 	"github.com/cranberrywalk/cranberrywalk/clock"
 	"github.com/cranberrywalk/cranberrywalk/clocksync"
 	"github.com/cranberrywalk/cranberrywalk/dutylease"
+	"github.com/cranberrywalk/cranberrywalk/latest"
 	"github.com/cranberrywalk/cranberrywalk/store"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 	"github.com/cranberrywalk/cranberrywalk/usage"
@@ -96,15 +97,15 @@
 // Done returns a channel that is closed when Run has returned.
 func (d *Duties) Done() <-chan struct{} { return d.done }
 
-// End returns the offset up to which the log of duties has been read.
-func (d *Duties) End() uint64 {
+// End returns the position up to which the log of duties has been read.
+func (d *Duties) End() latest.Position {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	return d.lease.End()
 }
 
 // ObservePeerEnd records how far another daemon has read the log of duties.
-func (d *Duties) ObservePeerEnd(end uint64) {
+func (d *Duties) ObservePeerEnd(end latest.Position) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.lease.ObservePeer(end, d.now())
@@ -121,6 +122,35 @@
 	}
 }
 
+// ObserveReports takes over the usage reports that another daemon knows to be decided.
+func (d *Duties) ObserveReports(reports []dutylease.Report) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, report := range reports {
+		d.lease.ObserveReport(report)
+	}
+}
+
+// ReportsToShare returns the usage reports that other daemons should know in case the
+// log of duties is lost: those that this process has just decided, or all that are
+// known for a daemon that has just started.
+func (d *Duties) ReportsToShare(toNew bool) []dutylease.Report {
+	now := d.SyncedClock.At(d.Clock.Now())
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	switch {
+	case toNew:
+		return d.lease.RecentReports(d.Usage.Window(now.Add(-d.options.UsageMaxAge)))
+	case d.lease.IsHolder():
+		return d.lease.RecentReports(d.Usage.Window(now) - sharedReportWindows)
+	}
+	return nil
+}
+
+// sharedReportWindows is the number of ended windows whose reports the holder shares. A
+// window is decided shortly after its end.
+const sharedReportWindows = 2
+
 // now reads the clock that also advances while the VM is suspended.
 func (d *Duties) now() time.Time { return clock.SuspendAwareNow(d.Clock) }
 
@@ -183,10 +213,10 @@
 			return
 		}
 		d.mutex.Lock()
-		mayAcquire := d.lease.MayAcquire(d.now())
+		mayAcquire, unlogged := d.lease.MayAcquire(d.now()), d.lease.UnloggedReports()
 		d.mutex.Unlock()
 		if mayAcquire {
-			d.append(ctx, dutylease.Record{Holder: d.options.Process, Takes: true})
+			d.append(ctx, dutylease.Record{Holder: d.options.Process, Takes: true, Reports: unlogged})
 		}
 	}
 }
@@ -196,25 +226,53 @@
 	ctx, cancel := context.WithTimeout(ctx, d.options.Timeout)
 	defer cancel()
 	from := d.End()
-	entries, err := d.Store.Read(ctx, d.options.Topic, from, 0)
+	entries, err := d.Store.Read(ctx, d.options.Topic, from.Offset, 0)
 	var gap *store.GapError
 	if errors.As(err, &gap) {
-		d.mutex.Lock()
-		d.lease.Restart(gap.First, d.now())
-		d.mutex.Unlock()
-		d.Log.Info("DutyEntriesGone", "From", from, "First", gap.First)
+		d.skipGap(from, gap.First)
 		return false
 	}
 	if err != nil {
 		d.Count("Duties.ReadsFailed", 1)
 		return false
 	}
-	for i, entry := range entries {
-		d.apply(from+uint64(i), entry)
+	if entries.Epoch < from.Epoch {
+		d.Count("Duties.ReadsFailed", 1)
+		d.Log.Error(&store.StaleEpochError{Epoch: entries.Epoch, Known: from.Epoch}, "DutyEntriesStale")
+		return false
+	}
+	if entries.Epoch > from.Epoch {
+		d.enterEpoch(entries.Epoch)
+		if from.Offset > 0 {
+			// The entries before this offset are not those that were read.
+			return d.read(ctx)
+		}
+	}
+	for i, entry := range entries.Records {
+		d.apply(from.Offset+uint64(i), entry)
 	}
 	return true
 }
 
+// skipGap continues at the first entry that the log still holds.
+func (d *Duties) skipGap(from, first latest.Position) {
+	if first.Epoch > from.Epoch {
+		d.enterEpoch(first.Epoch)
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.lease.Restart(first, d.now())
+	d.Log.Info("DutyEntriesGone", "From", from, "First", first)
+}
+
+// enterEpoch starts over with a log that was restored from an older copy.
+func (d *Duties) enterEpoch(epoch uint64) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.Log.Info("DutyLogRestored", "Epoch", epoch, "End", d.lease.End())
+	d.lease.EnterEpoch(epoch, d.now())
+}
+
 func (d *Duties) apply(offset uint64, entry []byte) {
 	record, err := dutylease.DecodeRecord(offset, entry)
 	d.mutex.Lock()
@@ -239,6 +297,8 @@
 // append adds a record at the end of the log as read so far. It reports whether the
 // record is known to have taken effect.
 func (d *Duties) append(ctx context.Context, record dutylease.Record) bool {
+	end := d.End()
+	record.Epoch = end.Epoch
 	content, err := record.Encode()
 	if err != nil {
 		d.Log.Error(err, "DutyRecordNotEncoded")
@@ -247,8 +307,8 @@
 	ctx, cancel := context.WithTimeout(ctx, d.options.Timeout)
 	defer cancel()
 	began := d.now()
-	err = d.Store.Append(ctx, d.options.Topic, d.End(), content)
-	if err == nil {
+	epoch, err := d.Store.Append(ctx, d.options.Topic, end.Offset, content)
+	if err == nil && epoch == end.Epoch {
 		d.mutex.Lock()
 		d.lease.Appended(record, began, d.now())
 		d.mutex.Unlock()
@@ -256,7 +316,7 @@
 	}
 	d.Count("Duties.AppendsFailed", 1)
 	// Either the record took effect and the response was lost, or another
-	// process appended first. Reading the log shows which.
+	// process appended first, or the log was restored. Reading the log shows which.
 	d.read(ctx)
 	return false
 }
--- a/duties/duties_test.go
+++ b/duties/duties_test.go
@@ -170,3 +170,41 @@
 		})
 	}
 }
+
+// TestReportsAcrossRestores restores the store from copies while the holder goes on, is
+// stopped, or starts anew. No window is reported with two counts, fencing tokens never
+// go back, and reports go on.
+func TestReportsAcrossRestores(t *testing.T) {
+	r := newFixture(t)
+	a, b := r.start("a"), r.start("b")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go count(ctx, a.usage, b.usage)
+	go share(ctx, a, b)
+	for step := range 4 {
+		before := len(r.reports())
+		copied := r.store.Snapshot()
+		r.eventually("two windows", func() bool { return len(r.reports()) >= before+2 })
+		r.store.Restore(copied)
+		if step == 2 {
+			a.cancel()
+			<-a.duties.Done()
+		}
+	}
+	before := len(r.reports())
+	r.eventually("windows after the last restore", func() bool { return len(r.reports()) >= before+2 })
+	highest := uint64(0)
+	for _, report := range r.cloud.Reports() {
+		r.c.Check(report.Fence >= highest, qt.IsTrue, qt.Commentf("%d after %d", report.Fence, highest))
+		highest = max(highest, report.Fence)
+	}
+}
+
+// share passes the decided reports between two processes, as digests do.
+func share(ctx context.Context, a, b *process) {
+	for ctx.Err() == nil {
+		a.duties.ObserveReports(b.duties.ReportsToShare(false))
+		b.duties.ObserveReports(a.duties.ReportsToShare(false))
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- a/dutylease/holder.go
+++ b/dutylease/holder.go
@@ -1,6 +1,13 @@
 package dutylease
 
-import "time"
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/latest"
+)
 
 // Options sets the timing of the lease and the size of the state.
 type Options struct {
@@ -27,8 +34,11 @@
 type LeaseState struct {
 	options Options
 	self    string
-	// end is the offset after the last applied entry.
-	end uint64
+	// end is the position after the last applied entry.
+	end latest.Position
+	// heldInEpoch is true once an entry that was written in the epoch of end has been
+	// applied. Until then the holder of an earlier epoch may still act.
+	heldInEpoch bool
 	// started is when this process started.
 	started time.Time
 	// endChangedAt is when end last changed: when the last entry was read, or when a
@@ -37,47 +47,93 @@
 	// holder is the process that wrote the last entry, or empty when that entry
 	// released the lease.
 	holder string
-	// fencingToken is one more than the offset of the entry with which the holder
-	// acquired the lease, so that it is never zero.
+	// fencingToken is derived from the position of the entry with which the holder
+	// acquired the lease.
 	fencingToken uint64
 	// leaseEnd is when this process's own lease ends.
 	leaseEnd time.Time
 	// peerEnd is the highest end reported by another daemon, received at
 	// peerEndAt.
-	peerEnd   uint64
+	peerEnd   latest.Position
 	peerEndAt time.Time
 	// reports holds the decided reports by window.
 	reports map[int64]Report
+	// unlogged holds the windows of reports that the log is not known to hold, since
+	// it was restored or since another daemon passed them on.
+	unlogged map[int64]bool
 }
 
 // NewLeaseState returns the state of a process that has read nothing yet.
 func NewLeaseState(options Options, self string, now time.Time) *LeaseState {
-	return &LeaseState{options: options, self: self, started: now, endChangedAt: now, reports: make(map[int64]Report)}
+	return &LeaseState{
+		options: options, self: self, started: now, endChangedAt: now,
+		reports: make(map[int64]Report), unlogged: make(map[int64]bool),
+	}
 }
 
-// End returns the offset of the next entry to apply.
-func (s *LeaseState) End() uint64 { return s.end }
+// End returns the position of the next entry to apply.
+func (s *LeaseState) End() latest.Position { return s.end }
 
 // FencingToken returns the fencing token of the current holder.
 func (s *LeaseState) FencingToken() uint64 { return s.fencingToken }
 
+// epochShift is the number of bits for offsets in a fencing token. It leaves room for
+// thousands of epochs in the integers that JSON numbers represent exactly.
+const epochShift = 40
+
+// fencingTokenAt returns the fencing token of a lease that was acquired with the entry
+// at a position. It is never zero, and it increases across epochs.
+func fencingTokenAt(p latest.Position) uint64 { return p.Epoch<<epochShift + p.Offset + 1 }
+
+// EnterEpoch starts over with a log that was restored from an older copy: entries
+// after the copy are lost, and offsets are given out again. A holder of the epoch
+// before may act until its lease ends, so nobody else may acquire the lease until
+// then, not even a process that has just started and finds the log empty. The reports
+// decided so far stay decided.
+func (s *LeaseState) EnterEpoch(epoch uint64, now time.Time) {
+	s.end, s.heldInEpoch = latest.Position{Epoch: epoch}, false
+	s.holder, s.endChangedAt = unknownHolder, now
+	for window := range s.reports {
+		s.unlogged[window] = true
+	}
+}
+
 // Apply applies the next entry of the log.
 func (s *LeaseState) Apply(record Record, now time.Time) {
+	switch {
+	case record.Epoch == s.end.Epoch:
+		s.heldInEpoch = true
+		s.applyHolder(record)
+		s.applyReports(record)
+	case !s.heldInEpoch:
+		// The entry is from the copy. Its writer may have written more that is lost.
+		s.holder = unknownHolder
+		s.applyReports(record)
+	default:
+		// An append that was sent before the log was restored took effect late.
+	}
+	s.advance(now)
+}
+
+func (s *LeaseState) applyHolder(record Record) {
 	if record.Takes {
-		s.fencingToken = s.end + 1
+		s.fencingToken = fencingTokenAt(s.end)
 	}
 	s.holder = record.Holder
 	if record.Leaves {
 		s.holder = ""
 	}
+	if s.holder != s.self {
+		s.leaseEnd = time.Time{}
+	}
+}
+
+func (s *LeaseState) applyReports(record Record) {
 	for _, report := range record.Reports {
 		s.reports[report.Window] = report
+		delete(s.unlogged, report.Window)
 	}
 	s.dropOldReports()
-	s.advance(now)
-	if s.holder != s.self {
-		s.leaseEnd = time.Time{}
-	}
 }
 
 // Skip advances past an entry that can't be decoded.
@@ -86,9 +142,9 @@
 // advance moves the end by one entry. An entry that another daemon reported earlier
 // is dated to the receipt of that report.
 func (s *LeaseState) advance(now time.Time) {
-	s.end++
+	s.end.Offset++
 	s.endChangedAt = now
-	if s.end <= s.peerEnd && s.peerEndAt.Before(now) {
+	if s.end.Compare(s.peerEnd) <= 0 && s.peerEndAt.Before(now) {
 		s.endChangedAt = s.peerEndAt
 	}
 }
@@ -97,33 +153,39 @@
 // not read.
 const unknownHolder = "unknown"
 
-// Restart continues at a later offset because the entries in between have been
+// Restart continues at a later position because the entries in between have been
 // removed. Any process may have acquired the lease with one of them.
-func (s *LeaseState) Restart(end uint64, now time.Time) {
-	s.end, s.endChangedAt, s.holder, s.leaseEnd = end, now, unknownHolder, time.Time{}
+func (s *LeaseState) Restart(end latest.Position, now time.Time) {
+	s.end, s.endChangedAt, s.holder = end, now, unknownHolder
 }
 
 // ObservePeer records that another daemon has read the log up to end. A higher end
 // shows that the holder is alive.
-func (s *LeaseState) ObservePeer(end uint64, now time.Time) {
-	if end > s.peerEnd {
+func (s *LeaseState) ObservePeer(end latest.Position, now time.Time) {
+	if s.peerEnd.Before(end) {
 		s.peerEnd, s.peerEndAt = end, now
 	}
 }
 
-// MustRead reports whether the log has to be read: nobody holds the lease, or peers
-// have reported no new entry for the duration of a lease. The log is then polled,
+// MustRead reports whether the log has to be read: nobody is known to hold the lease, or
+// peers have reported no new entry for the duration of a lease. The log is then polled,
 // since only a log that stops growing shows that the holder is gone.
 func (s *LeaseState) MustRead(now time.Time) bool {
 	if s.holder == s.self {
 		return false
 	}
-	return s.holder == "" || now.Sub(s.peerEndAt) >= s.options.Lease && now.Sub(s.started) >= s.options.Lease
+	if s.holder == "" || s.holder == unknownHolder {
+		return true
+	}
+	return now.Sub(s.peerEndAt) >= s.options.Lease && now.Sub(s.started) >= s.options.Lease
 }
 
 // MayAcquire reports whether this process may try to acquire the lease.
+//
+// A process whose own lease still runs when it learns that the log was restored may
+// acquire it at once, since no other process can hold it.
 func (s *LeaseState) MayAcquire(now time.Time) bool {
-	if s.holder == "" {
+	if s.holder == "" || s.holder == unknownHolder && now.Before(s.leaseEnd) {
 		return true
 	}
 	return s.holder != s.self && now.Sub(s.endChangedAt) >= s.options.Lease+s.options.Margin
@@ -177,6 +239,38 @@
 	return report, found
 }
 
+// ObserveReport takes over a report that another daemon knows to be decided.
+func (s *LeaseState) ObserveReport(report Report) {
+	if _, held := s.reports[report.Window]; held {
+		return
+	}
+	s.reports[report.Window] = report
+	s.unlogged[report.Window] = true
+	s.dropOldReports()
+}
+
+// UnloggedReports returns the decided reports that the log may lack. The process that
+// acquires the lease appends them, so that they stay decided.
+func (s *LeaseState) UnloggedReports() []Report {
+	var reports []Report
+	for window := range s.unlogged {
+		reports = append(reports, s.reports[window])
+	}
+	slices.SortFunc(reports, func(x, y Report) int { return cmp.Compare(x.Window, y.Window) })
+	return reports
+}
+
+// RecentReports returns the decided reports of the given window and later ones.
+func (s *LeaseState) RecentReports(from int64) []Report {
+	var reports []Report
+	for _, window := range slices.Sorted(maps.Keys(s.reports)) {
+		if window >= from {
+			reports = append(reports, s.reports[window])
+		}
+	}
+	return reports
+}
+
 // dropOldReports keeps the reports of the newest MaxReports windows.
 func (s *LeaseState) dropOldReports() {
 	for len(s.reports) > s.options.MaxReports {
@@ -187,5 +281,6 @@
 			}
 		}
 		delete(s.reports, oldest)
+		delete(s.unlogged, oldest)
 	}
 }
--- a/dutylease/holder_test.go
+++ b/dutylease/holder_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/cranberrywalk/cranberrywalk/dutylease"
+	"github.com/cranberrywalk/cranberrywalk/latest"
 )
 
 var (
@@ -17,6 +18,8 @@
 
 // log is the log of duties, shared by several processes.
 type log struct {
+	// epoch is the number of times that the log was restored.
+	epoch   uint64
 	records []dutylease.Record
 	states  map[string]*dutylease.LeaseState
 	// tokens holds the fencing token of each acquisition, in order.
@@ -34,8 +37,11 @@
 // catchUp applies the entries that a process has not read.
 func (l *log) catchUp(name string, now time.Time) *dutylease.LeaseState {
 	s := l.states[name]
-	for s.End() < uint64(len(l.records)) {
-		s.Apply(l.records[s.End()], now)
+	if s.End().Epoch < l.epoch {
+		s.EnterEpoch(l.epoch, now)
+	}
+	for s.End().Offset < uint64(len(l.records)) {
+		s.Apply(l.records[s.End().Offset], now)
 	}
 	return s
 }
@@ -43,10 +49,10 @@
 // append adds a record if the process has read the whole log.
 func (l *log) append(name string, record dutylease.Record, now time.Time) bool {
 	s := l.states[name]
-	if s.End() != uint64(len(l.records)) {
+	if s.End() != (latest.Position{Epoch: l.epoch, Offset: uint64(len(l.records))}) {
 		return false
 	}
-	record.Holder = name
+	record.Holder, record.Epoch = name, l.epoch
 	l.records = append(l.records, record)
 	s.Appended(record, now, now)
 	if record.Takes {
@@ -57,7 +63,7 @@
 
 func (l *log) acquire(name string, now time.Time) bool {
 	s := l.catchUp(name, now)
-	return s.MayAcquire(now) && l.append(name, dutylease.Record{Takes: true}, now)
+	return s.MayAcquire(now) && l.append(name, dutylease.Record{Takes: true, Reports: s.UnloggedReports()}, now)
 }
 
 func (l *log) holds(name string, now time.Time) bool {
@@ -145,10 +151,10 @@
 func TestRestartLeavesUnknownHolder(t *testing.T) {
 	c := qt.New(t)
 	s := dutylease.NewLeaseState(options, "a", start)
-	s.Restart(50, start)
+	s.Restart(latest.Position{Offset: 50}, start)
 	c.Check(s.MayAcquire(start), qt.IsFalse)
 	c.Check(s.MayAcquire(start.Add(options.Lease+options.Margin)), qt.IsTrue)
-	c.Check(s.End(), qt.Equals, uint64(50))
+	c.Check(s.End(), qt.Equals, latest.Position{Offset: 50})
 }
 
 func TestRevokeEndsTheLease(t *testing.T) {
@@ -168,9 +174,9 @@
 	b := l.catchUp("b", start)
 	later := start.Add(options.Lease)
 	c.Check(b.MustRead(later), qt.IsTrue)
-	b.ObservePeer(5, later)
+	b.ObservePeer(latest.Position{Offset: 5}, later)
 	c.Check(b.MustRead(later), qt.IsFalse)
-	b.ObservePeer(5, later.Add(5*time.Second))
+	b.ObservePeer(latest.Position{Offset: 5}, later.Add(5*time.Second))
 	c.Check(b.MustRead(later.Add(5*time.Second)), qt.IsTrue, qt.Commentf("the same end does not show that the holder is alive"))
 }
 
@@ -182,7 +188,7 @@
 	l := newLog("a", "b")
 	l.acquire("a", start)
 	l.append("a", dutylease.Record{}, start.Add(time.Second))
-	l.states["b"].ObservePeer(2, start.Add(time.Second))
+	l.states["b"].ObservePeer(latest.Position{Offset: 2}, start.Add(time.Second))
 	later := start.Add(time.Second + options.Lease + options.Margin)
 	c.Check(l.holds("a", later), qt.IsFalse)
 	c.Check(l.acquire("b", later), qt.IsTrue)
--- a/dutylease/record.go
+++ b/dutylease/record.go
@@ -16,8 +16,12 @@
 	Takes bool
 	// Leaves is true when the process releases the lease.
 	Leaves bool
-	// Reports are the usage reports decided with the record.
+	// Reports are the usage reports decided with the record, and earlier ones that
+	// the log may have lost.
 	Reports []Report
+	// Epoch is the epoch of the log that the writer had read. An append that takes
+	// effect in another epoch is void.
+	Epoch uint64
 }
 
 // RecordError says that an entry of the log can't be decoded.
--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"context"
+
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/cranberrywalk/cranberrywalk/feed"
@@ -26,10 +28,12 @@
 		e.Log.Error(err, "ConfigurationUnreadable", "Offset", record.Offset)
 		return
 	}
-	current := e.gateway.Catalog()
-	if current != nil && next.Version() <= current.Version() {
+	e.configuring.Lock()
+	defer e.configuring.Unlock()
+	if next.Version() <= e.configurationVersion() {
 		return
 	}
+	e.configurationRecord.Store(&record)
 	e.gateway.SetCatalog(next)
 	e.quotas.SetCustomers(next.Customers(), e.Clock.Now())
 	e.runners.updateBalancer()
@@ -46,17 +50,90 @@
 	}
 }
 
-// addMembers adds the daemons that the store lists to the group.
+// configurationVersion returns the version of the configuration in force, or zero.
+func (e *Entry) configurationVersion() uint64 {
+	current := e.gateway.Catalog()
+	if current == nil {
+		return 0
+	}
+	return current.Version()
+}
+
+// catchUpConfiguration requests the configuration in force at another daemon if it is
+// newer although both have read the same records. That is so after the store was
+// restored from a copy without the newest configuration.
+func (e *Entry) catchUpConfiguration(from membership.Member, version uint64, end latest.Position) {
+	f := e.feedsByTopic[platform.ConfigurationTopic]
+	if version <= e.configurationVersion() || end != f.End() || !e.fetchingConfiguration.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer e.fetchingConfiguration.Store(false)
+		record, err := e.group.Configuration(context.Background(), from)
+		if err != nil {
+			e.Count("Configuration.FetchesFailed", 1)
+			return
+		}
+		if platform.IsConfiguration(record) {
+			e.applyConfiguration(record)
+		}
+	}()
+}
+
+// addMembers adds the daemons that the store lists to the group. If the store has lost
+// this daemon's own record, it is written again.
 func (e *Entry) addMembers(batch feed.Batch) {
+	e.checkOwnRecord()
 	for _, record := range batch.Records {
 		if record.IsTombstone() {
 			continue
 		}
-		var member membership.Member
-		if err := msgpack.Unmarshal(record.Value, &member); err != nil {
+		member, err := decodeMember(record)
+		if err != nil {
 			e.Log.Error(err, "DaemonRecordUnreadable", "Daemon", record.Key)
 			continue
 		}
 		e.group.Add(member)
 	}
 }
+
+func decodeMember(record latest.Record) (membership.Member, error) {
+	var member membership.Member
+	err := msgpack.Unmarshal(record.Value, &member)
+	return member, err
+}
+
+// checkOwnRecord makes the daemon write its own record again if the store was restored
+// since and does not hold it.
+func (e *Entry) checkOwnRecord() {
+	f := e.feedsByTopic[membersTopic]
+	epoch, written := e.announcedEpoch()
+	if !written || f.End().Epoch <= epoch {
+		return
+	}
+	e.setAnnouncedEpoch(f.End().Epoch)
+	for _, record := range f.Extract(latest.Position{}).Records {
+		member, err := decodeMember(record)
+		if err == nil && member == e.self {
+			return
+		}
+	}
+	e.Log.Info("OwnRecordLost", "Daemon", e.self.Name, "Epoch", f.End().Epoch)
+	select {
+	case e.announcement <- struct{}{}:
+	default:
+	}
+}
+
+// setAnnouncedEpoch records the epoch in which the store is known to hold the daemon's
+// own record, or in which it is being written.
+func (e *Entry) setAnnouncedEpoch(epoch uint64) { e.announced.Store(&epoch) }
+
+// announcedEpoch returns the epoch that was last set, and false before the first one.
+func (e *Entry) announcedEpoch() (epoch uint64, written bool) {
+	announced := e.announced.Load()
+	if announced == nil {
+		return 0, false
+	}
+	return *announced, true
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +21,7 @@
 	"github.com/cranberrywalk/cranberrywalk/feed"
 	"github.com/cranberrywalk/cranberrywalk/gateway"
 	"github.com/cranberrywalk/cranberrywalk/inventory"
+	"github.com/cranberrywalk/cranberrywalk/latest"
 	"github.com/cranberrywalk/cranberrywalk/membership"
 	"github.com/cranberrywalk/cranberrywalk/metric"
 	"github.com/cranberrywalk/cranberrywalk/platform"
@@ -59,6 +61,20 @@
 	readinessServer *http.Server
 	metricsServer   *http.Server
 
+	// configuring is held while a newer configuration is put in force.
+	configuring sync.Mutex
+	// configurationRecord is the record of the configuration in force; nil before the
+	// first one.
+	configurationRecord atomic.Pointer[latest.Record]
+	// fetchingConfiguration is true while the configuration in force is requested from
+	// another daemon.
+	fetchingConfiguration atomic.Bool
+	// announcement receives a value when the store has lost the daemon's own record.
+	announcement chan struct{}
+	// announced is the epoch of the store in which that record was last written; nil
+	// before the first time.
+	announced atomic.Pointer[uint64]
+
 	// stopping is true from the start of a planned stop.
 	stopping atomic.Bool
 	// done is closed when Run has returned.
@@ -75,7 +91,7 @@
 func New(common telemetry.Common, settings platform.Settings) *Entry {
 	now := common.Clock.Now()
 	e := &Entry{
-		Common: common, settings: settings, done: make(chan struct{}),
+		Common: common, settings: settings, done: make(chan struct{}), announcement: make(chan struct{}, 1),
 		self: membership.Member{
 			Name: settings.Name, Address: settings.PeerAddress, Zone: settings.Zone, Incarnation: ulid.Make().String(),
 			Capacity: settings.CPUMillicores,
@@ -149,12 +165,33 @@
 	}, gateway.DefaultOptions())
 }
 
-// expiryGrace is how long runners are kept whose records expired during an outage of
-// the store.
-const expiryGrace = 2200 * time.Millisecond
+const (
+	// expiryGrace is how long runners are kept whose records expired during an
+	// outage of the store.
+	expiryGrace = 2200 * time.Millisecond
+	// restoreGraceHeartbeats is the number of runners' heartbeats after a restore of
+	// the store by which the record of each runner is its own again: the store drops
+	// a record after three of them.
+	restoreGraceHeartbeats = 4
+	// defaultRunnerHeartbeat is used when the platform tells none.
+	defaultRunnerHeartbeat = 1200 * time.Millisecond
+	// removedRunnerRetention exceeds the age of the copies from which the platform
+	// restores its store.
+	removedRunnerRetention = time.Minute
+)
+
+func inventoryOptions(settings platform.Settings) inventory.Options {
+	heartbeat := settings.RunnerHeartbeat
+	if heartbeat <= 0 {
+		heartbeat = defaultRunnerHeartbeat
+	}
+	return inventory.Options{
+		ExpiryGrace: expiryGrace, RestoreGrace: restoreGraceHeartbeats * heartbeat, RemovedRetention: removedRunnerRetention,
+	}
+}
 
 func (e *Entry) addFeeds() {
-	e.runners = newRunnerTracker(e, inventory.New(inventory.Options{ExpiryGrace: expiryGrace}, platform.DecodeRunner))
+	e.runners = newRunnerTracker(e, inventory.New(inventoryOptions(e.settings), platform.DecodeRunner))
 	e.feedsByTopic = make(map[string]*feed.Feed)
 	e.addFeed(feed.Options{
 		Topic: platform.ConfigurationTopic, Period: feedPeriod, Wait: configurationWait,
--- a/entry/peerhandler.go
+++ b/entry/peerhandler.go
@@ -4,7 +4,9 @@
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/feed"
+	"github.com/cranberrywalk/cranberrywalk/latest"
 	"github.com/cranberrywalk/cranberrywalk/membership"
+	"github.com/cranberrywalk/cranberrywalk/platform"
 )
 
 // peerHandler handles the gossip with other daemons. It implements
@@ -28,6 +30,9 @@
 		Usage:    h.quotas.OwnUsage(),
 		Counts:   h.usage.OwnCounts(from),
 		Crashes:  h.suspects.Recent(sharedCrashAge, now),
+		Reports:  h.duties.ReportsToShare(toNew),
+
+		ConfigurationVersion: h.configurationVersion(),
 	}
 	if toNew {
 		digest.PeerCounts = h.usage.PeerCounts(from)
@@ -56,9 +61,13 @@
 	}
 	h.suspects.Merge(digest.Crashes, now)
 	h.duties.ObservePeerProcess(sender.Name, instanceID(sender))
+	h.duties.ObserveReports(digest.Reports)
 	for _, end := range digest.Ends {
-		if end.Topic == dutiesTopic {
+		switch end.Topic {
+		case dutiesTopic:
 			h.duties.ObservePeerEnd(end.End)
+		case platform.ConfigurationTopic:
+			h.catchUpConfiguration(sender, digest.ConfigurationVersion, end.End)
 		}
 		if f := h.feedsByTopic[end.Topic]; f != nil {
 			f.HandlePeerEnd(end.End)
@@ -82,5 +91,14 @@
 	return membership.RecordsReply{Extract: f.Extract(request.From), Age: h.Clock.Since(f.LastConfirmed())}
 }
 
+// Configuration implements membership.Handler.
+func (h peerHandler) Configuration() latest.Record {
+	record := h.configurationRecord.Load()
+	if record == nil {
+		return latest.Record{}
+	}
+	return *record
+}
+
 // instanceID identifies one start of a daemon.
 func instanceID(member membership.Member) string { return member.Name + "/" + member.Incarnation }
--- a/entry/run.go
+++ b/entry/run.go
@@ -11,6 +11,7 @@
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
 	"github.com/cranberrywalk/cranberrywalk/conntimeout"
+	"github.com/cranberrywalk/cranberrywalk/platform"
 )
 
 const (
@@ -37,6 +38,9 @@
 	e.metrics.RegisterGauge("runners_age_seconds", "Time since the runners were last read.", func() float64 {
 		return e.runnersAge().Seconds()
 	})
+	e.metrics.RegisterGauge("store_epoch", "Number of times that the store was restored from an older copy.", func() float64 {
+		return float64(e.feedsByTopic[platform.ConfigurationTopic].End().Epoch)
+	})
 	e.metricsServer = &http.Server{Handler: e.metrics.Handler(), ReadHeaderTimeout: maxHeaderTime}
 	e.readinessServer = &http.Server{Handler: http.HandlerFunc(e.serveReadiness), ReadHeaderTimeout: maxHeaderTime}
 }
@@ -93,6 +97,7 @@
 	tasks.Go(func() { e.announce(background) })
 	tasks.Go(func() { e.closeIdleConnections(background) })
 	tasks.Go(func() { e.watchZones(background) })
+	tasks.Go(func() { e.expireRunners(background) })
 	tasks.Go(func() { e.duties.Run(dutiesCtx) })
 	for _, f := range e.feeds {
 		tasks.Go(func() { f.Run(background) })
@@ -155,7 +160,8 @@
 // is no longer ready.
 const readinessLag = 2500 * time.Millisecond
 
-// announce writes the daemon's own record, so that other daemons discover it.
+// announce writes the daemon's own record, so that other daemons discover it, and
+// writes it again when the store has lost it.
 func (e *Entry) announce(ctx context.Context) {
 	value, err := msgpack.Marshal(e.self)
 	if err != nil {
@@ -164,10 +170,16 @@
 	}
 	for {
 		putCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		err := e.store.Put(putCtx, membersTopic, e.self.Name, value)
+		epoch, err := e.store.Put(putCtx, membersTopic, e.self.Name, value)
 		cancel()
 		if err == nil {
-			return
+			e.setAnnouncedEpoch(epoch)
+			select {
+			case <-e.announcement:
+				continue
+			case <-ctx.Done():
+				return
+			}
 		}
 		e.Count("Announcements.Failed", 1)
 		if clock.Sleep(ctx, e.Clock, announceRetryDelay) != nil {
@@ -176,6 +188,16 @@
 	}
 }
 
+// expireRunnersPeriod is the time between two checks for runners whose records went
+// missing in an interruption of the store.
+const expireRunnersPeriod = 200 * time.Millisecond
+
+func (e *Entry) expireRunners(ctx context.Context) {
+	for clock.Sleep(ctx, e.Clock, expireRunnersPeriod) == nil {
+		e.runners.expire()
+	}
+}
+
 // zonesPeriod is the time between two checks for unreachable zones.
 const zonesPeriod = 200 * time.Millisecond
 
--- a/entry/runners.go
+++ b/entry/runners.go
@@ -11,7 +11,10 @@
 // runnerTracker keeps the inventory of runners and passes changes to the balancer.
 type runnerTracker struct {
 	*Entry
-	mutex sync.Mutex
+	// applying is held from a change of the inventory until the balancer has it, so
+	// that the balancer gets the changes in order.
+	applying sync.Mutex
+	mutex    sync.Mutex
 	// inventory is guarded by mutex.
 	inventory *inventory.Inventory
 	loaded    atomic.Bool
@@ -26,18 +29,48 @@
 
 // applyBatch applies the records of one read.
 func (t *runnerTracker) applyBatch(batch feed.Batch) {
+	t.applying.Lock()
+	defer t.applying.Unlock()
 	now := t.Clock.Now()
 	t.mutex.Lock()
-	changes := t.inventory.Apply(batch.Records, now, batch.AfterOutage)
+	changes := t.inventory.Apply(batch.Records, now, interruptionOf(batch))
 	changes = append(changes, t.inventory.Expire(now)...)
 	runners := t.inventory.Runners()
 	t.mutex.Unlock()
-	if len(changes) > 0 {
-		t.logChanges(changes)
-		t.balancer.SetRunners(runners, t.cacheTokens)
-	}
 	t.loaded.Store(true)
+	t.applyChanges(changes, runners)
 	t.markGatewayReady()
+}
+
+// interruptionOf returns what preceded the records of a batch.
+func interruptionOf(batch feed.Batch) inventory.Interruption {
+	switch {
+	case batch.Restored:
+		return inventory.Restore
+	case batch.AfterOutage:
+		return inventory.Outage
+	}
+	return inventory.NoInterruption
+}
+
+// expire applies the changes that are due without a new record.
+func (t *runnerTracker) expire() {
+	t.applying.Lock()
+	defer t.applying.Unlock()
+	t.mutex.Lock()
+	changes := t.inventory.Expire(t.Clock.Now())
+	runners := t.inventory.Runners()
+	t.mutex.Unlock()
+	t.applyChanges(changes, runners)
+}
+
+// applyChanges passes changes of the runners to the parts that use them.
+func (t *runnerTracker) applyChanges(changes []inventory.Change, runners []inventory.Runner) {
+	if len(changes) == 0 {
+		return
+	}
+	t.logChanges(changes)
+	t.balancer.SetRunners(runners, t.cacheTokens)
 	for _, change := range changes {
 		if change.Removed || change.Runner.State == inventory.Leaving {
 			t.gateway.MoveStreams(change.Runner.ID)
@@ -49,7 +82,11 @@
 }
 
 // updateBalancer passes the runners to the balancer after a configuration change.
-func (t *runnerTracker) updateBalancer() { t.balancer.SetRunners(t.list(), t.cacheTokens) }
+func (t *runnerTracker) updateBalancer() {
+	t.applying.Lock()
+	defer t.applying.Unlock()
+	t.balancer.SetRunners(t.list(), t.cacheTokens)
+}
 
 func (t *runnerTracker) list() []inventory.Runner {
 	t.mutex.Lock()
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -47,9 +47,9 @@
 	// ahead; false when no daemon has reported one.
 	Newest(topic string) (TopicState, bool)
 	// Records returns the records of another daemon that are missing in a copy
-	// which is complete up to an offset, and the time since that daemon's copy was
+	// which is complete up to a position, and the time since that daemon's copy was
 	// last known to match the store.
-	Records(ctx context.Context, topic string, from uint64) (latest.Extract, time.Duration, error)
+	Records(ctx context.Context, topic string, from latest.Position) (latest.Extract, time.Duration, error)
 	// Broadcast sends what was just read from the store to other daemons. It
 	// never blocks.
 	Broadcast(update Update)
@@ -59,15 +59,16 @@
 // broadcasts to others.
 type Update struct {
 	Topic string
-	// From is the offset up to which the receiver's copy must already be complete.
-	From    uint64
+	// From is the position up to which the receiver's copy must already be complete,
+	// unless the extract covers all keys.
+	From    latest.Position
 	Extract latest.Extract
 }
 
 // TopicState describes the copy of a topic at a daemon.
 type TopicState struct {
-	// End is the offset up to which the copy is complete.
-	End uint64
+	// End is the position up to which the copy is complete.
+	End latest.Position
 	// Age is the time since the copy was last known to match the store.
 	Age time.Duration
 }
@@ -77,6 +78,10 @@
 	Records []latest.Record
 	// AfterOutage is true for the first read after an outage of the store.
 	AfterOutage bool
+	// Restored is true for the first read after the store was restored from an older
+	// copy: a record may be older than one that was delivered before, and a deletion
+	// may only mean that the copy lacks the record.
+	Restored bool
 }
 
 // Feed keeps a copy of one topic up to date.
@@ -120,16 +125,16 @@
 // Done is closed by Run when it returns.
 func (f *Feed) Done() <-chan struct{} { return f.done }
 
-// Extract returns the records that are missing in a copy which is complete up to an
-// offset.
-func (f *Feed) Extract(from uint64) latest.Extract {
+// Extract returns the records that are missing in a copy which is complete up to a
+// position.
+func (f *Feed) Extract(from latest.Position) latest.Extract {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	return f.topic.Extract(from)
 }
 
-// End returns the offset up to which every record is known.
-func (f *Feed) End() uint64 {
+// End returns the position up to which every record is known.
+func (f *Feed) End() latest.Position {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	return f.topic.End()
@@ -175,11 +180,11 @@
 	}
 }
 
-// HandlePeerEnd handles the offset up to which another daemon's copy is complete. If
+// HandlePeerEnd handles the position up to which another daemon's copy is complete. If
 // that copy has newer records, a follower, or a daemon without access to the store,
 // reads at once.
-func (f *Feed) HandlePeerEnd(end uint64) {
-	if end <= f.End() || !f.StoreUnavailable() && !f.isFollower() {
+func (f *Feed) HandlePeerEnd(end latest.Position) {
+	if !f.End().Before(end) || !f.StoreUnavailable() && !f.isFollower() {
 		return
 	}
 	select {
@@ -239,36 +244,50 @@
 		return f.list(ctx)
 	}
 	from := f.End()
-	records, end, err := f.store.ReadKeyed(ctx, f.options.Topic, from, wait)
+	extract, err := f.store.ReadKeyed(ctx, f.options.Topic, from.Offset, wait)
 	var gap *store.GapError
 	if errors.As(err, &gap) {
-		f.common.Log.Info("RecordsGone", "Topic", f.options.Topic, "Offset", from)
+		f.common.Log.Info("RecordsGone", "Topic", f.options.Topic, "From", from, "First", gap.First)
 		return f.list(ctx)
 	}
 	if err != nil {
 		return err
 	}
-	extract := latest.Extract{Records: records, End: end}
+	if extract.End.Epoch > from.Epoch {
+		return f.list(ctx)
+	}
+	if extract.End.Epoch < from.Epoch {
+		return &store.StaleEpochError{Epoch: extract.End.Epoch, Known: from.Epoch}
+	}
 	f.merge(extract, 0, true)
-	if end > from && f.peers.ReadsForOthers() {
-		f.peers.Broadcast(Update{Topic: f.options.Topic, From: from, Extract: extract})
+	if from.Before(extract.End) {
+		f.broadcast(Update{Topic: f.options.Topic, From: from, Extract: extract})
 	}
 	return nil
 }
 
+// broadcast sends an update to other daemons if this one reads the store for them.
+func (f *Feed) broadcast(update Update) {
+	if f.peers.ReadsForOthers() {
+		f.peers.Broadcast(update)
+	}
+}
+
+// list reads the newest record of each key. A listing of a restored store is sent to
+// other daemons, since their copies are of an earlier epoch.
 func (f *Feed) list(ctx context.Context) error {
-	listing, end, err := f.store.Newest(ctx, f.options.Topic)
+	listing, err := f.store.Newest(ctx, f.options.Topic)
 	if err != nil {
 		return err
 	}
-	f.deliveryMutex.Lock()
-	defer f.deliveryMutex.Unlock()
-	f.mutex.Lock()
-	changed := f.topic.Replace(listing, end)
-	batch := f.completeRead(changed, 0, true)
-	f.listed = true
-	f.mutex.Unlock()
-	f.handler(batch)
+	known := f.End()
+	if listing.End.Epoch < known.Epoch {
+		return &store.StaleEpochError{Epoch: listing.End.Epoch, Known: known.Epoch}
+	}
+	f.merge(listing, 0, true)
+	if listing.End.Epoch > known.Epoch && known != (latest.Position{}) {
+		f.broadcast(Update{Topic: f.options.Topic, Extract: listing})
+	}
 	return nil
 }
 
@@ -276,7 +295,7 @@
 // that daemon has no newer records, its copy confirms this one as of its age.
 func (f *Feed) readPeers(ctx context.Context) {
 	newest, found := f.peers.Newest(f.options.Topic)
-	if !found || newest.End < f.End() {
+	if !found || newest.End.Before(f.End()) {
 		return
 	}
 	if newest.End == f.End() && f.Listed() {
@@ -290,7 +309,7 @@
 		f.common.Count("Feed.PeerReadsFailed", 1)
 		return
 	}
-	if extract.End <= f.End() {
+	if !f.End().Before(extract.End) {
 		return
 	}
 	f.merge(extract, age, false)
@@ -299,11 +318,13 @@
 // ApplyUpdate applies an update that another daemon has just read. If records before it
 // are missing, a read is started instead.
 func (f *Feed) ApplyUpdate(update Update) {
-	if !f.Listed() || update.From > f.End() {
+	end := f.End()
+	follows := update.Extract.AllKeys || update.From.Epoch == end.Epoch && !end.Before(update.From)
+	if !f.Listed() || !follows {
 		f.HandlePeerEnd(update.Extract.End)
 		return
 	}
-	if update.Extract.End > f.End() {
+	if end.Before(update.Extract.End) {
 		f.merge(update.Extract, 0, false)
 	}
 }
@@ -312,8 +333,16 @@
 	f.deliveryMutex.Lock()
 	defer f.deliveryMutex.Unlock()
 	f.mutex.Lock()
+	before := f.topic.End()
 	changed := f.topic.Apply(extract)
 	batch := f.completeRead(changed, age, fromStore)
+	if before != (latest.Position{}) && f.topic.End().Epoch > before.Epoch {
+		batch.Restored, batch.AfterOutage = true, true
+		f.common.Count("Feed.Restored", 1)
+		f.common.Log.Info("StoreRestored", "Topic", f.options.Topic, "Before", before, "Epoch", f.topic.End().Epoch,
+			"End", f.topic.End().Offset, "FromStore", fromStore)
+	}
+	f.listed = f.listed || fromStore
 	f.mutex.Unlock()
 	f.handler(batch)
 }
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -21,10 +21,24 @@
 	mutex         sync.Mutex
 	records       []latest.Record
 	firstRetained uint64
+	epoch         uint64
 	down          bool
 	reads         int
 }
 
+// position returns the end of the topic. The caller holds the mutex.
+func (s *fakeStore) position() latest.Position {
+	return latest.Position{Epoch: s.epoch, Offset: uint64(len(s.records))}
+}
+
+// restore goes back to the first records and begins a new epoch.
+func (s *fakeStore) restore(records int) {
+	s.set(func(s *fakeStore) {
+		s.records = s.records[:records:records]
+		s.epoch++
+	})
+}
+
 func (s *fakeStore) end() uint64 {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -43,30 +57,26 @@
 	change(s)
 }
 
-func (s *fakeStore) Newest(context.Context, string) ([]latest.Record, uint64, error) {
+func (s *fakeStore) Newest(context.Context, string) (latest.Extract, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.reads++
 	if s.down {
-		return nil, 0, &store.UnavailableError{Status: 503}
+		return latest.Extract{}, &store.UnavailableError{Status: 503}
 	}
 	topic := latest.New()
-	topic.Merge(s.records, uint64(len(s.records)))
-	var listing []latest.Record
-	for _, record := range topic.Since(0) {
-		if !record.IsTombstone() {
-			listing = append(listing, record)
-		}
-	}
-	return listing, uint64(len(s.records)), nil
+	topic.Apply(latest.Extract{Records: s.records, End: s.position(), AllKeys: true})
+	listing := topic.Extract(latest.Position{})
+	listing.End, listing.AllKeys = s.position(), true
+	return listing, nil
 }
 
-func (s *fakeStore) ReadKeyed(ctx context.Context, _ string, from uint64, wait time.Duration) ([]latest.Record, uint64, error) {
+func (s *fakeStore) ReadKeyed(ctx context.Context, _ string, from uint64, wait time.Duration) (latest.Extract, error) {
 	if s.end() <= from {
 		select {
 		case <-time.After(wait):
 		case <-ctx.Done():
-			return nil, 0, &store.UnavailableError{Cause: ctx.Err()}
+			return latest.Extract{}, &store.UnavailableError{Cause: ctx.Err()}
 		}
 	}
 	s.mutex.Lock()
@@ -74,11 +84,11 @@
 	s.reads++
 	switch {
 	case s.down:
-		return nil, 0, &store.UnavailableError{Status: 503}
-	case from < s.firstRetained:
-		return nil, 0, &store.GapError{First: s.firstRetained}
+		return latest.Extract{}, &store.UnavailableError{Status: 503}
+	case from < s.firstRetained, from > uint64(len(s.records)):
+		return latest.Extract{}, &store.GapError{First: s.position().WithOffset(s.firstRetained)}
 	default:
-		return s.records[from:], uint64(len(s.records)), nil
+		return latest.Extract{Records: s.records[from:], End: s.position()}, nil
 	}
 }
 
@@ -103,7 +113,7 @@
 	return feed.TopicState{End: p.topic.End(), Age: p.age}, true
 }
 
-func (p *fakePeers) Records(_ context.Context, _ string, from uint64) (latest.Extract, time.Duration, error) {
+func (p *fakePeers) Records(_ context.Context, _ string, from latest.Position) (latest.Extract, time.Duration, error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	return p.topic.Extract(from), p.age, nil
@@ -124,7 +134,9 @@
 func (p *fakePeers) copyFrom(s *fakeStore) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.topic.Merge(s.records, uint64(len(s.records)))
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	p.topic.Apply(latest.Extract{Records: s.records, End: s.position(), AllKeys: true})
 }
 
 type harness struct {
@@ -298,8 +310,8 @@
 	h.eventually("the first value", func() bool { return h.value("a") == "1" })
 	h.store.put("a", "2")
 	h.peers.copyFrom(h.store)
-	h.feed.HandlePeerEnd(1)
-	h.feed.HandlePeerEnd(2)
+	h.feed.HandlePeerEnd(latest.Position{Offset: 1})
+	h.feed.HandlePeerEnd(latest.Position{Offset: 2})
 	h.eventually("the second value", func() bool { return h.value("a") == "2" })
 }
 
@@ -312,7 +324,7 @@
 	h.eventually("the broadcast", func() bool {
 		h.peers.mutex.Lock()
 		defer h.peers.mutex.Unlock()
-		return len(h.peers.broadcast) > 0 && h.peers.broadcast[len(h.peers.broadcast)-1].Extract.End == 2
+		return len(h.peers.broadcast) > 0 && h.peers.broadcast[len(h.peers.broadcast)-1].Extract.End.Offset == 2
 	})
 }
 
@@ -327,7 +339,8 @@
 	h.eventually("the first value", func() bool { return h.value("a") == "1" })
 	update := func(from uint64, value string) feed.Update {
 		record := latest.Record{Key: "a", Value: []byte(value), Offset: from}
-		return feed.Update{Topic: "x", From: from, Extract: latest.Extract{Records: []latest.Record{record}, End: from + 1}}
+		at := latest.Position{Offset: from}
+		return feed.Update{Topic: "x", From: at, Extract: latest.Extract{Records: []latest.Record{record}, End: at.WithOffset(from + 1)}}
 	}
 	h.feed.ApplyUpdate(update(1, "2"))
 	h.c.Check(h.value("a"), qt.Equals, "2")
@@ -384,3 +397,107 @@
 	h.store.put("a", "2")
 	h.eventually("the second value", func() bool { return h.value("a") == "2" })
 }
+
+// restoredBatches returns the batches that were read first after a restore.
+func (h *harness) restoredBatches() []feed.Batch {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	var restored []feed.Batch
+	for _, batch := range h.batches {
+		if batch.Restored {
+			restored = append(restored, batch)
+		}
+	}
+	return restored
+}
+
+// TestReaderListsRestoredStore covers a store that comes back from an older copy and
+// grows beyond the reader's offset before the next read.
+func TestReaderListsRestoredStore(t *testing.T) {
+	for _, scenario := range []struct {
+		name    string
+		written []string
+	}{
+		{"store ends before the reader's offset", nil},
+		{"store has grown beyond the reader's offset", []string{"x", "y", "z"}},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			h := newHarness(t, nil)
+			h.store.put("a", "1")
+			h.eventually("the first value", func() bool { return h.value("a") == "1" })
+			h.store.put("a", "2")
+			h.store.put("b", "1")
+			h.eventually("the last value", func() bool { return h.value("b") == "1" })
+
+			h.store.set(func(s *fakeStore) {
+				s.records, s.epoch = s.records[:1:1], s.epoch+1
+				for _, key := range scenario.written {
+					s.records = append(s.records, latest.Record{Key: key, Value: []byte("1"), Offset: uint64(len(s.records))})
+				}
+			})
+
+			h.eventually("the older value", func() bool { return h.value("a") == "1" })
+			h.eventually("the loss of b", func() bool { return h.value("b") == "" })
+			for _, key := range scenario.written {
+				h.eventually(key, func() bool { return h.value(key) == "1" })
+			}
+			restored := h.restoredBatches()
+			h.c.Assert(restored, qt.HasLen, 1)
+			h.c.Check(restored[0].AfterOutage, qt.IsTrue)
+			h.c.Check(h.feed.End().Epoch, qt.Equals, uint64(1))
+			h.store.put("a", "3")
+			h.eventually("a new value", func() bool { return h.value("a") == "3" })
+			h.peers.mutex.Lock()
+			defer h.peers.mutex.Unlock()
+			broadcast := 0
+			for _, update := range h.peers.broadcast {
+				if update.Extract.AllKeys {
+					broadcast++
+				}
+			}
+			h.c.Check(broadcast, qt.Equals, 1, qt.Commentf("the listing is broadcast once"))
+		})
+	}
+}
+
+// TestFollowerTakesRestoredTopic covers a follower that learns of a restored store by a
+// broadcast listing, and one that reads from a peer. An answer of an earlier epoch that
+// comes late changes nothing.
+func TestFollowerTakesRestoredTopic(t *testing.T) {
+	for _, scenario := range []struct {
+		name  string
+		learn func(h *harness)
+	}{
+		{"broadcast", func(h *harness) {
+			listing, _ := h.store.Newest(context.Background(), "x")
+			h.feed.ApplyUpdate(feed.Update{Topic: "x", Extract: listing})
+		}},
+		{"a part of the new epoch is broadcast", func(h *harness) {
+			h.peers.copyFrom(h.store)
+			end := latest.Position{Epoch: 1, Offset: 1}
+			h.feed.ApplyUpdate(feed.Update{Topic: "x", From: end, Extract: latest.Extract{End: end}})
+		}},
+		{"end told by a peer", func(h *harness) {
+			h.peers.copyFrom(h.store)
+			h.feed.HandlePeerEnd(latest.Position{Epoch: 1, Offset: 1})
+		}},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			s := &fakeStore{}
+			s.put("a", "1")
+			s.put("a", "2")
+			h := newHarnessWith(t, s, &fakePeers{topic: latest.New(), isFollower: true}, func(o *feed.Options) {
+				o.Period, o.FollowerReadPeriod, o.StaleAfter = time.Hour, time.Hour, time.Hour
+			})
+			h.eventually("the first value", func() bool { return h.value("a") == "2" })
+			late, _ := h.store.Newest(context.Background(), "x")
+			h.store.restore(1)
+			scenario.learn(h)
+			h.eventually("the older value", func() bool { return h.value("a") == "1" })
+			h.feed.ApplyUpdate(feed.Update{Topic: "x", Extract: late})
+			h.c.Check(h.value("a"), qt.Equals, "1")
+			h.c.Check(h.feed.End(), qt.Equals, latest.Position{Epoch: 1, Offset: 1})
+			h.c.Check(h.restoredBatches(), qt.HasLen, 1)
+		})
+	}
+}
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -11,23 +11,59 @@
 // Options configures an Inventory.
 type Options struct {
 	// ExpiryGrace is how long a ready runner stays in the inventory after its record
-	// expired while the store was unavailable. A live runner has written a new
-	// record by then.
+	// went missing while the store was unavailable or was restored. A live runner has
+	// written a new record by then.
 	ExpiryGrace time.Duration
+	// RestoreGrace is how long after a restore of the store records are ignored that
+	// are older than what was known before. By then the store has removed the
+	// records of runners that no longer write.
+	RestoreGrace time.Duration
+	// RemovedRetention is how long the last record of a removed runner is
+	// remembered. It exceeds the age of a copy from which the store is restored.
+	RemovedRetention time.Duration
 }
 
 // Decoder decodes the runner that a record describes.
 type Decoder func(record latest.Record) (Runner, error)
 
+// Interruption says what preceded the records of one read.
+type Interruption int
+
+// The kinds of interruptions.
+const (
+	// NoInterruption means that the records follow those of the read before.
+	NoInterruption Interruption = iota
+	// Outage means that the store was unavailable: a tombstone may only mean that
+	// a runner could not renew its record.
+	Outage
+	// Restore means that the store was restored from an older copy: a record may be
+	// older than one that was read before, and a tombstone may only mean that the
+	// copy lacks the record.
+	Restore
+)
+
 // Inventory holds the runners according to their latest records. It is not safe for
 // concurrent use.
 type Inventory struct {
 	options Options
 	decode  Decoder
 	runners map[string]Runner
-	// expireAt holds the removal times of runners whose records expired while the
-	// store was unavailable.
+	// expireAt holds the removal times of runners whose records went missing in an
+	// interruption.
 	expireAt map[string]time.Time
+	// removed holds the last records of removed runners.
+	removed map[string]removedRunner
+	// restoredUntil is the end of the RestoreGrace.
+	restoredUntil time.Time
+	// outdated holds the records that are ignored during the RestoreGrace. Those
+	// that the store still holds at its end are applied.
+	outdated map[string]Runner
+}
+
+// removedRunner is the last state of a runner that was removed.
+type removedRunner struct {
+	runner Runner
+	at     time.Time
 }
 
 // New returns an inventory without runners.
@@ -35,6 +71,7 @@
 	return &Inventory{
 		options: options, decode: decode,
 		runners: make(map[string]Runner), expireAt: make(map[string]time.Time),
+		removed: make(map[string]removedRunner), outdated: make(map[string]Runner),
 	}
 }
 
@@ -47,54 +84,98 @@
 	DecodeError error
 }
 
-// Apply applies records and returns the changes. afterOutage is true if the store
-// was unavailable until now: a tombstone may then only mean that a runner could not
-// renew its record.
-func (i *Inventory) Apply(records []latest.Record, now time.Time, afterOutage bool) []Change {
+// Apply applies the records of one read and returns the changes.
+func (i *Inventory) Apply(records []latest.Record, now time.Time, interruption Interruption) []Change {
+	if interruption == Restore {
+		i.restoredUntil = now.Add(i.options.RestoreGrace)
+	}
 	var changes []Change
 	for _, record := range records {
-		if change, changed := i.apply(record, now, afterOutage); changed {
+		if change, changed := i.apply(record, now, interruption); changed {
 			changes = append(changes, change)
 		}
 	}
 	return changes
 }
 
-func (i *Inventory) apply(record latest.Record, now time.Time, afterOutage bool) (Change, bool) {
-	previous, known := i.runners[record.Key]
+func (i *Inventory) apply(record latest.Record, now time.Time, interruption Interruption) (Change, bool) {
+	delete(i.outdated, record.Key)
 	if record.IsTombstone() {
-		if known && afterOutage && previous.State == Ready {
+		if known, found := i.runners[record.Key]; found && known.State == Ready && interruption != NoInterruption {
 			i.expireAt[record.Key] = now.Add(i.options.ExpiryGrace)
 			return Change{}, false
 		}
-		return i.remove(record.Key)
+		return i.remove(record.Key, now)
 	}
 	runner, err := i.decode(record)
 	if err != nil {
-		change, _ := i.remove(record.Key)
+		change, _ := i.remove(record.Key, now)
 		change.DecodeError = err
 		return change, true
 	}
-	delete(i.expireAt, record.Key)
-	i.runners[record.Key] = runner
-	return Change{Runner: runner}, !known || previous != runner
+	if now.Before(i.restoredUntil) && i.isOutdated(runner, interruption) {
+		i.outdated[record.Key] = runner
+		return Change{}, false
+	}
+	return i.put(runner)
+}
+
+// isOutdated reports whether a record that was read after a restore is older than what
+// is known of the runner. A removed runner may have written the last record known of it
+// once more, but not within the restored copy.
+func (i *Inventory) isOutdated(runner Runner, interruption Interruption) bool {
+	if known, found := i.runners[runner.ID]; found {
+		return runner.isOlderThan(known)
+	}
+	gone, found := i.removed[runner.ID]
+	if !found {
+		return false
+	}
+	return runner.isOlderThan(gone.runner) || interruption == Restore && !gone.runner.isOlderThan(runner)
+}
+
+func (i *Inventory) put(runner Runner) (Change, bool) {
+	previous, known := i.runners[runner.ID]
+	delete(i.expireAt, runner.ID)
+	delete(i.removed, runner.ID)
+	i.runners[runner.ID] = runner
+	return Change{Runner: runner}, !known || !previous.sameState(runner)
 }
 
-func (i *Inventory) remove(id string) (Change, bool) {
+func (i *Inventory) remove(id string, now time.Time) (Change, bool) {
 	runner, known := i.runners[id]
+	if !known {
+		return Change{}, false
+	}
 	delete(i.runners, id)
 	delete(i.expireAt, id)
-	return Change{Runner: runner, Removed: true}, known
+	i.removed[id] = removedRunner{runner: runner, at: now}
+	return Change{Runner: runner, Removed: true}, true
 }
 
-// Expire removes the runners that have not written a new record within ExpiryGrace.
+// Expire removes the runners that have not written a new record within ExpiryGrace,
+// and ends the RestoreGrace.
 func (i *Inventory) Expire(now time.Time) []Change {
 	var changes []Change
 	for id, end := range i.expireAt {
 		if now.Before(end) {
 			continue
 		}
-		if change, known := i.remove(id); known {
+		if change, known := i.remove(id, now); known {
+			changes = append(changes, change)
+		}
+	}
+	for id, gone := range i.removed {
+		if now.Sub(gone.at) >= i.options.RemovedRetention {
+			delete(i.removed, id)
+		}
+	}
+	if now.Before(i.restoredUntil) {
+		return changes
+	}
+	for id, runner := range i.outdated {
+		delete(i.outdated, id)
+		if change, changed := i.put(runner); changed {
 			changes = append(changes, change)
 		}
 	}
--- a/inventory/runner.go
+++ b/inventory/runner.go
@@ -30,6 +30,28 @@
 	// LeavesIn is the time from the record to the end of the runner, or zero if the
 	// record does not state it.
 	LeavesIn time.Duration
+	// Sequence increases with each record of an incarnation.
+	Sequence uint64
+}
+
+// WithSequence returns a copy with another sequence number.
+func (r Runner) WithSequence(sequence uint64) Runner {
+	r.Sequence = sequence
+	return r
+}
+
+// sameState reports whether both records describe the same runner in the same state.
+func (r Runner) sameState(other Runner) bool {
+	return r.WithSequence(0) == other.WithSequence(0)
+}
+
+// isOlderThan reports whether the record was written before another one of the same
+// runner.
+func (r Runner) isOlderThan(other Runner) bool {
+	if !r.StartedAt.Equal(other.StartedAt) {
+		return r.StartedAt.Before(other.StartedAt)
+	}
+	return r.Sequence < other.Sequence
 }
 
 // SameIncarnation reports whether both describe the same incarnation of a runner.
--- a/membership/digest.go
+++ b/membership/digest.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/balance"
+	"github.com/cranberrywalk/cranberrywalk/dutylease"
 	"github.com/cranberrywalk/cranberrywalk/feed"
 	"github.com/cranberrywalk/cranberrywalk/latest"
 	"github.com/cranberrywalk/cranberrywalk/quota"
@@ -47,6 +48,11 @@
 	// Members holds the daemons that the sender knows. It is set for a receiver
 	// that has just started.
 	Members []Member
+	// Reports holds decided usage reports, which the store may lose.
+	Reports []dutylease.Report
+	// ConfigurationVersion is the version of the configuration in force at the
+	// sender, or zero.
+	ConfigurationVersion uint64
 	// IsNew is true during the startup period of the sender.
 	IsNew bool
 }
@@ -54,16 +60,16 @@
 // TopicEnd is the state of a daemon's copy of a topic.
 type TopicEnd struct {
 	Topic string
-	// End is the offset up to which the copy is complete.
-	End uint64
+	// End is the position up to which the copy is complete.
+	End latest.Position
 	// Age is the time since the copy was last known to match the store.
 	Age time.Duration
 }
 
-// RecordsRequest asks a daemon for the records of a topic from an offset on.
+// RecordsRequest asks a daemon for the records of a topic from a position on.
 type RecordsRequest struct {
 	Topic string
-	From  uint64
+	From  latest.Position
 }
 
 // RecordsReply holds a daemon's records of a topic.
@@ -73,6 +79,13 @@
 	Age time.Duration
 }
 
+// ConfigurationRequest asks a daemon for the configuration that is in force there.
+type ConfigurationRequest struct{}
+
+// ConfigurationReply holds the record of the configuration in force, without a value if
+// there is none.
+type ConfigurationReply struct{ Record latest.Record }
+
 // Handler provides the state of this daemon and applies that of others.
 type Handler interface {
 	// Digest returns the daemon's current state. toNew is true when the receiver
@@ -86,4 +99,6 @@
 	ApplyUpdate(update feed.Update)
 	// Records returns the daemon's records of a topic.
 	Records(request RecordsRequest) RecordsReply
+	// Configuration returns the record of the configuration in force.
+	Configuration() latest.Record
 }
--- a/membership/encoding.go
+++ b/membership/encoding.go
@@ -34,7 +34,8 @@
 
 // The names of the calls between daemons.
 const (
-	callExchange = "/membership/Exchange"
-	callRecords  = "/membership/Records"
-	callUpdate   = "/membership/News"
+	callExchange      = "/membership/Exchange"
+	callRecords       = "/membership/Records"
+	callUpdate        = "/membership/News"
+	callConfiguration = "/membership/Configuration"
 )
--- a/membership/encoding_bench_test.go
+++ b/membership/encoding_bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/cranberrywalk/cranberrywalk/balance"
+	"github.com/cranberrywalk/cranberrywalk/latest"
 	"github.com/cranberrywalk/cranberrywalk/quota"
 	"github.com/cranberrywalk/cranberrywalk/usage"
 )
@@ -16,7 +17,7 @@
 	for i := range 60 {
 		digest := Digest{
 			Sender: Member{Name: fmt.Sprint("entry-zone-", i), Address: "10.1.0.14:8229", Zone: "zone-1", Incarnation: "01KM97DVTGNC72PNDV9N1MMN9K"},
-			Ends:   []TopicEnd{{Topic: "keyed.x", End: 14022}, {Topic: "keyed.y", End: 22}, {Topic: "keyed.z", End: 60}, {Topic: "duties", End: 70}},
+			Ends:   []TopicEnd{{Topic: "keyed.x", End: latest.Position{Offset: 14022}}, {Topic: "keyed.y", End: latest.Position{Offset: 22}}, {Topic: "keyed.z", End: latest.Position{Offset: 60}}, {Topic: "duties", End: latest.Position{Offset: 70}}},
 		}
 		for j := range 10 {
 			digest.Loads = append(digest.Loads, balance.Load{Runner: fmt.Sprintf("i-72a25050%02x", j), Running: 2, PrefillTokens: 5320})
--- a/membership/encoding_test.go
+++ b/membership/encoding_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/cranberrywalk/cranberrywalk/balance"
+	"github.com/cranberrywalk/cranberrywalk/latest"
 	"github.com/cranberrywalk/cranberrywalk/quota"
 	"github.com/cranberrywalk/cranberrywalk/suspect"
 	"github.com/cranberrywalk/cranberrywalk/usage"
@@ -22,7 +23,7 @@
 	digest := Digest{
 		Sender:    Member{Name: "entry-zone-1", Address: "10.1.0.14:8229", Zone: "zone-1", Incarnation: "01KM97DVTGNC72PNDV9N1MMN9K"},
 		TimeOfDay: 1774131277648924,
-		Ends:      []TopicEnd{{Topic: "keyed.x", End: 14022, Age: 380 * time.Millisecond}, {Topic: "duties", End: 70}},
+		Ends:      []TopicEnd{{Topic: "keyed.x", End: latest.Position{Offset: 14022}, Age: 380 * time.Millisecond}, {Topic: "duties", End: latest.Position{Offset: 70}}},
 		Usage:     []quota.Usage{{Customer: "gohu412", Units: 1234567.0}, {Customer: "bazi853", Units: 765}},
 		Counts:    []usage.Count{{Window: 355268094, Customer: "gohu412", Requests: 41}},
 		Crashes:   []suspect.Entry{{Fingerprint: 1 << 63, Crashes: []uint64{1, 2}, Expires: time.Unix(1774131277, 0)}},
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -24,6 +24,8 @@
 	digestsToNew int
 	updateEnds   []uint64
 	records      latest.Extract
+	// configuration is the record of the configuration in force.
+	configuration latest.Record
 }
 
 func (h *fakeHandler) Digest(toNew bool) membership.Digest {
@@ -48,10 +50,12 @@
 	return membership.RecordsReply{Extract: h.records, Age: time.Second}
 }
 
+func (h *fakeHandler) Configuration() latest.Record { return h.configuration }
+
 func (h *fakeHandler) ApplyUpdate(update feed.Update) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	h.updateEnds = append(h.updateEnds, update.Extract.End)
+	h.updateEnds = append(h.updateEnds, update.Extract.End.Offset)
 }
 
 // updatesReceived returns the number of updates with the given end.
@@ -184,20 +188,39 @@
 	_, found := a.group.Newest("x")
 	c.Check(found, qt.IsFalse)
 	ahead := start(c, "b", "zone-2", a.member.Address)
-	ahead.handler.records = latest.Extract{End: 9, Records: []latest.Record{{Key: "k", Value: []byte("v"), Offset: 8}}}
-	ahead.handler.setEnds(membership.TopicEnd{Topic: "x", End: 9, Age: 3 * time.Second})
+	ahead.handler.records = latest.Extract{End: latest.Position{Offset: 9}, Records: []latest.Record{{Key: "k", Value: []byte("v"), Offset: 8}}}
+	ahead.handler.setEnds(membership.TopicEnd{Topic: "x", End: latest.Position{Offset: 9}, Age: 3 * time.Second})
 	other := start(c, "d", "zone-2", a.member.Address)
-	other.handler.setEnds(membership.TopicEnd{Topic: "x", End: 4})
+	other.handler.setEnds(membership.TopicEnd{Topic: "x", End: latest.Position{Offset: 4}})
 	eventually(c, "a to receive digests from all", func() bool {
 		newest, found := a.group.Newest("x")
-		return found && newest.End == 9 && a.handler.digestsFrom("d") > 1
+		return found && newest.End.Offset == 9 && a.handler.digestsFrom("d") > 1
 	})
 	newest, _ := a.group.Newest("x")
 	c.Check(newest.Age >= 3*time.Second, qt.IsTrue)
-	extract, age, err := a.group.Records(context.Background(), "x", 5)
+	extract, age, err := a.group.Records(context.Background(), "x", latest.Position{Offset: 5})
 	c.Assert(err, qt.IsNil)
 	c.Check(extract, qt.DeepEquals, ahead.handler.records)
 	c.Check(age, qt.Equals, time.Second)
+	ahead.handler.configuration = latest.Record{Key: "c", Value: []byte("v"), Offset: 3}
+	configuration, err := a.group.Configuration(context.Background(), ahead.member)
+	c.Assert(err, qt.IsNil)
+	c.Check(configuration, qt.DeepEquals, ahead.handler.configuration)
+}
+
+// TestSourceOfLaterEpochIsPreferred covers a store that was restored: offsets of the
+// later epoch are lower.
+func TestSourceOfLaterEpochIsPreferred(t *testing.T) {
+	c := qt.New(t)
+	a := start(c, "a", "zone-1")
+	for name, end := range map[string]latest.Position{"b": {Epoch: 1, Offset: 90}, "d": {Epoch: 2, Offset: 3}} {
+		other := start(c, name, "zone-2", a.member.Address)
+		other.handler.setEnds(membership.TopicEnd{Topic: "x", End: end})
+	}
+	eventually(c, "the later epoch to be the newest", func() bool {
+		newest, found := a.group.Newest("x")
+		return found && newest.End == latest.Position{Epoch: 2, Offset: 3} && a.handler.digestsFrom("b") > 1
+	})
 }
 
 func TestFinalDigestReachesEveryDaemon(t *testing.T) {
@@ -235,7 +258,7 @@
 			}
 		}
 	}
-	daemons[0].group.Broadcast(feed.Update{Topic: "x", Extract: latest.Extract{End: 7}})
+	daemons[0].group.Broadcast(feed.Update{Topic: "x", Extract: latest.Extract{End: latest.Position{Offset: 7}}})
 	for _, d := range daemons[1:] {
 		eventually(c, d.member.Name+" to receive the update", func() bool { return d.handler.updatesReceived(7) > 0 })
 	}
@@ -268,7 +291,7 @@
 	for _, d := range others {
 		eventually(c, "a to receive a digest from "+d.member.Name, func() bool { return a.handler.digestsFrom(d.member.Name) > 0 })
 	}
-	a.group.Broadcast(feed.Update{Topic: "x", Extract: latest.Extract{End: 7}})
+	a.group.Broadcast(feed.Update{Topic: "x", Extract: latest.Extract{End: latest.Position{Offset: 7}}})
 	for _, d := range others {
 		eventually(c, d.member.Name+" to receive the update", func() bool { return d.handler.updatesReceived(7) == 1 })
 	}
--- a/membership/peers.go
+++ b/membership/peers.go
@@ -70,7 +70,8 @@
 			continue
 		}
 		known := feed.TopicState{End: end.End, Age: end.Age + now.Sub(p.digestMadeAt)}
-		if !found || known.End > best.End || known.End == best.End && known.Age < best.Age {
+		order := known.End.Compare(best.End)
+		if !found || order > 0 || order == 0 && known.Age < best.Age {
 			address, best, found = p.member.Address, known, true
 		}
 	}
@@ -78,7 +79,7 @@
 }
 
 // Records implements feed.Peers: it reads a topic from the best source.
-func (g *Group) Records(ctx context.Context, topic string, from uint64) (latest.Extract, time.Duration, error) {
+func (g *Group) Records(ctx context.Context, topic string, from latest.Position) (latest.Extract, time.Duration, error) {
 	address, _, found := g.bestSource(topic)
 	if !found {
 		return latest.Extract{}, 0, &NoPeerError{Topic: topic}
@@ -91,6 +92,18 @@
 	return reply.Extract, reply.Age, nil
 }
 
+// Configuration returns the record of the configuration in force at another daemon. It
+// fails with a *CallError.
+func (g *Group) Configuration(ctx context.Context, from Member) (latest.Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, g.options.Timeout)
+	defer cancel()
+	var reply ConfigurationReply
+	if err := g.client.call(ctx, from.Address, callConfiguration, &ConfigurationRequest{}, &reply); err != nil {
+		return latest.Record{}, err
+	}
+	return reply.Record, nil
+}
+
 // markReadFailed excludes a daemon as a source of records for DownRetryPeriod: a
 // daemon whose digests arrive through relays may not be reachable directly.
 func (g *Group) markReadFailed(address string) {
--- a/membership/server.go
+++ b/membership/server.go
@@ -35,6 +35,12 @@
 		}
 		s.group.receiveUpdate(message)
 		return stream.MsgSend(&acknowledgement{}, encoding{})
+	case callConfiguration:
+		var request ConfigurationRequest
+		if err := stream.MsgRecv(&request, encoding{}); err != nil {
+			return err
+		}
+		return stream.MsgSend(&ConfigurationReply{Record: s.group.handler.Configuration()}, encoding{})
 	default:
 		return &UnknownCallError{Call: call}
 	}
--- a/store/observed.go
+++ b/store/observed.go
@@ -20,7 +20,7 @@
 	Unavailable CallResult = "Unavailable"
 	// Unreadable means that the response can't be decoded.
 	Unreadable CallResult = "Unreadable"
-	// Gap means that the requested records are no longer retained.
+	// Gap means that the store does not hold the requested records.
 	Gap CallResult = "Gap"
 	// Conflict means that the topic does not end at the expected offset.
 	Conflict CallResult = "Conflict"
@@ -53,43 +53,43 @@
 }
 
 // Newest implements Store.
-func (s *ObservedStore) Newest(ctx context.Context, topic string) ([]latest.Record, uint64, error) {
+func (s *ObservedStore) Newest(ctx context.Context, topic string) (latest.Extract, error) {
 	began := s.clock.Now()
-	records, end, err := s.inner.Newest(ctx, topic)
+	listing, err := s.inner.Newest(ctx, topic)
 	s.report("Newest", topic, began, err)
-	return records, end, err
+	return listing, err
 }
 
 // ReadKeyed implements Store.
-func (s *ObservedStore) ReadKeyed(ctx context.Context, topic string, from uint64, wait time.Duration) ([]latest.Record, uint64, error) {
+func (s *ObservedStore) ReadKeyed(ctx context.Context, topic string, from uint64, wait time.Duration) (latest.Extract, error) {
 	began := s.clock.Now()
-	records, end, err := s.inner.ReadKeyed(ctx, topic, from, wait)
+	extract, err := s.inner.ReadKeyed(ctx, topic, from, wait)
 	s.report("ReadKeyed", topic, began, err)
-	return records, end, err
+	return extract, err
 }
 
 // Put implements Store.
-func (s *ObservedStore) Put(ctx context.Context, topic, key string, value []byte) error {
+func (s *ObservedStore) Put(ctx context.Context, topic, key string, value []byte) (uint64, error) {
 	began := s.clock.Now()
-	err := s.inner.Put(ctx, topic, key, value)
+	epoch, err := s.inner.Put(ctx, topic, key, value)
 	s.report("Put", topic, began, err)
-	return err
+	return epoch, err
 }
 
 // Read implements Store.
-func (s *ObservedStore) Read(ctx context.Context, topic string, from uint64, wait time.Duration) ([][]byte, error) {
+func (s *ObservedStore) Read(ctx context.Context, topic string, from uint64, wait time.Duration) (Entries, error) {
 	began := s.clock.Now()
-	records, err := s.inner.Read(ctx, topic, from, wait)
+	entries, err := s.inner.Read(ctx, topic, from, wait)
 	s.report("Read", topic, began, err)
-	return records, err
+	return entries, err
 }
 
 // Append implements Store.
-func (s *ObservedStore) Append(ctx context.Context, topic string, at uint64, record []byte) error {
+func (s *ObservedStore) Append(ctx context.Context, topic string, at uint64, record []byte) (uint64, error) {
 	began := s.clock.Now()
-	err := s.inner.Append(ctx, topic, at, record)
+	epoch, err := s.inner.Append(ctx, topic, at, record)
 	s.report("Append", topic, began, err)
-	return err
+	return epoch, err
 }
 
 func (s *ObservedStore) report(name, topic string, began time.Time, err error) {
--- a/store/observed_test.go
+++ b/store/observed_test.go
@@ -24,21 +24,25 @@
 	return s.err
 }
 
-func (s *slowStore) Newest(context.Context, string) ([]latest.Record, uint64, error) {
-	return []latest.Record{{Key: "a"}}, 3, s.call()
+func (s *slowStore) Newest(context.Context, string) (latest.Extract, error) {
+	return latest.Extract{Records: []latest.Record{{Key: "a"}}, End: latest.Position{Epoch: 2, Offset: 3}}, s.call()
 }
 
-func (s *slowStore) ReadKeyed(context.Context, string, uint64, time.Duration) ([]latest.Record, uint64, error) {
-	return nil, 4, s.call()
+func (s *slowStore) ReadKeyed(context.Context, string, uint64, time.Duration) (latest.Extract, error) {
+	return latest.Extract{End: latest.Position{Offset: 4}}, s.call()
 }
 
-func (s *slowStore) Put(context.Context, string, string, []byte) error { return s.call() }
+func (s *slowStore) Put(context.Context, string, string, []byte) (uint64, error) {
+	return 7, s.call()
+}
 
-func (s *slowStore) Read(context.Context, string, uint64, time.Duration) ([][]byte, error) {
-	return nil, s.call()
+func (s *slowStore) Read(context.Context, string, uint64, time.Duration) (store.Entries, error) {
+	return store.Entries{Epoch: 5}, s.call()
 }
 
-func (s *slowStore) Append(context.Context, string, uint64, []byte) error { return s.call() }
+func (s *slowStore) Append(context.Context, string, uint64, []byte) (uint64, error) {
+	return 6, s.call()
+}
 
 func TestObserverGetsEachCallWithItsResult(t *testing.T) {
 	for _, scenario := range []struct {
@@ -49,8 +53,8 @@
 		{"done", nil, store.Done},
 		{"no response", &store.UnavailableError{Call: "x"}, store.Unavailable},
 		{"response can't be decoded", &store.ResponseError{Call: "x"}, store.Unreadable},
-		{"records no longer retained", &store.GapError{First: 2}, store.Gap},
-		{"conflicting append", &store.ConflictError{End: 2}, store.Conflict},
+		{"records no longer retained", &store.GapError{First: latest.Position{Offset: 2}}, store.Gap},
+		{"conflicting append", &store.ConflictError{End: latest.Position{Offset: 2}}, store.Conflict},
 		{"other error", errors.New("no disk"), store.Failed},
 	} {
 		t.Run(scenario.name, func(t *testing.T) {
@@ -62,17 +66,22 @@
 			})
 			ctx := context.Background()
 
-			records, end, err := wrapper.Newest(ctx, "t")
+			listing, err := wrapper.Newest(ctx, "t")
+			c.Check(err, qt.Equals, scenario.err)
+			c.Check(listing.Records, qt.HasLen, 1)
+			c.Check(listing.End, qt.Equals, latest.Position{Epoch: 2, Offset: 3})
+			extract, err := wrapper.ReadKeyed(ctx, "t", 0, 0)
+			c.Check(err, qt.Equals, scenario.err)
+			c.Check(extract.End, qt.Equals, latest.Position{Offset: 4})
+			epoch, err := wrapper.Put(ctx, "t", "k", nil)
 			c.Check(err, qt.Equals, scenario.err)
-			c.Check(records, qt.HasLen, 1)
-			c.Check(end, qt.Equals, uint64(3))
-			_, end, err = wrapper.ReadKeyed(ctx, "t", 0, 0)
+			c.Check(epoch, qt.Equals, uint64(7))
+			entries, err := wrapper.Read(ctx, "t", 0, 0)
 			c.Check(err, qt.Equals, scenario.err)
-			c.Check(end, qt.Equals, uint64(4))
-			c.Check(wrapper.Put(ctx, "t", "k", nil), qt.Equals, scenario.err)
-			_, err = wrapper.Read(ctx, "t", 0, 0)
+			c.Check(entries.Epoch, qt.Equals, uint64(5))
+			epoch, err = wrapper.Append(ctx, "t", 0, nil)
 			c.Check(err, qt.Equals, scenario.err)
-			c.Check(wrapper.Append(ctx, "t", 0, nil), qt.Equals, scenario.err)
+			c.Check(epoch, qt.Equals, uint64(6))
 
 			names := []string{"Newest", "ReadKeyed", "Put", "Read", "Append"}
 			c.Assert(observed, qt.HasLen, len(names))
--- a/store/store.go
+++ b/store/store.go
@@ -13,20 +13,30 @@
 // Store is the platform's metadata store. Its calls fail with an
 // *UnavailableError or a *ResponseError, besides the errors named at each.
 type Store interface {
-	// Newest returns the newest record of every key of a topic. The listing
-	// covers all records before the returned offset.
-	Newest(ctx context.Context, topic string) ([]latest.Record, uint64, error)
-	// ReadKeyed returns the records of a keyed topic from an offset on, and the
-	// offset after them. It waits up to wait for the first one. It fails with a
-	// *GapError when the record at the offset is no longer retained.
-	ReadKeyed(ctx context.Context, topic string, from uint64, wait time.Duration) ([]latest.Record, uint64, error)
-	// Put writes the record of a key.
-	Put(ctx context.Context, topic, key string, value []byte) error
+	// Newest returns the newest record of every key of a topic, as an extract that
+	// covers all keys.
+	Newest(ctx context.Context, topic string) (latest.Extract, error)
+	// ReadKeyed returns the records of a keyed topic from an offset on. It waits up
+	// to wait for the first one. The offset is taken as one of the store's present
+	// epoch, which is that of the extract's end. It fails with a *GapError when the
+	// store does not hold the offset: the record is no longer retained, or the
+	// store was restored and ends before it.
+	ReadKeyed(ctx context.Context, topic string, from uint64, wait time.Duration) (latest.Extract, error)
+	// Put writes the record of a key, and returns the epoch in which it did.
+	Put(ctx context.Context, topic, key string, value []byte) (epoch uint64, err error)
 	// Read returns the records of a topic from an offset on, like ReadKeyed.
-	Read(ctx context.Context, topic string, from uint64, wait time.Duration) ([][]byte, error)
-	// Append adds a record if the topic ends at the given offset. It fails with
-	// a *ConflictError when the topic ends elsewhere.
-	Append(ctx context.Context, topic string, at uint64, record []byte) error
+	Read(ctx context.Context, topic string, from uint64, wait time.Duration) (Entries, error)
+	// Append adds a record if the topic ends at the given offset, and returns the
+	// epoch in which it did. It fails with a *ConflictError when the topic ends
+	// elsewhere.
+	Append(ctx context.Context, topic string, at uint64, record []byte) (epoch uint64, err error)
+}
+
+// Entries are the records of one read.
+type Entries struct {
+	// Epoch is the epoch of the store that was read.
+	Epoch   uint64
+	Records [][]byte
 }
 
 // UnavailableError says that a call got no usable response. Unless Status is
@@ -63,25 +73,38 @@
 // Unwrap returns the cause.
 func (e *ResponseError) Unwrap() error { return e.Cause }
 
-// GapError says that the requested records are no longer retained.
+// GapError says that the store does not hold the requested records.
 type GapError struct {
-	// First is the offset of the first record that is retained.
-	First uint64
+	// First is the position of the first record that is retained.
+	First latest.Position
 }
 
 // Error implements error.
 func (e *GapError) Error() string {
-	return fmt.Sprintf("requested records are no longer retained: the first retained offset is %d", e.First)
+	return fmt.Sprintf("the store does not hold the requested records: the first retained offset of epoch %d is %d",
+		e.First.Epoch, e.First.Offset)
 }
 
 // ConflictError says that a topic does not end at the offset that an append
 // expected.
 type ConflictError struct {
-	// End is the offset at which the topic ends.
-	End uint64
+	// End is the position at which the topic ends.
+	End latest.Position
 }
 
 // Error implements error.
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("append conflict: the topic ends at offset %d", e.End)
+	return fmt.Sprintf("append conflict: the topic ends at offset %d of epoch %d", e.End.Offset, e.End.Epoch)
+}
+
+// StaleEpochError says that a response is from an epoch before one that was already
+// seen, so that it may lack what the store holds now.
+type StaleEpochError struct {
+	// Epoch is the epoch of the response, and Known the latest one seen.
+	Epoch, Known uint64
+}
+
+// Error implements error.
+func (e *StaleEpochError) Error() string {
+	return fmt.Sprintf("response is of epoch %d of the store, before the known epoch %d", e.Epoch, e.Known)
 }
