Share what is left of a quota with daemons that are not heard

Once the level was used up, all daemons granted together what each saw as left, and then nothing until their reports had arrived. When a silent peer was heard again, its grants were counted on top of the shares withheld for it. Change: an even share of the refill and of the level is set aside for a peer whose report is overdue, growing until it counts as silent, at one and a half times its usual interval and 1.2 s at least; its next report returns that. Shown by: TestManyDaemonsShareAQuota, a simulation of 24 daemons that report every 0.9 s.

--- /dev/null
+++ b/quota/fleet_test.go
@@ -0,0 +1,179 @@
+package quota_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cranberrywalk/cranberrywalk/catalog"
+	"github.com/cranberrywalk/cranberrywalk/quota"
+)
+
+// fleetScenario is the demand of one customer at many daemons, and their exchange of
+// reports.
+type fleetScenario struct {
+	name    string
+	daemons int
+	// period is the time between two reports of one daemon to another, and delay the
+	// time that a report takes.
+	period, delay time.Duration
+	// demand is the units asked for in a second, relative to the quota's rate, as a
+	// function of the time since the start.
+	demand func(at time.Duration) float64
+	// isolated says how many daemons are cut off from all others at a time.
+	isolated func(at time.Duration) int
+	// requestsPerSecond is the number of requests for a demand at the rate.
+	requestsPerSecond float64
+	trace             func(int, float64, float64)
+}
+
+// fleetResult compares what a fleet granted with a single token bucket.
+type fleetResult struct {
+	// overshoot is the highest number of units granted in a window, relative to the
+	// rate in the window and the burst.
+	overshoot float64
+	// refused and wronglyRefused are the share of requests that were refused, and of
+	// those that were refused although the single bucket had units left.
+	refused, wronglyRefused float64
+}
+
+const (
+	fleetRate = 1.0e6
+	fleetStep = 10 * time.Millisecond
+)
+
+type delayedReport struct {
+	due    time.Duration
+	from   int
+	usages []quota.Usage
+}
+
+// fleetTime is the length of a simulation.
+const fleetTime = 14 * time.Second
+
+// simulate runs a scenario.
+func (s fleetScenario) simulate(seed uint64) fleetResult {
+	random := rand.New(rand.NewPCG(seed, 7))
+	limiters := make([]*quota.Limiter, s.daemons)
+	for i := range limiters {
+		limiters[i] = quota.New(quota.DefaultOptions())
+		limiters[i].SetCustomers([]catalog.Customer{{Name: customer, Quota: catalog.Quota{Rate: fleetRate, Burst: fleetRate}}}, start)
+	}
+	meanUnits := fleetRate / s.requestsPerSecond
+	exact := fleetRate
+	var granted []grant
+	total, refused, wronglyRefused := 0.0, 0.0, 0.0
+	inFlight := make([][]delayedReport, s.daemons)
+	for at := time.Duration(0); at < fleetTime; at += fleetStep {
+		now := start.Add(at)
+		exact = min(exact+fleetRate*fleetStep.Seconds(), fleetRate)
+		isolated := s.isolated(at)
+		perDaemon := s.demand(at) * s.requestsPerSecond * fleetStep.Seconds() / float64(s.daemons)
+		for i, limiter := range limiters {
+			s.exchange(limiters, inFlight, i, at, isolated)
+			if random.Float64() >= perDaemon {
+				continue
+			}
+			// A log-normal size with the mean of a request.
+			units := meanUnits * math.Exp(random.NormFloat64()*0.8-0.32)
+			total++
+			if limiter.Take(customer, units, now) == nil {
+				granted = append(granted, grant{now, units})
+				exact -= units
+				continue
+			}
+			refused++
+			if exact > 0 {
+				wronglyRefused++
+			}
+		}
+	}
+	highest := (&cluster{granted: granted}).maxGranted(window)
+	return fleetResult{
+		overshoot: highest / (fleetRate*window.Seconds() + fleetRate), refused: refused / total, wronglyRefused: wronglyRefused / total,
+	}
+}
+
+// exchange delivers the reports that have arrived at a daemon, and sends its own. Each
+// pair of daemons has its own phase.
+func (s fleetScenario) exchange(limiters []*quota.Limiter, inFlight [][]delayedReport, i int, at time.Duration, isolated int) {
+	var waiting []delayedReport
+	for _, report := range inFlight[i] {
+		if report.due > at {
+			waiting = append(waiting, report)
+			continue
+		}
+		limiters[i].Merge(fmt.Sprint(report.from), "first", report.usages, start.Add(at-s.delay))
+	}
+	inFlight[i] = waiting
+	steps := int(s.period / fleetStep)
+	if i < isolated {
+		return
+	}
+	for j := range limiters {
+		if j == i || j < isolated || (int(at/fleetStep)+7*i+11*j)%steps != 0 {
+			continue
+		}
+		inFlight[j] = append(inFlight[j], delayedReport{due: at + s.delay, from: i, usages: limiters[i].OwnUsage()})
+	}
+}
+
+func constant(value float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return value }
+}
+
+// surge returns a demand that is multiplied within a time.
+func surge(usual, factor float64, from, to time.Duration) func(time.Duration) float64 {
+	return func(at time.Duration) float64 {
+		if at >= from && at < to {
+			return usual * factor
+		}
+		return usual
+	}
+}
+
+func connected(time.Duration) int { return 0 }
+
+func cutOff(daemons int, from, to time.Duration) func(time.Duration) int {
+	return func(at time.Duration) int {
+		if at >= from && at < to {
+			return daemons
+		}
+		return 0
+	}
+}
+
+// slackRatio is the ratio of the units that the platform allows in a window to the rate in
+// the window and the burst: a tenth more, and its absolute slack.
+const slackRatio = 1.1 + 0.01
+
+// TestManyDaemonsShareAQuota has one customer's demand at two dozen daemons that report
+// as rarely as those of a group three times the size. Daemons that are cut off one by
+// one know of nobody's grants.
+func TestManyDaemonsShareAQuota(t *testing.T) {
+	const daemons = 24
+	for _, s := range []struct {
+		fleetScenario
+		maxWronglyRefused float64
+	}{
+		{fleetScenario{name: "usual demand", demand: constant(0.55), isolated: connected}, 0.01},
+		{fleetScenario{name: "surge of a customer", demand: surge(0.55, 6, 3*time.Second, 11*time.Second), isolated: connected}, 1},
+		{fleetScenario{name: "a third cut off", demand: constant(0.55), isolated: cutOff(8, time.Second, 10*time.Second)}, 1},
+		{fleetScenario{
+			name: "surge while a third is cut off", demand: surge(0.55, 6, 1500*time.Millisecond, 11*time.Second),
+			isolated: cutOff(8, time.Second, 10*time.Second),
+		}, 1},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			c := qt.New(t)
+			s.daemons, s.period, s.delay, s.requestsPerSecond = daemons, 900*time.Millisecond, 40*time.Millisecond, 50
+			result := s.simulate(1)
+			c.Check(result.overshoot <= slackRatio, qt.IsTrue, qt.Commentf("overshoot %.2f", result.overshoot))
+			c.Check(result.wronglyRefused <= s.maxWronglyRefused, qt.IsTrue, qt.Commentf("wrongly refused %.3f", result.wronglyRefused))
+		})
+	}
+}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -16,8 +16,11 @@
 // Options are the settings of a Limiter.
 type Options struct {
 	// SilentAfter is the age of a peer's last report above which the peer is
-	// assumed to use an even share of each rate.
+	// assumed to use an even share of each rate and of what is left. It is longer
+	// for a peer that reports rarely, see SilentReports.
 	SilentAfter time.Duration
+	// SilentReports is the number of reports that a silent peer has missed at least.
+	SilentReports float64
 	// ForgetAfter is the age of a peer's last report above which the peer is
 	// assumed to have stopped.
 	ForgetAfter time.Duration
@@ -30,7 +33,7 @@
 
 // DefaultOptions returns the defaults.
 func DefaultOptions() Options {
-	return Options{SilentAfter: 1500 * time.Millisecond, ForgetAfter: 30 * time.Second, RateTimeConstant: 1500 * time.Millisecond, StartupGrace: 3 * time.Second}
+	return Options{SilentAfter: 1200 * time.Millisecond, SilentReports: 1.5, ForgetAfter: 30 * time.Second, RateTimeConstant: 1500 * time.Millisecond, StartupGrace: 3 * time.Second}
 }
 
 // Usage is the total that one process has granted to a customer since it started.
@@ -71,6 +74,16 @@
 	updated time.Time
 	// granted is the number of units that this process has granted.
 	granted float64
+	// rate is a moving average of the units that this process grants in a second.
+	rate float64
+	// isPaced is true from the moment at which no units are left until half the burst
+	// is left again. Meanwhile this process grants from paceLevel.
+	isPaced bool
+	// paceLevel is the number of units left of this process's share of the rate. It is
+	// negative after a grant of more units than were left.
+	paceLevel float64
+	// paced is when paceLevel was last refilled, and rated when rate was last updated.
+	paced, rated time.Time
 }
 
 // peer is the state reported by another daemon.
@@ -82,14 +95,55 @@
 	// rates holds moving averages of units per second. They are averaged because
 	// grants come in bursts: many between two reports and none before the next.
 	rates map[string]float64
+	// interval is a moving average of the time between two reports, in seconds.
+	interval float64
+	// reserves holds what was set aside by customer for the grants of a peer whose
+	// report is overdue.
+	reserves map[string]reserve
 }
 
 func newPeer(incarnation string, now time.Time) *peer {
 	return &peer{
 		incarnation: incarnation, lastReport: now, granted: make(map[string]float64), rates: make(map[string]float64),
+		reserves: make(map[string]reserve),
 	}
 }
 
+// intervalWeight is the weight of the newest value in the average time between reports.
+const intervalWeight = 0.3
+
+// updateInterval updates the average time between two reports.
+func (p *peer) updateInterval(since float64) {
+	if p.interval == 0 {
+		p.interval = since
+	}
+	p.interval += intervalWeight * (since - p.interval)
+}
+
+// reserve is what was set aside of one customer's quota for one peer.
+type reserve struct {
+	units float64
+	// fraction is the part of the peer's even share of the level that was set aside,
+	// between 0 and 1.
+	fraction float64
+}
+
+// overdueReports is the age of a peer's last report, in times between two reports, from
+// which on units are set aside for it.
+const overdueReports = 1
+
+// overdue returns how far a peer is on the way from reporting in time, 0, to being silent,
+// 1.
+func (p *peer) overdue(options Options, now time.Time) float64 {
+	silentAfter := max(options.SilentAfter.Seconds(), options.SilentReports*p.interval)
+	dueAfter := overdueReports * p.interval
+	if p.interval == 0 {
+		dueAfter = silentAfter / 2
+	}
+	age := now.Sub(p.lastReport).Seconds()
+	return min(max((age-dueAfter)/(silentAfter-dueAfter), 0), 1)
+}
+
 // updateRate updates the moving average with the units used in the seconds since the
 // last report.
 func (p *peer) updateRate(customer string, units, since float64, timeConstant time.Duration) {
@@ -143,12 +197,25 @@
 		return nil
 	}
 	l.advance(customer, a, now)
-	if level := a.level - l.unreportedUsage(customer, now); level <= 0 {
+	level := l.available(customer, a, now)
+	if level <= 0 {
+		a.startPacing(now)
+	}
+	if level >= a.quota.Burst*paceUntil {
+		a.isPaced = false
+	}
+	if a.isPaced {
+		a.refillPace(l.share(customer, a, now), now)
+		level = min(level, a.paceLevel)
+	}
+	if level <= 0 {
 		wait := time.Duration((1 - level) / a.quota.Rate * float64(time.Second))
 		return &ExceededError{Customer: customer, Level: level, RetryAfter: wait}
 	}
 	a.level -= units
+	a.paceLevel -= units
 	a.granted += units
+	a.updateRate(units, now, l.options.RateTimeConstant)
 	return nil
 }
 
@@ -180,6 +247,7 @@
 func (l *Limiter) Merge(name, incarnation string, usages []Usage, now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.releaseReserves(l.peers[name], now)
 	p := l.peers[name]
 	if p == nil || p.incarnation != incarnation {
 		isEarlierUsage := p == nil && (l.started.IsZero() || now.Sub(l.started) < l.options.StartupGrace)
@@ -190,6 +258,9 @@
 		l.peers[name] = p
 	}
 	since := now.Sub(p.lastReport).Seconds()
+	if since > 0 {
+		p.updateInterval(since)
+	}
 	for _, usage := range usages {
 		increase := usage.Units - p.granted[usage.Customer]
 		p.granted[usage.Customer] = usage.Units
@@ -202,45 +273,75 @@
 	p.lastReport = now
 }
 
-// advance refills an account for the time since the last refill, less the even shares
-// of silent peers.
+// releaseReserves returns what was set aside for a peer, whose report says what it has
+// granted.
+func (l *Limiter) releaseReserves(p *peer, now time.Time) {
+	if p == nil {
+		return
+	}
+	for customer, r := range p.reserves {
+		if a := l.customers[customer]; a != nil {
+			l.advance(customer, a, now)
+			a.level += r.units
+		}
+	}
+	clear(p.reserves)
+}
+
+// advance refills an account for the time since the last refill. Peers whose reports are
+// overdue get a part of their even shares of the refill and of what is left, and silent
+// ones the whole: if this daemon is the one that is cut off, each of the others assumes
+// the same of it.
 func (l *Limiter) advance(customer string, a *account, now time.Time) {
 	passed := now.Sub(a.updated).Seconds()
 	if passed <= 0 {
 		return
 	}
 	a.updated = now
-	silent, total := l.countDaemons(now)
-	gained := passed * a.quota.Rate * float64(total-silent) / float64(total)
+	l.dropStopped(now)
+	total := float64(len(l.peers) + 1)
+	refill, sharers := passed*a.quota.Rate, total
+	overdue := make(map[*peer]float64)
+	for _, p := range l.peers {
+		if fraction := p.overdue(l.options, now); fraction > 0 {
+			overdue[p] = fraction
+			sharers -= p.reserves[customer].fraction
+		}
+	}
+	gained := refill
+	for p, fraction := range overdue {
+		r := p.reserves[customer]
+		if more := fraction - r.fraction; more > 0 {
+			share := max(a.level, 0) * more / sharers
+			a.level -= share
+			sharers -= more
+			r.units, r.fraction = r.units+share, fraction
+		}
+		withheld := refill * fraction / total
+		r.units += withheld
+		gained -= withheld
+		p.reserves[customer] = r
+	}
 	a.level = min(a.level+gained, a.quota.Burst)
 }
 
-// countDaemons returns the number of silent daemons and of all daemons, including
-// this one. It drops the peers that are assumed to have stopped.
-func (l *Limiter) countDaemons(now time.Time) (silent, total int) {
-	total = 1
+// dropStopped drops the peers that are assumed to have stopped.
+func (l *Limiter) dropStopped(now time.Time) {
 	for name, p := range l.peers {
-		age := now.Sub(p.lastReport)
-		if age > l.options.ForgetAfter {
+		if now.Sub(p.lastReport) > l.options.ForgetAfter {
 			delete(l.peers, name)
-			continue
-		}
-		total++
-		if age > l.options.SilentAfter {
-			silent++
 		}
 	}
-	return silent, total
 }
 
-// unreportedUsage estimates the units that peers have granted since their last reports.
-func (l *Limiter) unreportedUsage(customer string, now time.Time) float64 {
-	total := 0.0
+// available estimates the units left, less what peers have granted since their last
+// reports. What was set aside for a peer covers a part of that.
+func (l *Limiter) available(customer string, a *account, now time.Time) float64 {
+	granted := 0.0
 	for _, p := range l.peers {
-		age := min(now.Sub(p.lastReport), l.options.SilentAfter)
-		if age > 0 {
-			total += p.rates[customer] * age.Seconds()
+		if age := now.Sub(p.lastReport); age > 0 {
+			granted += p.rates[customer] * age.Seconds() * (1 - p.overdue(l.options, now))
 		}
 	}
-	return total
+	return a.level - granted
 }
