Queue updates for a daemon that still handles an earlier one

Cause: an update of the store's reader was left out for a daemon to which an earlier one was still being sent. When the runners of a zone are reclaimed, updates follow each other within a read period, and a call to a VM with a fifth of a core may take longer. Shown by: TestUpdatesWaitForSlowDaemon, which times out without the change.

--- a/membership/group.go
+++ b/membership/group.go
@@ -9,6 +9,7 @@
 
 	"storj.io/drpc/drpcserver"
 
+	"github.com/cranberrywalk/cranberrywalk/feed"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 )
 
@@ -97,8 +98,10 @@
 	// callInFlight is true while a call of runExchanges is in progress.
 	callInFlight bool
 	topicEnds    map[string]TopicEnd
-	// updateInFlight is true while an update is being sent to the daemon.
+	// updateInFlight is true while an update is being sent to the daemon, and
+	// pendingUpdates are those that wait for its end.
 	updateInFlight bool
+	pendingUpdates []feed.Update
 	// isDown is true while the daemon is presumed to be down.
 	isDown bool
 }
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -26,6 +26,8 @@
 	records      latest.Extract
 	// configuration is the record of the configuration in force.
 	configuration latest.Record
+	// applying delays each update until it can be received from; nil delays none.
+	applying chan struct{}
 }
 
 func (h *fakeHandler) Digest(toNew bool) membership.Digest {
@@ -53,6 +55,9 @@
 func (h *fakeHandler) Configuration() latest.Record { return h.configuration }
 
 func (h *fakeHandler) ApplyUpdate(update feed.Update) {
+	if h.applying != nil {
+		<-h.applying
+	}
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.updateEnds = append(h.updateEnds, update.Extract.End.Offset)
@@ -297,3 +302,22 @@
 	}
 	c.Check(a.handler.updatesReceived(7), qt.Equals, 0)
 }
+
+// TestUpdatesWaitForSlowDaemon broadcasts updates in quick succession, as when the runners
+// of a zone are reclaimed, while one daemon still handles the first.
+func TestUpdatesWaitForSlowDaemon(t *testing.T) {
+	c := qt.New(t)
+	a := start(c, "a", "zone-1")
+	slow := start(c, "b", "zone-1", a.member.Address)
+	slow.handler.applying = make(chan struct{})
+	eventually(c, "a to receive a digest", func() bool { return a.handler.digestsFrom("b") > 0 })
+	const updates = 4
+	for offset := range uint64(updates) {
+		a.group.Broadcast(feed.Update{Topic: "x", Extract: latest.Extract{End: latest.Position{Offset: offset}}})
+	}
+	time.Sleep(50 * time.Millisecond)
+	close(slow.handler.applying)
+	for offset := range uint64(updates) {
+		eventually(c, "every update", func() bool { return slow.handler.updatesReceived(offset) == 1 })
+	}
+}
