--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -28,7 +28,6 @@
 	isolated func(at time.Duration) int
 	// requestsPerSecond is the number of requests for a demand at the rate.
 	requestsPerSecond float64
-	trace             func(int, float64, float64)
 }
 
 // fleetResult compares what a fleet granted with a single token bucket.
