Mend small faults that readers noticed

Cause and change: a second notice of a VM's reclaim closed a closed channel and ended the daemon of the product's own interface; the first wait of a backoff was not capped by Max; explain knew no cause for LongHeader, lost lines whose prefix has a brace, and sorted lines in an order that depended on jumps of the clock; four error texts printed <nil>.

--- a/claimlog/errors.go
+++ b/claimlog/errors.go
@@ -47,6 +47,9 @@
 
 // Error implements error.
 func (e *NotReadyError) Error() string {
+	if e.Cause == nil {
+		return "the claim stream is being read for the first time"
+	}
 	return fmt.Sprintf("the claim stream has not been read: %v", e.Cause)
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/oklog/ulid/v2"
@@ -54,7 +55,8 @@
 	admin      *http.Server
 
 	// reclaimed is closed when the cloud, the VM list or a peer reports this VM as leaving.
-	reclaimed chan struct{}
+	reclaimed     chan struct{}
+	reclaimedOnce sync.Once
 	// stopping is closed at the start of the planned stop.
 	stopping chan struct{}
 	// done is closed when Run has returned.
@@ -246,7 +248,7 @@
 // onVMLeaving notifies the peers of a leaving VM and moves its streams elsewhere.
 func (d *Daemon) onVMLeaving(effect roster.Effect) {
 	if effect.VM.Name == d.settings.Daemon.Name {
-		close(d.reclaimed)
+		d.reclaimedOnce.Do(func() { close(d.reclaimed) })
 		return
 	}
 	// A goroutine avoids a deadlock: both calls take locks of components that apply
--- a/dispatch/errors.go
+++ b/dispatch/errors.go
@@ -93,7 +93,11 @@
 
 // Error implements error.
 func (e *RelayError) Error() string {
-	return fmt.Sprintf("no answer from %s, which holds key %s: %v", e.Winner.Daemon, e.Winner.Key, e.Cause)
+	text := fmt.Sprintf("no answer from %s, which holds key %s", e.Winner.Daemon, e.Winner.Key)
+	if e.Cause == nil {
+		return text
+	}
+	return text + ": " + e.Cause.Error()
 }
 
 // Unwrap returns the cause.
--- a/explain/cause.go
+++ b/explain/cause.go
@@ -7,6 +7,7 @@
 	"Answered":          "A runner's complete response was forwarded to the caller.",
 	"NoConfiguration":   "The daemon had just started and had no configuration yet; the request was not run.",
 	"BadHeader":         "A header field of the request is invalid.",
+	"LongHeader":        "The header fields are larger than the configuration allows.",
 	"NoRoute":           "No route of the current configuration matches the host and path.",
 	"UnknownKey":        "No customer of the current configuration has the API key.",
 	"LongBody":          "The body is larger than the configuration allows.",
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -4,7 +4,6 @@
 
 import (
 	"bufio"
-	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -73,15 +72,27 @@
 	return lines, nil
 }
 
+// splitRecord returns the fields of the record in a line and the text before it, which may
+// contain braces.
+func splitRecord(text string) (prefix string, fields map[string]any, found bool) {
+	for start := strings.IndexByte(text, '{'); start >= 0; {
+		if json.Unmarshal([]byte(text[start:]), &fields) == nil {
+			return text[:start], fields, true
+		}
+		next := strings.IndexByte(text[start+1:], '{')
+		if next < 0 {
+			break
+		}
+		start += 1 + next
+	}
+	return "", nil, false
+}
+
 func parse(process, text string) (Line, bool) {
-	prefix, record, found := strings.Cut(text, "{")
+	prefix, fields, found := splitRecord(text)
 	if !found {
 		return Line{}, false
 	}
-	var fields map[string]any
-	if json.Unmarshal([]byte("{"+record), &fields) != nil {
-		return Line{}, false
-	}
 	line := Line{Process: process, Fields: fields}
 	line.Event, _ = fields["Event"].(string)
 	line.Steady, _ = fields["Steady"].(float64)
@@ -134,20 +145,25 @@
 	return explanation
 }
 
-// sortLines sorts by monotonic time within a process and by wall-clock time between
-// processes.
+// sortLines sorts lines by the time of the first line of their process and the monotonic
+// time since then. Jumps of the wall clock within a process change nothing.
 func sortLines(lines []Line) {
-	slices.SortStableFunc(lines, func(x, y Line) int {
-		if x.Process == y.Process {
-			return cmp.Compare(x.Steady, y.Steady)
+	first := make(map[string]Line)
+	for _, line := range lines {
+		if earliest, found := first[line.Process]; !found || line.Steady < earliest.Steady {
+			first[line.Process] = line
 		}
-		return x.Time.Compare(y.Time)
-	})
+	}
+	at := func(line Line) time.Time {
+		start := first[line.Process]
+		return start.Time.Add(time.Duration((line.Steady - start.Steady) * float64(time.Second)))
+	}
+	slices.SortStableFunc(lines, func(x, y Line) int { return at(x).Compare(at(y)) })
 }
 
 // contextEvents are the events that concern every request of a process.
 var contextEvents = []string{
-	"ConfigurationTaken", "StoreLost", "StoreBack", "Stopping", "Started", "ZoneCut", "ZoneBack", "LinesDropped",
+	"ConfigurationTaken", "StoreLost", "StoreBack", "StoreRestored", "Stopping", "Started", "ZoneCut", "ZoneBack", "LinesDropped",
 }
 
 func relatedLines(steps, lines []Line) []Line {
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -69,3 +69,25 @@
 	c := qt.New(t)
 	c.Check(explain.Request("r5", read(c, "entry-1", entry1)).Cause, qt.Contains, "No log mentions the request")
 }
+
+// TestPrefixMayHoldBraces covers a log collector that writes an object of its own first.
+func TestPrefixMayHoldBraces(t *testing.T) {
+	c := qt.New(t)
+	lines := read(c, "all", `{pod=entry-3} {unit} entry-7 {"Time":"2026-03-21T22:14:30Z","Event":"RequestEnded","Request":"r3","Reason":"LongHeader"}`)
+	c.Assert(lines, qt.HasLen, 1)
+	c.Check(lines[0].Process, qt.Equals, "entry-7")
+	c.Check(explain.Request("r3", lines).Cause, qt.Equals, "The header fields are larger than the configuration allows.")
+}
+
+// TestClockJumpDoesNotMixProcesses covers a request that two daemons log while the clock
+// of one jumps back: its later lines must not sort before the other's.
+func TestClockJumpDoesNotMixProcesses(t *testing.T) {
+	c := qt.New(t)
+	lines := read(c, "all", strings.Join([]string{
+		`a {"Time":"2026-03-21T22:14:30.0Z","Event":"First","Request":"r","Steady":1.0}`,
+		`b {"Time":"2026-03-21T22:14:30.5Z","Event":"Second","Request":"r","Steady":7.0}`,
+		`a {"Time":"2026-03-21T22:14:20.0Z","Event":"Third","Request":"r","Steady":2.0}`,
+		`b {"Time":"2026-03-21T22:14:31.5Z","Event":"Fourth","Request":"r","Steady":8.0}`,
+	}, "\n"))
+	c.Check(events(explain.Request("r", lines).Steps), qt.DeepEquals, []string{"First", "Second", "Third", "Fourth"})
+}
--- a/lease/record.go
+++ b/lease/record.go
@@ -44,6 +44,9 @@
 
 // Error implements error.
 func (e *RecordError) Error() string {
+	if e.Cause == nil {
+		return fmt.Sprintf("lease record %d does not have exactly one action", e.Offset)
+	}
 	return fmt.Sprintf("invalid lease record %d: %v", e.Offset, e.Cause)
 }
 
--- a/retry/backoff.go
+++ b/retry/backoff.go
@@ -38,7 +38,7 @@
 // Wait returns how long to wait after the given number of failed attempts, which is
 // at least 1. It returns false if the wait would reach the deadline.
 func (b *Backoff) Wait(failed int, now, deadline time.Time) (time.Duration, bool) {
-	bound := float64(b.options.Initial)
+	bound := min(float64(b.options.Initial), float64(b.options.Max))
 	for range failed - 1 {
 		bound = min(bound*b.options.Factor, float64(b.options.Max))
 	}
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -83,3 +83,12 @@
 	_, ok := backoff.Wait(1, start, start)
 	c.Assert(ok, qt.IsFalse)
 }
+
+func TestFirstBackoffStaysBelowMax(t *testing.T) {
+	c := qt.New(t)
+	backoff := retry.NewBackoff(retry.BackoffOptions{Initial: time.Minute, Max: time.Second, Factor: 3}, rand.NewPCG(1, 2))
+	for range 100 {
+		wait, _ := backoff.Wait(1, start, time.Time{})
+		c.Assert(wait <= time.Second, qt.IsTrue, qt.Commentf("%s", wait))
+	}
+}
--- a/store/store.go
+++ b/store/store.go
@@ -67,6 +67,9 @@
 
 // Error implements error.
 func (e *ResponseError) Error() string {
+	if e.Cause == nil {
+		return "response to store call " + e.Call + " has an invalid record"
+	}
 	return fmt.Sprintf("decode response to store call %s: %v", e.Call, e.Cause)
 }
 
