Check for overdue reports once for all customers, and fetch configurations in a task

Cause: a report of a peer refilled each customer's account, and each refill went through all peers: 16 customers and 74 daemons made 90,000 checks a second. A newer configuration was fetched in a goroutine that nobody waited for. Change: the overdue peers are found at most every 20 ms and kept. One task of the process fetches configurations. quota.go is split into the limiter, its peers, the reserves and pacing.

--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -59,25 +59,38 @@
 	return current.Version()
 }
 
-// catchUpConfiguration requests the configuration in force at another daemon if it is
+// noticeConfiguration has the configuration in force at another daemon fetched if it is
 // newer although both have read the same records. That is so after the store was
 // restored from a copy without the newest configuration.
-func (e *Entry) catchUpConfiguration(from membership.Member, version uint64, end latest.Position) {
-	f := e.feedsByTopic[platform.ConfigurationTopic]
-	if version <= e.configurationVersion() || end != f.End() || !e.fetchingConfiguration.CompareAndSwap(false, true) {
+func (e *Entry) noticeConfiguration(from membership.Member, version uint64, end latest.Position) {
+	if version <= e.configurationVersion() || end != e.feedsByTopic[platform.ConfigurationTopic].End() {
 		return
 	}
-	go func() {
-		defer e.fetchingConfiguration.Store(false)
-		record, err := e.group.Configuration(context.Background(), from)
-		if err != nil {
-			e.Count("Configuration.FetchesFailed", 1)
+	select {
+	case e.newerConfigurations <- from:
+	default:
+		// Another daemon is asked already.
+	}
+}
+
+// fetchConfigurations fetches newer configurations from other daemons until ctx ends.
+func (e *Entry) fetchConfigurations(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
 			return
+		case from := <-e.newerConfigurations:
+			record, err := e.group.Configuration(ctx, from)
+			if err != nil {
+				e.Count("Configuration.FetchesFailed", 1)
+				e.Log.Info("ConfigurationNotFetched", "Daemon", from.Name, "Error", err.Error())
+				continue
+			}
+			if platform.IsConfiguration(record) {
+				e.applyConfiguration(record)
+			}
 		}
-		if platform.IsConfiguration(record) {
-			e.applyConfiguration(record)
-		}
-	}()
+	}
 }
 
 // addMembers adds the daemons that the store lists to the group. If the store has lost
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -67,9 +67,8 @@
 	// configurationRecord is the record of the configuration in force; nil before the
 	// first one.
 	configurationRecord atomic.Pointer[latest.Record]
-	// fetchingConfiguration is true while the configuration in force is requested from
-	// another daemon.
-	fetchingConfiguration atomic.Bool
+	// newerConfigurations receives a daemon that has a newer configuration in force.
+	newerConfigurations chan membership.Member
 	// announcement receives a value when the store has lost the daemon's own record.
 	announcement chan struct{}
 	// announced is the epoch of the store in which that record was last written; nil
@@ -93,6 +92,7 @@
 	now := common.Clock.Now()
 	e := &Entry{
 		Common: common, settings: settings, done: make(chan struct{}), announcement: make(chan struct{}, 1),
+		newerConfigurations: make(chan membership.Member, 1),
 		self: membership.Member{
 			Name: settings.Name, Address: settings.PeerAddress, Zone: settings.Zone, Incarnation: ulid.Make().String(),
 			Capacity: settings.CPUMillicores,
--- a/entry/peerhandler.go
+++ b/entry/peerhandler.go
@@ -67,7 +67,7 @@
 		case dutiesTopic:
 			h.duties.ObservePeerEnd(end.End)
 		case platform.ConfigurationTopic:
-			h.catchUpConfiguration(sender, digest.ConfigurationVersion, end.End)
+			h.noticeConfiguration(sender, digest.ConfigurationVersion, end.End)
 		}
 		if f := h.feedsByTopic[end.Topic]; f != nil {
 			f.HandlePeerEnd(end.End)
--- a/entry/run.go
+++ b/entry/run.go
@@ -99,6 +99,7 @@
 	tasks.Go(func() { e.watchZones(background) })
 	tasks.Go(func() { e.expireRunners(background) })
 	tasks.Go(func() { e.demand.run(background) })
+	tasks.Go(func() { e.fetchConfigurations(background) })
 	tasks.Go(func() { e.duties.Run(dutiesCtx) })
 	for _, f := range e.feeds {
 		tasks.Go(func() { f.Run(background) })
--- /dev/null
+++ b/quota/peer.go
@@ -0,0 +1,81 @@
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+// peer is the state reported by another daemon.
+type peer struct {
+	incarnation string
+	lastReport  time.Time
+	// granted holds the totals in the last report by customer.
+	granted map[string]float64
+	// rates holds moving averages of units per second. They are averaged because
+	// grants come in bursts: many between two reports and none before the next.
+	rates map[string]float64
+	// interval is a moving average of the time between two reports, in seconds.
+	interval float64
+	// reserves holds what was set aside by customer for the grants of a peer whose
+	// report is overdue.
+	reserves map[string]reserve
+}
+
+func newPeer(incarnation string, now time.Time) *peer {
+	return &peer{
+		incarnation: incarnation, lastReport: now, granted: make(map[string]float64), rates: make(map[string]float64),
+		reserves: make(map[string]reserve),
+	}
+}
+
+// intervalWeight is the weight of the newest value in the average time between reports.
+const intervalWeight = 0.3
+
+// updateInterval updates the average time between two reports.
+func (p *peer) updateInterval(since float64) {
+	if p.interval == 0 {
+		p.interval = since
+	}
+	p.interval += intervalWeight * (since - p.interval)
+}
+
+// reserve is what was set aside of one customer's quota for one peer.
+type reserve struct {
+	units float64
+	// fraction is the part of the peer's even share of the level that was set aside,
+	// between 0 and 1.
+	fraction float64
+}
+
+// overdueReports is the age of a peer's last report, in times between two reports, from
+// which on units are set aside for it.
+const overdueReports = 1
+
+// overdue returns how far a peer is on the way from reporting in time, 0, to being silent,
+// 1.
+func (p *peer) overdue(options Options, now time.Time) float64 {
+	silentAfter := max(options.SilentAfter.Seconds(), options.SilentReports*p.interval)
+	dueAfter := overdueReports * p.interval
+	if p.interval == 0 {
+		dueAfter = silentAfter / 2
+	}
+	age := now.Sub(p.lastReport).Seconds()
+	return min(max((age-dueAfter)/(silentAfter-dueAfter), 0), 1)
+}
+
+// updateRate updates the moving average with the units used in the seconds since the
+// last report.
+func (p *peer) updateRate(customer string, units, since float64, timeConstant time.Duration) {
+	if since <= 0 {
+		return
+	}
+	weight := 1 - math.Exp(-since/timeConstant.Seconds())
+	p.rates[customer] += weight * (max(units/since, 0) - p.rates[customer])
+}
+
+// setBaseline excludes what the peer has granted so far from the accounts.
+func (p *peer) setBaseline(usages []Usage) {
+	for _, usage := range usages {
+		p.granted[usage.Customer] = usage.Units
+	}
+}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -63,6 +62,9 @@
 	peers     map[string]*peer
 	// started is when SetCustomers was first called.
 	started time.Time
+	// overdue holds the peers whose reports were overdue at overdueCheckedAt.
+	overdue          []overduePeer
+	overdueCheckedAt time.Time
 }
 
 // account is the token bucket of one customer, net of the usage reported by peers.
@@ -86,81 +88,6 @@
 	paced, rated time.Time
 }
 
-// peer is the state reported by another daemon.
-type peer struct {
-	incarnation string
-	lastReport  time.Time
-	// granted holds the totals in the last report by customer.
-	granted map[string]float64
-	// rates holds moving averages of units per second. They are averaged because
-	// grants come in bursts: many between two reports and none before the next.
-	rates map[string]float64
-	// interval is a moving average of the time between two reports, in seconds.
-	interval float64
-	// reserves holds what was set aside by customer for the grants of a peer whose
-	// report is overdue.
-	reserves map[string]reserve
-}
-
-func newPeer(incarnation string, now time.Time) *peer {
-	return &peer{
-		incarnation: incarnation, lastReport: now, granted: make(map[string]float64), rates: make(map[string]float64),
-		reserves: make(map[string]reserve),
-	}
-}
-
-// intervalWeight is the weight of the newest value in the average time between reports.
-const intervalWeight = 0.3
-
-// updateInterval updates the average time between two reports.
-func (p *peer) updateInterval(since float64) {
-	if p.interval == 0 {
-		p.interval = since
-	}
-	p.interval += intervalWeight * (since - p.interval)
-}
-
-// reserve is what was set aside of one customer's quota for one peer.
-type reserve struct {
-	units float64
-	// fraction is the part of the peer's even share of the level that was set aside,
-	// between 0 and 1.
-	fraction float64
-}
-
-// overdueReports is the age of a peer's last report, in times between two reports, from
-// which on units are set aside for it.
-const overdueReports = 1
-
-// overdue returns how far a peer is on the way from reporting in time, 0, to being silent,
-// 1.
-func (p *peer) overdue(options Options, now time.Time) float64 {
-	silentAfter := max(options.SilentAfter.Seconds(), options.SilentReports*p.interval)
-	dueAfter := overdueReports * p.interval
-	if p.interval == 0 {
-		dueAfter = silentAfter / 2
-	}
-	age := now.Sub(p.lastReport).Seconds()
-	return min(max((age-dueAfter)/(silentAfter-dueAfter), 0), 1)
-}
-
-// updateRate updates the moving average with the units used in the seconds since the
-// last report.
-func (p *peer) updateRate(customer string, units, since float64, timeConstant time.Duration) {
-	if since <= 0 {
-		return
-	}
-	weight := 1 - math.Exp(-since/timeConstant.Seconds())
-	p.rates[customer] += weight * (max(units/since, 0) - p.rates[customer])
-}
-
-// setBaseline excludes what the peer has granted so far from the accounts.
-func (p *peer) setBaseline(usages []Usage) {
-	for _, usage := range usages {
-		p.granted[usage.Customer] = usage.Units
-	}
-}
-
 // New returns a Limiter without customers.
 func New(options Options) *Limiter {
 	return &Limiter{options: options, customers: make(map[string]*account), peers: make(map[string]*peer)}
@@ -248,6 +175,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.releaseReserves(l.peers[name], now)
+	l.dropOverdue(l.peers[name])
 	p := l.peers[name]
 	if p == nil || p.incarnation != incarnation {
 		isEarlierUsage := p == nil && (l.started.IsZero() || now.Sub(l.started) < l.options.StartupGrace)
@@ -273,67 +201,6 @@
 	p.lastReport = now
 }
 
-// releaseReserves returns what was set aside for a peer, whose report says what it has
-// granted.
-func (l *Limiter) releaseReserves(p *peer, now time.Time) {
-	if p == nil {
-		return
-	}
-	for customer, r := range p.reserves {
-		if a := l.customers[customer]; a != nil {
-			l.advance(customer, a, now)
-			a.level += r.units
-		}
-	}
-	clear(p.reserves)
-}
-
-// advance refills an account for the time since the last refill. Peers whose reports are
-// overdue get a part of their even shares of the refill and of what is left, and silent
-// ones the whole: if this daemon is the one that is cut off, each of the others assumes
-// the same of it.
-func (l *Limiter) advance(customer string, a *account, now time.Time) {
-	passed := now.Sub(a.updated).Seconds()
-	if passed <= 0 {
-		return
-	}
-	a.updated = now
-	l.dropStopped(now)
-	total := float64(len(l.peers) + 1)
-	refill, sharers := passed*a.quota.Rate, total
-	overdue := make(map[*peer]float64)
-	for _, p := range l.peers {
-		if fraction := p.overdue(l.options, now); fraction > 0 {
-			overdue[p] = fraction
-			sharers -= p.reserves[customer].fraction
-		}
-	}
-	gained := refill
-	for p, fraction := range overdue {
-		r := p.reserves[customer]
-		if more := fraction - r.fraction; more > 0 {
-			share := max(a.level, 0) * more / sharers
-			a.level -= share
-			sharers -= more
-			r.units, r.fraction = r.units+share, fraction
-		}
-		withheld := refill * fraction / total
-		r.units += withheld
-		gained -= withheld
-		p.reserves[customer] = r
-	}
-	a.level = min(a.level+gained, a.quota.Burst)
-}
-
-// dropStopped drops the peers that are assumed to have stopped.
-func (l *Limiter) dropStopped(now time.Time) {
-	for name, p := range l.peers {
-		if now.Sub(p.lastReport) > l.options.ForgetAfter {
-			delete(l.peers, name)
-		}
-	}
-}
-
 // available estimates the units left, less what peers have granted since their last
 // reports. What was set aside for a peer covers a part of that.
 func (l *Limiter) available(customer string, a *account, now time.Time) float64 {
