Send a usage report only when other daemons know of the decision

The holder of the duties decided a report and sent it; 0.14 s later it was stopped, and the store was restored from a copy without the decision. The next holder had been paused, had not heard of it, and reported the window with another count (184 and 189). Change: a report is sent a second after its decision, while it travels in the holder's digests. For 5 s after a restore all daemons share the reports that they know, so that a daemon that missed the holder's digest hears them before it may acquire the lease. Shown by: TestDecisionThatIsLostWasNotReported fails without the delay (counts 2 and 1).

--- a/duties/duties.go
+++ b/duties/duties.go
@@ -32,6 +32,10 @@
 	// UsageDelay is the delay after the end of a window before its counts are
 	// decided, so that the counts of all daemons have arrived.
 	UsageDelay time.Duration
+	// ReportDelay is the time between the decision of a report and its sending, in
+	// which other daemons learn of it. A report that nobody else knows may be lost with
+	// this process and the log, and must then not have been sent.
+	ReportDelay time.Duration
 	// UsageMaxAge is the maximum age, counted from the end of a window, at which
 	// the window is still reported.
 	UsageMaxAge time.Duration
@@ -127,13 +131,13 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	for _, report := range reports {
-		d.lease.ObserveReport(report)
+		d.lease.ObserveReport(report, d.now())
 	}
 }
 
 // ReportsToShare returns the usage reports that other daemons should know in case the
-// log of duties is lost: those that this process has just decided, or all that are
-// known for a daemon that has just started.
+// log of duties is lost: those that this process has decided, those of the last windows
+// after the log was restored, or all that are known for a daemon that has just started.
 func (d *Duties) ReportsToShare(toNew bool) []dutylease.Report {
 	now := d.SyncedClock.At(d.Clock.Now())
 	d.mutex.Lock()
@@ -141,15 +145,20 @@
 	switch {
 	case toNew:
 		return d.lease.RecentReports(d.Usage.Window(now.Add(-d.options.UsageMaxAge)))
-	case d.lease.IsHolder():
+	case d.lease.IsHolder(), d.lease.EpochAge(d.now()) < sharingAfterRestore:
 		return d.lease.RecentReports(d.Usage.Window(now) - sharedReportWindows)
 	}
 	return nil
 }
 
-// sharedReportWindows is the number of ended windows whose reports the holder shares. A
-// window is decided shortly after its end.
-const sharedReportWindows = 2
+const (
+	// sharedReportWindows is the number of ended windows whose reports are shared. A
+	// window is decided shortly after its end.
+	sharedReportWindows = 2
+	// sharingAfterRestore is how long every daemon shares reports after the log was
+	// restored. The next holder of the lease hears them before it may acquire it.
+	sharingAfterRestore = 5 * time.Second
+)
 
 // now reads the clock that also advances while the VM is suspended.
 func (d *Duties) now() time.Time { return clock.SuspendAwareNow(d.Clock) }
--- a/duties/duties_test.go
+++ b/duties/duties_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -56,7 +57,9 @@
 	return r
 }
 
-func (r *fixture) start(name string) *process {
+func (r *fixture) start(name string) *process { return r.startWith(name, 40*time.Millisecond) }
+
+func (r *fixture) startWith(name string, reportDelay time.Duration) *process {
 	address, err := r.store.Listen(name)
 	r.c.Assert(err, qt.IsNil)
 	common := telemetry.NewCommon()
@@ -69,7 +72,7 @@
 		SyncedClock: clocksync.New(time.Minute, common.Clock.Now()),
 	}, duties.Options{
 		Topic: "duties", Process: name + "/1", Period: 20 * time.Millisecond, Timeout: 200 * time.Millisecond,
-		UsageDelay: 50 * time.Millisecond, UsageMaxAge: 5 * time.Second, OrderPeriod: time.Second,
+		UsageDelay: 50 * time.Millisecond, ReportDelay: reportDelay, UsageMaxAge: 5 * time.Second, OrderPeriod: time.Second,
 		ReportsUsage: true, Lease: dutylease.DefaultOptions(lease),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -208,3 +211,32 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 }
+
+// TestDecisionThatIsLostWasNotReported stops a holder right after it has decided a report
+// that nobody else knows, and restores the store from a copy without the decision. The
+// next holder decides anew, with counts that have arrived since.
+func TestDecisionThatIsLostWasNotReported(t *testing.T) {
+	r := newFixture(t)
+	copied := r.store.Snapshot()
+	a := r.startWith("a", time.Second)
+	a.usage.RecordRequest("library", time.Now())
+	r.eventually("the decision", func() bool {
+		for offset, entry := range r.store.Records("duties") {
+			if record, err := dutylease.DecodeRecord(uint64(offset), entry); err == nil && len(record.Reports) > 0 {
+				return true
+			}
+		}
+		return false
+	})
+	a.cancel()
+	<-a.duties.Done()
+	r.store.Restore(copied)
+	b := r.start("b")
+	b.usage.Merge("a/1", a.usage.OwnCounts(0))
+	b.usage.RecordRequest("library", time.Now().Add(-window))
+	r.eventually("a report of the next holder", func() bool {
+		r.reports()
+		return slices.ContainsFunc(r.cloud.Reports(), func(report standin.UsageReport) bool { return report.Holder == "b" })
+	})
+	r.reports()
+}
--- a/duties/usage.go
+++ b/duties/usage.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/dutylease"
 )
@@ -16,7 +17,7 @@
 	last := d.Usage.Window(now.Add(-d.options.UsageDelay)) - 1
 	var undecided []dutylease.Report
 	for window := first; window <= last; window++ {
-		if _, decided := d.decidedReport(window); decided || d.reported[window] {
+		if _, _, decided := d.decidedReport(window); decided || d.reported[window] {
 			continue
 		}
 		counts := d.Usage.Total(window)
@@ -28,8 +29,8 @@
 		return
 	}
 	for window := first; window <= last; window++ {
-		report, decided := d.decidedReport(window)
-		if !decided || d.reported[window] {
+		report, age, decided := d.decidedReport(window)
+		if !decided || d.reported[window] || age < d.options.ReportDelay {
 			continue
 		}
 		if !d.sendReport(ctx, report) {
@@ -38,10 +39,11 @@
 	}
 }
 
-func (d *Duties) decidedReport(window int64) (dutylease.Report, bool) {
+// decidedReport returns the report of a window, if it is decided, and its age.
+func (d *Duties) decidedReport(window int64) (report dutylease.Report, age time.Duration, decided bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return d.lease.Report(window)
+	return d.lease.Report(window, d.now())
 }
 
 // sendReport reports one window to the platform. It returns whether the remaining
--- a/dutylease/holder.go
+++ b/dutylease/holder.go
@@ -57,17 +57,25 @@
 	peerEnd   latest.Position
 	peerEndAt time.Time
 	// reports holds the decided reports by window.
-	reports map[int64]Report
+	reports map[int64]decidedReport
+	// epochChangedAt is when this process or a peer first saw the present epoch.
+	epochChangedAt time.Time
 	// unlogged holds the windows of reports that the log is not known to hold, since
 	// it was restored or since another daemon passed them on.
 	unlogged map[int64]bool
 }
 
+// decidedReport is a decided report with the time at which this process learned of it.
+type decidedReport struct {
+	Report
+	learned time.Time
+}
+
 // NewLeaseState returns the state of a process that has read nothing yet.
 func NewLeaseState(options Options, self string, now time.Time) *LeaseState {
 	return &LeaseState{
 		options: options, self: self, started: now, endChangedAt: now,
-		reports: make(map[int64]Report), unlogged: make(map[int64]bool),
+		reports: make(map[int64]decidedReport), unlogged: make(map[int64]bool),
 	}
 }
 
@@ -92,7 +100,7 @@
 // decided so far stay decided.
 func (s *LeaseState) EnterEpoch(epoch uint64, now time.Time) {
 	s.end, s.heldInEpoch = latest.Position{Epoch: epoch}, false
-	s.holder, s.endChangedAt = unknownHolder, now
+	s.holder, s.endChangedAt, s.epochChangedAt = unknownHolder, now, now
 	for window := range s.reports {
 		s.unlogged[window] = true
 	}
@@ -104,11 +112,11 @@
 	case record.Epoch == s.end.Epoch:
 		s.heldInEpoch = true
 		s.applyHolder(record)
-		s.applyReports(record)
+		s.applyReports(record, now)
 	case !s.heldInEpoch:
 		// The entry is from the copy. Its writer may have written more that is lost.
 		s.holder = unknownHolder
-		s.applyReports(record)
+		s.applyReports(record, now)
 	default:
 		// An append that was sent before the log was restored took effect late.
 	}
@@ -128,9 +136,13 @@
 	}
 }
 
-func (s *LeaseState) applyReports(record Record) {
+func (s *LeaseState) applyReports(record Record, now time.Time) {
 	for _, report := range record.Reports {
-		s.reports[report.Window] = report
+		learned := now
+		if known, found := s.reports[report.Window]; found {
+			learned = known.learned
+		}
+		s.reports[report.Window] = decidedReport{Report: report, learned: learned}
 		delete(s.unlogged, report.Window)
 	}
 	s.dropOldReports()
@@ -162,6 +174,9 @@
 // ObservePeer records that another daemon has read the log up to end. A higher end
 // shows that the holder is alive.
 func (s *LeaseState) ObservePeer(end latest.Position, now time.Time) {
+	if end.Epoch > max(s.peerEnd.Epoch, s.end.Epoch) {
+		s.epochChangedAt = now
+	}
 	if s.peerEnd.Before(end) {
 		s.peerEnd, s.peerEndAt = end, now
 	}
@@ -233,18 +248,22 @@
 	s.endChangedAt = now
 }
 
-// Report returns the report decided for a window, if the log holds one.
-func (s *LeaseState) Report(window int64) (Report, bool) {
-	report, found := s.reports[window]
-	return report, found
+// Report returns the report decided for a window, if one is known, and the time since
+// this process learned of it.
+func (s *LeaseState) Report(window int64, now time.Time) (report Report, age time.Duration, found bool) {
+	decided, found := s.reports[window]
+	return decided.Report, now.Sub(decided.learned), found
 }
 
+// EpochAge returns the time since this process or a peer first saw the present epoch.
+func (s *LeaseState) EpochAge(now time.Time) time.Duration { return now.Sub(s.epochChangedAt) }
+
 // ObserveReport takes over a report that another daemon knows to be decided.
-func (s *LeaseState) ObserveReport(report Report) {
+func (s *LeaseState) ObserveReport(report Report, now time.Time) {
 	if _, held := s.reports[report.Window]; held {
 		return
 	}
-	s.reports[report.Window] = report
+	s.reports[report.Window] = decidedReport{Report: report, learned: now}
 	s.unlogged[report.Window] = true
 	s.dropOldReports()
 }
@@ -254,7 +273,7 @@
 func (s *LeaseState) UnloggedReports() []Report {
 	var reports []Report
 	for window := range s.unlogged {
-		reports = append(reports, s.reports[window])
+		reports = append(reports, s.reports[window].Report)
 	}
 	slices.SortFunc(reports, func(x, y Report) int { return cmp.Compare(x.Window, y.Window) })
 	return reports
@@ -265,7 +284,7 @@
 	var reports []Report
 	for _, window := range slices.Sorted(maps.Keys(s.reports)) {
 		if window >= from {
-			reports = append(reports, s.reports[window])
+			reports = append(reports, s.reports[window].Report)
 		}
 	}
 	return reports
--- a/dutylease/holder_test.go
+++ b/dutylease/holder_test.go
@@ -141,10 +141,10 @@
 	l.acquire("a", start)
 	report := dutylease.Report{Window: 7, Counts: map[string]int64{"library": 3}}
 	l.append("a", dutylease.Record{Reports: []dutylease.Report{report}}, start)
-	got, decided := l.catchUp("b", start).Report(7)
+	got, _, decided := l.catchUp("b", start).Report(7, start)
 	c.Check(decided, qt.IsTrue)
 	c.Check(got, qt.DeepEquals, report)
-	_, decided = l.states["b"].Report(8)
+	_, _, decided = l.states["b"].Report(8, start)
 	c.Check(decided, qt.IsFalse)
 }
 
--- a/dutylease/restore_test.go
+++ b/dutylease/restore_test.go
@@ -62,7 +62,7 @@
 			l := newLog("a", "b", "c")
 			l.acquire("a", start)
 			l.append("a", dutylease.Record{Reports: []dutylease.Report{report}}, start)
-			l.states["b"].ObserveReport(l.states["a"].RecentReports(0)[0])
+			l.states["b"].ObserveReport(l.states["a"].RecentReports(0)[0], start)
 			l.restore(1)
 			later := start.Add(options.Lease / 2)
 			if next == "b" {
@@ -70,7 +70,7 @@
 				later = later.Add(options.Lease + options.Margin)
 			}
 			c.Assert(l.acquire(next, later), qt.IsTrue)
-			got, decided := l.catchUp("c", later).Report(7)
+			got, _, decided := l.catchUp("c", later).Report(7, later)
 			c.Check(decided, qt.IsTrue)
 			c.Check(got, qt.DeepEquals, report)
 			c.Check(l.states[next].UnloggedReports(), qt.HasLen, 0)
@@ -126,7 +126,7 @@
 				if l.append(name, dutylease.Record{Reports: reports}, now) {
 					accepted[window] = fmt.Sprint(reports[0].Counts)
 					for _, other := range names {
-						l.states[other].ObserveReport(reports[0])
+						l.states[other].ObserveReport(reports[0], now)
 					}
 				}
 			case 5:
@@ -147,7 +147,7 @@
 			holders++
 		}
 		for window, counts := range accepted {
-			if report, decided := l.states[name].Report(window); !decided || fmt.Sprint(report.Counts) != counts {
+			if report, _, decided := l.states[name].Report(window, now); !decided || fmt.Sprint(report.Counts) != counts {
 				t.Fatalf("%s takes window %d as %v, reported were %s", name, window, report, counts)
 			}
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -248,7 +248,9 @@
 	defaultLease = 3 * time.Second
 	dutiesPeriod = 250 * time.Millisecond
 	// usageDelay leaves time for two gossip rounds between daemons.
-	usageDelay  = 1500 * time.Millisecond
+	usageDelay = 1500 * time.Millisecond
+	// reportDelay leaves the same time for decided reports.
+	reportDelay = time.Second
 	usageMaxAge = 25 * time.Second
 	orderPeriod = 500 * time.Millisecond
 )
@@ -263,7 +265,7 @@
 		Usage: e.usage, SyncedClock: e.syncedClock, Scaler: newScaler(e, scaling.DefaultOptions()),
 	}, duties.Options{
 		Topic: dutiesTopic, Process: instanceID(e.self), Period: dutiesPeriod, Timeout: storeTimeout,
-		UsageDelay: usageDelay, UsageMaxAge: usageMaxAge, OrderPeriod: orderPeriod,
+		UsageDelay: usageDelay, ReportDelay: reportDelay, UsageMaxAge: usageMaxAge, OrderPeriod: orderPeriod,
 		ReportsUsage: e.settings.HasUsageDuty, SendsScaleOrders: e.settings.HasScalingDuty,
 		Lease: dutylease.DefaultOptions(lease),
 	})
