--- a/conntimeout/conntimeout_test.go
+++ b/conntimeout/conntimeout_test.go
@@ -99,6 +99,19 @@
 	r.readAnswer()
 }
 
+// TestSlowHandlerOfLaterRequestIsNotInterrupted covers a kept connection, on which the
+// server reads the whole of a later request while it waits for one.
+func TestSlowHandlerOfLaterRequestIsNotInterrupted(t *testing.T) {
+	r := newRig(t, conntimeout.Timeouts{Idle: long, Header: short}, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(4 * short)
+		w.WriteHeader(http.StatusOK)
+	})
+	for range 4 {
+		r.write(get)
+		r.readAnswer()
+	}
+}
+
 func TestSlowBodyIsNotInterrupted(t *testing.T) {
 	r := newRig(t, conntimeout.Timeouts{Idle: long, Header: short}, func(w http.ResponseWriter, request *http.Request) {
 		_, err := io.Copy(io.Discard, request.Body)
