Tell connections that the daemon closed from callers that left

Change: callerserver takes over conntimeout and the callers' http.Server of both daemons, follows what each connection does, and records which side closed it. Nothing else changes: a stop still uses SetKeepAlivesEnabled and Shutdown.

--- /dev/null
+++ b/callerserver/server.go
@@ -0,0 +1,139 @@
+// Package callerserver serves the HTTP connections of callers. Its timeouts may change
+// while connections are open, unlike those of net/http, and it knows which side closed
+// a connection.
+package callerserver
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/telemetry"
+)
+
+// Timeouts holds the timeouts for a caller's connection. Zero means no timeout.
+type Timeouts struct {
+	// Header bounds the time from the first byte of a request to the end of its
+	// header.
+	Header time.Duration
+	// Idle bounds how long a connection may be idle.
+	Idle time.Duration
+}
+
+// Options configures a Server.
+type Options struct {
+	// MaxHeaderTime bounds the time to read a request header, whatever Timeouts
+	// returns.
+	MaxHeaderTime time.Duration
+	// MaxHeaderBytes bounds the size of a request header; zero stands for the default
+	// of net/http.
+	MaxHeaderBytes int
+	// Timeouts returns the timeouts in force. It is called concurrently; nil means
+	// that there are none.
+	Timeouts func() Timeouts
+}
+
+// Server serves the connections of callers.
+type Server struct {
+	common  telemetry.Common
+	options Options
+	handler http.Handler
+	server  *http.Server
+
+	mutex sync.Mutex
+	// open holds the accepted connections that are not closed yet.
+	open map[*connection]struct{}
+}
+
+// New returns a server that passes requests to the handler.
+func New(common telemetry.Common, options Options, handler http.Handler) *Server {
+	if options.Timeouts == nil {
+		options.Timeouts = func() Timeouts { return Timeouts{} }
+	}
+	s := &Server{common: common, options: options, handler: handler, open: make(map[*connection]struct{})}
+	s.server = &http.Server{
+		Handler: http.HandlerFunc(s.serveRequest), ReadHeaderTimeout: options.MaxHeaderTime,
+		MaxHeaderBytes: options.MaxHeaderBytes, ConnState: s.onState, ConnContext: connContext,
+	}
+	return s
+}
+
+// Serve serves the connections of a listener until the server is stopped. It returns
+// the error of the listener, or nil after a stop.
+func (s *Server) Serve(listener net.Listener) error {
+	err := s.server.Serve(&trackingListener{Listener: listener, server: s})
+	if err == http.ErrServerClosed {
+		return nil
+	}
+	return err
+}
+
+// BeginStop starts a planned stop.
+func (s *Server) BeginStop() { s.server.SetKeepAlivesEnabled(false) }
+
+// Drain waits for the requests under way, and closes the listeners and all connections.
+// When ctx ends first, it cuts the rest off and returns the error of ctx.
+func (s *Server) Drain(ctx context.Context) error {
+	err := s.server.Shutdown(ctx)
+	if err != nil {
+		_ = s.server.Close()
+	}
+	return err
+}
+
+// Close closes the listeners and all connections at once.
+func (s *Server) Close() error { return s.server.Close() }
+
+func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
+	if c := connectionOf(r.Context()); c != nil {
+		c.beginRequest()
+		defer c.endRequest()
+	}
+	s.handler.ServeHTTP(w, r)
+}
+
+// onState is the ConnState hook of net/http.
+func (s *Server) onState(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*connection)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateNew, http.StateIdle:
+		c.awaitRequest()
+	default:
+		// The header has arrived, or the connection was closed.
+		c.disarm()
+	}
+}
+
+// trackingListener wraps the connections that it accepts.
+type trackingListener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept implements net.Listener.
+func (l *trackingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.server.track(conn), nil
+}
+
+func (s *Server) track(conn net.Conn) *connection {
+	c := &connection{Conn: conn, server: s}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.open[c] = struct{}{}
+	return c
+}
+
+func (s *Server) forget(c *connection) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.open, c)
+}
--- a/conntimeout/conntimeout_test.go
+++ b/callerserver/timeouts_test.go
@@ -1,4 +1,4 @@
-package conntimeout_test
+package callerserver_test
 
 import (
 	"bufio"
@@ -11,7 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/cranberrywalk/cranberrywalk/conntimeout"
+	"github.com/cranberrywalk/cranberrywalk/callerserver"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 )
 
@@ -26,19 +26,20 @@
 // rig is a server with timeouts, and one caller's connection to it.
 type rig struct {
 	c        *qt.C
-	timeouts atomic.Pointer[conntimeout.Timeouts]
+	timeouts atomic.Pointer[callerserver.Timeouts]
 	conn     net.Conn
 	reader   *bufio.Reader
 }
 
-func newRig(t *testing.T, timeouts conntimeout.Timeouts, handler http.HandlerFunc) *rig {
+func newRig(t *testing.T, timeouts callerserver.Timeouts, handler http.HandlerFunc) *rig {
 	r := &rig{c: qt.New(t)}
 	r.timeouts.Store(&timeouts)
-	enforcer := conntimeout.New(telemetry.NewCommon(), func() conntimeout.Timeouts { return *r.timeouts.Load() })
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: long, ConnState: enforcer.OnState}
+	server := callerserver.New(telemetry.NewCommon(), callerserver.Options{
+		MaxHeaderTime: long, Timeouts: func() callerserver.Timeouts { return *r.timeouts.Load() },
+	}, handler)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	r.c.Assert(err, qt.IsNil)
-	go func() { _ = server.Serve(enforcer.Listen(listener)) }()
+	go func() { _ = server.Serve(listener) }()
 	r.c.Cleanup(func() { _ = server.Close() })
 	r.conn, err = net.Dial("tcp", listener.Addr().String())
 	r.c.Assert(err, qt.IsNil)
@@ -72,26 +73,26 @@
 func answer(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }
 
 func TestUnusedConnectionIsClosed(t *testing.T) {
-	r := newRig(t, conntimeout.Timeouts{Idle: short, Header: long}, answer)
+	r := newRig(t, callerserver.Timeouts{Idle: short, Header: long}, answer)
 	r.waitForClose()
 }
 
 func TestConnectionThatBecomesIdleIsClosed(t *testing.T) {
-	r := newRig(t, conntimeout.Timeouts{Idle: long, Header: long}, answer)
-	r.timeouts.Store(&conntimeout.Timeouts{Idle: short, Header: long})
+	r := newRig(t, callerserver.Timeouts{Idle: long, Header: long}, answer)
+	r.timeouts.Store(&callerserver.Timeouts{Idle: short, Header: long})
 	r.write(get)
 	r.readAnswer()
 	r.waitForClose()
 }
 
 func TestSlowHeaderClosesTheConnection(t *testing.T) {
-	r := newRig(t, conntimeout.Timeouts{Idle: long, Header: short}, answer)
+	r := newRig(t, callerserver.Timeouts{Idle: long, Header: short}, answer)
 	r.write("GET / HTTP/1.1\r\nHost:")
 	r.waitForClose()
 }
 
 func TestSlowHandlerIsNotInterrupted(t *testing.T) {
-	r := newRig(t, conntimeout.Timeouts{Idle: short, Header: short}, func(w http.ResponseWriter, _ *http.Request) {
+	r := newRig(t, callerserver.Timeouts{Idle: short, Header: short}, func(w http.ResponseWriter, _ *http.Request) {
 		time.Sleep(4 * short)
 		w.WriteHeader(http.StatusOK)
 	})
@@ -102,7 +103,7 @@
 // TestSlowHandlerOfLaterRequestIsNotInterrupted covers a kept connection, on which the
 // server reads the whole of a later request while it waits for one.
 func TestSlowHandlerOfLaterRequestIsNotInterrupted(t *testing.T) {
-	r := newRig(t, conntimeout.Timeouts{Idle: long, Header: short}, func(w http.ResponseWriter, _ *http.Request) {
+	r := newRig(t, callerserver.Timeouts{Idle: long, Header: short}, func(w http.ResponseWriter, _ *http.Request) {
 		time.Sleep(4 * short)
 		w.WriteHeader(http.StatusOK)
 	})
@@ -113,7 +114,7 @@
 }
 
 func TestSlowBodyIsNotInterrupted(t *testing.T) {
-	r := newRig(t, conntimeout.Timeouts{Idle: long, Header: short}, func(w http.ResponseWriter, request *http.Request) {
+	r := newRig(t, callerserver.Timeouts{Idle: long, Header: short}, func(w http.ResponseWriter, request *http.Request) {
 		_, err := io.Copy(io.Discard, request.Body)
 		if err != nil {
 			w.WriteHeader(http.StatusBadRequest)
@@ -128,7 +129,7 @@
 }
 
 func TestZeroTimeoutsKeepConnections(t *testing.T) {
-	r := newRig(t, conntimeout.Timeouts{}, answer)
+	r := newRig(t, callerserver.Timeouts{}, answer)
 	time.Sleep(2 * short)
 	r.write(get)
 	r.readAnswer()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/cranberrywalk/cranberrywalk/admin"
 	"github.com/cranberrywalk/cranberrywalk/answer"
 	"github.com/cranberrywalk/cranberrywalk/backend"
+	"github.com/cranberrywalk/cranberrywalk/callerserver"
 	"github.com/cranberrywalk/cranberrywalk/claimlog"
 	"github.com/cranberrywalk/cranberrywalk/configuration"
 	"github.com/cranberrywalk/cranberrywalk/dispatch"
@@ -51,7 +52,7 @@
 	orders     *order.Controller
 	client     *backend.Client
 	dispatcher *dispatch.Dispatcher
-	callers    *http.Server
+	callers    *callerserver.Server
 	admin      *http.Server
 
 	// reclaimed is closed when the cloud, the VM list or a peer reports this VM as leaving.
@@ -194,13 +195,11 @@
 		DefaultDeadline: s.Callers.DefaultDeadline,
 	}
 	callers := front.New(d.Common, options, d.configuration, d.admitter, d.dispatcher)
-	d.callers = &http.Server{
-		Addr:              s.Callers.Address,
-		Handler:           callers.Handler(),
-		ReadHeaderTimeout: s.Callers.ReadTimeout,
+	d.callers = callerserver.New(d.Common, callerserver.Options{
+		MaxHeaderTime: s.Callers.ReadTimeout,
 		// Up to this size, the front package rejects headers with a typed problem.
 		MaxHeaderBytes: headerSlack * s.Callers.MaxHeaderBytes,
-	}
+	}, callers.Handler())
 	operators := admin.New(d.Common, admin.Sources{
 		Ready:    d.Ready,
 		Plans:    d.configuration.State,
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -28,7 +28,7 @@
 	for _, run := range d.loops() {
 		running.Go(func() { run(loopsCtx) })
 	}
-	running.Go(func() { d.serve(d.callers, callerListener) })
+	running.Go(func() { d.serveCallers(callerListener) })
 	running.Go(func() { d.serve(d.admin, adminListener) })
 	d.Events.Record(telemetry.Event{Kind: "DaemonStarted", Detail: d.incarnation})
 	listening()
@@ -65,9 +65,9 @@
 	if err := d.mesh.Listen(); err != nil {
 		return nil, nil, err
 	}
-	callerListener, err = net.Listen("tcp", d.callers.Addr)
+	callerListener, err = net.Listen("tcp", d.settings.Callers.Address)
 	if err != nil {
-		return nil, nil, &ListenError{Listener: "Callers", Address: d.callers.Addr, Cause: err}
+		return nil, nil, &ListenError{Listener: "Callers", Address: d.settings.Callers.Address, Cause: err}
 	}
 	adminListener, err = net.Listen("tcp", d.admin.Addr)
 	if err != nil {
@@ -76,6 +76,12 @@
 	return callerListener, adminListener, nil
 }
 
+func (d *Daemon) serveCallers(listener net.Listener) {
+	if err := d.callers.Serve(listener); err != nil {
+		d.Log.Error(err, "listener failed", "Address", listener.Addr().String())
+	}
+}
+
 func (d *Daemon) serve(server *http.Server, listener net.Listener) {
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		d.Log.Error(err, "listener failed", "Address", server.Addr)
@@ -92,12 +98,12 @@
 	d.mesh.Publish()
 	// The load balancer needs time to see that readiness is off before
 	// connections are refused.
-	d.callers.SetKeepAlivesEnabled(false)
+	d.callers.BeginStop()
 	_ = clock.Sleep(context.Background(), d.Clock, d.settings.Daemon.LeaveDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Daemon.DrainTimeout)
 	defer cancel()
 	// The error of dispatcher.Wait below is more specific than the server's.
-	_ = d.callers.Shutdown(ctx)
+	_ = d.callers.Drain(ctx)
 	d.dispatcher.Drain()
 	err := d.dispatcher.Wait(ctx)
 	d.settleClaims(ctx)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,8 +14,8 @@
 	"github.com/oklog/ulid/v2"
 
 	"github.com/cranberrywalk/cranberrywalk/balance"
+	"github.com/cranberrywalk/cranberrywalk/callerserver"
 	"github.com/cranberrywalk/cranberrywalk/clocksync"
-	"github.com/cranberrywalk/cranberrywalk/conntimeout"
 	"github.com/cranberrywalk/cranberrywalk/duties"
 	"github.com/cranberrywalk/cranberrywalk/dutylease"
 	"github.com/cranberrywalk/cranberrywalk/feed"
@@ -41,24 +41,22 @@
 	settings platform.Settings
 	self     membership.Member
 
-	store        store.Store
-	balancer     *balance.Balancer
-	upstream     *upstream.Pool
-	quotas       *quota.Limiter
-	suspects     *suspect.Tracker
-	usage        *usage.Counter
-	syncedClock  *clocksync.Clock
-	metrics      *metric.Set
-	gateway      *gateway.Gateway
-	group        *membership.Group
-	duties       *duties.Duties
-	runners      *runnerTracker
-	demand       *demandMonitor
-	feeds        []*feed.Feed
-	feedsByTopic map[string]*feed.Feed
-	// connections applies the timeouts to callers' connections.
-	connections     *conntimeout.Enforcer
-	callerServer    *http.Server
+	store           store.Store
+	balancer        *balance.Balancer
+	upstream        *upstream.Pool
+	quotas          *quota.Limiter
+	suspects        *suspect.Tracker
+	usage           *usage.Counter
+	syncedClock     *clocksync.Clock
+	metrics         *metric.Set
+	gateway         *gateway.Gateway
+	group           *membership.Group
+	duties          *duties.Duties
+	runners         *runnerTracker
+	demand          *demandMonitor
+	feeds           []*feed.Feed
+	feedsByTopic    map[string]*feed.Feed
+	callers         *callerserver.Server
 	readinessServer *http.Server
 	metricsServer   *http.Server
 
--- a/entry/run.go
+++ b/entry/run.go
@@ -9,8 +9,8 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/cranberrywalk/cranberrywalk/callerserver"
 	"github.com/cranberrywalk/cranberrywalk/clock"
-	"github.com/cranberrywalk/cranberrywalk/conntimeout"
 	"github.com/cranberrywalk/cranberrywalk/platform"
 )
 
@@ -31,10 +31,9 @@
 )
 
 func (e *Entry) addServers() {
-	e.connections = conntimeout.New(e.Common, e.callerBounds)
-	e.callerServer = &http.Server{
-		Handler: e.gateway, ReadHeaderTimeout: maxHeaderTime, ConnState: e.connections.OnState,
-	}
+	e.callers = callerserver.New(e.Common, callerserver.Options{
+		MaxHeaderTime: maxHeaderTime, Timeouts: e.callerTimeouts,
+	}, e.gateway)
 	e.metrics.RegisterGauge("runners_age_seconds", "Time since the runners were last read.", func() float64 {
 		return e.runnersAge().Seconds()
 	})
@@ -51,14 +50,14 @@
 	defaultIdleTimeout = 60 * time.Second
 )
 
-// callerBounds returns the timeouts of the current configuration.
-func (e *Entry) callerBounds() conntimeout.Timeouts {
+// callerTimeouts returns the timeouts of the current configuration.
+func (e *Entry) callerTimeouts() callerserver.Timeouts {
 	current := e.gateway.Catalog()
 	if current == nil {
-		return conntimeout.Timeouts{Header: defaultHeadTimeout, Idle: defaultIdleTimeout}
+		return callerserver.Timeouts{Header: defaultHeadTimeout, Idle: defaultIdleTimeout}
 	}
 	limits := current.Limits()
-	return conntimeout.Timeouts{Header: limits.HeaderTimeout, Idle: limits.IdleTimeout}
+	return callerserver.Timeouts{Header: limits.HeaderTimeout, Idle: limits.IdleTimeout}
 }
 
 func (e *Entry) serveReadiness(w http.ResponseWriter, _ *http.Request) {
@@ -90,7 +89,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var tasks sync.WaitGroup
 	dutiesCtx, stopDuties := context.WithCancel(background)
-	tasks.Go(func() { e.serve(e.callerServer, e.connections.Listen(callerListener)) })
+	tasks.Go(func() { e.serveCallers(callerListener) })
 	tasks.Go(func() { e.serve(e.readinessServer, readinessListener) })
 	tasks.Go(func() { e.serve(e.metricsServer, metricsListener) })
 	tasks.Go(func() { e.group.Run(background) })
@@ -120,6 +119,12 @@
 	return listener, nil
 }
 
+func (e *Entry) serveCallers(listener net.Listener) {
+	if err := e.callers.Serve(listener); err != nil {
+		e.Log.Error(err, "ListenerEnded", "Address", listener.Addr().String())
+	}
+}
+
 func (e *Entry) serve(server *http.Server, listener net.Listener) {
 	if err := server.Serve(listener); err != http.ErrServerClosed {
 		e.Log.Error(err, "ListenerEnded", "Address", listener.Addr().String())
@@ -131,7 +136,7 @@
 func (e *Entry) stop(stopDuties context.CancelFunc) {
 	e.Log.Info("Stopping", "Daemon", e.self.Name)
 	e.stopping.Store(true)
-	e.callerServer.SetKeepAlivesEnabled(false)
+	e.callers.BeginStop()
 	stopDuties()
 	<-e.duties.Done()
 	grace := e.settings.Bounds.StopGrace
@@ -143,9 +148,8 @@
 	defer cancel()
 	// The platform notices after two readiness probes, one second apart.
 	_ = clock.Sleep(drainCtx, e.Clock, readinessLag)
-	if err := e.callerServer.Shutdown(drainCtx); err != nil {
+	if err := e.callers.Drain(drainCtx); err != nil {
 		e.Log.Info("RequestsCut", "Reason", err.Error())
-		_ = e.callerServer.Close()
 	}
 	_ = e.readinessServer.Close()
 	_ = e.metricsServer.Close()
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/balance"
+	"github.com/cranberrywalk/cranberrywalk/callerserver"
 	"github.com/cranberrywalk/cranberrywalk/metric"
 	"github.com/cranberrywalk/cranberrywalk/request"
 	"github.com/cranberrywalk/cranberrywalk/upstream"
@@ -18,7 +19,7 @@
 		x.Quotas.Refund(x.customer.Name, x.cost)
 	}
 	if x.request.Context().Err() != nil {
-		x.recordEnd(0, "CallerLeft", failure)
+		x.recordEnd(0, x.disconnectReason(), failure)
 		// The caller has disconnected and can no longer read a response.
 		panic(http.ErrAbortHandler)
 	}
@@ -30,6 +31,15 @@
 	x.refuse(x.refusalOf(failure, reason))
 }
 
+// disconnectReason returns the reason for the end of a request whose connection is
+// closed.
+func (x *exchange) disconnectReason() string {
+	if callerserver.ClosedBy(x.request.Context()) == callerserver.Daemon {
+		return "ConnectionClosed"
+	}
+	return "CallerLeft"
+}
+
 // refusalOf returns the error response for the caller. Status 503 means that the
 // request has not run, so it is returned only if that is certain.
 func (x *exchange) refusalOf(failure error, reason string) *Refusal {
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/socket"
 )
 
 // connection is a pooled connection. It carries one request at a time.
@@ -58,7 +60,7 @@
 
 // isReusable reports whether an idle connection can carry another request.
 func (c *connection) isReusable(now time.Time) bool {
-	return now.Before(c.idleUntil) && c.reader.Buffered() == 0 && isOpenAndQuiet(c.raw)
+	return now.Before(c.idleUntil) && c.reader.Buffered() == 0 && socket.StateOf(c.raw) == socket.Quiet
 }
 
 // keepAliveTimeout returns the timeout parameter of the Keep-Alive header.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cranberrywalk/cranberrywalk/socket"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 )
 
@@ -128,7 +129,7 @@
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
 		},
-		Control: ackTimeoutControl(p.options.AckTimeout),
+		Control: socket.AckTimeoutControl(p.options.AckTimeout),
 	}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
