Close callers' connections at a stop only when no request is under way there

What callers saw: under planned work only, a request that the daemon had read got neither an answer nor a refusal. Cause: net/http takes a connection for idle until the whole header of the next request has been parsed. SetKeepAlivesEnabled(false), right after SIGTERM, and Shutdown close what is idle, drop requests that are parsed after Shutdown has begun, and close the listener on connections that the kernel has established and the process has not accepted. The class of fault: a check of a state and an action on it that are not atomic, with a library's state that lags behind the socket. Change: a stop announces the closing in each answer and keeps connections open while the platform still sends callers. Then the listener closes once nothing waits in its backlog, and each idle connection is closed by the goroutine that reads from it: it is woken by a deadline that has passed, and closes only if no byte was read and none waits in the kernel. Timeouts of idle connections and late headers take the same way. Both daemons use it. A new connection gets 0.25 s for its first request.

--- /dev/null
+++ b/callerserver/closing.go
@@ -0,0 +1,105 @@
+package callerserver
+
+import (
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/socket"
+)
+
+// closeReason is why the server closes a connection on which no request is under way.
+type closeReason string
+
+const (
+	idleTooLong closeReason = "IdleTooLong"
+	headerLate  closeReason = "HeaderLate"
+	stopping    closeReason = "Stopping"
+)
+
+// firstRequestTimeout is how long a new connection waits for its first request while
+// the server drains: its caller has probably sent one already.
+const firstRequestTimeout = 250 * time.Millisecond
+
+// closeForStop closes the connection if it awaits a request, at once or when the first
+// one does not come.
+func (c *connection) closeForStop() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	switch {
+	case c.phase == awaiting && c.hasRequested:
+		c.requestClose(stopping)
+	case c.phase == awaiting || c.phase == "":
+		c.arm(firstRequestTimeout)
+	}
+}
+
+// expire is called when the timer ends.
+func (c *connection) expire() {
+	isDraining := c.server.currentStage() == draining
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	switch {
+	case c.phase == receiving:
+		c.requestClose(headerLate)
+	case c.phase == awaiting && isDraining:
+		c.requestClose(stopping)
+	case c.phase == awaiting:
+		c.requestClose(idleTooLong)
+	}
+}
+
+// requestClose asks the reading goroutine to close the connection.
+func (c *connection) requestClose(reason closeReason) {
+	c.closing = reason
+	_ = c.applyDeadline()
+}
+
+// withdrawClose takes back a request to close.
+func (c *connection) withdrawClose() {
+	if c.closing == "" {
+		return
+	}
+	c.closing = ""
+	_ = c.applyDeadline()
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *connection) SetReadDeadline(deadline time.Time) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.readDeadline = deadline
+	return c.applyDeadline()
+}
+
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
+// applyDeadline sets the deadline of net/http, or one that has passed while a closing is
+// asked for. An error means that the connection is closed, which the next read tells.
+func (c *connection) applyDeadline() error {
+	if c.closing != "" {
+		return c.Conn.SetReadDeadline(longAgo)
+	}
+	return c.Conn.SetReadDeadline(c.readDeadline)
+}
+
+// lateHeaderTimeout is how long a request whose header is late may take for the rest of
+// it, if more has arrived meanwhile.
+const lateHeaderTimeout = 100 * time.Millisecond
+
+// closeUnlessReadable is called by the reading goroutine when a closing was asked for and
+// nothing was read. It ends the connection with the timeout of the read, on which net/http
+// closes without an answer, unless bytes have arrived meanwhile.
+func (c *connection) closeUnlessReadable(timeout error) (again bool, result error) {
+	if socket.StateOf(c.Conn) == socket.Readable {
+		c.withdrawClose()
+		if c.phase == receiving {
+			c.arm(lateHeaderTimeout)
+		}
+		return true, nil
+	}
+	if c.closedBy == "" {
+		c.closedBy = Daemon
+	}
+	c.server.common.Count("CallerConnections.Closed."+string(c.closing), 1)
+	return false, timeout
+}
--- a/callerserver/connection.go
+++ b/callerserver/connection.go
@@ -15,21 +15,35 @@
 	awaiting phase = "Awaiting"
 	// receiving means that a part of the next request's header has been read.
 	receiving phase = "Receiving"
+	// received means that the header has been read, or that it can't be read.
+	received phase = "Received"
 	// serving means that a handler runs.
 	serving phase = "Serving"
 )
 
-// connection is a caller's connection. It closes itself when its timer expires.
+// connection is a caller's connection. The server asks for its closing from any
+// goroutine, but only the goroutine that reads the next request carries it out, after
+// it has found that no byte of a request has been read or waits in the kernel.
 type connection struct {
 	net.Conn
 	server *Server
 
 	mutex sync.Mutex
-	// phase is empty before the first state that net/http reports; guarded by mutex, as
-	// all fields below.
+	// phase is empty between a request and the next one; guarded by mutex, as all fields
+	// below.
 	phase phase
+	// hasRequested is true once a byte of a request was read.
+	hasRequested bool
+	// isReadAhead is true if a byte of the next request was read while a request was
+	// served.
+	isReadAhead bool
 	// isAnswered is true once bytes were written since the first byte of the request.
 	isAnswered bool
+	// closing is the reason for which closing was asked for, or empty. While it is set,
+	// reads time out at once.
+	closing closeReason
+	// readDeadline is the deadline that net/http has set.
+	readDeadline time.Time
 	// closedBy is empty while the connection is open.
 	closedBy Closer
 	// timer is nil until arm is first called.
@@ -44,10 +58,23 @@
 
 // awaitRequest starts the timeout for the next request.
 func (c *connection) awaitRequest() {
+	isDraining := c.server.currentStage() == draining
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if c.isReadAhead {
+		c.isReadAhead = false
+		c.receive()
+		return
+	}
 	c.phase = awaiting
-	c.arm(c.server.options.Timeouts().Idle)
+	switch {
+	case isDraining && c.hasRequested:
+		c.requestClose(stopping)
+	case isDraining:
+		c.arm(firstRequestTimeout)
+	default:
+		c.arm(c.server.options.Timeouts().Idle)
+	}
 }
 
 // beginRequest is called when the handler starts.
@@ -67,25 +94,60 @@
 	c.phase = ""
 }
 
+// endWait is called when the header of a request has been read or can't be read, and when
+// the connection was closed.
+func (c *connection) endWait() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.phase = received
+	c.stopTimer()
+	c.withdrawClose()
+}
+
 // Read implements net.Conn. The first byte of a request starts the header timeout.
 func (c *connection) Read(buffer []byte) (int, error) {
-	count, err := c.Conn.Read(buffer)
+	for {
+		count, err := c.Conn.Read(buffer)
+		if again, err := c.recordRead(len(buffer), count, err); !again {
+			return count, err
+		}
+	}
+}
+
+// recordRead records the result of a read. It reports whether the read must be
+// repeated, and otherwise returns its error.
+func (c *connection) recordRead(size, count int, err error) (again bool, result error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if count > 0 {
-		c.recordRead()
+		c.recordBytes(size)
+		return false, err
 	}
-	if err != nil {
-		c.recordError(err)
+	if err == nil {
+		return false, nil
 	}
-	return count, err
+	if c.closing != "" && isTimeout(err) {
+		return c.closeUnlessReadable(err)
+	}
+	c.recordError(err)
+	return false, err
 }
 
-func (c *connection) recordRead() {
-	if c.phase != awaiting {
-		return
+func (c *connection) recordBytes(size int) {
+	switch c.phase {
+	case awaiting:
+		c.receive()
+	case received, serving:
+		// net/http reads a single byte only to notice a caller that disconnects.
+		c.isReadAhead = size == 1
 	}
+}
+
+// receive starts the header timeout.
+func (c *connection) receive() {
+	c.withdrawClose()
 	c.phase = receiving
+	c.hasRequested = true
 	c.isAnswered = false
 	c.arm(c.server.options.Timeouts().Header)
 }
@@ -93,8 +155,7 @@
 // recordError records that the caller has ended the connection, unless the error has a
 // cause on this side.
 func (c *connection) recordError(err error) {
-	var netError net.Error
-	if errors.Is(err, net.ErrClosed) || errors.As(err, &netError) && netError.Timeout() {
+	if errors.Is(err, net.ErrClosed) || isTimeout(err) {
 		return
 	}
 	if c.closedBy == "" {
@@ -102,6 +163,11 @@
 	}
 }
 
+func isTimeout(err error) bool {
+	var netError net.Error
+	return errors.As(err, &netError) && netError.Timeout()
+}
+
 // Write implements net.Conn.
 func (c *connection) Write(content []byte) (int, error) {
 	count, err := c.Conn.Write(content)
@@ -121,7 +187,7 @@
 	c.mutex.Lock()
 	if c.closedBy == "" {
 		c.closedBy = Daemon
-		if c.phase == serving || c.phase == receiving && !c.isAnswered {
+		if c.isUnanswered() {
 			c.recordCut("ConnectionClosedInRequest")
 		}
 	}
@@ -130,6 +196,19 @@
 	return c.Conn.Close()
 }
 
+// isUnanswered reports whether a request is under way whose answer has not been left to
+// net/http.
+func (c *connection) isUnanswered() bool {
+	switch c.phase {
+	case serving:
+		return true
+	case receiving, received:
+		return !c.isAnswered
+	default:
+		return false
+	}
+}
+
 // recordCut logs and counts a request that can't be answered since this process closed
 // its connection.
 func (c *connection) recordCut(message string) {
@@ -150,19 +229,8 @@
 	c.timer.Reset(timeout)
 }
 
-func (c *connection) disarm() {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.stopTimer()
-}
-
 func (c *connection) stopTimer() {
 	if c.timer != nil {
 		c.timer.Stop()
 	}
 }
-
-func (c *connection) expire() {
-	c.server.common.Count("CallerConnections.Expired", 1)
-	_ = c.Close()
-}
--- a/callerserver/server.go
+++ b/callerserver/server.go
@@ -1,10 +1,10 @@
 // Package callerserver serves the HTTP connections of callers. Its timeouts may change
-// while connections are open, unlike those of net/http, and it knows which side closed
-// a connection.
+// while connections are open, unlike those of net/http, it knows which side closed a
+// connection, and a stop closes no connection on which a request is under way.
 package callerserver
 
 import (
-	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -41,10 +41,18 @@
 	options Options
 	handler http.Handler
 	server  *http.Server
+	// accepting counts the listeners from which connections are accepted.
+	accepting sync.WaitGroup
 
 	mutex sync.Mutex
+	// stage is guarded by mutex, as the fields below.
+	stage stage
+	// listeners holds the listeners that Serve accepts from.
+	listeners []net.Listener
 	// open holds the accepted connections that are not closed yet.
 	open map[*connection]struct{}
+	// empty is closed when the server is draining and open is empty. It is nil before.
+	empty chan struct{}
 }
 
 // New returns a server that passes requests to the handler.
@@ -60,27 +68,23 @@
 	return s
 }
 
-// Serve serves the connections of a listener until the server is stopped. It returns
-// the error of the listener, or nil after a stop.
+// Serve serves the connections of a listener until the server is drained or closed. It
+// returns the error of the listener, or nil after a stop.
 func (s *Server) Serve(listener net.Listener) error {
+	s.addListener(listener)
+	defer s.accepting.Done()
 	err := s.server.Serve(&trackingListener{Listener: listener, server: s})
-	if err == http.ErrServerClosed {
+	if errors.Is(err, http.ErrServerClosed) || s.currentStage() == draining && errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
 }
 
-// BeginStop starts a planned stop.
-func (s *Server) BeginStop() { s.server.SetKeepAlivesEnabled(false) }
-
-// Drain waits for the requests under way, and closes the listeners and all connections.
-// When ctx ends first, it cuts the rest off and returns the error of ctx.
-func (s *Server) Drain(ctx context.Context) error {
-	err := s.server.Shutdown(ctx)
-	if err != nil {
-		_ = s.server.Close()
-	}
-	return err
+func (s *Server) addListener(listener net.Listener) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.listeners = append(s.listeners, listener)
+	s.accepting.Add(1)
 }
 
 // Close closes the listeners and all connections at once.
@@ -91,7 +95,7 @@
 		c.beginRequest()
 		defer c.endRequest()
 	}
-	s.handler.ServeHTTP(w, r)
+	s.handler.ServeHTTP(&announcingWriter{ResponseWriter: w, server: s}, r)
 }
 
 // onState is the ConnState hook of net/http.
@@ -105,7 +109,7 @@
 		c.awaitRequest()
 	default:
 		// The header has arrived, or the connection was closed.
-		c.disarm()
+		c.endWait()
 	}
 }
 
@@ -136,4 +140,5 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	delete(s.open, c)
+	s.signalEmpty()
 }
--- /dev/null
+++ b/callerserver/stop.go
@@ -0,0 +1,163 @@
+package callerserver
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/socket"
+)
+
+// stage is the stage of a planned stop.
+type stage int
+
+const (
+	// running means that no stop has begun.
+	running stage = iota
+	// announcing means that answers tell callers to use other connections.
+	announcing
+	// draining means that idle connections are closed and the listeners too.
+	draining
+)
+
+// CutError reports that connections were open at the end of the time for a stop.
+type CutError struct {
+	// Open is the number of these connections.
+	Open  int
+	Cause error
+}
+
+// Error implements error.
+func (e *CutError) Error() string {
+	return fmt.Sprintf("%d connections were open: %v", e.Open, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *CutError) Unwrap() error { return e.Cause }
+
+// BeginStop starts a planned stop: from now on, each answer tells its caller that the
+// connection closes after it. Idle connections stay open, since a request may be on its
+// way on each of them.
+func (s *Server) BeginStop() { s.setStage(announcing) }
+
+// Drain accepts what waits at the listeners and closes them, closes connections as they
+// become idle, and waits until none is left. It fails with a *CutError when ctx ends
+// first.
+func (s *Server) Drain(ctx context.Context) error {
+	s.closeListeners(ctx)
+	empty := s.closeIdle()
+	select {
+	case <-empty:
+		return nil
+	case <-ctx.Done():
+		return &CutError{Open: s.openCount(), Cause: ctx.Err()}
+	}
+}
+
+// backlogPollPeriod is the time between two looks at connections that wait to be
+// accepted.
+const backlogPollPeriod = time.Millisecond
+
+// closeListeners closes the listeners once no connection waits there: the kernel resets
+// those that are not accepted.
+func (s *Server) closeListeners(ctx context.Context) {
+	s.setStage(draining)
+	s.mutex.Lock()
+	listeners := s.listeners
+	s.mutex.Unlock()
+	for _, listener := range listeners {
+		for socket.HasPending(listener) {
+			if clock.Sleep(ctx, s.common.Clock, backlogPollPeriod) != nil {
+				break
+			}
+		}
+		if err := listener.Close(); err != nil {
+			s.common.Log.Error(err, "ListenerNotClosed", "Address", listener.Addr().String())
+		}
+	}
+	s.accepting.Wait()
+}
+
+// closeIdle closes the idle connections. The returned channel is closed when no
+// connection is open.
+func (s *Server) closeIdle() <-chan struct{} {
+	s.mutex.Lock()
+	s.empty = make(chan struct{})
+	s.signalEmpty()
+	connections := make([]*connection, 0, len(s.open))
+	for c := range s.open {
+		connections = append(connections, c)
+	}
+	empty := s.empty
+	s.mutex.Unlock()
+	for _, c := range connections {
+		c.closeForStop()
+	}
+	return empty
+}
+
+// signalEmpty closes empty if no connection is open. The mutex must be held.
+func (s *Server) signalEmpty() {
+	if s.empty == nil || len(s.open) > 0 {
+		return
+	}
+	select {
+	case <-s.empty:
+	default:
+		close(s.empty)
+	}
+}
+
+func (s *Server) openCount() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.open)
+}
+
+func (s *Server) setStage(next stage) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.stage = max(s.stage, next)
+}
+
+func (s *Server) currentStage() stage {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.stage
+}
+
+// announcingWriter tells the caller in the header of an answer that the connection
+// closes after it, if a stop has begun by then.
+type announcingWriter struct {
+	http.ResponseWriter
+	server *Server
+	// isHeaderWritten is true after the first call of WriteHeader or Write.
+	isHeaderWritten bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *announcingWriter) WriteHeader(status int) {
+	w.announce()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *announcingWriter) Write(content []byte) (int, error) {
+	w.announce()
+	return w.ResponseWriter.Write(content)
+}
+
+// Unwrap gives http.ResponseController access to the other methods of the writer.
+func (w *announcingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func (w *announcingWriter) announce() {
+	if w.isHeaderWritten {
+		return
+	}
+	w.isHeaderWritten = true
+	if w.server.currentStage() != running {
+		w.Header().Set("Connection", "close")
+	}
+}
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -102,10 +102,14 @@
 	_ = clock.Sleep(context.Background(), d.Clock, d.settings.Daemon.LeaveDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Daemon.DrainTimeout)
 	defer cancel()
-	// The error of dispatcher.Wait below is more specific than the server's.
-	_ = d.callers.Drain(ctx)
+	if err := d.callers.Drain(ctx); err != nil {
+		d.Log.Info("callers' connections cut", "Reason", err.Error())
+	}
 	d.dispatcher.Drain()
 	err := d.dispatcher.Wait(ctx)
+	// All answers are written, or the time for them is over. An error of closing is
+	// ignored, since the process is about to end.
+	_ = d.callers.Close()
 	d.settleClaims(ctx)
 	d.Log.Info("planned stop ends", "InFlight", d.dispatcher.InFlight())
 	return err
--- a/entry/run.go
+++ b/entry/run.go
@@ -150,6 +150,7 @@
 	_ = clock.Sleep(drainCtx, e.Clock, readinessLag)
 	if err := e.callers.Drain(drainCtx); err != nil {
 		e.Log.Info("RequestsCut", "Reason", err.Error())
+		_ = e.callers.Close()
 	}
 	_ = e.readinessServer.Close()
 	_ = e.metricsServer.Close()
