--- /dev/null
+++ b/balance/load.go
@@ -0,0 +1,50 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/inventory"
+)
+
+// Load is the load that one daemon puts on a runner.
+type Load struct {
+	Runner string
+	// Running counts the requests in progress. PrefillTokens counts the prompt
+	// tokens still to be prefilled for those without a first event.
+	Running       int
+	PrefillTokens int
+}
+
+// total returns the load that all daemons put on a runner.
+func (b *Balancer) total(r *runner, now time.Time) (running, prefill int) {
+	peers := b.peers.load(r.entry.ID, now)
+	return r.running + peers.Running, r.prefillTokens + peers.PrefillTokens
+}
+
+// ServiceLoad is the load of a service over all daemons.
+type ServiceLoad struct {
+	// Requests counts the requests in progress at its available runners.
+	Requests int
+	// Runners counts the available runners, and Slots the sum of their slots.
+	Runners, Slots int
+	// Started is the number of requests that were sent to its runners by the daemons
+	// that are heard. It falls when one of them restarts or is no longer heard.
+	Started uint64
+}
+
+// Load returns the load of a service.
+func (b *Balancer) Load(service string, now time.Time) ServiceLoad {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	load := ServiceLoad{Started: b.starts[service] + b.peers.starts(service, now)}
+	for _, r := range b.ordered {
+		if r.entry.Service != service || r.entry.State != inventory.Ready || r.isReplaced || now.Before(r.downUntil) {
+			continue
+		}
+		requests, _ := b.total(r, now)
+		load.Requests += requests
+		load.Slots += r.entry.Slots
+		load.Runners++
+	}
+	return load
+}
