Send nothing new to a runner that has said in an answer that it leaves

Callers saw: requests went on to a runner that was leaving until its record said so, which it may not during an outage of the store or after a restore from an older copy. Cause: the platform's runners say in the header of all their answers that they leave; the daemon did not read it. Change: the head of each answer is read, before the answer is judged. The balancer keeps what an incarnation has said apart from its record (also over a removal), never returns a leaving one, not in the fallback either, and reports the change once; the gateway then moves the streams as for a record that says so. A run that was stopped at the runner and could not be copied still returns there: no other runner has its memory. Not done: daemons do not tell each other; they learn it from their own answers or from the record.

--- a/architecture_test.go
+++ b/architecture_test.go
@@ -37,7 +37,7 @@
 	"X-Response-Signature", "X-Not-Executed", "X-Server-Load", "X-Duty-Holder", "X-Fencing-Token",
 	"route_table", "traffic_split", "engine_name", "kv_capacity_tokens", "uncached_tokens", "api_keys",
 	"keyed.op", "keyed.servers", "log-read", "log-append", "log-newest", "window_id", "desired_count", "preemptible",
-	"Store-Era",
+	"Store-Era", "Server-Leaving",
 }
 
 // forbidden are the packages, together with their subpackages, that perform I/O.
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"github.com/cranberrywalk/cranberrywalk/inventory"
 )
 
@@ -24,6 +26,9 @@
 	zones   map[string]*zone
 	// starts counts the requests that this daemon has sent to runners, by service.
 	starts map[string]uint64
+	// signals holds what runners have said of themselves, including those that were
+	// removed: a record that is read late may bring one of them back.
+	signals *simplelru.LRU[inventory.Incarnation, *signals]
 	// ordered holds the runners sorted by ID, since map iteration order would
 	// make choices nondeterministic.
 	ordered []*runner
@@ -34,7 +39,7 @@
 	return &Balancer{
 		options: options, random: random,
 		runners: make(map[string]*runner), peers: newPeerReports(options.PeerLoadTTL),
-		zones: make(map[string]*zone), starts: make(map[string]uint64),
+		zones: make(map[string]*zone), starts: make(map[string]uint64), signals: newSignalsCache(),
 	}
 }
 
@@ -48,7 +53,7 @@
 	for _, entry := range runners {
 		r := b.runners[entry.ID]
 		if r == nil || !r.entry.SameIncarnation(entry) {
-			r = newRunner(entry)
+			r = newRunner(entry, b.signalsOf(entry))
 		}
 		r.entry = entry
 		r.cache.resize(int(float64(cacheTokens(entry.Service)) * b.options.CacheFraction))
@@ -82,7 +87,9 @@
 }
 
 // Acquire counts a request at the given runner without choosing, for a request that
-// continues at a runner chosen earlier. The caller must end the Ticket.
+// continues at a runner chosen earlier. A runner that is leaving is counted too, since a
+// run that it has stopped can be continued from its memory only there. The caller must
+// end the Ticket.
 func (b *Balancer) Acquire(id string) *Ticket {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -90,7 +97,7 @@
 	if r == nil {
 		// The runner was removed from the inventory: the request is counted at a
 		// placeholder that is never chosen or reported.
-		r = newRunner(inventory.Runner{ID: id})
+		r = newRunner(inventory.Runner{ID: id}, &signals{})
 	}
 	return b.begin(r, Request{}, 0)
 }
--- a/balance/choice.go
+++ b/balance/choice.go
@@ -84,7 +84,7 @@
 			continue
 		}
 		known++
-		if r.entry.State != inventory.Ready || r.isReplaced || slices.Contains(request.Excluded, r.entry.ID) {
+		if !r.isAvailable() || slices.Contains(request.Excluded, r.entry.ID) {
 			continue
 		}
 		if now.Before(r.downUntil) || b.isZoneUnreachable(r, now) {
--- a/balance/health.go
+++ b/balance/health.go
@@ -11,6 +11,9 @@
 	RunnerUp HealthChangeKind = "RunnerUp"
 	// RunnerReplaced means that another runner answers at the address.
 	RunnerReplaced HealthChangeKind = "RunnerReplaced"
+	// RunnerSaidLeaving means that a runner whose record says otherwise has said in an
+	// answer that it is leaving.
+	RunnerSaidLeaving HealthChangeKind = "RunnerSaidLeaving"
 	// ZoneCut means that a zone appears to be unreachable from this daemon.
 	ZoneCut HealthChangeKind = "ZoneCut"
 	// ZoneBack means that a runner of an unreachable zone has answered.
--- a/balance/load.go
+++ b/balance/load.go
@@ -1,10 +1,6 @@
 package balance
 
-import (
-	"time"
-
-	"github.com/cranberrywalk/cranberrywalk/inventory"
-)
+import "time"
 
 // Load is the load that one daemon puts on a runner.
 type Load struct {
@@ -38,7 +34,7 @@
 	defer b.mutex.Unlock()
 	load := ServiceLoad{Started: b.starts[service] + b.peers.starts(service, now)}
 	for _, r := range b.ordered {
-		if r.entry.Service != service || r.entry.State != inventory.Ready || r.isReplaced || now.Before(r.downUntil) {
+		if r.entry.Service != service || !r.isAvailable() || now.Before(r.downUntil) {
 			continue
 		}
 		requests, _ := b.total(r, now)
--- a/balance/runner.go
+++ b/balance/runner.go
@@ -28,10 +28,17 @@
 	lastActivity time.Time
 	// isReplaced is true when another runner has answered at the address.
 	isReplaced bool
+	// signals is never nil.
+	signals *signals
 }
 
-func newRunner(entry inventory.Runner) *runner {
-	return &runner{entry: entry, cache: newPromptCache()}
+func newRunner(entry inventory.Runner, s *signals) *runner {
+	return &runner{entry: entry, cache: newPromptCache(), signals: s}
+}
+
+// isAvailable reports whether the runner may get new requests, reachable or not.
+func (r *runner) isAvailable() bool {
+	return r.entry.State == inventory.Ready && !r.isReplaced && !r.signals.isLeaving
 }
 
 // failureWeight is the weight of the newest result in the failure score.
--- a/call/call.go
+++ b/call/call.go
@@ -92,4 +92,6 @@
 	// Misdirected is true if the address now belongs to another runner than the
 	// intended one.
 	Misdirected bool
+	// Leaving is true if the runner says that it is leaving.
+	Leaving bool
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/balance"
+	"github.com/cranberrywalk/cranberrywalk/call"
 	"github.com/cranberrywalk/cranberrywalk/metric"
 	"github.com/cranberrywalk/cranberrywalk/request"
 	"github.com/cranberrywalk/cranberrywalk/suspect"
@@ -41,6 +42,7 @@
 func (x *exchange) checkAnswerHead(answer *upstream.Answer) error {
 	x.headReceived = true
 	head := x.Codec.DecodeAnswer(answer.Status, answer.Header)
+	x.applySignals(head)
 	runner := x.choice.Runner.ID
 	if head.NotRun {
 		return &RejectedError{Runner: runner, Status: answer.Status, Replaced: head.Misdirected}
@@ -57,6 +59,13 @@
 	return nil
 }
 
+// applySignals applies what the head of a response says of its runner.
+func (x *exchange) applySignals(head call.AnswerMetadata) {
+	if head.Leaving && x.Balancer.MarkLeaving(x.choice.Runner) {
+		x.MoveStreams(x.choice.Runner.ID)
+	}
+}
+
 // countUsage counts the request once for the customer's usage.
 func (x *exchange) countUsage() {
 	if x.runStarted {
--- a/gateway/move_test.go
+++ b/gateway/move_test.go
@@ -34,6 +34,13 @@
 	return call.StoppedRun{Source: source, Handle: "h1"}, m.copied, nil
 }
 
+// stopCount returns the number of stops so far, failed ones included.
+func (m *fakeMover) stopCount() int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.stops
+}
+
 // TestStreamsMoveFromLeavingRunner serves a stream at a runner that is leaving. second
 // is the behaviour of the new runner.
 func TestStreamsMoveFromLeavingRunner(t *testing.T) {
--- a/inventory/runner.go
+++ b/inventory/runner.go
@@ -54,7 +54,19 @@
 	return r.Sequence < other.Sequence
 }
 
-// SameIncarnation reports whether both describe the same incarnation of a runner.
-func (r Runner) SameIncarnation(other Runner) bool {
-	return r.ID == other.ID && r.StartedAt.Equal(other.StartedAt) && r.Address == other.Address && r.Service == other.Service
+// Incarnation identifies one start of a runner. Incarnations can be compared with ==.
+type Incarnation struct {
+	ID string
+	// StartedAt is in Unix milliseconds, the unit of the records.
+	StartedAt int64
+	Address   string
+	Service   string
 }
+
+// Incarnation returns the incarnation that the runner describes.
+func (r Runner) Incarnation() Incarnation {
+	return Incarnation{ID: r.ID, StartedAt: r.StartedAt.UnixMilli(), Address: r.Address, Service: r.Service}
+}
+
+// SameIncarnation reports whether both describe the same incarnation of a runner.
+func (r Runner) SameIncarnation(other Runner) bool { return r.Incarnation() == other.Incarnation() }
