Send a runner nothing before the end of its Retry-After

Callers saw: a runner that turns requests away and says for how long went on to get them from this daemon; when all runners did so, callers were told to come back after 0.25 s, each time to be turned away again. Cause: the Retry-After of a runner's 503 was not read. Change: the balancer keeps the end of the pause with what else the incarnation has said. A paused runner is not chosen, not in the fallback either, and gets no stopped run back; Acquire fails with a PausedError. Its streams are moved when the pause is over. Values that are no positive number of seconds are ignored. A refusal carries the time until the first runner wants requests again, from 0.05 to 10 s. Not covered: a move whose copy is under way when its target turns a request away still continues there.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -88,16 +88,20 @@
 
 // Acquire counts a request at the given runner without choosing, for a request that
 // continues at a runner chosen earlier. A runner that is leaving is counted too, since a
-// run that it has stopped can be continued from its memory only there. The caller must
-// end the Ticket.
-func (b *Balancer) Acquire(id string) *Ticket {
+// run that it has stopped can be continued from its memory only there. It fails with a
+// *PausedError. The caller must end the Ticket.
+func (b *Balancer) Acquire(entry inventory.Runner, now time.Time) (*Ticket, error) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	r := b.runners[id]
-	if r == nil {
-		// The runner was removed from the inventory: the request is counted at a
+	s := b.signalsOf(entry)
+	if left := s.pauseLeft(now); left > 0 {
+		return nil, &PausedError{Runner: entry.ID, Left: left}
+	}
+	r := b.runners[entry.ID]
+	if r == nil || r.signals != s {
+		// The incarnation was removed from the inventory: the request is counted at a
 		// placeholder that is never chosen or reported.
-		r = newRunner(inventory.Runner{ID: id}, &signals{})
+		r = newRunner(inventory.Runner{ID: entry.ID}, s)
 	}
-	return b.begin(r, Request{}, 0)
+	return b.begin(r, Request{}, 0), nil
 }
--- a/balance/choice.go
+++ b/balance/choice.go
@@ -37,6 +37,9 @@
 	Service string
 	// Known counts the runners of the service, including those that are leaving.
 	Known int
+	// PauseLeft is the time until the first runner wants requests again, or zero if
+	// that is not why none is available.
+	PauseLeft time.Duration
 }
 
 // Error implements error.
@@ -49,7 +52,8 @@
 	defer b.mutex.Unlock()
 	candidates, known := b.candidates(request, now)
 	if len(candidates) == 0 {
-		return Choice{}, nil, &NoRunnerError{Service: request.Service, Known: known}
+		pauseLeft := b.servicePauseLeft(request.Service, now)
+		return Choice{}, nil, &NoRunnerError{Service: request.Service, Known: known, PauseLeft: pauseLeft}
 	}
 	best := Choice{Cost: math.Inf(1), NextCost: math.Inf(1), Candidates: len(candidates)}
 	var chosen *runner
@@ -84,7 +88,7 @@
 			continue
 		}
 		known++
-		if !r.isAvailable() || slices.Contains(request.Excluded, r.entry.ID) {
+		if !r.isAvailable() || r.signals.pauseLeft(now) > 0 || slices.Contains(request.Excluded, r.entry.ID) {
 			continue
 		}
 		if now.Before(r.downUntil) || b.isZoneUnreachable(r, now) {
--- a/balance/health.go
+++ b/balance/health.go
@@ -1,5 +1,7 @@
 package balance
 
+import "time"
+
 // HealthChangeKind is the kind of a health change.
 type HealthChangeKind string
 
@@ -14,6 +16,9 @@
 	// RunnerSaidLeaving means that a runner whose record says otherwise has said in an
 	// answer that it is leaving.
 	RunnerSaidLeaving HealthChangeKind = "RunnerSaidLeaving"
+	// RunnerPaused means that a runner has turned a request away and wants no others
+	// for a time.
+	RunnerPaused HealthChangeKind = "RunnerPaused"
 	// ZoneCut means that a zone appears to be unreachable from this daemon.
 	ZoneCut HealthChangeKind = "ZoneCut"
 	// ZoneBack means that a runner of an unreachable zone has answered.
@@ -26,17 +31,23 @@
 	// Runner is empty for changes of a zone.
 	Runner string
 	Zone   string
+	// Pause is how long the runner wants no requests; zero unless Kind is RunnerPaused.
+	Pause time.Duration
 }
 
-// notify passes a health change to the configured callback, which must not block
-// or call the balancer, since it runs with the mutex held.
+// notify reports a health change of a runner or its zone.
 func (b *Balancer) notify(kind HealthChangeKind, r *runner) {
-	if b.options.OnHealthChange == nil {
-		return
-	}
 	change := HealthChange{Kind: kind, Runner: r.entry.ID, Zone: r.entry.Zone}
 	if kind == ZoneCut || kind == ZoneBack {
 		change.Runner = ""
 	}
-	b.options.OnHealthChange(change)
+	b.report(change)
+}
+
+// report passes a health change to the configured callback, which must not block
+// or call the balancer, since it runs with the mutex held.
+func (b *Balancer) report(change HealthChange) {
+	if b.options.OnHealthChange != nil {
+		b.options.OnHealthChange(change)
+	}
 }
--- a/balance/signals.go
+++ b/balance/signals.go
@@ -1,6 +1,9 @@
 package balance
 
 import (
+	"math"
+	"time"
+
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"github.com/cranberrywalk/cranberrywalk/inventory"
@@ -12,8 +15,14 @@
 	// isLeaving is never reset: a runner that leaves does not come back as the same
 	// incarnation.
 	isLeaving bool
+	// pausedUntil is the latest end of the times for which it wants no requests. It
+	// never decreases.
+	pausedUntil time.Time
 }
 
+// pauseLeft returns how much longer the incarnation wants no requests, or zero.
+func (s *signals) pauseLeft(now time.Time) time.Duration { return max(s.pausedUntil.Sub(now), 0) }
+
 // maxSignals bounds the incarnations whose signals are kept after their removal.
 const maxSignals = 1024
 
@@ -54,3 +63,64 @@
 	b.notify(RunnerSaidLeaving, r)
 	return true
 }
+
+// PausedError reports that a runner wants no requests for a while.
+type PausedError struct {
+	Runner string
+	Left   time.Duration
+}
+
+// Error implements error.
+func (e *PausedError) Error() string {
+	return "runner " + e.Runner + " wants no requests for " + e.Left.String()
+}
+
+// Pause records that a runner has turned a request away and wants no others for a time.
+// This incarnation is not chosen until then.
+func (b *Balancer) Pause(entry inventory.Runner, wanted time.Duration, now time.Time) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	s := b.signalsOf(entry)
+	wasPaused := s.pauseLeft(now) > 0
+	if end := now.Add(wanted); end.After(s.pausedUntil) {
+		s.pausedUntil = end
+	}
+	r := b.runners[entry.ID]
+	if wasPaused || r == nil || r.signals != s {
+		return
+	}
+	b.report(HealthChange{Kind: RunnerPaused, Runner: entry.ID, Zone: r.entry.Zone, Pause: wanted})
+}
+
+// PauseLeft returns how much longer a runner wants no requests, or zero.
+func (b *Balancer) PauseLeft(id string, now time.Time) time.Duration {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	r := b.runners[id]
+	if r == nil {
+		return 0
+	}
+	return r.signals.pauseLeft(now)
+}
+
+// ServicePauseLeft returns the time until the first runner of a service wants requests
+// again, or zero if one does now or none will.
+func (b *Balancer) ServicePauseLeft(service string, now time.Time) time.Duration {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.servicePauseLeft(service, now)
+}
+
+// servicePauseLeft implements ServicePauseLeft. The mutex must be held.
+func (b *Balancer) servicePauseLeft(service string, now time.Time) time.Duration {
+	shortest := time.Duration(math.MaxInt64)
+	for _, r := range b.ordered {
+		if r.entry.Service == service && r.isAvailable() {
+			shortest = min(shortest, r.signals.pauseLeft(now))
+		}
+	}
+	if shortest == math.MaxInt64 {
+		return 0
+	}
+	return shortest
+}
--- a/balance/signals_test.go
+++ b/balance/signals_test.go
@@ -146,7 +146,8 @@
 func TestStoppedRunReturnsToLeavingRunner(t *testing.T) {
 	p := newPair(t)
 	p.balancer.MarkLeaving(p.first)
-	ticket := p.balancer.Acquire(p.first.ID)
+	ticket, err := p.balancer.Acquire(p.first, start)
+	p.c.Assert(err, qt.IsNil)
 	p.c.Check(p.balancer.Report().Loads, qt.DeepEquals, []balance.Load{{Runner: "i-1", Running: 1}})
 	ticket.End(balance.Succeeded, start)
 	p.c.Check(p.balancer.Report().Loads, qt.HasLen, 0)
--- a/call/call.go
+++ b/call/call.go
@@ -94,4 +94,7 @@
 	Misdirected bool
 	// Leaving is true if the runner says that it is leaving.
 	Leaving bool
+	// RetryAfter is how long a runner that turned the call away wants no other call,
+	// or zero.
+	RetryAfter time.Duration
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -132,14 +132,6 @@
 	e.metrics.ObserveStoreCall(call.Name, call.Topic, string(call.Result), call.Duration)
 }
 
-func balanceOptions(common telemetry.Common, zone string) balance.Options {
-	options := balance.DefaultOptions(zone)
-	options.OnHealthChange = func(change balance.HealthChange) {
-		common.Log.Info(string(change.Kind), "Runner", change.Runner, "Zone", change.Zone)
-	}
-	return options
-}
-
 func suspectOptions() suspect.Options {
 	options := suspect.DefaultOptions()
 	options.Threshold = crashThreshold
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -61,6 +61,9 @@
 
 // applySignals applies what the head of a response says of its runner.
 func (x *exchange) applySignals(head call.AnswerMetadata) {
+	if head.RetryAfter > 0 {
+		x.Balancer.Pause(x.choice.Runner, head.RetryAfter, x.Clock.Now())
+	}
 	if head.Leaving && x.Balancer.MarkLeaving(x.choice.Runner) {
 		x.MoveStreams(x.choice.Runner.ID)
 	}
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -9,7 +9,6 @@
 	"github.com/cranberrywalk/cranberrywalk/callerserver"
 	"github.com/cranberrywalk/cranberrywalk/metric"
 	"github.com/cranberrywalk/cranberrywalk/request"
-	"github.com/cranberrywalk/cranberrywalk/upstream"
 )
 
 // giveUp ends a request that gets no complete response from a runner.
@@ -52,17 +51,13 @@
 	return newRefusal(http.StatusBadGateway, reason, failure)
 }
 
+// retryAfter returns when the caller may come back.
 func (x *exchange) retryAfter(failure error) time.Duration {
 	var none *balance.NoRunnerError
-	var full *upstream.ConnectionLimitError
-	switch {
-	case errors.As(failure, &none):
-		return retryAfterNoRunner
-	case errors.As(failure, &full):
-		return retryAfterFull
-	default:
-		return retryAfterFull
+	if errors.As(failure, &none) {
+		return retryAfterPause(none.PauseLeft, retryAfterNoRunner)
 	}
+	return retryAfterPause(x.Balancer.ServicePauseLeft(x.service, x.Clock.Now()), retryAfterFull)
 }
 
 // refuse writes an error response that the daemon generates itself.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,7 +31,7 @@
 	// RunnerHeader returns the header fields that are sent to a runner.
 	RunnerHeader(c call.Call, attempt call.Attempt) http.Header
 	// DecodeAnswer returns the call ID, the signature and the rejection that a
-	// runner's response carries.
+	// runner's response carries, and what the runner says of itself.
 	DecodeAnswer(status int, header http.Header) call.AnswerMetadata
 	// CallerHeader returns the header fields of a runner's response that are
 	// passed on to the caller.
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/balance"
 	"github.com/cranberrywalk/cranberrywalk/call"
@@ -62,7 +63,7 @@
 // another runner. The stream then breaks off, and the goroutine that serves the
 // request continues it at the new runner.
 func (x *exchange) moveFrom(runner string) {
-	if clock.Sleep(x.ctx, x.Clock, x.options.MoveDelay) != nil {
+	if x.awaitMoveTime(runner) != nil {
 		return
 	}
 	m, r, started := x.beginMove(runner)
@@ -73,6 +74,18 @@
 	x.move(m, r)
 }
 
+// awaitMoveTime waits for MoveDelay and until the runner wants requests again, since the
+// request to stop a run is one too. It fails when the context of the request ends.
+func (x *exchange) awaitMoveTime(runner string) error {
+	pauseLeft := func() time.Duration { return x.Balancer.PauseLeft(runner, x.Clock.Now()) }
+	for wait := max(x.options.MoveDelay, pauseLeft()); wait > 0; wait = pauseLeft() {
+		if err := clock.Sleep(x.ctx, x.Clock, wait); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // beginMove returns a move away from the runner, and the request for the choice of
 // the new one, if the runner still serves the stream.
 func (x *exchange) beginMove(runner string) (*streamMove, balance.Request, bool) {
@@ -108,13 +121,34 @@
 	}
 	if !copied {
 		ticket.End(balance.Cancelled, x.Clock.Now())
-		choice, ticket = m.source, x.Balancer.Acquire(source.ID)
+		choice = m.source
+		ticket, err = x.Balancer.Acquire(source, x.Clock.Now())
+	}
+	if err != nil {
+		x.recordNotMoved(m, err.Error())
+		return
 	}
 	m.run, m.choice, m.ticket = &run, choice, ticket
 	x.Count("Streams.Moved", 1)
 	x.Log.Info("StreamMoved", "Request", x.call.ID, "From", source.ID, "To", choice.Runner.ID, "Copied", copied)
 }
 
+// returnToSource counts the request again at the runner that stopped its run. It returns
+// nil if that was tried before or the runner wants no requests now.
+func (x *exchange) returnToSource() *balance.Ticket {
+	if x.stoppedAt == nil {
+		return nil
+	}
+	x.setChoice(*x.stoppedAt)
+	x.stoppedAt = nil
+	ticket, err := x.Balancer.Acquire(x.choice.Runner, x.Clock.Now())
+	if err != nil {
+		x.Log.Info("RunLost", "Request", x.call.ID, "Runner", x.choice.Runner.ID, "Reason", err.Error())
+		return nil
+	}
+	return ticket
+}
+
 // recordNotMoved counts and logs a stream that was not moved.
 func (x *exchange) recordNotMoved(m *streamMove, reason string) {
 	x.Count("Streams.NotMoved", 1)
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -24,8 +24,21 @@
 	retryAfterNoRunner = 500 * time.Millisecond
 	// retryAfterFull is for a service whose runners are all full.
 	retryAfterFull = 250 * time.Millisecond
+	// minRetryAfterPause and maxRetryAfterPause bound the value for a service whose
+	// runners want no requests for a time. Other runners may come meanwhile.
+	minRetryAfterPause = 50 * time.Millisecond
+	maxRetryAfterPause = 10 * time.Second
 )
 
+// retryAfterPause returns the Retry-After for a service whose first runner wants requests
+// again after a pause, or the given value if there is no pause.
+func retryAfterPause(pause, otherwise time.Duration) time.Duration {
+	if pause <= 0 {
+		return otherwise
+	}
+	return min(max(pause, minRetryAfterPause), maxRetryAfterPause)
+}
+
 func unavailable(reason string, retryAfter time.Duration, cause error) *Refusal {
 	return &Refusal{Status: http.StatusServiceUnavailable, Reason: reason, RetryAfter: retryAfter, Cause: cause}
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -48,10 +48,8 @@
 	if x.continuedRun == nil {
 		return x.choose()
 	}
-	if x.stoppedAt != nil {
-		x.setChoice(*x.stoppedAt)
-		x.stoppedAt = nil
-		return x.Balancer.Acquire(x.choice.Runner.ID), nil
+	if ticket := x.returnToSource(); ticket != nil {
+		return ticket, nil
 	}
 	x.continuedRun = nil
 	if !x.route.Repeatable() {
