End a stop in time, and answer the requests that it has to cut off

What callers saw: a request still under way when a stop ran out of time got no answer: its connection was closed. While the store did not answer, the stop ran into the platform's SIGKILL. Cause: Close cut off all connections without telling the handlers, and the time for draining began only when the duties had ended, which takes up to the timeout of the store. Change: the grace period counts from SIGTERM and the duties end beside the requests. When it is almost over, the contexts of the requests end with a cause of its own: what has not run is refused, what may have run gets 504, and only streams that have begun are cut, so that their callers can resume them. The reason is Stopping. The margin before the end is a tenth of the grace period, 0.8 s at 8 s as before.

--- a/callerserver/server.go
+++ b/callerserver/server.go
@@ -4,6 +4,7 @@
 package callerserver
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -41,6 +42,10 @@
 	options Options
 	handler http.Handler
 	server  *http.Server
+	// requests is the parent of the contexts of all requests. It ends, with a
+	// *StoppedError as its cause, when the time for a stop is over.
+	requests       context.Context
+	cancelRequests context.CancelCauseFunc
 	// accepting counts the listeners from which connections are accepted.
 	accepting sync.WaitGroup
 
@@ -61,9 +66,11 @@
 		options.Timeouts = func() Timeouts { return Timeouts{} }
 	}
 	s := &Server{common: common, options: options, handler: handler, open: make(map[*connection]struct{})}
+	s.requests, s.cancelRequests = context.WithCancelCause(context.Background())
 	s.server = &http.Server{
 		Handler: http.HandlerFunc(s.serveRequest), ReadHeaderTimeout: options.MaxHeaderTime,
 		MaxHeaderBytes: options.MaxHeaderBytes, ConnState: s.onState, ConnContext: connContext,
+		BaseContext: func(net.Listener) context.Context { return s.requests },
 	}
 	return s
 }
--- a/callerserver/stop.go
+++ b/callerserver/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -43,8 +44,9 @@
 func (s *Server) BeginStop() { s.setStage(announcing) }
 
 // Drain accepts what waits at the listeners and closes them, closes connections as they
-// become idle, and waits until none is left. It fails with a *CutError when ctx ends
-// first.
+// become idle, and waits until none is left. When ctx ends first, it ends the requests
+// that are still under way, so that their callers get an answer that says so, and returns
+// a *CutError.
 func (s *Server) Drain(ctx context.Context) error {
 	s.closeListeners(ctx)
 	empty := s.closeIdle()
@@ -52,8 +54,33 @@
 	case <-empty:
 		return nil
 	case <-ctx.Done():
-		return &CutError{Open: s.openCount(), Cause: ctx.Err()}
 	}
+	cut := &CutError{Open: s.openCount(), Cause: ctx.Err()}
+	s.cancelRequests(&StoppedError{})
+	timer := s.common.Clock.NewTimer(lastAnswersTimeout)
+	defer timer.Stop()
+	select {
+	case <-empty:
+	case <-timer.Chan():
+	}
+	return cut
+}
+
+// lastAnswersTimeout is the time to answer requests that were ended.
+const lastAnswersTimeout = 100 * time.Millisecond
+
+// StoppedError is the cause with which the context of a request ends when the time for a
+// stop is over.
+type StoppedError struct{}
+
+// Error implements error.
+func (e *StoppedError) Error() string { return "the time for the stop of the daemon is over" }
+
+// IsStopped reports whether the context of a request ended since the time for a stop is
+// over.
+func IsStopped(ctx context.Context) bool {
+	var stopped *StoppedError
+	return errors.As(context.Cause(ctx), &stopped)
 }
 
 // backlogPollPeriod is the time between two looks at connections that wait to be
--- a/callerserver/stop_test.go
+++ b/callerserver/stop_test.go
@@ -135,18 +135,24 @@
 	r.c.Check(r.awaitDrained(drained), qt.IsNil)
 }
 
-// TestDrainReportsConnectionsThatAreCut covers a stop whose time is over.
-func TestDrainReportsConnectionsThatAreCut(t *testing.T) {
+// TestRequestsAreAnsweredWhenTimeForStopIsOver guards against a stop that ends with the
+// requests under way cut off without an answer.
+func TestRequestsAreAnsweredWhenTimeForStopIsOver(t *testing.T) {
 	started := make(chan struct{})
-	r := newStopRig(t, func(_ http.ResponseWriter, request *http.Request) {
+	r := newStopRig(t, func(w http.ResponseWriter, request *http.Request) {
 		close(started)
 		<-request.Context().Done()
+		if callerserver.IsStopped(request.Context()) {
+			w.WriteHeader(http.StatusGatewayTimeout)
+		}
 	})
 	r.send()
 	<-started
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
+	drained := r.drain(ctx)
+	r.c.Check(readAnswer(r.c, r.reader), qt.Equals, reply{status: http.StatusGatewayTimeout, closes: true})
 	var cut *callerserver.CutError
-	r.c.Assert(r.awaitDrained(r.drain(ctx)), qt.ErrorAs, &cut)
+	r.c.Assert(r.awaitDrained(drained), qt.ErrorAs, &cut)
 	r.c.Check(cut.Open, qt.Equals, 1)
 }
--- a/entry/run.go
+++ b/entry/run.go
@@ -18,9 +18,9 @@
 	// maxHeaderTime bounds the time to read a request header, independently of
 	// the configuration.
 	maxHeaderTime = 60 * time.Second
-	// stopMargin is how long before the end of the platform's grace period
-	// remaining requests are cut off.
-	stopMargin = 800 * time.Millisecond
+	// stopMarginDivisor divides the platform's grace period into parts, of which the
+	// last one is left to end the process once requests have been cut off.
+	stopMarginDivisor = 10
 	// defaultGrace is used when the platform sets no grace period.
 	defaultGrace = 8 * time.Second
 	// announceRetryDelay is the time between two attempts to write the daemon's
@@ -131,27 +131,22 @@
 	}
 }
 
-// stop ends the daemon within the platform's grace period. The listener for callers
-// stays open while the platform still sends requests here.
+// stop ends the daemon within the platform's grace period, which begins now. The
+// listener for callers stays open while the platform still sends requests here.
 func (e *Entry) stop(stopDuties context.CancelFunc) {
 	e.Log.Info("Stopping", "Daemon", e.self.Name)
+	drainTime := e.drainTime()
+	drainCtx, cancel := context.WithTimeout(context.Background(), drainTime)
+	defer cancel()
 	e.stopping.Store(true)
 	e.callers.BeginStop()
 	stopDuties()
-	<-e.duties.Done()
-	grace := e.settings.Bounds.StopGrace
-	if grace <= 0 {
-		grace = defaultGrace
-	}
-	drainCtx := context.Background()
-	drainCtx, cancel := context.WithTimeout(drainCtx, grace-stopMargin)
-	defer cancel()
-	// The platform notices after two readiness probes, one second apart.
-	_ = clock.Sleep(drainCtx, e.Clock, readinessLag)
+	_ = clock.Sleep(drainCtx, e.Clock, min(readinessLag, drainTime/2))
 	if err := e.callers.Drain(drainCtx); err != nil {
 		e.Log.Info("RequestsCut", "Reason", err.Error())
-		_ = e.callers.Close()
 	}
+	_ = e.callers.Close()
+	<-e.duties.Done()
 	_ = e.readinessServer.Close()
 	_ = e.metricsServer.Close()
 	leaveCtx, cancelLeave := context.WithTimeout(context.Background(), leaveTimeout)
@@ -159,6 +154,15 @@
 	e.group.SendFinalDigest(leaveCtx)
 }
 
+// drainTime returns how long after the start of a stop requests may take to end.
+func (e *Entry) drainTime() time.Duration {
+	grace := e.settings.Bounds.StopGrace
+	if grace <= 0 {
+		grace = defaultGrace
+	}
+	return grace - grace/stopMarginDivisor
+}
+
 // leaveTimeout bounds the final digest to other daemons, which carries the last
 // counts.
 const leaveTimeout = 300 * time.Millisecond
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -8,6 +8,7 @@
 
 	"github.com/cranberrywalk/cranberrywalk/balance"
 	"github.com/cranberrywalk/cranberrywalk/call"
+	"github.com/cranberrywalk/cranberrywalk/callerserver"
 	"github.com/cranberrywalk/cranberrywalk/metric"
 	"github.com/cranberrywalk/cranberrywalk/request"
 	"github.com/cranberrywalk/cranberrywalk/suspect"
@@ -171,6 +172,8 @@
 // the reason if not.
 func (x *exchange) mayRetry(failure error) (bool, string) {
 	switch {
+	case callerserver.IsStopped(x.ctx):
+		return false, "Stopping"
 	case x.ctx.Err() != nil:
 		return false, "TimeIsOver"
 	case !x.machine.MayAttempt():
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -17,7 +17,7 @@
 	if x.machine.Outcome() == request.NotRun && !x.runStarted {
 		x.Quotas.Refund(x.customer.Name, x.cost)
 	}
-	if x.request.Context().Err() != nil {
+	if x.isDisconnected() {
 		x.recordEnd(0, x.disconnectReason(), failure)
 		// The caller has disconnected and can no longer read a response.
 		panic(http.ErrAbortHandler)
@@ -30,6 +30,12 @@
 	x.refuse(x.refusalOf(failure, reason))
 }
 
+// isDisconnected reports whether the caller can no longer read a response.
+func (x *exchange) isDisconnected() bool {
+	ctx := x.request.Context()
+	return ctx.Err() != nil && !callerserver.IsStopped(ctx)
+}
+
 // disconnectReason returns the reason for the end of a request whose connection is
 // closed.
 func (x *exchange) disconnectReason() string {
