Abandon a silent attempt only once the next one is secured

What callers saw: a stream that paused for longer than the idle timeout was cut in the middle, and a request whose runner was slow got 502, although time was left and the runner would have answered. Cause: the idle timeout (streams) and the share of the time for an attempt (idempotent requests) ended the attempt first. Only then was it decided whether another one may be made; with the retry budget used up, or without another runner, the request ended there. Change: when the timeout passes, the next attempt is secured first: attempts and time are left, the content is not suspected, the retry budget grants it, and the balancer finds a runner that is reachable and has a free slot, and counts the request there. The next attempt then uses what was secured; what is not used is given back, the retry included, since it reached no runner. If it can't be secured, the attempt goes on and is checked again every 250 ms. The decision and the record of an event share the mutex of the exchange, so an event that was recorded voids the timeout. A move in progress excludes an abandonment and the other way round; a stream that was moved leaves its silent source at once. Idempotent requests use the same watchdog in place of their fixed timeout, and a body that is abandoned no longer counts as a crash of its runner.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -71,6 +71,8 @@
 	// Excluded holds the IDs of runners that must not be chosen, such as those
 	// that were tried before.
 	Excluded []string
+	// FreeOnly leaves out runners that appear to be unreachable or have no free slot.
+	FreeOnly bool
 }
 
 // Load is the load that one daemon puts on a runner.
@@ -228,7 +230,7 @@
 			continue
 		}
 		known++
-		if r.entry.State != inventory.Ready || r.isReplaced || slices.Contains(request.Excluded, r.entry.ID) {
+		if r.entry.State != inventory.Ready || r.isReplaced || slices.Contains(request.Excluded, r.entry.ID) || request.FreeOnly && !b.isFree(r, now) {
 			continue
 		}
 		if now.Before(r.downUntil) || b.isZoneUnreachable(r, now) {
--- /dev/null
+++ b/balance/free_test.go
@@ -0,0 +1,41 @@
+package balance_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cranberrywalk/cranberrywalk/balance"
+)
+
+// TestFreeOnlyLeavesOutRunnersThatCannotServeAtOnce guards against a silent attempt being
+// abandoned for a runner that is full or unreachable.
+func TestFreeOnlyLeavesOutRunnersThatCannotServeAtOnce(t *testing.T) {
+	c := qt.New(t)
+	b := newBalancer()
+	request := balance.Request{Service: "desk", Excluded: []string{"b0", "b1", "c0", "c1", "d0", "d1"}}
+	_, first, err := b.Choose(request, start)
+	c.Assert(err, qt.IsNil)
+	for range 5 {
+		b.Acquire("a0")
+		b.Acquire("a1")
+	}
+	request.FreeOnly = true
+	choice, last, err := b.Choose(request, start)
+	c.Assert(err, qt.IsNil)
+	_, _, err = b.Choose(request, start)
+	var none *balance.NoRunnerError
+	c.Check(errors.As(err, &none), qt.IsTrue, qt.Commentf("both runners have six requests"))
+	last.End(balance.Cancelled, start)
+	again, last, err := b.Choose(request, start)
+	c.Assert(err, qt.IsNil)
+	c.Check(again.Runner.ID, qt.Equals, choice.Runner.ID)
+	last.End(balance.Unreachable, start)
+	_, _, err = b.Choose(request, start)
+	c.Check(errors.As(err, &none), qt.IsTrue, qt.Commentf("one runner is full, the other one is unreachable"))
+	first.End(balance.Cancelled, start)
+	_, _, err = b.Choose(request, start.Add(time.Millisecond))
+	c.Check(err, qt.IsNil)
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -173,7 +173,7 @@
 	if x.writtenAttempts >= x.route.MaxAttempts || x.unwrittenAttempts >= x.options.MaxUnwrittenAttempts {
 		return false, "AttemptsUsedUp"
 	}
-	if !x.RetryBudgets.AllowRetry(x.service, x.Group.Size(), x.Clock.Now()) {
+	if !x.isNextSecured() && !x.RetryBudgets.AllowRetry(x.service, x.Group.Size(), x.Clock.Now()) {
 		return false, "RetryBudgetUsedUp"
 	}
 	x.Count("Retries", 1)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -68,9 +68,15 @@
 	currentRunner string
 	// pendingMove is the move of the current attempt to another runner, or nil.
 	pendingMove *streamMove
+	// next is the attempt that was secured before the current one was abandoned, or
+	// nil. It is not set while a move is in progress or has succeeded.
+	next *nextAttempt
 }
 
-func (x *exchange) close() { x.cancel() }
+func (x *exchange) close() {
+	x.releaseNext()
+	x.cancel()
+}
 
 // apply advances the state machine of the request. An event that does not apply is
 // a bug in this package and leaves the state as it is.
@@ -105,13 +111,17 @@
 	x.choice = choice
 }
 
-// choose chooses the runner of the next attempt.
+// choose chooses the runner of the next attempt, unless that attempt is secured.
 func (x *exchange) choose() (*balance.Ticket, error) {
-	choice, ticket, err := x.Balancer.Choose(x.balanceRequest(), x.Clock.Now())
-	if err != nil {
-		return nil, err
+	ticket := x.takeNext()
+	if ticket == nil {
+		choice, chosen, err := x.Balancer.Choose(x.balanceRequest(), x.Clock.Now())
+		if err != nil {
+			return nil, err
+		}
+		x.setChoice(choice)
+		ticket = chosen
 	}
-	x.setChoice(choice)
 	x.Log.V(1).Info("RunnerChosen", append([]any{
 		"Request", x.call.ID, "Attempt", x.machine.Attempt() + 1,
 	}, x.choiceFields()...)...)
--- a/gateway/idle.go
+++ b/gateway/idle.go
@@ -2,62 +2,99 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
 	"github.com/cranberrywalk/cranberrywalk/balance"
+	"github.com/cranberrywalk/cranberrywalk/catalog"
 )
 
-// idleWatchdog ends an attempt whose runner has sent nothing for too long, neither
-// for this request nor for any other request of this daemon. A runner that sends
-// events for other requests is working off a queue, which another attempt would
-// only lengthen.
+// abandonCheckInterval is how long a silent attempt goes on before it is checked again
+// whether another one can be made instead.
+const abandonCheckInterval = 250 * time.Millisecond
+
+// idleWatchdog abandons an attempt whose runner is silent for too long, once the next
+// attempt is secured. Until then the attempt goes on, since its runner may still answer.
 type idleWatchdog struct {
-	ticket *balance.Ticket
-	// timer is nil if the attempt has no idle timeout.
+	exchange *exchange
+	ticket   *balance.Ticket
+	// cancel ends the attempt.
+	cancel context.CancelCauseFunc
+	// timer is nil if the attempt is never abandoned.
 	timer clockwork.Timer
 
-	mutex sync.Mutex
-	// timeout is the current limit on the time without data from the runner;
-	// guarded by mutex.
+	// The fields below are guarded by the mutex of the exchange.
+
+	// timeout is the current limit on the time without data from the runner.
 	timeout time.Duration
-	// idleTimeout is the limit after the first event.
-	idleTimeout time.Duration
+	// lastData is when the attempt began or last received data.
+	lastData time.Time
+	// stopped is true when the attempt has ended.
+	stopped bool
 }
 
 // startIdleWatchdog returns a watchdog for an attempt. The watchdog has no timer if
-// the stream is not resumable or this is its last attempt, since the stream can then
-// only wait.
+// the request may not be repeated or this is its last attempt, since it can then only
+// wait.
 func (x *exchange) startIdleWatchdog(ticket *balance.Ticket, cancel context.CancelCauseFunc) *idleWatchdog {
-	w := &idleWatchdog{ticket: ticket, idleTimeout: x.options.StreamIdleTimeout}
+	now := x.Clock.Now()
+	w := &idleWatchdog{exchange: x, ticket: ticket, cancel: cancel, timeout: x.firstDataTimeout(now), lastData: now}
 	if !x.route.Repeatable() || x.writtenAttempts+1 >= x.route.MaxAttempts {
 		return w
 	}
-	left := x.timeLeft(x.Clock.Now())
-	w.timeout = max(2*x.route.TargetLatency, x.options.StreamIdleTimeout)
-	w.timeout = min(w.timeout, time.Duration(x.options.FirstEventShare*float64(left)))
-	runner := x.choice.Runner.ID
-	ready := make(chan struct{})
-	w.timer = x.Clock.AfterFunc(w.timeout, func() {
-		<-ready
-		if remaining := w.remaining(x.Clock.Now()); remaining > 0 {
-			w.timer.Reset(remaining)
-			return
-		}
-		cancel(&AttemptTimeoutError{Runner: runner})
-	})
-	close(ready)
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	w.timer = x.Clock.AfterFunc(w.timeout, w.check)
 	return w
 }
 
+// firstDataTimeout returns how long an attempt may last without data from its runner.
+func (x *exchange) firstDataTimeout(now time.Time) time.Duration {
+	share := time.Duration(x.options.FirstEventShare * float64(x.timeLeft(now)))
+	if x.route.Kind != catalog.Stream {
+		return share
+	}
+	return min(share, max(2*x.route.TargetLatency, x.options.StreamIdleTimeout))
+}
+
+// check abandons the attempt if its runner is silent and the next attempt can be
+// secured. Otherwise it sets the timer again.
+func (w *idleWatchdog) check() {
+	x := w.exchange
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	if w.stopped {
+		return
+	}
+	now := x.Clock.Now()
+	if remaining := w.remaining(now); remaining > 0 {
+		w.timer.Reset(remaining)
+		return
+	}
+	if !x.isMoved() && !x.secureNext(now) {
+		w.timer.Reset(abandonCheckInterval)
+		return
+	}
+	w.cancel(&AttemptTimeoutError{Runner: x.choice.Runner.ID})
+}
+
 // remaining returns how much of the timeout is left since the runner last sent data.
-// It is positive if the runner has meanwhile sent something for another request.
+// Events for other streams of this daemon count as well: the runner is working off a
+// queue, which another attempt would only lengthen. The mutex must be held.
 func (w *idleWatchdog) remaining(now time.Time) time.Duration {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	return w.timeout - now.Sub(w.ticket.LastActivity())
+	last := w.lastData
+	if activity := w.ticket.LastActivity(); w.exchange.route.Kind == catalog.Stream && activity.After(last) {
+		last = activity
+	}
+	return w.timeout - now.Sub(last)
+}
+
+// recordHead records that the head of a response has arrived.
+func (w *idleWatchdog) recordHead(now time.Time) {
+	w.exchange.mutex.Lock()
+	defer w.exchange.mutex.Unlock()
+	w.lastData = now
 }
 
 // recordEvent restarts the timer after an event of the stream.
@@ -66,13 +103,18 @@
 	if w.timer == nil {
 		return
 	}
-	w.mutex.Lock()
-	w.timeout = w.idleTimeout
-	w.mutex.Unlock()
-	w.timer.Reset(w.idleTimeout)
+	w.exchange.mutex.Lock()
+	defer w.exchange.mutex.Unlock()
+	w.lastData = now
+	w.timeout = w.exchange.options.StreamIdleTimeout
+	w.timer.Reset(w.timeout)
 }
 
+// stop ends the watch. Afterwards the attempt is no longer abandoned.
 func (w *idleWatchdog) stop() {
+	w.exchange.mutex.Lock()
+	defer w.exchange.mutex.Unlock()
+	w.stopped = true
 	if w.timer != nil {
 		w.timer.Stop()
 	}
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -78,7 +78,7 @@
 func (x *exchange) beginMove(runner string) (*streamMove, balance.Request, bool) {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
-	if x.currentRunner != runner || x.pendingMove != nil {
+	if x.currentRunner != runner || x.pendingMove != nil || x.next != nil {
 		return nil, balance.Request{}, false
 	}
 	x.pendingMove = &streamMove{done: make(chan struct{}), source: x.choice}
@@ -87,6 +87,28 @@
 	return x.pendingMove, r, true
 }
 
+// hasEnded reports whether the move has succeeded or failed.
+func (m *streamMove) hasEnded() bool {
+	select {
+	case <-m.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// isMoved reports whether a move of the current attempt has succeeded. The mutex must be
+// held.
+func (x *exchange) isMoved() bool {
+	return x.pendingMove != nil && x.pendingMove.hasEnded() && x.pendingMove.run != nil
+}
+
+// isMoving reports whether a move of the current attempt is in progress. The mutex must
+// be held.
+func (x *exchange) isMoving() bool {
+	return x.pendingMove != nil && !x.pendingMove.hasEnded()
+}
+
 func (x *exchange) move(m *streamMove, r balance.Request) {
 	if !x.RetryBudgets.AllowRetry(x.service, x.Group.Size(), x.Clock.Now()) {
 		x.recordNotMoved(m, "RetryBudgetUsedUp")
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -5,10 +5,8 @@
 	"errors"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/balance"
-	"github.com/cranberrywalk/cranberrywalk/catalog"
 	"github.com/cranberrywalk/cranberrywalk/request"
 	"github.com/cranberrywalk/cranberrywalk/upstream"
 )
@@ -29,7 +27,7 @@
 			x.giveUp(err, "NoRunner")
 			return
 		}
-		answer, err := x.attemptPlain()
+		answer, err := x.attemptPlain(ticket)
 		if err == nil && !x.isRunnerFault(answer) {
 			x.forwardAnswer(ticket, answer)
 			return
@@ -68,13 +66,16 @@
 	}
 }
 
-func (x *exchange) attemptPlain() (bufferedAnswer, error) {
-	ctx, cancel := x.attemptContext()
-	defer cancel()
+func (x *exchange) attemptPlain(ticket *balance.Ticket) (bufferedAnswer, error) {
+	ctx, cancel := context.WithCancelCause(x.ctx)
+	defer cancel(nil)
+	watchdog := x.startIdleWatchdog(ticket, cancel)
+	defer watchdog.stop()
 	answer, err := x.send(ctx)
 	if err != nil {
 		return bufferedAnswer{}, err
 	}
+	watchdog.recordHead(x.Clock.Now())
 	if err := x.checkAnswerHead(answer); err != nil {
 		x.discard(answer, err)
 		return bufferedAnswer{}, err
@@ -82,6 +83,9 @@
 	body, err := answer.ReadAll()
 	answer.Close(err == nil)
 	if err != nil {
+		if cause := context.Cause(ctx); cause != nil {
+			err = &upstream.InvalidAnswerError{Address: x.choice.Runner.Address, Cause: cause}
+		}
 		return bufferedAnswer{}, err
 	}
 	return bufferedAnswer{status: answer.Status, header: answer.Header, body: body}, nil
@@ -99,16 +103,6 @@
 	answer.Close(err == nil)
 }
 
-// attemptContext bounds an attempt that can be repeated at another runner, so that
-// time is left for the other attempt if the runner does not answer.
-func (x *exchange) attemptContext() (context.Context, context.CancelFunc) {
-	if x.route.Kind != catalog.Idempotent || x.writtenAttempts+1 >= x.route.MaxAttempts {
-		return context.WithCancel(x.ctx)
-	}
-	timeout := time.Duration(x.options.FirstEventShare * float64(x.timeLeft(x.Clock.Now())))
-	return context.WithTimeoutCause(x.ctx, timeout, &AttemptTimeoutError{Runner: x.choice.Runner.ID})
-}
-
 // forwardAnswer sends a runner's response to the caller.
 func (x *exchange) forwardAnswer(ticket *balance.Ticket, answer bufferedAnswer) {
 	x.write(answer)
--- a/gateway/retrybudgets.go
+++ b/gateway/retrybudgets.go
@@ -42,3 +42,9 @@
 func (r *RetryBudgets) AllowRetry(service string, daemons int, now time.Time) bool {
 	return r.window(service).AllowRetry(daemons, now)
 }
+
+// ReturnRetry returns one retry that AllowRetry granted at the given time and that was
+// not made.
+func (r *RetryBudgets) ReturnRetry(service string, granted time.Time) {
+	r.window(service).ReturnRetry(granted)
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -45,7 +45,7 @@
 // did not continue returns to the runner where it was stopped. If that fails too,
 // its KV cache is lost, and only a resumable stream is attempted again.
 func (x *exchange) chooseAgain() (*balance.Ticket, error) {
-	if x.continuedRun == nil {
+	if x.continuedRun == nil || x.isNextSecured() {
 		return x.choose()
 	}
 	if x.stoppedAt != nil {
--- a/retry/window.go
+++ b/retry/window.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -54,6 +55,19 @@
 	return true
 }
 
+// ReturnRetry returns a retry that AllowRetry granted at the given time and that was not
+// made. It has no effect if that time has left the window.
+func (w *Window) ReturnRetry(granted time.Time) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for i, retry := range w.retries {
+		if retry.Equal(granted) {
+			w.retries = slices.Delete(w.retries, i, i+1)
+			return
+		}
+	}
+}
+
 // trim drops the times that have left the window.
 func trim(times []time.Time, now time.Time, length time.Duration) []time.Time {
 	first := 0
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -46,3 +46,18 @@
 	}
 	c.Check(len(retries) > 1000, qt.IsTrue, qt.Commentf("%d retries", len(retries)))
 }
+
+// TestReturnedRetryIsGrantedAgain guards against a window that is used up by retries that
+// were granted but not made, and against returns that raise the bound.
+func TestReturnedRetryIsGrantedAgain(t *testing.T) {
+	c := qt.New(t)
+	window := retry.NewWindow(retry.WindowOptions{Length: 10 * time.Second, Slack: 2, SafetyFactor: 1})
+	start := time.Unix(1000, 0)
+	c.Assert(window.AllowRetry(1, start), qt.IsTrue)
+	c.Assert(window.AllowRetry(1, start.Add(time.Second)), qt.IsTrue)
+	c.Assert(window.AllowRetry(1, start.Add(2*time.Second)), qt.IsFalse)
+	window.ReturnRetry(start)
+	window.ReturnRetry(start)
+	c.Check(window.AllowRetry(1, start.Add(2*time.Second)), qt.IsTrue)
+	c.Check(window.AllowRetry(1, start.Add(2*time.Second)), qt.IsFalse)
+}
