Ask an abandoned runner again when its replacement does not run the request

What callers saw: a stream that was abandoned at a silent runner was cut in the middle, or a request failed, when the runner chosen in its place was full or could not be connected to, although time and retries were left. Cause: a rejection counts as an attempt, so that with MaxAttempts 2 none was left after it; after a failed connection every runner was excluded. Change: the abandoned runner may be asked once more, for a rejected request at the cost of a retry from the budget. MaxAttempts bounds the runners that a request is sent to, which are still two: a third runner is not asked. Without a retry left, or if the abandoned runner is leaving, the request ends as before.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -73,6 +73,8 @@
 	Excluded []string
 	// FreeOnly leaves out runners that appear to be unreachable or have no free slot.
 	FreeOnly bool
+	// Only is the ID of the only runner that may be chosen, or empty.
+	Only string
 }
 
 // Load is the load that one daemon puts on a runner.
@@ -230,7 +232,7 @@
 			continue
 		}
 		known++
-		if r.entry.State != inventory.Ready || r.isReplaced || slices.Contains(request.Excluded, r.entry.ID) || request.FreeOnly && !b.isFree(r, now) {
+		if r.entry.State != inventory.Ready || r.isReplaced || slices.Contains(request.Excluded, r.entry.ID) || !b.isAllowed(r, request, now) {
 			continue
 		}
 		if now.Before(r.downUntil) || b.isZoneUnreachable(r, now) {
--- a/balance/free_test.go
+++ b/balance/free_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/cranberrywalk/cranberrywalk/balance"
+	"github.com/cranberrywalk/cranberrywalk/inventory"
 )
 
 // TestFreeOnlyLeavesOutRunnersThatCannotServeAtOnce guards against a silent attempt being
@@ -39,3 +40,20 @@
 	_, _, err = b.Choose(request, start.Add(time.Millisecond))
 	c.Check(err, qt.IsNil)
 }
+
+// TestOnlyNamesTheRunner guards against a request that returns to a runner being sent to
+// another one, or to that runner while it is leaving.
+func TestOnlyNamesTheRunner(t *testing.T) {
+	c := qt.New(t)
+	b := newBalancer()
+	choice, _, err := b.Choose(balance.Request{Service: "desk", Only: "d1"}, start)
+	c.Assert(err, qt.IsNil)
+	c.Check(choice.Runner.ID, qt.Equals, "d1")
+	b.SetRunners([]inventory.Runner{
+		{ID: "d0", Service: "desk", Zone: "d", Slots: 6},
+		{ID: "d1", Service: "desk", Zone: "d", Slots: 6, State: inventory.Leaving},
+	}, func(string) int { return 100000 })
+	_, _, err = b.Choose(balance.Request{Service: "desk", Only: "d1"}, start)
+	var none *balance.NoRunnerError
+	c.Check(errors.As(err, &none), qt.IsTrue)
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -170,7 +170,7 @@
 	if errors.As(failure, &unwritten) {
 		return x.unwrittenAttempts < x.options.MaxUnwrittenAttempts, "Unreachable"
 	}
-	if x.writtenAttempts >= x.route.MaxAttempts || x.unwrittenAttempts >= x.options.MaxUnwrittenAttempts {
+	if x.writtenAttempts >= x.route.MaxAttempts && !x.mayReturn(failure) || x.unwrittenAttempts >= x.options.MaxUnwrittenAttempts {
 		return false, "AttemptsUsedUp"
 	}
 	if !x.isNextSecured() && !x.RetryBudgets.AllowRetry(x.service, x.Group.Size(), x.Clock.Now()) {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -59,6 +59,9 @@
 	// the run has been sent back to that runner.
 	continuedRun *call.StoppedRun
 	stoppedAt    *balance.Choice
+	// abandoned is the ID of the runner that was abandoned for its silence. It is
+	// empty once that runner has been asked again, or if there is none.
+	abandoned string
 
 	// mutex guards the writes of choice and the fields below, which moves use
 	// concurrently.
@@ -115,7 +118,7 @@
 func (x *exchange) choose() (*balance.Ticket, error) {
 	ticket := x.takeNext()
 	if ticket == nil {
-		choice, chosen, err := x.Balancer.Choose(x.balanceRequest(), x.Clock.Now())
+		choice, chosen, err := x.chooseRunner(x.Clock.Now())
 		if err != nil {
 			return nil, err
 		}
--- a/gateway/next.go
+++ b/gateway/next.go
@@ -75,6 +75,10 @@
 	if x.next == nil {
 		return nil
 	}
+	x.abandoned = ""
+	if x.continuedRun == nil {
+		x.abandoned = x.choice.Runner.ID
+	}
 	if x.stoppedAt == nil {
 		x.continuedRun = nil
 	}
