Don't count an abandoned body as a crash of its runner

What callers saw: 503 (CrashesRunners) for a request whose runners had stalled in the middle of a body three times, and 502 before that. Cause: when an attempt is abandoned while its body is read, the failure named the closed connection and not the timeout, so that it counted as a connection broken off by the runner. The error response of a stream's runner and the answer to an idempotent request were affected; the events of streams were not. Change: one function reads bodies and names the end of the attempt's context as the cause. After: the tests of gateway pass under the race detector.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -80,17 +80,32 @@
 		x.discard(answer, err)
 		return bufferedAnswer{}, err
 	}
+	return x.readAnswer(ctx, answer)
+}
+
+// readAnswer reads a response completely and closes it.
+func (x *exchange) readAnswer(ctx context.Context, answer *upstream.Answer) (bufferedAnswer, error) {
 	body, err := answer.ReadAll()
 	answer.Close(err == nil)
 	if err != nil {
-		if cause := context.Cause(ctx); cause != nil {
-			err = &upstream.InvalidAnswerError{Address: x.choice.Runner.Address, Cause: cause}
-		}
-		return bufferedAnswer{}, err
+		return bufferedAnswer{}, x.readFailure(ctx, err)
 	}
 	return bufferedAnswer{status: answer.Status, header: answer.Header, body: body}, nil
 }
 
+// readFailure returns the error for a response that could not be read. Its cause is that
+// of the end of the attempt's context, if that has ended.
+func (x *exchange) readFailure(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		err = cause
+	}
+	var invalid *upstream.InvalidAnswerError
+	if errors.As(err, &invalid) {
+		return err
+	}
+	return &upstream.InvalidAnswerError{Address: x.choice.Runner.Address, Cause: err}
+}
+
 // discard closes a response that is not forwarded. The connection of a rejection
 // can be reused once its body has been read.
 func (x *exchange) discard(answer *upstream.Answer, failure error) {
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -186,3 +186,27 @@
 	r.c.Check(r.arrivals(), qt.DeepEquals, []int{1, 1})
 	r.c.Check(r.runners[1].ReceivedRequests()[0].Header.Get(standin.HeaderCacheSource), qt.Equals, r.runners[0].Address()+"/h1")
 }
+
+// TestAbandonedBodyIsNoCrash guards against requests that are refused as crashing runners
+// because runners stalled in the middle of a body.
+func TestAbandonedBodyIsNoCrash(t *testing.T) {
+	for _, scenario := range []struct {
+		name, path string
+		status     int
+	}{
+		{"answer to an idempotent request", "/again/a", 200},
+		{"error response on a stream", "/resumable/a", 500},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			t.Parallel()
+			stalls := always(standin.Behaviour{Status: scenario.status, Body: "answer", StallAfter: 2})
+			r := newRig(t, stalls, stalls)
+			for i := range 3 {
+				got := r.send(scenario.path, with(standin.HeaderCallID, fmt.Sprint("attempt-", i)), with(standin.HeaderDeadline, "1000"))
+				r.c.Check(got.status, qt.Equals, 504)
+			}
+			r.c.Check(r.arrivals(), qt.DeepEquals, []int{3, 3})
+			r.c.Check(r.send(scenario.path, with(standin.HeaderDeadline, "300")).status, qt.Equals, 504, qt.Commentf("not suspected"))
+		})
+	}
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -92,7 +92,7 @@
 		return err
 	}
 	if answer.Status != http.StatusOK {
-		return x.forwardNonStream(ticket, answer)
+		return x.forwardNonStream(ctx, ticket, answer)
 	}
 	if err := x.relayEvents(ctx, ticket, answer, watchdog); err != nil {
 		answer.Close(false)
@@ -104,13 +104,11 @@
 }
 
 // forwardNonStream handles a response that is no event stream.
-func (x *exchange) forwardNonStream(ticket *balance.Ticket, answer *upstream.Answer) error {
-	body, err := answer.ReadAll()
-	answer.Close(err == nil)
+func (x *exchange) forwardNonStream(ctx context.Context, ticket *balance.Ticket, answer *upstream.Answer) error {
+	buffered, err := x.readAnswer(ctx, answer)
 	if err != nil {
 		return err
 	}
-	buffered := bufferedAnswer{status: answer.Status, header: answer.Header, body: body}
 	if x.headWritten || x.isRunnerFault(buffered) && (x.route.Repeatable() || !mayForward(answer.Status)) {
 		return &StatusError{Runner: x.choice.Runner.ID, Status: answer.Status}
 	}
@@ -129,10 +127,7 @@
 			return nil
 		}
 		if err != nil {
-			if cause := context.Cause(ctx); cause != nil {
-				err = cause
-			}
-			return &upstream.InvalidAnswerError{Address: x.choice.Runner.Address, Cause: err}
+			return x.readFailure(ctx, err)
 		}
 		if err := x.checkOrder(e); err != nil {
 			return &upstream.InvalidAnswerError{Address: x.choice.Runner.Address, Cause: err}
