Abandon a silent attempt for a runner with a short queue too

What callers would have seen: with all slots of the other runners taken, a request at a frozen runner waited until its deadline, though the queues of the others had room. After: the tests of balance and gateway pass, those of gateway under the race detector.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -71,8 +71,8 @@
 	// Excluded holds the IDs of runners that must not be chosen, such as those
 	// that were tried before.
 	Excluded []string
-	// FreeOnly leaves out runners that appear to be unreachable or have no free slot.
-	FreeOnly bool
+	// AvailableOnly leaves out runners that appear to be unreachable or full.
+	AvailableOnly bool
 	// Only is the ID of the only runner that may be chosen, or empty.
 	Only string
 }
--- a/gateway/next.go
+++ b/gateway/next.go
@@ -57,7 +57,7 @@
 	}
 	r := x.balanceRequest()
 	r.Excluded = append(r.Excluded, x.choice.Runner.ID)
-	r.FreeOnly = true
+	r.AvailableOnly = true
 	return x.Balancer.Choose(r, now)
 }
 
