Don't blame the runner when an event can't be written to the caller

What callers saw: nothing, mostly: when the connection fails, net/http ends the context of the request at the same time, and the request ends as before. With any other failed write the stream was sent to another runner, whose events could not be written either. Cause: a failed write to the caller was an invalid answer of the runner. Evidence: TestFailedWriteToCallerIsNoFaultOfTheRunner on the commit before: arrivals [1 1] for [1 0], a suspected crash, two attempts counted as Failed, reason AttemptsUsedUp. The test uses a writer that fails; no such failure was seen in a log. Change: the failure has a type of its own and names the caller in Cause, the attempt counts as Cancelled, it is not retried, and the reason is CallerNotWritable. The reason CallerLeft is as before. After: the tests of gateway and explain pass under the race detector.

--- a/explain/cause.go
+++ b/explain/cause.go
@@ -17,6 +17,7 @@
 	"QuotaExceeded":     "The customer's quota, counted over all daemons, was used up; the request was not run.",
 	"NoRunner":          "No runner of the service accepted requests, or all that did had already failed this one.",
 	"RunLost":           "The runner was leaving; its run was stopped, and neither the new runner nor the old one could continue it.",
+	"CallerNotWritable": "Events could not be written to the caller, whose connection was still open.",
 	"MayHaveRun":        "The attempt failed after the request was written to the runner, and the route does not allow it to run twice.",
 	"AttemptsUsedUp":    "All attempts that the route allows failed.",
 	"RetryBudgetUsedUp": "The attempt failed, and the retry budget of this daemon was used up.",
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -118,7 +118,7 @@
 	switch {
 	case errors.As(failure, &timedOut), x.timedOutUnanswered():
 		return balance.Silent
-	case x.ctx.Err() != nil, errors.As(failure, &full):
+	case x.ctx.Err() != nil, errors.As(failure, &full), isCallerWriteFailure(failure):
 		return balance.Cancelled
 	case errors.As(failure, &unwritten):
 		return balance.Unreachable
@@ -161,6 +161,8 @@
 	switch {
 	case x.ctx.Err() != nil:
 		return false, "TimeIsOver"
+	case isCallerWriteFailure(failure):
+		return false, "CallerNotWritable"
 	case !x.machine.MayAttempt():
 		return false, "MayHaveRun"
 	case x.Suspects.Refused(x.fingerprint, x.Clock.Now()):
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"fmt"
 	"time"
 )
@@ -18,6 +19,21 @@
 // Error implements error.
 func (e *AttemptTimeoutError) Error() string { return "runner " + e.Runner + " sent no data in time" }
 
+// CallerWriteError reports that an event could not be written to the caller.
+type CallerWriteError struct{ Cause error }
+
+// Error implements error.
+func (e *CallerWriteError) Error() string { return "could not write to the caller: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *CallerWriteError) Unwrap() error { return e.Cause }
+
+// isCallerWriteFailure reports whether a failure is a *CallerWriteError.
+func isCallerWriteFailure(failure error) bool {
+	var unwritten *CallerWriteError
+	return errors.As(failure, &unwritten)
+}
+
 // MismatchedAnswerError reports that a response belongs to another request.
 type MismatchedAnswerError struct{ Want, Got string }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -140,10 +140,10 @@
 		}
 		x.writeHead(answer)
 		if _, err := x.writer.Write(e.content); err != nil {
-			return &upstream.InvalidAnswerError{Address: x.choice.Runner.Address, Cause: err}
+			return &CallerWriteError{Cause: err}
 		}
 		if err := controller.Flush(); err != nil {
-			return &upstream.InvalidAnswerError{Address: x.choice.Runner.Address, Cause: err}
+			return &CallerWriteError{Cause: err}
 		}
 		if e.hasID {
 			x.lastEvent = e.id
