Describe how silent runners are treated, and test the interval of the checks

The test sees a silent request that may not be retried ask for a retry ten times at most in two seconds. No code changes.

--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -223,3 +224,23 @@
 		})
 	}
 }
+
+// countingGroup is a group of one daemon that counts how often it is asked for its size,
+// as it is for each request for a retry.
+type countingGroup struct{ calls atomic.Int64 }
+
+func (g *countingGroup) Size() int {
+	g.calls.Add(1)
+	return 1
+}
+
+// TestSilentAttemptIsCheckedAtIntervals guards against a busy loop while a runner is silent
+// and no other attempt is allowed.
+func TestSilentAttemptIsCheckedAtIntervals(t *testing.T) {
+	r := newRig(t, always(standin.Behaviour{Silent: true}), always(okAnswer))
+	group := &countingGroup{}
+	r.gateway.Group = group
+	r.takeRetries(0)
+	r.c.Check(r.send("/again/a").status, qt.Equals, 504)
+	r.c.Check(group.calls.Load() <= 10, qt.IsTrue, qt.Commentf("%d calls in two seconds", group.calls.Load()))
+}
