--- a/balance/choice.go
+++ b/balance/choice.go
@@ -18,6 +18,10 @@
 	// Excluded holds the IDs of runners that must not be chosen, such as those
 	// that were tried before.
 	Excluded []string
+	// AvailableOnly leaves out runners that appear to be unreachable or full.
+	AvailableOnly bool
+	// Only is the ID of the only runner that may be chosen, or empty.
+	Only string
 }
 
 // Choice is the chosen runner with the figures behind the choice.
@@ -91,6 +95,9 @@
 		if !r.isAvailable() || r.signals.pauseLeft(now) > 0 || slices.Contains(request.Excluded, r.entry.ID) {
 			continue
 		}
+		if !b.isAllowed(r, request, now) {
+			continue
+		}
 		if now.Before(r.downUntil) || b.isZoneUnreachable(r, now) {
 			down = append(down, r)
 			continue
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -131,7 +131,7 @@
 	switch {
 	case errors.As(failure, &timedOut), x.timedOutUnanswered():
 		return balance.Silent
-	case x.ctx.Err() != nil, errors.As(failure, &full):
+	case x.ctx.Err() != nil, errors.As(failure, &full), isCallerWriteFailure(failure):
 		return balance.Cancelled
 	case errors.As(failure, &unwritten):
 		return balance.Unreachable
@@ -176,6 +176,8 @@
 		return false, "Stopping"
 	case x.ctx.Err() != nil:
 		return false, "TimeIsOver"
+	case isCallerWriteFailure(failure):
+		return false, "CallerNotWritable"
 	case !x.machine.MayAttempt():
 		return false, "MayHaveRun"
 	case x.Suspects.Refused(x.fingerprint, x.Clock.Now()):
@@ -185,10 +187,10 @@
 	if errors.As(failure, &unwritten) {
 		return x.unwrittenAttempts < x.options.MaxUnwrittenAttempts, "Unreachable"
 	}
-	if x.writtenAttempts >= x.route.MaxAttempts || x.unwrittenAttempts >= x.options.MaxUnwrittenAttempts {
+	if x.writtenAttempts >= x.route.MaxAttempts && !x.mayReturn(failure) || x.unwrittenAttempts >= x.options.MaxUnwrittenAttempts {
 		return false, "AttemptsUsedUp"
 	}
-	if !x.RetryBudgets.AllowRetry(x.service, x.Group.Size(), x.Clock.Now()) {
+	if !x.isNextSecured() && !x.RetryBudgets.AllowRetry(x.service, x.Group.Size(), x.Clock.Now()) {
 		return false, "RetryBudgetUsedUp"
 	}
 	x.Count("Retries", 1)
