Hand over the last usage counts of a stopping process through the store

Cause: the last counts of a process are only in the memory of the daemons that got its digests. A daemon that stops sends its own counts in its final digest, not those that it was told (Digest with toNew false has no PeerCounts), and a new process can only ask processes that still run. So once every process that was told has ended before the next ones start, nobody has the counts. The final digest is sent once, within 0.3 s, and nothing says whether it arrived.

Change: a process that stops writes its counts of windows that it doesn't know to be decided to the topic "counts" of the store, beside the final digest and within the same 0.3 s, again if the store refuses. Without such counts it writes nothing. Whoever decides a window reads that topic first, once for each window. One log line tells the number of counts and of daemons that got the digest.

--- a/duties/duties.go
+++ b/duties/duties.go
@@ -23,6 +23,9 @@
 type Options struct {
 	// Topic is the topic of the store that holds the log of duties.
 	Topic string
+	// CountsTopic is the topic of the store to which processes that stop hand over
+	// their last counts.
+	CountsTopic string
 	// Process identifies this process, that is, this start of the daemon.
 	Process string
 	// Period is the time between two rounds.
@@ -81,6 +84,10 @@
 	reported map[int64]bool
 	// lastOrders is when the orders were last evaluated.
 	lastOrders time.Time
+	// handoversEnd is the position up to which the handovers have been read, and
+	// handoversReadFor the last window before whose decision they were.
+	handoversEnd     latest.Position
+	handoversReadFor int64
 	// wasHolding is whether the process held the lease when that was last logged.
 	wasHolding bool
 
--- a/duties/duties_test.go
+++ b/duties/duties_test.go
@@ -71,7 +71,7 @@
 		Platform:    platform.NewCloudAPI(r.cloud.Address(), name, &http.Client{}),
 		SyncedClock: clocksync.New(time.Minute, common.Clock.Now()),
 	}, duties.Options{
-		Topic: "duties", Process: name + "/1", Period: 20 * time.Millisecond, Timeout: 200 * time.Millisecond,
+		Topic: "duties", CountsTopic: "counts", Process: name + "/1", Period: 20 * time.Millisecond, Timeout: 200 * time.Millisecond,
 		UsageDelay: 50 * time.Millisecond, ReportDelay: reportDelay, UsageMaxAge: 5 * time.Second, OrderPeriod: time.Second,
 		ReportsUsage: true, Lease: dutylease.DefaultOptions(lease),
 	})
--- a/duties/usage.go
+++ b/duties/usage.go
@@ -13,30 +13,50 @@
 // here or by the next holder, has the same counts.
 func (d *Duties) reportUsage(ctx context.Context) {
 	now := d.SyncedClock.At(d.Clock.Now())
-	first := d.Usage.Window(now.Add(-d.options.UsageMaxAge))
+	first := d.firstReportable()
 	last := d.Usage.Window(now.Add(-d.options.UsageDelay)) - 1
-	var undecided []dutylease.Report
+	d.decideReports(ctx, first, last)
 	for window := first; window <= last; window++ {
-		if _, _, decided := d.decidedReport(window); decided || d.reported[window] {
+		report, age, decided := d.decidedReport(window)
+		if !decided || d.reported[window] || age < d.options.ReportDelay {
 			continue
 		}
-		counts := d.Usage.Total(window)
-		if len(counts) > 0 {
-			undecided = append(undecided, dutylease.Report{Window: window, Counts: counts})
+		if !d.sendReport(ctx, report) {
+			return
 		}
 	}
-	if len(undecided) > 0 && !d.append(ctx, dutylease.Record{Holder: d.options.Process, Reports: undecided}) {
+}
+
+// decideReports decides the counts of the windows from first to last that have any. It
+// first merges those that stopped processes have handed over.
+func (d *Duties) decideReports(ctx context.Context, first, last int64) {
+	undecided := d.undecidedReports(first, last)
+	if len(undecided) == 0 && last <= d.handoversReadFor {
+		return
+	}
+	if !d.readHandovers(ctx) {
 		return
 	}
+	d.handoversReadFor = last
+	undecided = d.undecidedReports(first, last)
+	if len(undecided) > 0 {
+		d.append(ctx, dutylease.Record{Holder: d.options.Process, Reports: undecided})
+	}
+}
+
+// undecidedReports returns reports with the present counts of the windows from first to
+// last that are not decided.
+func (d *Duties) undecidedReports(first, last int64) []dutylease.Report {
+	var undecided []dutylease.Report
 	for window := first; window <= last; window++ {
-		report, age, decided := d.decidedReport(window)
-		if !decided || d.reported[window] || age < d.options.ReportDelay {
+		if _, _, decided := d.decidedReport(window); decided || d.reported[window] {
 			continue
 		}
-		if !d.sendReport(ctx, report) {
-			return
+		if counts := d.Usage.Total(window); len(counts) > 0 {
+			undecided = append(undecided, dutylease.Report{Window: window, Counts: counts})
 		}
 	}
+	return undecided
 }
 
 // decidedReport returns the report of a window, if it is decided, and its age.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -85,6 +85,7 @@
 const (
 	membersTopic = "keyed.members"
 	dutiesTopic  = "duties"
+	countsTopic  = "counts"
 )
 
 // New returns a daemon that is idle until Run.
@@ -264,7 +265,7 @@
 		Store: e.store, Platform: platform.NewCloudAPI(e.settings.CloudAPIAddress, e.self.Name, newClient()),
 		Usage: e.usage, SyncedClock: e.syncedClock, Scaler: newScaler(e, scaling.DefaultOptions()),
 	}, duties.Options{
-		Topic: dutiesTopic, Process: instanceID(e.self), Period: dutiesPeriod, Timeout: storeTimeout,
+		Topic: dutiesTopic, CountsTopic: countsTopic, Process: instanceID(e.self), Period: dutiesPeriod, Timeout: storeTimeout,
 		UsageDelay: usageDelay, ReportDelay: reportDelay, UsageMaxAge: usageMaxAge, OrderPeriod: orderPeriod,
 		ReportsUsage: e.settings.HasUsageDuty, SendsScaleOrders: e.settings.HasScalingDuty,
 		Lease: dutylease.DefaultOptions(lease),
--- a/entry/run.go
+++ b/entry/run.go
@@ -151,11 +151,10 @@
 	_ = e.metricsServer.Close()
 	leaveCtx, cancelLeave := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancelLeave()
-	e.group.SendFinalDigest(leaveCtx)
+	e.handOver(leaveCtx)
 }
 
-// leaveTimeout bounds the final digest to other daemons, which carries the last
-// counts.
+// leaveTimeout bounds the handover of the last counts.
 const leaveTimeout = 300 * time.Millisecond
 
 // readinessLag is how long the platform continues to route callers to a daemon that
--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
@@ -111,22 +112,24 @@
 }
 
 // callAddress exchanges digests with a daemon of which possibly only the address is
-// known. It estimates the delay of the reply as half of the round trip.
-func (g *Group) callAddress(ctx context.Context, to Member, held []DigestID) {
+// known. It estimates the delay of the reply as half of the round trip. It reports whether
+// the daemon replied.
+func (g *Group) callAddress(ctx context.Context, to Member, held []DigestID) bool {
 	ctx, cancel := context.WithTimeout(ctx, g.options.Timeout)
 	defer cancel()
 	message, err := g.buildMessage(to, held, false)
 	if err != nil {
 		g.common.Log.Error(err, "DigestNotEncoded")
-		return
+		return false
 	}
 	began := g.common.Clock.Now()
 	var reply Message
 	if err := g.client.call(ctx, to.Address, callExchange, &message, &reply); err != nil {
 		g.common.Count("Membership.CallsFailed", 1)
-		return
+		return false
 	}
 	g.receive(reply, g.common.Clock.Since(began)/2)
+	return true
 }
 
 // buildMessage returns the message for a daemon that already has the digests in
@@ -212,8 +215,8 @@
 }
 
 // SendFinalDigest sends a last digest to all daemons, so that they have the final counts
-// of this one. It returns when all calls have ended.
-func (g *Group) SendFinalDigest(ctx context.Context) {
+// of this one. It returns the number of daemons that replied when all calls have ended.
+func (g *Group) SendFinalDigest(ctx context.Context) int {
 	g.mutex.Lock()
 	var addresses []string
 	for _, p := range g.peers {
@@ -221,8 +224,14 @@
 	}
 	g.mutex.Unlock()
 	var calls sync.WaitGroup
+	var replies atomic.Int64
 	for _, address := range addresses {
-		calls.Go(func() { g.callAddress(ctx, Member{Address: address}, nil) })
+		calls.Go(func() {
+			if g.callAddress(ctx, Member{Address: address}, nil) {
+				replies.Add(1)
+			}
+		})
 	}
 	calls.Wait()
+	return int(replies.Load())
 }
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -234,7 +234,7 @@
 	b := start(c, "b", "zone-2", a.member.Address)
 	eventually(c, "both to receive a digest", func() bool { return a.handler.digestsFrom("b") > 0 && b.handler.digestsFrom("a") > 0 })
 	before := a.handler.digestsFrom("b")
-	b.group.SendFinalDigest(context.Background())
+	c.Check(b.group.SendFinalDigest(context.Background()), qt.Equals, 1)
 	c.Check(a.handler.digestsFrom("b") > before, qt.IsTrue)
 }
 
