Let a new process hear the others before it decides usage reports

A process that finds the lease free acquires it in its first round, 0.25 s after its start, and decided all windows that ended 1.5 s ago or earlier with what it had been told by then. In a series of planned stops the lease is free often, since a holder releases it at SIGTERM. A decision is not taken back, so the counts of daemons that had not yet exchanged digests with it were missing from the report.

The field for the start of the process was there, and was not used.

Change: a process decides nothing within UsageDelay after its start.

TestNewProcessHearsOthersBeforeItDecides on the code before printed "got: map[...:1], want: map[...:3]" in two runs of two; three runs of three pass now.

--- a/duties/duties.go
+++ b/duties/duties.go
@@ -32,8 +32,9 @@
 	Period time.Duration
 	// Timeout bounds each call to the store or the platform.
 	Timeout time.Duration
-	// UsageDelay is the delay after the end of a window before its counts are
-	// decided, so that the counts of all daemons have arrived.
+	// UsageDelay is the delay after the end of a window, and after the start of this
+	// process, before the window's counts are decided, so that the counts of all
+	// daemons have arrived.
 	UsageDelay time.Duration
 	// ReportDelay is the time between the decision of a report and its sending, in
 	// which other daemons learn of it. A report that nobody else knows may be lost with
@@ -77,7 +78,7 @@
 	telemetry.Common
 	Dependencies
 	options Options
-	// started is when the process started, as measured by SyncedClock.
+	// started is when the process started, by its own clock.
 	started time.Time
 	done    chan struct{}
 	// reported holds the windows whose reports the platform has accepted.
@@ -100,7 +101,7 @@
 func New(common telemetry.Common, dependencies Dependencies, options Options) *Duties {
 	return &Duties{
 		Common: common, Dependencies: dependencies, options: options,
-		started: dependencies.SyncedClock.At(common.Clock.Now()), done: make(chan struct{}), reported: make(map[int64]bool),
+		started: common.Clock.Now(), done: make(chan struct{}), reported: make(map[int64]bool),
 		lease: dutylease.NewLeaseState(options.Lease, options.Process, clock.SuspendAwareNow(common.Clock)),
 	}
 }
--- a/duties/duties_test.go
+++ b/duties/duties_test.go
@@ -60,6 +60,10 @@
 func (r *fixture) start(name string) *process { return r.startWith(name, 40*time.Millisecond) }
 
 func (r *fixture) startWith(name string, reportDelay time.Duration) *process {
+	return r.startWithDelays(name, reportDelay, 50*time.Millisecond)
+}
+
+func (r *fixture) startWithDelays(name string, reportDelay, usageDelay time.Duration) *process {
 	address, err := r.store.Listen(name)
 	r.c.Assert(err, qt.IsNil)
 	common := telemetry.NewCommon()
@@ -72,7 +76,7 @@
 		SyncedClock: clocksync.New(time.Minute, common.Clock.Now()),
 	}, duties.Options{
 		Topic: "duties", CountsTopic: "counts", Process: name + "/1", Period: 20 * time.Millisecond, Timeout: 200 * time.Millisecond,
-		UsageDelay: 50 * time.Millisecond, ReportDelay: reportDelay, UsageMaxAge: 5 * time.Second, OrderPeriod: time.Second,
+		UsageDelay: usageDelay, ReportDelay: reportDelay, UsageMaxAge: 5 * time.Second, OrderPeriod: time.Second,
 		ReportsUsage: true, Lease: dutylease.DefaultOptions(lease),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -240,3 +244,18 @@
 	})
 	r.reports()
 }
+
+// TestNewProcessHearsOthersBeforeItDecides guards against a process that acquires the
+// lease right after its start and decides ended windows before the other daemons have told
+// it their counts.
+func TestNewProcessHearsOthersBeforeItDecides(t *testing.T) {
+	r := newFixture(t)
+	const toldAfter, usageDelay = 150 * time.Millisecond, 1500 * time.Millisecond
+	a := r.startWithDelays("a", 40*time.Millisecond, usageDelay)
+	index := a.usage.Window(time.Now().Add(-usageDelay - 2*window))
+	a.usage.Merge("b/1", []usage.Count{{Window: index, Customer: "library", Requests: 1}})
+	time.Sleep(toldAfter)
+	a.usage.Merge("c/1", []usage.Count{{Window: index, Customer: "library", Requests: 2}})
+	r.eventually("the report", func() bool { return len(r.reports()) > 0 })
+	r.c.Check(r.reports(), qt.DeepEquals, map[int64]int64{index: 3})
+}
--- a/duties/usage.go
+++ b/duties/usage.go
@@ -30,6 +30,9 @@
 // decideReports decides the counts of the windows from first to last that have any. It
 // first merges those that stopped processes have handed over.
 func (d *Duties) decideReports(ctx context.Context, first, last int64) {
+	if d.Clock.Since(d.started) < d.options.UsageDelay {
+		return
+	}
 	undecided := d.undecidedReports(first, last)
 	if len(undecided) == 0 && last <= d.handoversReadFor {
 		return
