Share usage reports by the time of their decision, not of their window

A window that is decided long after its end, since its counts came late or all daemons were down, was reported twice with different counts when the holder of the duties stopped and the store was restored from a copy without the decision.

Cause: the holder shared reports of the last two windows only, on the assumption that a window is decided shortly after its end. So nobody else knew of the decision, although the report had been sent.

Change: the holder shares what it has learned of in the last 10 s, and after a restore every daemon shares all reports of windows that could be decided anew.

TestLateDecisionIsKnownToOthers on the code before: "got: int64(1), want: int64(3)" for the second report of the window, in two runs of two; three runs of three pass now.

--- a/duties/duties.go
+++ b/duties/duties.go
@@ -144,25 +144,26 @@
 }
 
 // ReportsToShare returns the usage reports that other daemons should know in case the
-// log of duties is lost: those that this process has decided, those of the last windows
-// after the log was restored, or all that are known for a daemon that has just started.
+// log of duties is lost: those that this process has learned of lately while it holds the
+// lease, and all that could be decided anew after the log was restored or for a daemon
+// that has just started.
 func (d *Duties) ReportsToShare(toNew bool) []dutylease.Report {
-	now := d.SyncedClock.At(d.Clock.Now())
+	first := d.firstReportable()
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	switch {
-	case toNew:
-		return d.lease.RecentReports(d.Usage.Window(now.Add(-d.options.UsageMaxAge)))
-	case d.lease.IsHolder(), d.lease.EpochAge(d.now()) < sharingAfterRestore:
-		return d.lease.RecentReports(d.Usage.Window(now) - sharedReportWindows)
+	case toNew, d.lease.EpochAge(d.now()) < sharingAfterRestore:
+		return d.lease.RecentReports(first)
+	case d.lease.IsHolder():
+		return d.lease.ReportsLearnedSince(d.now().Add(-sharedReportAge), first)
 	}
 	return nil
 }
 
 const (
-	// sharedReportWindows is the number of ended windows whose reports are shared. A
-	// window is decided shortly after its end.
-	sharedReportWindows = 2
+	// sharedReportAge is how long the holder of the lease shares a report. A window may
+	// be decided long after its end, so this counts from the decision.
+	sharedReportAge = 10 * time.Second
 	// sharingAfterRestore is how long every daemon shares reports after the log was
 	// restored. The next holder of the lease hears them before it may acquire it.
 	sharingAfterRestore = 5 * time.Second
--- a/duties/duties_test.go
+++ b/duties/duties_test.go
@@ -259,3 +259,30 @@
 	r.eventually("the report", func() bool { return len(r.reports()) > 0 })
 	r.c.Check(r.reports(), qt.DeepEquals, map[int64]int64{index: 3})
 }
+
+// TestLateDecisionIsKnownToOthers guards against a second report of a window, with other
+// counts, that was decided long after its end: the holder stops, the log is lost, and the
+// next holder must not decide anew.
+func TestLateDecisionIsKnownToOthers(t *testing.T) {
+	r := newFixture(t)
+	a := r.start("a")
+	r.eventually("a holder", func() bool { return len(r.store.Records("duties")) > 0 })
+	copied := r.store.Snapshot()
+	b := r.start("b")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go share(ctx, a, b)
+	index := a.usage.Window(time.Now()) - 8
+	a.usage.Merge("c/1", []usage.Count{{Window: index, Customer: "library", Requests: 3}})
+	r.eventually("the report", func() bool { return r.reports()[index] == 3 })
+	a.cancel()
+	<-a.duties.Done()
+
+	r.store.Restore(copied)
+
+	b.usage.Merge("c/1", []usage.Count{{Window: index, Customer: "library", Requests: 1}})
+	now := time.Now()
+	b.usage.RecordRequest("library", now)
+	r.eventually("a report of the next holder", func() bool { return r.reports()[b.usage.Window(now)] == 1 })
+	r.c.Check(r.reports()[index], qt.Equals, int64(3))
+}
--- a/dutylease/holder.go
+++ b/dutylease/holder.go
@@ -281,9 +281,15 @@
 
 // RecentReports returns the decided reports of the given window and later ones.
 func (s *LeaseState) RecentReports(from int64) []Report {
+	return s.ReportsLearnedSince(time.Time{}, from)
+}
+
+// ReportsLearnedSince returns those reports of the given window and later ones of which
+// this process has learned since a time.
+func (s *LeaseState) ReportsLearnedSince(since time.Time, from int64) []Report {
 	var reports []Report
 	for _, window := range slices.Sorted(maps.Keys(s.reports)) {
-		if window >= from {
+		if window >= from && !s.reports[window].learned.Before(since) {
 			reports = append(reports, s.reports[window].Report)
 		}
 	}
