Wait for counts that are known to be outstanding before deciding a window

A window was decided 1.5 s after its end with what had arrived by then, also when a daemon that had just been heard was silent since: a stopping process on a slow VM whose handover comes late, or a daemon that is paused or cut off for a moment. The report then lacks the counts of that process for good.

Whoever decides can know of such counts: it has heard the process in the window, or in the one before, and not since the end of the window. Such a window now waits until the process is heard again or has handed over its counts, at most 3 s longer. The report is sent 1 s after the decision, so about 5.5 s after the end of the window at the latest if the holder stays; the platform wants it within 10. The handovers are read once more before the late decision, not in between. A digest tells whether its counts are the last ones, so nobody waits for a process that was stopped and heard. Nothing changes while all daemons are heard.

With the wait left out (trial), TestWindowWaitsForOutstandingCounts printed "got: map[...:1], want: map[...:3]" for counts that were told late and for those that were handed over late; with a wait without end, "timed out waiting for the report". TestFinalDigestEndsWaitForCounts fails if the receiver ignores the mark.

--- a/duties/duties.go
+++ b/duties/duties.go
@@ -36,6 +36,9 @@
 	// process, before the window's counts are decided, so that the counts of all
 	// daemons have arrived.
 	UsageDelay time.Duration
+	// OutstandingDelay is how much longer a window waits for the counts of processes
+	// that were heard in it and not since its end.
+	OutstandingDelay time.Duration
 	// ReportDelay is the time between the decision of a report and its sending, in
 	// which other daemons learn of it. A report that nobody else knows may be lost with
 	// this process and the log, and must then not have been sent.
--- a/duties/handover.go
+++ b/duties/handover.go
@@ -103,6 +103,10 @@
 		d.Log.Error(err, "HandoverUnreadable")
 		return
 	}
+	if handover.Process == d.options.Process {
+		return
+	}
+	d.Usage.Ended(handover.Process)
 	first := d.firstReportable()
 	counts := slices.DeleteFunc(handover.Counts, func(count usage.Count) bool { return count.Window < first })
 	if len(counts) > 0 {
--- a/duties/usage.go
+++ b/duties/usage.go
@@ -33,7 +33,7 @@
 	if d.Clock.Since(d.started) < d.options.UsageDelay {
 		return
 	}
-	undecided := d.undecidedReports(first, last)
+	undecided := d.dueReports(first, last)
 	if len(undecided) == 0 && last <= d.handoversReadFor {
 		return
 	}
@@ -41,18 +41,18 @@
 		return
 	}
 	d.handoversReadFor = last
-	undecided = d.undecidedReports(first, last)
+	undecided = d.dueReports(first, last)
 	if len(undecided) > 0 {
 		d.append(ctx, dutylease.Record{Holder: d.options.Process, Reports: undecided})
 	}
 }
 
-// undecidedReports returns reports with the present counts of the windows from first to
-// last that are not decided.
-func (d *Duties) undecidedReports(first, last int64) []dutylease.Report {
+// dueReports returns reports with the present counts of the windows from first to last
+// that are not decided and for whose counts there is no more waiting.
+func (d *Duties) dueReports(first, last int64) []dutylease.Report {
 	var undecided []dutylease.Report
 	for window := first; window <= last; window++ {
-		if _, _, decided := d.decidedReport(window); decided || d.reported[window] {
+		if _, _, decided := d.decidedReport(window); decided || d.reported[window] || d.awaitsCounts(window) {
 			continue
 		}
 		if counts := d.Usage.Total(window); len(counts) > 0 {
@@ -62,6 +62,12 @@
 	return undecided
 }
 
+// awaitsCounts reports whether a window must wait for outstanding counts.
+func (d *Duties) awaitsCounts(window int64) bool {
+	deadline := d.Usage.End(window).Add(d.options.UsageDelay + d.options.OutstandingDelay)
+	return d.SyncedClock.At(d.Clock.Now()).Before(deadline) && d.Usage.HasOutstanding(window)
+}
+
 // decidedReport returns the report of a window, if it is decided, and its age.
 func (d *Duties) decidedReport(window int64) (report dutylease.Report, age time.Duration, decided bool) {
 	d.mutex.Lock()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -77,6 +77,8 @@
 
 	// stopping is true from the start of a planned stop.
 	stopping atomic.Bool
+	// countsAreFinal is true once no more requests can start.
+	countsAreFinal atomic.Bool
 	// done is closed when Run has returned.
 	done chan struct{}
 }
@@ -250,6 +252,9 @@
 	dutiesPeriod = 250 * time.Millisecond
 	// usageDelay leaves time for two gossip rounds between daemons.
 	usageDelay = 1500 * time.Millisecond
+	// outstandingDelay leaves time for a new holder of the duties to report before the
+	// platform misses the report.
+	outstandingDelay = 3 * time.Second
 	// reportDelay leaves the same time for decided reports.
 	reportDelay = time.Second
 	usageMaxAge = 25 * time.Second
@@ -266,7 +271,7 @@
 		Usage: e.usage, SyncedClock: e.syncedClock, Scaler: newScaler(e, scaling.DefaultOptions()),
 	}, duties.Options{
 		Topic: dutiesTopic, CountsTopic: countsTopic, Process: instanceID(e.self), Period: dutiesPeriod, Timeout: storeTimeout,
-		UsageDelay: usageDelay, ReportDelay: reportDelay, UsageMaxAge: usageMaxAge, OrderPeriod: orderPeriod,
+		UsageDelay: usageDelay, OutstandingDelay: outstandingDelay, ReportDelay: reportDelay, UsageMaxAge: usageMaxAge, OrderPeriod: orderPeriod,
 		ReportsUsage: e.settings.HasUsageDuty, SendsScaleOrders: e.settings.HasScalingDuty,
 		Lease: dutylease.DefaultOptions(lease),
 	})
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -6,8 +6,10 @@
 )
 
 // handOver passes the last counts of this process to the other daemons and to the store.
-// The daemons may all be stopping too; the store may be away.
+// It is called when no more requests can start. The daemons may all be stopping too; the
+// store may be away.
 func (e *Entry) handOver(ctx context.Context) {
+	e.countsAreFinal.Store(true)
 	var digests sync.WaitGroup
 	daemons := 0
 	digests.Go(func() { daemons = e.group.SendFinalDigest(ctx) })
--- a/entry/peerhandler.go
+++ b/entry/peerhandler.go
@@ -33,6 +33,7 @@
 		Reports:  h.duties.ReportsToShare(toNew),
 
 		ConfigurationVersion: h.configurationVersion(),
+		CountsAreFinal:       h.countsAreFinal.Load(),
 	}
 	if toNew {
 		digest.PeerCounts = h.usage.PeerCounts(from)
@@ -53,12 +54,7 @@
 	h.syncedClock.AddSample(sender.Name, time.UnixMicro(digest.TimeOfDay).Add(delay), now)
 	h.balancer.SetPeer(sender.Name, digest.Load, now.Add(-delay))
 	h.quotas.Merge(sender.Name, sender.Incarnation, digest.Usage, now.Add(-delay))
-	h.usage.Merge(instanceID(sender), digest.Counts)
-	for _, peer := range digest.PeerCounts {
-		if peer.Process != instanceID(h.self) {
-			h.usage.Merge(peer.Process, peer.Counts)
-		}
-	}
+	h.applyCounts(digest, now.Add(-delay))
 	h.suspects.Merge(digest.Crashes, now)
 	h.duties.ObservePeerProcess(sender.Name, instanceID(sender))
 	h.duties.ObserveReports(digest.Reports)
@@ -75,6 +71,22 @@
 	}
 }
 
+// applyCounts applies the usage counts of a digest that was made at a reading of this
+// daemon's clock.
+func (h peerHandler) applyCounts(digest membership.Digest, made time.Time) {
+	process := instanceID(digest.Sender)
+	h.usage.Merge(process, digest.Counts)
+	h.usage.Heard(process, h.syncedClock.At(made))
+	if digest.CountsAreFinal {
+		h.usage.Ended(process)
+	}
+	for _, peer := range digest.PeerCounts {
+		if peer.Process != instanceID(h.self) {
+			h.usage.Merge(peer.Process, peer.Counts)
+		}
+	}
+}
+
 // ApplyUpdate implements membership.Handler.
 func (h peerHandler) ApplyUpdate(update feed.Update) {
 	if f := h.feedsByTopic[update.Topic]; f != nil {
--- a/membership/digest.go
+++ b/membership/digest.go
@@ -55,6 +55,9 @@
 	ConfigurationVersion uint64
 	// IsNew is true during the startup period of the sender.
 	IsNew bool
+	// CountsAreFinal is true when the sender starts no more requests, so that Counts
+	// are its last.
+	CountsAreFinal bool
 }
 
 // TopicEnd is the state of a daemon's copy of a topic.
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -32,11 +32,21 @@
 	retained int64
 
 	mutex sync.Mutex
-	// own holds the counts of this process by window and customer. others holds
-	// the counts of the other processes by process, window and customer. A count
-	// never decreases.
+	// own holds the counts of this process by window and customer, and others what is
+	// known of the other processes. A count never decreases.
 	own    map[int64]map[string]int64
-	others map[string]map[int64]map[string]int64
+	others map[string]*peerProcess
+}
+
+// peerProcess is what is known of another process.
+type peerProcess struct {
+	// counts holds its counts by window and customer.
+	counts map[int64]map[string]int64
+	// heardUntil is the true time up to which the process itself has told its counts;
+	// zero if another one has.
+	heardUntil time.Time
+	// hasEnded is true once the process has told all its counts.
+	hasEnded bool
 }
 
 // New returns an empty Counter that keeps the given number of windows before the current
@@ -44,7 +54,7 @@
 func New(length time.Duration, retained int64) *Counter {
 	return &Counter{
 		length: length, retained: retained,
-		own: make(map[int64]map[string]int64), others: make(map[string]map[int64]map[string]int64),
+		own: make(map[int64]map[string]int64), others: make(map[string]*peerProcess),
 	}
 }
 
@@ -76,8 +86,8 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	var processes []ProcessCounts
-	for process, windows := range c.others {
-		if counts := list(windows, from); len(counts) > 0 {
+	for process, known := range c.others {
+		if counts := list(known.counts, from); len(counts) > 0 {
 			processes = append(processes, ProcessCounts{Process: process, Counts: counts})
 		}
 	}
@@ -106,11 +116,7 @@
 func (c *Counter) Merge(process string, counts []Count) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	windows := c.others[process]
-	if windows == nil {
-		windows = make(map[int64]map[string]int64)
-		c.others[process] = windows
-	}
+	windows := c.peer(process).counts
 	newest := int64(0)
 	for _, count := range counts {
 		known := windows[count.Window][count.Customer]
@@ -120,6 +126,16 @@
 	deleteBefore(windows, newest-c.retained)
 }
 
+// peer returns what is known of another process. It is called with the mutex held.
+func (c *Counter) peer(process string) *peerProcess {
+	known := c.others[process]
+	if known == nil {
+		known = &peerProcess{counts: make(map[int64]map[string]int64)}
+		c.others[process] = known
+	}
+	return known
+}
+
 // Total returns the counts of a window by customer, over all processes.
 func (c *Counter) Total(window int64) map[string]int64 {
 	c.mutex.Lock()
@@ -128,8 +144,8 @@
 	for customer, requests := range c.own[window] {
 		total[customer] += requests
 	}
-	for _, windows := range c.others {
-		for customer, requests := range windows[window] {
+	for _, known := range c.others {
+		for customer, requests := range known.counts[window] {
 			total[customer] += requests
 		}
 	}
