--- a/duties/handover_test.go
+++ b/duties/handover_test.go
@@ -150,3 +150,30 @@
 		r.c.Check(reported, qt.Equals, int64(4))
 	}
 }
+
+// TestHandoversAreReadOnceForEachWindow guards against a holder of the duties that polls the
+// store for handovers, also while a window waits for outstanding counts or has none.
+func TestHandoversAreReadOnceForEachWindow(t *testing.T) {
+	r := newFixture(t)
+	started := time.Now()
+	a := r.start("a")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go count(ctx, a.usage)
+	r.eventually("three windows", func() bool { return len(r.reports()) >= 3 })
+	a.usage.Heard("b/1", time.Now())
+	r.eventually("two windows after the wait", func() bool { return len(r.reports()) >= 5 })
+	a.cancel()
+	<-a.duties.Done()
+	reads := int64(0)
+	for _, call := range r.store.Calls() {
+		if call.Topic == "counts" && call.Path != standin.PathAppend {
+			reads++
+		}
+	}
+	ended := a.usage.Window(time.Now()) - a.usage.Window(started)
+	// Windows that waited are read for twice, and a new holder reads at once.
+	const readsBesides = 4
+	r.c.Check(reads > 0, qt.IsTrue)
+	r.c.Check(reads <= ended+readsBesides, qt.IsTrue, qt.Commentf("%d reads in %d windows", reads, ended))
+}
