Log the counts that a stopping process could not store

It now holds the counts.

TestStopLogsCountsThatItCouldNotStore failed before: the line had "Counts"=1 and "Daemons"=0 only; it passes now.

--- a/duties/handover.go
+++ b/duties/handover.go
@@ -13,18 +13,18 @@
 )
 
 // HandOver writes the counts of this process in windows that are not known to be decided
-// to the store, for whoever decides them. It returns the number of these counts; if there
-// are none, it writes nothing. The process must not start requests any more.
-func (d *Duties) HandOver(ctx context.Context) (int, error) {
+// to the store, for whoever decides them, and returns them. If there are none, it writes
+// nothing. The process must not start requests any more.
+func (d *Duties) HandOver(ctx context.Context) ([]usage.Count, error) {
 	counts := d.undecidedCounts()
 	if len(counts) == 0 {
-		return 0, nil
+		return nil, nil
 	}
 	content, err := usage.EncodeHandover(usage.ProcessCounts{Process: d.options.Process, Counts: counts})
 	if err != nil {
-		return len(counts), err
+		return counts, err
 	}
-	return len(counts), d.putHandover(ctx, content)
+	return counts, d.putHandover(ctx, content)
 }
 
 // undecidedCounts returns the counts of this process in windows that may still be
--- a/duties/handover_test.go
+++ b/duties/handover_test.go
@@ -22,7 +22,8 @@
 	<-p.duties.Done()
 	ctx, cancel := context.WithTimeout(context.Background(), handoverTime)
 	defer cancel()
-	return p.duties.HandOver(ctx)
+	counts, err := p.duties.HandOver(ctx)
+	return len(counts), err
 }
 
 // TestHandedOverCountsAreReported guards against the loss of counts that no other process
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -16,8 +16,8 @@
 	counts, err := e.duties.HandOver(ctx)
 	digests.Wait()
 	if err != nil {
-		e.Log.Error(err, "CountsNotStored", "Counts", counts, "Daemons", daemons)
+		e.Log.Error(err, "CountsNotStored", "Counts", len(counts), "NotStored", counts, "Daemons", daemons)
 		return
 	}
-	e.Log.Info("CountsHandedOver", "Counts", counts, "Daemons", daemons)
+	e.Log.Info("CountsHandedOver", "Counts", len(counts), "Daemons", daemons)
 }
--- a/entry/handover_internal_test.go
+++ b/entry/handover_internal_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 
 	"github.com/cranberrywalk/cranberrywalk/membership"
 	"github.com/cranberrywalk/cranberrywalk/platform"
@@ -34,3 +36,20 @@
 		})
 	}
 }
+
+// TestStopLogsCountsThatItCouldNotStore guards against counts that are lost without a trace
+// when the store is away.
+func TestStopLogsCountsThatItCouldNotStore(t *testing.T) {
+	c := qt.New(t)
+	var lines []string
+	common := telemetry.NewCommon()
+	common.Log = funcr.New(func(_, line string) { lines = append(lines, line) }, funcr.Options{})
+	stopped := New(common, platform.Settings{Name: "entry-1", StoreAddress: "127.0.0.1:1", HasUsageDuty: true})
+	stopped.usage.RecordRequest("library", time.Now())
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	stopped.handOver(ctx)
+	c.Assert(lines, qt.HasLen, 1)
+	c.Check(strings.Contains(lines[0], "CountsNotStored"), qt.IsTrue, qt.Commentf("%s", lines[0]))
+	c.Check(strings.Contains(lines[0], "library"), qt.IsTrue, qt.Commentf("%s", lines[0]))
+}
