--- a/duties/duties.go
+++ b/duties/duties.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"strings"
 	"sync"
 	"time"
@@ -23,15 +22,22 @@
 type Options struct {
 	// Topic is the topic of the store that holds the log of duties.
 	Topic string
+	// CountsTopic is the topic of the store to which processes that stop hand over
+	// their last counts.
+	CountsTopic string
 	// Process identifies this process, that is, this start of the daemon.
 	Process string
 	// Period is the time between two rounds.
 	Period time.Duration
 	// Timeout bounds each call to the store or the platform.
 	Timeout time.Duration
-	// UsageDelay is the delay after the end of a window before its counts are
-	// decided, so that the counts of all daemons have arrived.
+	// UsageDelay is the delay after the end of a window, and after the start of this
+	// process, before the window's counts are decided, so that the counts of all
+	// daemons have arrived.
 	UsageDelay time.Duration
+	// OutstandingDelay is how much longer a window waits for the counts of processes
+	// that were heard in it and not since its end.
+	OutstandingDelay time.Duration
 	// ReportDelay is the time between the decision of a report and its sending, in
 	// which other daemons learn of it. A report that nobody else knows may be lost with
 	// this process and the log, and must then not have been sent.
@@ -74,13 +80,17 @@
 	telemetry.Common
 	Dependencies
 	options Options
-	// started is when the process started, as measured by SyncedClock.
+	// started is when the process started, by its own clock.
 	started time.Time
 	done    chan struct{}
 	// reported holds the windows whose reports the platform has accepted.
 	reported map[int64]bool
 	// lastOrders is when the orders were last evaluated.
 	lastOrders time.Time
+	// handoversEnd is the position up to which the handovers have been read, and
+	// handoversReadFor the last window before whose decision they were.
+	handoversEnd     latest.Position
+	handoversReadFor int64
 	// wasHolding is whether the process held the lease when that was last logged.
 	wasHolding bool
 
@@ -93,7 +103,7 @@
 func New(common telemetry.Common, dependencies Dependencies, options Options) *Duties {
 	return &Duties{
 		Common: common, Dependencies: dependencies, options: options,
-		started: dependencies.SyncedClock.At(common.Clock.Now()), done: make(chan struct{}), reported: make(map[int64]bool),
+		started: common.Clock.Now(), done: make(chan struct{}), reported: make(map[int64]bool),
 		lease: dutylease.NewLeaseState(options.Lease, options.Process, clock.SuspendAwareNow(common.Clock)),
 	}
 }
@@ -136,25 +146,26 @@
 }
 
 // ReportsToShare returns the usage reports that other daemons should know in case the
-// log of duties is lost: those that this process has decided, those of the last windows
-// after the log was restored, or all that are known for a daemon that has just started.
+// log of duties is lost: those that this process has learned of lately while it holds the
+// lease, and all that could be decided anew after the log was restored or for a daemon
+// that has just started.
 func (d *Duties) ReportsToShare(toNew bool) []dutylease.Report {
-	now := d.SyncedClock.At(d.Clock.Now())
+	first := d.firstReportable()
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	switch {
-	case toNew:
-		return d.lease.RecentReports(d.Usage.Window(now.Add(-d.options.UsageMaxAge)))
-	case d.lease.IsHolder(), d.lease.EpochAge(d.now()) < sharingAfterRestore:
-		return d.lease.RecentReports(d.Usage.Window(now) - sharedReportWindows)
+	case toNew, d.lease.EpochAge(d.now()) < sharingAfterRestore:
+		return d.lease.RecentReports(first)
+	case d.lease.IsHolder():
+		return d.lease.ReportsLearnedSince(d.now().Add(-sharedReportAge), first)
 	}
 	return nil
 }
 
 const (
-	// sharedReportWindows is the number of ended windows whose reports are shared. A
-	// window is decided shortly after its end.
-	sharedReportWindows = 2
+	// sharedReportAge is how long the holder of the lease shares a report. A window may
+	// be decided long after its end, so this counts from the decision.
+	sharedReportAge = 10 * time.Second
 	// sharingAfterRestore is how long every daemon shares reports after the log was
 	// restored. The next holder of the lease hears them before it may acquire it.
 	sharingAfterRestore = 5 * time.Second
@@ -230,106 +241,6 @@
 	}
 }
 
-// read applies the new entries of the log. It reports whether it has reached the end.
-func (d *Duties) read(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, d.options.Timeout)
-	defer cancel()
-	from := d.End()
-	entries, err := d.Store.Read(ctx, d.options.Topic, from.Offset, 0)
-	var gap *store.GapError
-	if errors.As(err, &gap) {
-		d.skipGap(from, gap.First)
-		return false
-	}
-	if err != nil {
-		d.Count("Duties.ReadsFailed", 1)
-		return false
-	}
-	if entries.Epoch < from.Epoch {
-		d.Count("Duties.ReadsFailed", 1)
-		d.Log.Error(&store.StaleEpochError{Epoch: entries.Epoch, Known: from.Epoch}, "DutyEntriesStale")
-		return false
-	}
-	if entries.Epoch > from.Epoch {
-		d.enterEpoch(entries.Epoch)
-		if from.Offset > 0 {
-			// The entries before this offset are not those that were read.
-			return d.read(ctx)
-		}
-	}
-	for i, entry := range entries.Records {
-		d.apply(from.Offset+uint64(i), entry)
-	}
-	return true
-}
-
-// skipGap continues at the first entry that the log still holds.
-func (d *Duties) skipGap(from, first latest.Position) {
-	if first.Epoch > from.Epoch {
-		d.enterEpoch(first.Epoch)
-	}
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	d.lease.Restart(first, d.now())
-	d.Log.Info("DutyEntriesGone", "From", from, "First", first)
-}
-
-// enterEpoch starts over with a log that was restored from an older copy.
-func (d *Duties) enterEpoch(epoch uint64) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	d.Log.Info("DutyLogRestored", "Epoch", epoch, "End", d.lease.End())
-	d.lease.EnterEpoch(epoch, d.now())
-}
-
-func (d *Duties) apply(offset uint64, entry []byte) {
-	record, err := dutylease.DecodeRecord(offset, entry)
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if err != nil {
-		d.Log.Error(err, "DutyEntryUnreadable")
-		d.lease.Skip(d.now())
-		return
-	}
-	d.lease.Apply(record, d.now())
-	if d.isEarlierIncarnation(d.lease.Holder()) {
-		d.lease.ProcessEnded(d.lease.Holder())
-	}
-}
-
-// isEarlierIncarnation reports whether a process is an earlier start of this daemon.
-func (d *Duties) isEarlierIncarnation(process string) bool {
-	daemon, _, _ := strings.Cut(d.options.Process, "/")
-	return process != d.options.Process && strings.HasPrefix(process, daemon+"/")
-}
-
-// append adds a record at the end of the log as read so far. It reports whether the
-// record is known to have taken effect.
-func (d *Duties) append(ctx context.Context, record dutylease.Record) bool {
-	end := d.End()
-	record.Epoch = end.Epoch
-	content, err := record.Encode()
-	if err != nil {
-		d.Log.Error(err, "DutyRecordNotEncoded")
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, d.options.Timeout)
-	defer cancel()
-	began := d.now()
-	epoch, err := d.Store.Append(ctx, d.options.Topic, end.Offset, content)
-	if err == nil && epoch == end.Epoch {
-		d.mutex.Lock()
-		d.lease.Appended(record, began, d.now())
-		d.mutex.Unlock()
-		return true
-	}
-	d.Count("Duties.AppendsFailed", 1)
-	// Either the record took effect and the response was lost, or another
-	// process appended first, or the log was restored. Reading the log shows which.
-	d.read(ctx)
-	return false
-}
-
 // release releases the lease, so that another daemon need not wait for its expiry.
 func (d *Duties) release() {
 	d.mutex.Lock()
--- a/duties/duties_test.go
+++ b/duties/duties_test.go
@@ -24,6 +24,8 @@
 const (
 	window = 300 * time.Millisecond
 	lease  = 600 * time.Millisecond
+	// outstandingDelay is how much longer a window waits for outstanding counts.
+	outstandingDelay = time.Second
 )
 
 // idleScaler never has an order due.
@@ -60,6 +62,10 @@
 func (r *fixture) start(name string) *process { return r.startWith(name, 40*time.Millisecond) }
 
 func (r *fixture) startWith(name string, reportDelay time.Duration) *process {
+	return r.startWithDelays(name, reportDelay, 50*time.Millisecond)
+}
+
+func (r *fixture) startWithDelays(name string, reportDelay, usageDelay time.Duration) *process {
 	address, err := r.store.Listen(name)
 	r.c.Assert(err, qt.IsNil)
 	common := telemetry.NewCommon()
@@ -71,8 +77,9 @@
 		Platform:    platform.NewCloudAPI(r.cloud.Address(), name, &http.Client{}),
 		SyncedClock: clocksync.New(time.Minute, common.Clock.Now()),
 	}, duties.Options{
-		Topic: "duties", Process: name + "/1", Period: 20 * time.Millisecond, Timeout: 200 * time.Millisecond,
-		UsageDelay: 50 * time.Millisecond, ReportDelay: reportDelay, UsageMaxAge: 5 * time.Second, OrderPeriod: time.Second,
+		Topic: "duties", CountsTopic: "counts", Process: name + "/1", Period: 20 * time.Millisecond, Timeout: 200 * time.Millisecond,
+		UsageDelay: usageDelay, OutstandingDelay: outstandingDelay, ReportDelay: reportDelay,
+		UsageMaxAge: 5 * time.Second, OrderPeriod: time.Second,
 		ReportsUsage: true, Lease: dutylease.DefaultOptions(lease),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/entry/run.go
+++ b/entry/run.go
@@ -151,7 +151,7 @@
 	_ = e.metricsServer.Close()
 	leaveCtx, cancelLeave := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancelLeave()
-	e.group.SendFinalDigest(leaveCtx)
+	e.handOver(leaveCtx)
 }
 
 // drainTime returns how long after the start of a stop requests may take to end.
@@ -163,8 +163,7 @@
 	return grace - grace/stopMarginDivisor
 }
 
-// leaveTimeout bounds the final digest to other daemons, which carries the last
-// counts.
+// leaveTimeout bounds the handover of the last counts.
 const leaveTimeout = 300 * time.Millisecond
 
 // readinessLag is how long the platform continues to route callers to a daemon that
