Tell other daemons of runners that have said that they leave

Callers saw: while the store can't be read, a daemon that had no answer from a leaving runner since went on to choose it, and left streams there until the runner ended. Cause: each daemon learned of the leaving from its own answers only. Change: a daemon's report names the incarnations that have said so while their records do not; the list is empty otherwise. A daemon that gets the report treats it like an answer of its own: the runner is not chosen any more and its streams move, once for each incarnation.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -53,7 +53,7 @@
 	for _, entry := range runners {
 		r := b.runners[entry.ID]
 		if r == nil || !r.entry.SameIncarnation(entry) {
-			r = newRunner(entry, b.signalsOf(entry))
+			r = newRunner(entry, b.signalsOf(entry.Incarnation()))
 		}
 		r.entry = entry
 		r.cache.resize(int(float64(cacheTokens(entry.Service)) * b.options.CacheFraction))
@@ -63,11 +63,19 @@
 	b.ordered = slices.SortedFunc(maps.Values(next), func(x, y *runner) int { return cmp.Compare(x.entry.ID, y.entry.ID) })
 }
 
-// SetPeer replaces the report of a peer.
-func (b *Balancer) SetPeer(peer string, report Report, now time.Time) {
+// SetPeer replaces the report of a peer. It returns the runners of which it is news that
+// they are leaving.
+func (b *Balancer) SetPeer(peer string, report Report, now time.Time) []string {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.peers.set(peer, report, now)
+	var leaving []string
+	for _, incarnation := range report.Leaving {
+		if b.markLeaving(incarnation) {
+			leaving = append(leaving, incarnation.ID)
+		}
+	}
+	return leaving
 }
 
 // Report returns this daemon's report for its peers.
@@ -79,6 +87,9 @@
 		if r.running > 0 {
 			report.Loads = append(report.Loads, Load{Runner: r.entry.ID, Running: r.running, PrefillTokens: r.prefillTokens})
 		}
+		if r.signals.isLeaving && r.entry.State == inventory.Ready {
+			report.Leaving = append(report.Leaving, r.entry.Incarnation())
+		}
 	}
 	for _, service := range slices.Sorted(maps.Keys(b.starts)) {
 		report.Starts = append(report.Starts, ServiceStarts{Service: service, Count: b.starts[service]})
@@ -93,7 +104,7 @@
 func (b *Balancer) Acquire(entry inventory.Runner, now time.Time) (*Ticket, error) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	s := b.signalsOf(entry)
+	s := b.signalsOf(entry.Incarnation())
 	if left := s.pauseLeft(now); left > 0 {
 		return nil, &PausedError{Runner: entry.ID, Left: left}
 	}
--- a/balance/health.go
+++ b/balance/health.go
@@ -14,7 +14,7 @@
 	// RunnerReplaced means that another runner answers at the address.
 	RunnerReplaced HealthChangeKind = "RunnerReplaced"
 	// RunnerSaidLeaving means that a runner whose record says otherwise has said in an
-	// answer that it is leaving.
+	// answer, to this daemon or another one, that it is leaving.
 	RunnerSaidLeaving HealthChangeKind = "RunnerSaidLeaving"
 	// RunnerPaused means that a runner has turned a request away and wants no others
 	// for a time.
--- a/balance/peerload.go
+++ b/balance/peerload.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/inventory"
+)
 
 // ServiceStarts is the number of requests of a service that one daemon has sent to
 // runners since it started.
@@ -9,10 +13,14 @@
 	Count   uint64
 }
 
-// Report is what one daemon tells the others about its requests.
+// Report is what one daemon tells the others about its requests and the runners. Its
+// fields are part of the wire format of digests.
 type Report struct {
 	Loads  []Load
 	Starts []ServiceStarts
+	// Leaving holds the incarnations that have said in answers that they are leaving,
+	// while their records do not.
+	Leaving []inventory.Incarnation
 }
 
 // peerReports holds the last report of each other daemon. The loads are summed for each
--- a/balance/signals.go
+++ b/balance/signals.go
@@ -9,7 +9,7 @@
 	"github.com/cranberrywalk/cranberrywalk/inventory"
 )
 
-// signals is what one incarnation of a runner has said of itself in its answers. It is
+// signals is what one incarnation of a runner has said of itself in answers. It is
 // newer than the runner's record, which may be read late or from an older copy.
 type signals struct {
 	// isLeaving is never reset: a runner that leaves does not come back as the same
@@ -33,30 +33,35 @@
 }
 
 // signalsOf returns the signals of an incarnation. The mutex must be held.
-func (b *Balancer) signalsOf(entry inventory.Runner) *signals {
-	if r := b.runners[entry.ID]; r != nil && r.entry.SameIncarnation(entry) {
+func (b *Balancer) signalsOf(incarnation inventory.Incarnation) *signals {
+	if r := b.runners[incarnation.ID]; r != nil && r.entry.Incarnation() == incarnation {
 		return r.signals
 	}
-	if s, found := b.signals.Get(entry.Incarnation()); found {
+	if s, found := b.signals.Get(incarnation); found {
 		return s
 	}
 	s := &signals{}
-	b.signals.Add(entry.Incarnation(), s)
+	b.signals.Add(incarnation, s)
 	return s
 }
 
 // MarkLeaving records that a runner has said in an answer that it is leaving. This
 // incarnation is not chosen again, whatever its record says. MarkLeaving reports whether
-// that is news: the runner has not said so before and its record does not.
+// that is news: it was not known before and the record does not say so.
 func (b *Balancer) MarkLeaving(entry inventory.Runner) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	s := b.signalsOf(entry)
+	return b.markLeaving(entry.Incarnation())
+}
+
+// markLeaving implements MarkLeaving. The mutex must be held.
+func (b *Balancer) markLeaving(incarnation inventory.Incarnation) bool {
+	s := b.signalsOf(incarnation)
 	if s.isLeaving {
 		return false
 	}
 	s.isLeaving = true
-	r := b.runners[entry.ID]
+	r := b.runners[incarnation.ID]
 	if r == nil || r.signals != s || r.entry.State == inventory.Leaving {
 		return false
 	}
@@ -80,7 +85,7 @@
 func (b *Balancer) Pause(entry inventory.Runner, wanted time.Duration, now time.Time) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	s := b.signalsOf(entry)
+	s := b.signalsOf(entry.Incarnation())
 	wasPaused := s.pauseLeft(now) > 0
 	if end := now.Add(wanted); end.After(s.pausedUntil) {
 		s.pausedUntil = end
--- a/balance/signals_test.go
+++ b/balance/signals_test.go
@@ -152,3 +152,33 @@
 	ticket.End(balance.Succeeded, start)
 	p.c.Check(p.balancer.Report().Loads, qt.HasLen, 0)
 }
+
+// TestLeavingIsToldToPeers guards against daemons that go on to use a leaving runner until
+// it has said so to each of them.
+func TestLeavingIsToldToPeers(t *testing.T) {
+	p, peer := newPair(t), newPair(t)
+	p.balancer.MarkLeaving(p.first)
+	report := p.balancer.Report()
+	p.c.Check(peer.balancer.SetPeer("entry-1", report, start), qt.DeepEquals, []string{"i-1"})
+	peer.checkChoice(start, "i-2")
+	p.c.Check(peer.balancer.SetPeer("entry-1", report, start), qt.HasLen, 0, qt.Commentf("it is news once"))
+	p.c.Check(peer.changes, qt.HasLen, 1)
+
+	restarted := p.first
+	restarted.StartedAt = start.Add(time.Second)
+	peer.list(restarted, p.second)
+	peer.balancer.SetPeer("entry-1", report, start)
+	peer.checkChoice(start, "i-1")
+}
+
+// TestLeavingInRecordIsNotToldToPeers guards against reports that grow with what the
+// records say already.
+func TestLeavingInRecordIsNotToldToPeers(t *testing.T) {
+	p := newPair(t)
+	p.balancer.MarkLeaving(p.first)
+	p.c.Check(p.balancer.Report().Leaving, qt.HasLen, 1)
+	leaving := p.first
+	leaving.State = inventory.Leaving
+	p.list(leaving, p.second)
+	p.c.Check(p.balancer.Report().Leaving, qt.HasLen, 0)
+}
--- a/entry/peerhandler.go
+++ b/entry/peerhandler.go
@@ -52,7 +52,9 @@
 	now := h.Clock.Now()
 	sender := digest.Sender
 	h.syncedClock.AddSample(sender.Name, time.UnixMicro(digest.TimeOfDay).Add(delay), now)
-	h.balancer.SetPeer(sender.Name, digest.Load, now.Add(-delay))
+	for _, runner := range h.balancer.SetPeer(sender.Name, digest.Load, now.Add(-delay)) {
+		h.gateway.MoveStreams(runner)
+	}
 	h.quotas.Merge(sender.Name, sender.Incarnation, digest.Usage, now.Add(-delay))
 	h.applyCounts(digest, now.Add(-delay))
 	h.suspects.Merge(digest.Crashes, now)
--- a/membership/encoding_test.go
+++ b/membership/encoding_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/cranberrywalk/cranberrywalk/balance"
+	"github.com/cranberrywalk/cranberrywalk/inventory"
 	"github.com/cranberrywalk/cranberrywalk/latest"
 	"github.com/cranberrywalk/cranberrywalk/quota"
 	"github.com/cranberrywalk/cranberrywalk/suspect"
@@ -32,6 +33,7 @@
 	for i := range 20 {
 		digest.Load.Loads = append(digest.Load.Loads, balance.Load{Runner: fmt.Sprintf("i-72a25050%02x", i), Running: 4, PrefillTokens: 5320})
 	}
+	digest.Load.Leaving = []inventory.Incarnation{{ID: "i-72a2505001", StartedAt: 1774131277648, Address: "10.1.0.15:9000", Service: "desk"}}
 	content, err := encoding{}.Marshal(&digest)
 	c.Assert(err, qt.IsNil)
 	c.Check(len(content) <= maxDigestBytes, qt.IsTrue, qt.Commentf("%d bytes", len(content)))
@@ -39,6 +41,7 @@
 	c.Assert(encoding{}.Unmarshal(content, &got), qt.IsNil)
 	got.Crashes[0].Expires = got.Crashes[0].Expires.Round(0)
 	c.Check(got.Load.Loads, qt.DeepEquals, digest.Load.Loads)
+	c.Check(got.Load.Leaving, qt.DeepEquals, digest.Load.Leaving)
 	c.Check(got.Ends, qt.DeepEquals, digest.Ends)
 	c.Check(got.Usage, qt.DeepEquals, digest.Usage)
 	c.Check(got.Counts, qt.DeepEquals, digest.Counts)
