Reserve the addresses of tests across processes

Cause: FreeAddress returns a port that nobody listens on at that moment. The stride that keeps processes apart is 37 ports, and a process of e2e uses hundreds, so another test process could return the same port before the first one's daemon listened there. Change: a process holds a listener on a second loopback address for each port that it has returned.

--- a/fleet/address.go
+++ b/fleet/address.go
@@ -4,6 +4,7 @@
 	"net"
 	"os"
 	"strconv"
+	"sync"
 	"sync/atomic"
 )
 
@@ -18,16 +19,30 @@
 	portStride = 37
 )
 
-// triedPorts counts the ports that this process has tried.
-var triedPorts atomic.Int64
+// reservationHost is a second loopback address. A process listens there on each port that
+// it has returned, so that no other process returns it before the first one uses it.
+const reservationHost = "127.0.0.2"
 
-// FreeAddress returns a loopback address that no process listens on. Within one
-// process, it returns each address only once.
+var (
+	// triedPorts counts the ports that this process has tried.
+	triedPorts atomic.Int64
+
+	reservationMutex sync.Mutex
+	// reservations is guarded by reservationMutex. It keeps the listeners open until
+	// the process ends.
+	reservations []net.Listener
+)
+
+// FreeAddress returns a loopback address that no process listens on. No process that
+// runs at the same time gets the same one.
 func FreeAddress() (string, error) {
 	for range lastPort - firstPort {
 		offset := int64(os.Getpid())*portStride + triedPorts.Add(1)
-		port := firstPort + int(offset%(lastPort-firstPort))
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		port := strconv.Itoa(firstPort + int(offset%(lastPort-firstPort)))
+		if !reserve(port) {
+			continue
+		}
+		address := net.JoinHostPort("127.0.0.1", port)
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
@@ -36,3 +51,15 @@
 	}
 	return "", &NoAddressError{}
 }
+
+// reserve reports whether this process now holds the reservation of the port.
+func reserve(port string) bool {
+	listener, err := net.Listen("tcp", net.JoinHostPort(reservationHost, port))
+	if err != nil {
+		return false
+	}
+	reservationMutex.Lock()
+	defer reservationMutex.Unlock()
+	reservations = append(reservations, listener)
+	return true
+}
