Handle the hangup signal from the start of the process

What callers would see: a daemon that gets SIGHUP before it has read its settings, and a daemon of the own interface at any time, ends at once and cuts its requests. Cause: the signal was only caught by the task that watches the platform's settings file. Evidence: the scenario 'daemon is hung up in mid-stream' fails without this change: the daemon ends by the signal. The window at the start of a daemon on the platform has no test of its own; it is closed by the same lines. Change: serve catches the signal together with SIGTERM, before anything else.

--- a/app/serve.go
+++ b/app/serve.go
@@ -24,8 +24,13 @@
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
+			// From here on, a hangup does not end the process. Without the platform's
+			// settings file there is nothing to read again.
+			hangups := make(chan os.Signal, 1)
+			signal.Notify(hangups, syscall.SIGHUP)
+			defer signal.Stop(hangups)
 			if path := os.Getenv(platform.SettingsPathVariable); file == "" && path != "" {
-				return serveOnPlatform(ctx, path, cmd.OutOrStdout())
+				return serveOnPlatform(ctx, path, hangups, cmd.OutOrStdout())
 			}
 			if file == "" {
 				return &InputError{Cause: &MissingSettingsError{Variable: platform.SettingsPathVariable}}
--- a/app/serveplatform.go
+++ b/app/serveplatform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"os"
 
 	"github.com/go-logr/logr"
 	"k8s.io/klog/v2"
@@ -15,7 +16,7 @@
 
 // serveOnPlatform runs the daemon with the platform's settings file. The log sink is
 // stopped last, so that it writes all log lines of the daemon.
-func serveOnPlatform(ctx context.Context, path string, output io.Writer) error {
+func serveOnPlatform(ctx context.Context, path string, hangups <-chan os.Signal, output io.Writer) error {
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		return &InputError{Cause: err}
@@ -27,7 +28,7 @@
 	sinkCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	go sink.Run(sinkCtx)
 	daemon := entry.New(common, settings)
-	go watchSettings(sinkCtx, common, path, daemon.Reload)
+	go watchSettings(sinkCtx, common, path, hangups, daemon.Reload)
 	err = daemon.Run(ctx)
 	stop()
 	<-sink.Done()
--- a/app/watch.go
+++ b/app/watch.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/platform"
@@ -17,12 +15,9 @@
 const settingsPollInterval = 5 * time.Second
 
 // watchSettings calls reload with the new settings whenever the file has changed,
-// until ctx is done. It checks the file periodically and on SIGHUP. An unreadable or
-// invalid file is ignored.
-func watchSettings(ctx context.Context, common telemetry.Common, path string, reload func(platform.Settings)) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+// until ctx is done. It checks the file periodically and on each hangup signal. An
+// unreadable or invalid file is ignored.
+func watchSettings(ctx context.Context, common telemetry.Common, path string, hangups <-chan os.Signal, reload func(platform.Settings)) {
 	last, err := os.ReadFile(path)
 	if err != nil {
 		common.Log.Error(err, "Reading the settings file failed; it is read again at the next check")
@@ -33,7 +28,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-signals:
+		case <-hangups:
 		case <-ticker.Chan():
 		}
 		content, err := os.ReadFile(path)
--- a/e2e/daemon_test.go
+++ b/e2e/daemon_test.go
@@ -41,6 +41,17 @@
 	d.Assert(d.Runs("service-b-1", "stop"), qt.Equals, 1)
 }
 
+// daemonHungUpStreaming guards against a signal that ends a daemon without a stop.
+func daemonHungUpStreaming(d *e2e.Driver) {
+	startPair(d)
+	question := "Who can teach physics in Darkhan?"
+	call := d.Chat("entry-a-1", question, tokens).AwaitEvents(5)
+
+	d.HangUp("entry-a-1")
+
+	call.AssertComplete(question, tokens)
+}
+
 func daemonKilledStreaming(d *e2e.Driver) {
 	startPair(d)
 	question := "Who can teach music in Erdenet?"
--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -29,6 +29,7 @@
 	{"request crashes its runners", requestCrashesRunners},
 	{"daemon stops in mid-stream", daemonStopsStreaming},
 	{"daemon stops while it holds a claim", daemonStopsClaiming},
+	{"daemon is hung up in mid-stream", daemonHungUpStreaming},
 	{"daemon is killed in mid-stream", daemonKilledStreaming},
 	{"daemon is killed while it holds a claim", daemonKilledClaiming},
 	{"daemon is paused while it holds a claim", daemonPausedClaiming},
--- a/e2e/process.go
+++ b/e2e/process.go
@@ -24,6 +24,9 @@
 // RequestStop starts the planned stop of a process.
 func (d *Driver) RequestStop(name string) *Driver { return d.signal(name, syscall.SIGTERM) }
 
+// HangUp sends a process the signal that its settings file has changed.
+func (d *Driver) HangUp(name string) *Driver { return d.signal(name, syscall.SIGHUP) }
+
 func (d *Driver) signal(name string, signal syscall.Signal) *Driver {
 	d.Helper()
 	d.Assert(d.Fleet.Process(name).Signal(signal), qt.IsNil)
