Test that timeouts of connections spare requests

On both scenarios fail: 'unexpected EOF' for a request that was read, 'connection reset by peer' for one that waits in the kernel.

--- a/callerserver/stop_test.go
+++ b/callerserver/stop_test.go
@@ -156,3 +156,25 @@
 	r.c.Assert(r.awaitDrained(drained), qt.ErrorAs, &cut)
 	r.c.Check(cut.Open, qt.Equals, 1)
 }
+
+// TestIdleTimeoutSparesARequest guards against an idle timeout that closes a connection
+// while the process reads the next request, or while the request waits in the kernel.
+func TestIdleTimeoutSparesARequest(t *testing.T) {
+	for name, hold := range map[string]func(*stopRig, *gate){
+		"that was read":         func(r *stopRig, held *gate) { r.accepted.afterRead.hold(secondRead, held) },
+		"that waits to be read": func(r *stopRig, held *gate) { r.accepted.beforeRead.hold(readOfNextRequest, held) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newStopRig(t, answer)
+			held := newGate()
+			hold(r, held)
+			r.exchange()
+			r.send()
+			<-held.reached
+			r.clock.Advance(2 * idleTimeout)
+			settle()
+			close(held.open)
+			r.c.Check(readAnswer(r.c, r.reader).status, qt.Equals, http.StatusOK)
+		})
+	}
+}
