--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -34,8 +34,8 @@
 			fmt.Fprintln(os.Stderr, "error:", err)
 			return 2
 		}
-		fmt.Printf("seed %d: %d faults, replies by status %v, %d violations\n",
-			report.Seed, len(report.Faults), report.Requests, len(report.Violations))
+		fmt.Printf("seed %d: %d faults, replies by status %v, requests by ending %v, %d violations\n",
+			report.Seed, len(report.Faults), report.Requests, report.Endings, len(report.Violations))
 		if len(report.Violations) == 0 {
 			continue
 		}
