--- a/Makefile
+++ b/Makefile
@@ -49,9 +49,10 @@
 soak:
 	go test ./claim ./dutylease ./grant ./latest ./lease ./peer/gossip ./plan ./request ./roster ./timeline -rapid.checks=$(CHECKS) -rapid.seed=$(SEED) -timeout 60m
 
-# Injects random faults into processes of the daemon, with fresh seeds.
+# Injects random faults into processes of the daemon, with fresh seeds: planned work
+# only, then all kinds of faults.
 faultsoak: build
-	./$(BIN)/soak -seeds $(SEEDS)
+	./$(BIN)/soak -seeds $(SEEDS) -planned; status=$$?; ./$(BIN)/soak -seeds $(SEEDS) && exit $$status
 
 # Prints how the cost of control grows, from processes on loopback.
 capacity: build
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -13,39 +13,65 @@
 	"github.com/cranberrywalk/cranberrywalk/platform/soak"
 )
 
+// run is what the flags ask for.
+type run struct {
+	seeds int
+	dir   string
+	// options are those of the first seed.
+	options soak.Options
+}
+
 func main() {
-	seed := flag.Uint64("seed", uint64(time.Now().UnixNano()), "first seed")
-	seeds := flag.Int("seeds", 1, "number of seeds, one after the other")
-	program := flag.String("program", "bin/cranberrywalk", "the built daemon")
-	dir := flag.String("dir", os.TempDir(), "folder for settings and logs")
-	faulty := flag.Duration("faulty", 20*time.Second, "how long faults come in a run")
+	os.Exit(parseFlags().playAll())
+}
+
+func parseFlags() run {
+	r := run{options: soak.DefaultOptions(0)}
+	o := &r.options
+	flag.Uint64Var(&o.Seed, "seed", uint64(time.Now().UnixNano()), "first seed")
+	flag.IntVar(&r.seeds, "seeds", 1, "number of seeds, one after the other")
+	flag.StringVar(&o.Program, "program", "bin/cranberrywalk", "the built daemon")
+	flag.StringVar(&r.dir, "dir", os.TempDir(), "folder for settings and logs")
+	flag.DurationVar(&o.FaultPeriod, "faulty", o.FaultPeriod, "how long faults come in a run")
+	flag.BoolVar(&o.PlannedOnly, "planned", false, "planned work only: stops, reloads and configurations")
+	flag.IntVar(&o.Daemons, "daemons", o.Daemons, "number of daemons")
+	flag.IntVar(&o.Runners, "runners", o.Runners, "number of runners")
+	flag.IntVar(&o.CallersPerDaemon, "callers", o.CallersPerDaemon, "number of callers of each daemon")
 	flag.Parse()
-	os.Exit(runAll(*seed, *seeds, *program, *dir, *faulty))
+	return r
 }
 
-func runAll(first uint64, seeds int, program, dir string, faultPeriod time.Duration) int {
+// playAll plays all seeds and returns the exit status.
+func (r run) playAll() int {
 	code := 0
-	for i := range seeds {
-		options := soak.DefaultOptions(first + uint64(i))
-		options.Program, options.FaultPeriod = program, faultPeriod
-		options.Dir = filepath.Join(dir, fmt.Sprintf("soak-%d", options.Seed))
+	for i := range r.seeds {
+		options := r.options
+		options.Seed += uint64(i)
+		options.Dir = filepath.Join(r.dir, fmt.Sprintf("soak-%d", options.Seed))
 		report, err := soak.Run(options)
 		if err != nil {
 			fmt.Fprintln(os.Stderr, "error:", err)
 			return 2
 		}
-		fmt.Printf("seed %d: %d faults, replies by status %v, requests by ending %v, %d violations\n",
-			report.Seed, len(report.Faults), report.Requests, report.Endings, len(report.Violations))
-		if len(report.Violations) == 0 {
-			continue
-		}
-		code = 1
-		for _, fault := range report.Faults {
-			fmt.Println("  ", fault)
-		}
-		for _, violation := range report.Violations {
-			fmt.Println("  VIOLATION", violation)
+		printReport(report)
+		if len(report.Violations) > 0 {
+			code = 1
 		}
 	}
 	return code
 }
+
+// printReport prints a line, and the faults and violations if there are violations.
+func printReport(report soak.Report) {
+	fmt.Printf("seed %d: %d faults, replies by status %v, requests by ending %v, %d violations\n",
+		report.Seed, len(report.Faults), report.Requests, report.Endings, len(report.Violations))
+	if len(report.Violations) == 0 {
+		return
+	}
+	for _, fault := range report.Faults {
+		fmt.Println("  ", fault)
+	}
+	for _, violation := range report.Violations {
+		fmt.Println("  VIOLATION", violation)
+	}
+}
