Send collected state to a new daemon from four daemons, not from all

Cause: during the first two seconds of a daemon, every reply to it held all that its sender had collected from all others, counts by process, window and customer above all: tens of replies of that size, more than once, on a link of 10 Mbit/s. The size of the replies is by calculation, not measured. Change: a new daemon asks for the state in its calls, until four daemons that are not new themselves have sent it. The field IsNew of digests goes, Message has WantsState and IsNew: as with the other fields added to digests, builds before and after can't read each other's.

--- a/membership/digest.go
+++ b/membership/digest.go
@@ -53,8 +53,6 @@
 	// ConfigurationVersion is the version of the configuration in force at the
 	// sender, or zero.
 	ConfigurationVersion uint64
-	// IsNew is true during the startup period of the sender.
-	IsNew bool
 	// CountsAreFinal is true when the sender starts no more requests, so that Counts
 	// are its last.
 	CountsAreFinal bool
@@ -92,7 +90,8 @@
 // Handler provides the state of this daemon and applies that of others.
 type Handler interface {
 	// Digest returns the daemon's current state. toNew is true when the receiver
-	// has just started. The caller fills in Sender, TimeOfDay, Members and IsNew.
+	// has just started and asks for collected state. The caller fills in Sender,
+	// TimeOfDay and Members.
 	Digest(toNew bool) Digest
 	// ApplyDigest applies the digest of another daemon. delay is an estimate of the
 	// digest's age.
--- a/membership/encoding_test.go
+++ b/membership/encoding_test.go
@@ -28,7 +28,7 @@
 		Usage:     []quota.Usage{{Customer: "gohu412", Units: 1234567.0}, {Customer: "bazi853", Units: 765}},
 		Counts:    []usage.Count{{Window: 355268094, Customer: "gohu412", Requests: 41}},
 		Crashes:   []suspect.Entry{{Fingerprint: 1 << 63, Crashes: []uint64{1, 2}, Expires: time.Unix(1774131277, 0)}},
-		IsNew:     true,
+		Stopping:  true,
 	}
 	for i := range 20 {
 		digest.Load.Loads = append(digest.Load.Loads, balance.Load{Runner: fmt.Sprintf("i-72a25050%02x", i), Running: 4, PrefillTokens: 5320})
@@ -47,5 +47,5 @@
 	c.Check(got.Counts, qt.DeepEquals, digest.Counts)
 	c.Check(got.Crashes[0].Expires.Equal(digest.Crashes[0].Expires), qt.IsTrue)
 	c.Check(got.Sender, qt.Equals, digest.Sender)
-	c.Check(got.IsNew, qt.IsTrue)
+	c.Check(got.Stopping, qt.IsTrue)
 }
--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -25,7 +25,7 @@
 // callSeeds calls the seeds from which no digest has arrived yet, throughout the
 // startup period: all daemons may start at once, in any order.
 func (g *Group) callSeeds(ctx context.Context, calls *sync.WaitGroup) {
-	for g.common.Clock.Since(g.startedAt) < g.options.StartupPeriod {
+	for g.isNew() {
 		for _, seed := range g.uncontactedSeeds() {
 			calls.Go(func() { g.callAddress(ctx, Member{Address: seed}, nil) })
 		}
@@ -122,16 +122,47 @@
 		g.common.Log.Error(err, "DigestNotEncoded")
 		return false
 	}
+	message.WantsState = g.beginStateRequest()
 	began := g.common.Clock.Now()
 	var reply Message
 	if err := g.client.call(ctx, to.Address, callExchange, &message, &reply); err != nil {
 		g.common.Count("Membership.CallsFailed", 1)
+		g.withdrawStateRequest(message.WantsState)
 		return false
 	}
+	if reply.IsNew {
+		g.withdrawStateRequest(message.WantsState)
+	}
 	g.receive(reply, g.common.Clock.Since(began)/2)
 	return true
 }
 
+// isNew reports whether this daemon has just started.
+func (g *Group) isNew() bool { return g.common.Clock.Since(g.startedAt) < g.options.StartupPeriod }
+
+// beginStateRequest reports whether the next call asks for collected state: this daemon
+// has just started, and not enough others have sent theirs.
+func (g *Group) beginStateRequest() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if !g.isNew() || g.stateReplies >= g.options.MaxStateReplies {
+		return false
+	}
+	g.stateReplies++
+	return true
+}
+
+// withdrawStateRequest takes back the request of a call that has failed, or whose receiver
+// is new too.
+func (g *Group) withdrawStateRequest(wasRequested bool) {
+	if !wasRequested {
+		return
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.stateReplies--
+}
+
 // buildMessage returns the message for a daemon that already has the digests in
 // held. No digests are relayed to a daemon whose name is not known.
 func (g *Group) buildMessage(to Member, held []DigestID, toNew bool) (Message, error) {
@@ -143,18 +174,18 @@
 	defer g.mutex.Unlock()
 	now := g.common.Clock.Now()
 	topo := g.currentTopology(now)
-	return Message{Own: own, Relayed: g.digestsToRelay(topo, to, held, now), HeldDigests: g.heldDigests(topo, to)}, nil
+	return Message{Own: own, Relayed: g.digestsToRelay(topo, to, held, now), HeldDigests: g.heldDigests(topo, to), IsNew: g.isNew()}, nil
 }
 
 // buildReply returns the reply to a message that has just been received.
 func (g *Group) buildReply(request Message) (Message, error) {
 	g.mutex.Lock()
-	to, isNew := Member{}, false
+	to := Member{}
 	if p := g.peers[request.Own.ID.Daemon]; p != nil {
-		to, isNew = p.member, p.isNew
+		to = p.member
 	}
 	g.mutex.Unlock()
-	return g.buildMessage(to, request.HeldDigests, isNew)
+	return g.buildMessage(to, request.HeldDigests, request.WantsState)
 }
 
 func (g *Group) ownEnvelope(toNew bool) (Envelope, error) {
@@ -170,7 +201,6 @@
 		digest.Members = g.members()
 	}
 	digest.Sender = g.options.Self
-	digest.IsNew = g.common.Clock.Since(g.startedAt) < g.options.StartupPeriod
 	digest.TimeOfDay = g.common.Clock.Now().UnixMicro()
 	return digest
 }
--- a/membership/group.go
+++ b/membership/group.go
@@ -41,9 +41,11 @@
 	// DownRetryPeriod is the time between two calls of a daemon that is down.
 	DownRetryPeriod time.Duration
 	// StartupPeriod is how long after its start a daemon counts as new: it calls
-	// the seeds, and other daemons include the state that they have collected in
-	// their replies to it.
+	// the seeds, and asks other daemons for the state that they have collected.
 	StartupPeriod time.Duration
+	// MaxStateReplies is the number of daemons that send their collected state to a new
+	// daemon. Each holds nearly the same, and its size grows with their number.
+	MaxStateReplies int
 }
 
 // DefaultOptions returns the defaults of a daemon.
@@ -53,6 +55,7 @@
 		Period: 400 * time.Millisecond, PeriodPerDaemon: 12500 * time.Microsecond, RelayPeriod: 200 * time.Millisecond,
 		Timeout: 600 * time.Millisecond, DialTimeout: 300 * time.Millisecond,
 		DownAfter: 1500 * time.Millisecond, UnreachableAfter: time.Second, DownRetryPeriod: time.Second, StartupPeriod: 2 * time.Second,
+		MaxStateReplies: 4,
 	}
 }
 
@@ -74,6 +77,9 @@
 	mutex sync.Mutex
 	// peers holds the other daemons by name; guarded by mutex.
 	peers map[string]*peer
+	// stateReplies counts the daemons that have sent their collected state, and those
+	// that are being asked for it; guarded by mutex.
+	stateReplies int
 	// cachedTopology was computed at cachedTopologyAt; guarded by mutex.
 	cachedTopology   topology
 	cachedTopologyAt time.Time
@@ -88,8 +94,6 @@
 	// before the first one.
 	digestID      DigestID
 	digestContent []byte
-	// isNew is true while the daemon reports that it has just started.
-	isNew bool
 	// heldDigests identifies the digests that the daemon reports to hold.
 	heldDigests []DigestID
 	calledAt    time.Time
--- a/membership/relay.go
+++ b/membership/relay.go
@@ -16,6 +16,12 @@
 	// daemon, so that it is not sent again. It is empty while all daemons
 	// exchange directly.
 	HeldDigests []DigestID
+	// WantsState is true if the sender has just started and asks for the state that the
+	// receiver has collected from other daemons.
+	WantsState bool
+	// IsNew is true if the sender has just started, so that its state may lack what
+	// others have collected.
+	IsNew bool
 }
 
 // Envelope carries the encoded digest of one daemon. Relays forward it without
@@ -97,7 +103,6 @@
 	defer g.mutex.Unlock()
 	p := g.add(digest.Sender)
 	p.digestMadeAt, p.digestID, p.digestContent = made, envelope.ID, envelope.Content
-	p.isNew = digest.IsNew
 	p.topicEnds = make(map[string]TopicEnd, len(digest.Ends))
 	for _, end := range digest.Ends {
 		p.topicEnds[end.Topic] = end
