Mend what the review of the stop found

A reader who had not seen the work reviewed the trace and the fix. Without a test: a digest reads whether the counts are final before the counts, and a request whose body had not come at the end of a stop is refused with 503. Left, by reading: a peer's call for an answer may be cut at the end of a stop of the own interface; a digest held up on its way counts as heard when it arrives.

--- a/callerserver/closing.go
+++ b/callerserver/closing.go
@@ -12,6 +12,7 @@
 const (
 	idleTooLong closeReason = "IdleTooLong"
 	headerLate  closeReason = "HeaderLate"
+	bodyLate    closeReason = "BodyLate"
 	stopping    closeReason = "Stopping"
 )
 
@@ -27,11 +28,18 @@
 	switch {
 	case c.phase == awaiting && c.hasRequested:
 		c.requestClose(stopping)
-	case c.phase == awaiting || c.phase == "":
+	case c.phase == awaiting || c.phase == "" || c.phase == ending:
 		c.arm(firstRequestTimeout)
 	}
 }
 
+// endReads makes the reads of a request's body fail.
+func (c *connection) endReads() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.requestClose(stopping)
+}
+
 // expire is called when the timer ends.
 func (c *connection) expire() {
 	isDraining := c.server.currentStage() == draining
@@ -40,6 +48,8 @@
 	switch {
 	case c.phase == receiving:
 		c.requestClose(headerLate)
+	case c.phase == ending:
+		c.requestClose(bodyLate)
 	case c.phase == awaiting && isDraining:
 		c.requestClose(stopping)
 	case c.phase == awaiting:
--- a/callerserver/connection.go
+++ b/callerserver/connection.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"time"
 )
@@ -19,6 +20,9 @@
 	received phase = "Received"
 	// serving means that a handler runs.
 	serving phase = "Serving"
+	// ending means that the handler has returned, and the next request is not awaited
+	// yet.
+	ending phase = "Ending"
 )
 
 // connection is a caller's connection. The server asks for its closing from any
@@ -29,8 +33,8 @@
 	server *Server
 
 	mutex sync.Mutex
-	// phase is empty between a request and the next one; guarded by mutex, as all fields
-	// below.
+	// phase is empty before the first state that net/http reports; guarded by mutex, as
+	// all fields below.
 	phase phase
 	// hasRequested is true once a byte of a request was read.
 	hasRequested bool
@@ -72,8 +76,10 @@
 		c.requestClose(stopping)
 	case isDraining:
 		c.arm(firstRequestTimeout)
-	default:
+	case c.hasRequested:
 		c.arm(c.server.options.Timeouts().Idle)
+	default:
+		c.arm(shorter(c.server.options.Timeouts().Idle, c.server.options.MaxHeaderTime))
 	}
 }
 
@@ -87,11 +93,26 @@
 	}
 }
 
-// endRequest is called when the handler has returned or panicked.
+// endRequest is called when the handler has returned or panicked. net/http then reads the
+// rest of the body, which may take as long as a header.
 func (c *connection) endRequest() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.phase = ""
+	c.phase = ending
+	c.arm(c.headerTimeout())
+}
+
+// headerTimeout returns the timeout for the rest of a header or of a body that is not used.
+func (c *connection) headerTimeout() time.Duration {
+	return shorter(c.server.options.Timeouts().Header, c.server.options.MaxHeaderTime)
+}
+
+// shorter returns the shorter one of two timeouts, of which zero means none.
+func shorter(x, y time.Duration) time.Duration {
+	if x <= 0 || y <= 0 {
+		return max(x, y)
+	}
+	return min(x, y)
 }
 
 // endWait is called when the header of a request has been read or can't be read, and when
@@ -137,7 +158,7 @@
 	switch c.phase {
 	case awaiting:
 		c.receive()
-	case received, serving:
+	case received, serving, ending:
 		// net/http reads a single byte only to notice a caller that disconnects.
 		c.isReadAhead = size == 1
 	}
@@ -149,7 +170,7 @@
 	c.phase = receiving
 	c.hasRequested = true
 	c.isAnswered = false
-	c.arm(c.server.options.Timeouts().Header)
+	c.arm(c.headerTimeout())
 }
 
 // recordError records that the caller has ended the connection, unless the error has a
@@ -163,10 +184,8 @@
 	}
 }
 
-func isTimeout(err error) bool {
-	var netError net.Error
-	return errors.As(err, &netError) && netError.Timeout()
-}
+// isTimeout reports whether a deadline of this side has passed.
+func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
 
 // Write implements net.Conn.
 func (c *connection) Write(content []byte) (int, error) {
--- a/callerserver/server.go
+++ b/callerserver/server.go
@@ -25,8 +25,8 @@
 
 // Options configures a Server.
 type Options struct {
-	// MaxHeaderTime bounds the time to read a request header, whatever Timeouts
-	// returns.
+	// MaxHeaderTime bounds the time to read a request header, and the wait for the
+	// first one on a connection, whatever Timeouts returns. Zero means no bound.
 	MaxHeaderTime time.Duration
 	// MaxHeaderBytes bounds the size of a request header; zero stands for the default
 	// of net/http.
@@ -68,7 +68,7 @@
 	s := &Server{common: common, options: options, handler: handler, open: make(map[*connection]struct{})}
 	s.requests, s.cancelRequests = context.WithCancelCause(context.Background())
 	s.server = &http.Server{
-		Handler: http.HandlerFunc(s.serveRequest), ReadHeaderTimeout: options.MaxHeaderTime,
+		Handler:        http.HandlerFunc(s.serveRequest),
 		MaxHeaderBytes: options.MaxHeaderBytes, ConnState: s.onState, ConnContext: connContext,
 		BaseContext: func(net.Listener) context.Context { return s.requests },
 	}
@@ -102,7 +102,10 @@
 		c.beginRequest()
 		defer c.endRequest()
 	}
-	s.handler.ServeHTTP(&announcingWriter{ResponseWriter: w, server: s}, r)
+	writer := &announcingWriter{ResponseWriter: w, server: s}
+	s.handler.ServeHTTP(writer, r)
+	// A handler that wrote nothing answers with an empty body.
+	writer.announce(http.StatusOK)
 }
 
 // onState is the ConnState hook of net/http.
--- a/callerserver/stop.go
+++ b/callerserver/stop.go
@@ -4,7 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
@@ -57,6 +58,7 @@
 	}
 	cut := &CutError{Open: s.openCount(), Cause: ctx.Err()}
 	s.cancelRequests(&StoppedError{})
+	s.endReads()
 	timer := s.common.Clock.NewTimer(lastAnswersTimeout)
 	defer timer.Stop()
 	select {
@@ -113,13 +115,9 @@
 	s.mutex.Lock()
 	s.empty = make(chan struct{})
 	s.signalEmpty()
-	connections := make([]*connection, 0, len(s.open))
-	for c := range s.open {
-		connections = append(connections, c)
-	}
 	empty := s.empty
 	s.mutex.Unlock()
-	for _, c := range connections {
+	for _, c := range s.connections() {
 		c.closeForStop()
 	}
 	return empty
@@ -137,6 +135,20 @@
 	}
 }
 
+// endReads ends the reads of handlers that wait for the rest of a body.
+func (s *Server) endReads() {
+	for _, c := range s.connections() {
+		c.endReads()
+	}
+}
+
+// connections returns the open connections.
+func (s *Server) connections() []*connection {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.Collect(maps.Keys(s.open))
+}
+
 func (s *Server) openCount() int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -154,37 +166,3 @@
 	defer s.mutex.Unlock()
 	return s.stage
 }
-
-// announcingWriter tells the caller in the header of an answer that the connection
-// closes after it, if a stop has begun by then.
-type announcingWriter struct {
-	http.ResponseWriter
-	server *Server
-	// isHeaderWritten is true after the first call of WriteHeader or Write.
-	isHeaderWritten bool
-}
-
-// WriteHeader implements http.ResponseWriter.
-func (w *announcingWriter) WriteHeader(status int) {
-	w.announce()
-	w.ResponseWriter.WriteHeader(status)
-}
-
-// Write implements http.ResponseWriter.
-func (w *announcingWriter) Write(content []byte) (int, error) {
-	w.announce()
-	return w.ResponseWriter.Write(content)
-}
-
-// Unwrap gives http.ResponseController access to the other methods of the writer.
-func (w *announcingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
-
-func (w *announcingWriter) announce() {
-	if w.isHeaderWritten {
-		return
-	}
-	w.isHeaderWritten = true
-	if w.server.currentStage() != running {
-		w.Header().Set("Connection", "close")
-	}
-}
--- a/dispatch/inflight.go
+++ b/dispatch/inflight.go
@@ -8,6 +8,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/cranberrywalk/cranberrywalk/answer"
+	"github.com/cranberrywalk/cranberrywalk/callerserver"
 	"github.com/cranberrywalk/cranberrywalk/clock"
 	"github.com/cranberrywalk/cranberrywalk/request"
 )
@@ -155,11 +156,22 @@
 		return f.contextError()
 	}
 	if f.callerCtx.Err() != nil {
-		return &CallerGoneError{Cause: context.Cause(f.callerCtx)}
+		return f.callerError()
 	}
 	return nil
 }
 
+// callerError returns why the caller's context has ended.
+func (f *inFlightRequest) callerError() error {
+	if !callerserver.IsStopped(f.callerCtx) {
+		return &CallerGoneError{Cause: context.Cause(f.callerCtx)}
+	}
+	if f.machine.Outcome() == request.NotRun {
+		return &DrainingError{}
+	}
+	return &DeadlineError{}
+}
+
 // contextError returns why ctx has ended.
 func (f *inFlightRequest) contextError() error {
 	cause := context.Cause(f.ctx)
@@ -167,6 +179,9 @@
 	if errors.As(cause, &deadline) {
 		return deadline
 	}
+	if callerserver.IsStopped(f.ctx) {
+		return f.callerError()
+	}
 	return &CallerGoneError{Cause: cause}
 }
 
--- a/entry/peerhandler.go
+++ b/entry/peerhandler.go
@@ -24,6 +24,8 @@
 func (h peerHandler) Digest(toNew bool) membership.Digest {
 	now := h.Clock.Now()
 	from := h.usage.Window(h.syncedClock.At(now)) - sharedUsageWindows
+	// Counts that are read after this are complete if it is true.
+	countsAreFinal := h.countsAreFinal.Load()
 	digest := membership.Digest{
 		Stopping: h.stopping.Load(),
 		Load:     h.balancer.Report(),
@@ -33,7 +35,7 @@
 		Reports:  h.duties.ReportsToShare(toNew),
 
 		ConfigurationVersion: h.configurationVersion(),
-		CountsAreFinal:       h.countsAreFinal.Load(),
+		CountsAreFinal:       countsAreFinal,
 	}
 	if toNew {
 		digest.PeerCounts = h.usage.PeerCounts(from)
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/call"
+	"github.com/cranberrywalk/cranberrywalk/callerserver"
 	"github.com/cranberrywalk/cranberrywalk/catalog"
 	"github.com/cranberrywalk/cranberrywalk/quota"
 	"github.com/cranberrywalk/cranberrywalk/request"
@@ -97,6 +98,8 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return newRefusal(http.StatusRequestEntityTooLarge, "LongBody", err)
+	case callerserver.IsStopped(x.request.Context()):
+		return unavailable("Stopping", retryAfterStart, err)
 	case err != nil:
 		return newRefusal(http.StatusBadRequest, "BrokenBody", err)
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -79,6 +79,7 @@
 func (x *exchange) close() {
 	x.releaseNext()
 	x.cancel()
+	x.releaseMove()
 }
 
 // apply advances the state machine of the request. An event that does not apply is
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -177,6 +177,23 @@
 	x.Log.Info("StreamStays", "Request", x.call.ID, "Runner", m.source.Runner.ID, "Reason", reason)
 }
 
+// releaseMove gives back the runner of a move that the request no longer needs. The move
+// may still be in progress; the answer does not wait for its end.
+func (x *exchange) releaseMove() {
+	x.mutex.Lock()
+	m := x.pendingMove
+	x.mutex.Unlock()
+	if m == nil {
+		return
+	}
+	go func() {
+		<-m.done
+		if m.ticket != nil {
+			m.ticket.End(balance.Cancelled, x.Clock.Now())
+		}
+	}()
+}
+
 // awaitMove returns the move that ended the attempt, or nil. It waits for a move
 // that is in progress.
 func (x *exchange) awaitMove() *streamMove {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -27,10 +27,14 @@
 		if failure == nil {
 			return
 		}
-		if move := x.awaitMove(); move != nil && x.ctx.Err() == nil {
+		move := x.awaitMove()
+		if move != nil && x.ctx.Err() == nil {
 			ticket = x.continueAfterMove(ticket, move)
 			continue
 		}
+		if move != nil {
+			move.ticket.End(balance.Cancelled, x.Clock.Now())
+		}
 		x.recordFailure(ticket, failure)
 		again, reason := x.mayRetry(failure)
 		if !again {
