--- a/callerserver/property_test.go
+++ b/callerserver/property_test.go
@@ -104,19 +104,26 @@
 			if _, err := io.WriteString(conn, content[cut:]); err != nil {
 				break
 			}
-			answer, err := http.ReadResponse(reader, nil)
-			if err != nil {
-				break
-			}
-			got, err := io.ReadAll(answer.Body)
-			if err != nil || string(got) != id {
+			got, closes, err := readBody(reader)
+			if err != nil || got != id {
 				break
 			}
 			answered.add(id)
-			if answer.Close {
+			if closes {
 				break
 			}
 		}
 		_ = conn.Close()
 	}
 }
+
+// readBody reads an answer and returns its body, and whether the connection closes.
+func readBody(reader *bufio.Reader) (body string, closes bool, err error) {
+	answer, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return "", false, err
+	}
+	defer answer.Body.Close()
+	content, err := io.ReadAll(answer.Body)
+	return string(content), answer.Close, err
+}
