Answer the calls of peers that are under way when a daemon stops

What callers saw, on the own interface: a request sent to two daemons with one key was answered by the one that ran it, and got 502 (outcome Unknown) from the other one, when the first was being stopped. Once the last request has ended the process stops its peer server, which cuts off the call of the peer that waits for that answer. http.Server.Shutdown looked for idle connections with pauses, which mostly hid it; Drain returns at once. Change: the peer server ends once the calls under way are answered, up to the timeout of a call.

--- a/peer/fake_test.go
+++ b/peer/fake_test.go
@@ -27,6 +27,9 @@
 	snapshot []byte
 	offset   uint64
 	answers  map[string]Answer
+	// answering receives a value when Answer is called, which then waits for release;
+	// nil does not wait.
+	answering, release chan struct{}
 	// merged receives a value when the mesh has passed a digest to Merge.
 	merged chan struct{}
 }
@@ -98,6 +101,10 @@
 }
 
 func (h *fakeHandler) Answer(_ context.Context, key string) (Answer, error) {
+	if h.answering != nil {
+		h.answering <- struct{}{}
+		<-h.release
+	}
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if answer, known := h.answers[key]; known {
--- a/peer/server.go
+++ b/peer/server.go
@@ -12,7 +12,8 @@
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 )
 
-// serve serves the calls of the peers until ctx ends, and then closes the listener.
+// serve serves the calls of the peers until ctx ends, and then answers those that are
+// under way and closes the listener.
 func (m *Mesh) serve(ctx context.Context) {
 	mux := drpcmux.New()
 	if err := peerpb.DRPCRegisterPeer(mux, &server{mesh: m}); err != nil {
@@ -26,7 +27,15 @@
 		Log:     func(error) { m.common.Count("Peer.ConnectionsEnded", 1) },
 	}
 	listener := &countedListener{Listener: m.listener, common: m.common, timeout: m.options.CallTimeout}
-	if err := drpcserver.NewWithOptions(mux, options).Serve(ctx, listener); err != nil && ctx.Err() == nil {
+	calls := &callTracker{Handler: mux}
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	stopWatching := context.AfterFunc(ctx, func() {
+		calls.awaitIdle(m.common.Clock, m.options.CallTimeout)
+		stop()
+	})
+	defer stopWatching()
+	if err := drpcserver.NewWithOptions(calls, options).Serve(serving, listener); err != nil && ctx.Err() == nil {
 		m.common.Log.Error(err, "peer listener failed", "Address", m.options.Address)
 	}
 }
