Keep a silent runner until another one has accepted its request

What callers saw: a stream that was cut, or a request that was answered with 502 or 504, although its runner was sound and would have answered: it had been silent for a while.

Cause: an attempt was cancelled once the next one was secured, that is once the retry budget had granted it and the balancer had chosen a runner. Whether that runner took the request was not known yet. When it rejected, failed or reset, the first runner had to begin anew with less time, or nothing was left. Something certain was given up for something uncertain.

Change: the other runner is asked beside the silent one, which goes on. An idempotent request is taken over by a whole answer. A stream is taken over by its next event, or after 250 ms without a rejection: a full runner rejects at once, and two runners may not work on one stream for 400 ms. Whichever sends data first goes on and the other one is stopped. If no other runner takes the request, it is sent once more to the silent one, over a new connection, and the old attempt goes on until that one answers. A refusal says that the request has not run only if no replacement may have run it.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -163,11 +163,11 @@
 // timeLeft returns the time until the request's deadline.
 func (x *exchange) timeLeft(now time.Time) time.Duration { return x.deadline.Sub(now) }
 
-// attemptOf describes an attempt at a runner.
-func (x *exchange) attemptOf(runner string, now time.Time) call.Attempt {
+// attemptOf describes an attempt to its runner.
+func (x *exchange) attemptOf(a *attempt, now time.Time) call.Attempt {
 	return call.Attempt{
-		Runner: runner, Customer: x.customer.Name, Timeout: x.timeLeft(now), LastEvent: x.lastEvent,
-		ResumedRun: x.continuedRun,
+		Runner: a.choice.Runner.ID, Customer: x.customer.Name, Timeout: x.timeLeft(now), LastEvent: a.lastEvent,
+		ResumedRun: a.resumed,
 	}
 }
 
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -13,7 +13,7 @@
 func (e *DeadlineError) Error() string { return fmt.Sprintf("no response within %v", e.Timeout) }
 
 // AttemptTimeoutError reports that an attempt was abandoned because its runner sent
-// nothing in time.
+// nothing in time and another runner has accepted the request.
 type AttemptTimeoutError struct{ Runner string }
 
 // Error implements error.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/balance"
@@ -35,20 +36,10 @@
 	fingerprint uint64
 	machine     request.Machine
 
-	// writtenAttempts counts the attempts that wrote something to a runner, and
-	// unwrittenAttempts the others.
-	writtenAttempts, unwrittenAttempts int
-	// excluded are the runners that the request was already sent to.
-	excluded []string
 	// firstEvent is the time to the first event of a stream.
 	firstEvent time.Duration
 	// runStarted is true when a runner is known to have started the request.
-	runStarted bool
-	// lastEvent is the ID of the last event that the caller has received.
-	lastEvent int
-	// headReceived is true when the runner of the current attempt has sent the
-	// head of a response.
-	headReceived bool
+	runStarted atomic.Bool
 	// headWritten is true when the head of the response has been written to the
 	// caller.
 	headWritten bool
@@ -59,25 +50,33 @@
 	// the run has been sent back to that runner.
 	continuedRun *call.StoppedRun
 	stoppedAt    *balance.Choice
-	// abandoned is the ID of the runner that was abandoned for its silence. It is
-	// empty once that runner has been asked again, or if there is none.
-	abandoned string
 
-	// mutex guards the writes of choice and the fields below, which moves use
-	// concurrently.
+	// mutex guards the writes of choice, continuedRun and stoppedAt, and the fields
+	// below, which moves and replacements use concurrently.
 	mutex sync.Mutex
+	// attempts counts the attempts of the request.
+	attempts int
+	// writtenAttempts counts the ended attempts that wrote something to a runner, and
+	// unwrittenAttempts the others.
+	writtenAttempts, unwrittenAttempts int
+	// excluded are the runners that the request was already sent to.
+	excluded []string
+	// lastEvent is the ID of the last event that was forwarded to the caller.
+	lastEvent int
 	// currentRunner is the runner that serves the stream, or empty between
 	// attempts.
 	currentRunner string
 	// pendingMove is the move of the current attempt to another runner, or nil.
 	pendingMove *streamMove
-	// next is the attempt that was secured before the current one was abandoned, or
-	// nil. It is not set while a move is in progress or has succeeded.
-	next *nextAttempt
+	// watchdog watches the current attempt, or the last one between attempts. It is nil
+	// before the first.
+	watchdog *idleWatchdog
+	// replacements is empty while a move is in progress or has succeeded.
+	replacements replacements
 }
 
 func (x *exchange) close() {
-	x.releaseNext()
+	x.releaseReplacements()
 	x.cancel()
 	x.releaseMove()
 }
@@ -100,7 +99,7 @@
 	return x.machine.Attempt()
 }
 
-// balanceRequest describes the request for the choice of a runner.
+// balanceRequest describes the request for the choice of a runner. The mutex must be held.
 func (x *exchange) balanceRequest() balance.Request {
 	r := balance.Request{Service: x.service, Excluded: slices.Clone(x.excluded)}
 	if x.engine() != nil {
@@ -109,36 +108,26 @@
 	return r
 }
 
-func (x *exchange) setChoice(choice balance.Choice) {
+// choose returns the next attempt: one that replaces the last one, if there is such, or
+// one at a runner that the balancer chooses.
+func (x *exchange) choose() (*attempt, error) {
+	if a := x.takeReplacement(); a != nil {
+		return a, nil
+	}
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
-	x.choice = choice
-}
-
-// choose chooses the runner of the next attempt, unless that attempt is secured.
-func (x *exchange) choose() (*balance.Ticket, error) {
-	ticket := x.takeNext()
-	if ticket == nil {
-		choice, chosen, err := x.chooseRunner(x.Clock.Now())
-		if err != nil {
-			return nil, err
-		}
-		x.setChoice(choice)
-		ticket = chosen
+	choice, ticket, err := x.Balancer.Choose(x.balanceRequest(), x.Clock.Now())
+	if err != nil {
+		return nil, err
 	}
-	x.Log.V(1).Info("RunnerChosen", append([]any{
-		"Request", x.call.ID, "Attempt", x.machine.Attempt() + 1,
-	}, x.choiceFields()...)...)
-	return ticket, nil
+	return x.newAttempt(choice, ticket, nil), nil
 }
 
-// choiceFields returns the log fields that explain the choice of the runner and how
-// old the list of runners was.
-func (x *exchange) choiceFields() []any {
+// choiceFields returns the log fields that explain the choice of a runner.
+func choiceFields(c balance.Choice) []any {
 	return []any{
-		"Runner", x.choice.Runner.ID, "Zone", x.choice.Runner.Zone, "Cost", finite(x.choice.Cost),
-		"NextCost", finite(x.choice.NextCost), "Candidates", x.choice.Candidates, "Uncached", x.choice.Uncached,
-		"RunnersAgeMilliseconds", x.RunnersAge().Milliseconds(),
+		"Runner", c.Runner.ID, "Zone", c.Runner.Zone, "Cost", finite(c.Cost),
+		"NextCost", finite(c.NextCost), "Candidates", c.Candidates, "Uncached", c.Uncached,
 	}
 }
 
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -13,8 +13,9 @@
 
 // giveUp ends a request that gets no complete response from a runner.
 func (x *exchange) giveUp(failure error, reason string) {
+	x.applyUnsettled()
 	x.apply(request.GivenUp)
-	if x.machine.Outcome() == request.NotRun && !x.runStarted {
+	if x.machine.Outcome() == request.NotRun && !x.runStarted.Load() {
 		x.Quotas.Refund(x.customer.Name, x.cost)
 	}
 	if x.isDisconnected() {
@@ -102,7 +103,8 @@
 		"Route", x.route.Name, "Customer", x.customer.Name, "Service", x.service, "Attempts", x.machine.Attempt(),
 		"LastEvent", x.lastEvent, "Milliseconds", duration.Milliseconds(),
 		"FirstEventMilliseconds", x.firstEvent.Milliseconds(), "ConfigurationVersion", version, "Cause", text,
-	}, x.choiceFields()...)...)
+		"RunnersAgeMilliseconds", x.RunnersAge().Milliseconds(),
+	}, choiceFields(x.choice)...)...)
 }
 
 // reasonOf returns the reason for which no runner was chosen.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,11 +66,11 @@
 	// DefaultTimeout is the timeout of a request whose caller sets none.
 	DefaultTimeout time.Duration
 	// StreamIdleTimeout is how long a resumable stream may have no event after
-	// its first one before its attempt is abandoned for another one.
+	// its first one before another attempt is made beside the silent one.
 	StreamIdleTimeout time.Duration
 	// FirstEventShare is the fraction of a request's remaining time after which
-	// an attempt without a response is abandoned if another one can be made. It
-	// applies to resumable streams and idempotent requests.
+	// an attempt without a response counts as silent, and another one is made
+	// beside it. It applies to resumable streams and idempotent requests.
 	FirstEventShare float64
 	// MoveDelay is how long a stream stays at a runner that is leaving before it
 	// is moved, since many streams end within that time.
--- a/gateway/idle.go
+++ b/gateway/idle.go
@@ -1,35 +1,30 @@
 package gateway
 
 import (
-	"context"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/cranberrywalk/cranberrywalk/balance"
 	"github.com/cranberrywalk/cranberrywalk/catalog"
 )
 
-// abandonCheckInterval is how long a silent attempt goes on before it is checked again
-// whether another one can be made instead.
-const abandonCheckInterval = 250 * time.Millisecond
+// replaceCheckInterval is how long a silent attempt goes on before it is checked again
+// whether another one can be made beside it.
+const replaceCheckInterval = 250 * time.Millisecond
 
-// idleWatchdog abandons an attempt whose runner is silent for too long, once the next
-// attempt is secured. Until then the attempt goes on, since its runner may still answer.
+// idleWatchdog begins a replacement for an attempt whose runner is silent for too long.
+// The attempt goes on until the replacement is accepted, since its runner may still
+// answer.
 type idleWatchdog struct {
 	exchange *exchange
-	ticket   *balance.Ticket
-	// cancel ends the attempt.
-	cancel context.CancelCauseFunc
-	// timer is nil if the attempt is never abandoned.
+	attempt  *attempt
+	// timer is nil if the attempt is never replaced.
 	timer clockwork.Timer
 
 	// The fields below are guarded by the mutex of the exchange.
 
 	// timeout is the current limit on the time without data from the runner.
 	timeout time.Duration
-	// lastData is when the attempt began or last received data.
-	lastData time.Time
 	// stopped is true when the attempt has ended.
 	stopped bool
 }
@@ -37,14 +32,14 @@
 // startIdleWatchdog returns a watchdog for an attempt. The watchdog has no timer if
 // the request may not be repeated or this is its last attempt, since it can then only
 // wait.
-func (x *exchange) startIdleWatchdog(ticket *balance.Ticket, cancel context.CancelCauseFunc) *idleWatchdog {
-	now := x.Clock.Now()
-	w := &idleWatchdog{exchange: x, ticket: ticket, cancel: cancel, timeout: x.firstDataTimeout(now), lastData: now}
+func (x *exchange) startIdleWatchdog(a *attempt) *idleWatchdog {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	w := &idleWatchdog{exchange: x, attempt: a, timeout: x.firstDataTimeout(x.Clock.Now())}
+	x.watchdog = w
 	if !x.route.Repeatable() || x.writtenAttempts+1 >= x.route.MaxAttempts {
 		return w
 	}
-	x.mutex.Lock()
-	defer x.mutex.Unlock()
 	w.timer = x.Clock.AfterFunc(w.timeout, w.check)
 	return w
 }
@@ -58,8 +53,9 @@
 	return min(share, max(2*x.route.TargetLatency, x.options.StreamIdleTimeout))
 }
 
-// check abandons the attempt if its runner is silent and the next attempt can be
-// secured. Otherwise it sets the timer again.
+// check begins a replacement if the runner is silent and another attempt can be made. An
+// attempt whose run was moved is abandoned at once. The timer is set again, since the
+// replacement may be silent too.
 func (w *idleWatchdog) check() {
 	x := w.exchange
 	x.mutex.Lock()
@@ -72,45 +68,66 @@
 		w.timer.Reset(remaining)
 		return
 	}
-	if !x.isMoved() && !x.secureNext(now) {
-		w.timer.Reset(abandonCheckInterval)
+	if x.isMoved() {
+		w.attempt.cancel(&AttemptTimeoutError{Runner: x.choice.Runner.ID})
+		return
+	}
+	if x.replace(w.timeout-w.remaining(now), now) {
+		w.timer.Reset(w.timeout)
 		return
 	}
-	w.cancel(&AttemptTimeoutError{Runner: x.choice.Runner.ID})
+	w.timer.Reset(replaceCheckInterval)
+}
+
+// recheck checks the attempt at once. The mutex must be held.
+func (w *idleWatchdog) recheck() {
+	if w.timer != nil && !w.stopped {
+		w.timer.Reset(0)
+	}
 }
 
 // remaining returns how much of the timeout is left since the runner last sent data.
 // Events for other streams of this daemon count as well: the runner is working off a
 // queue, which another attempt would only lengthen. The mutex must be held.
 func (w *idleWatchdog) remaining(now time.Time) time.Duration {
-	last := w.lastData
-	if activity := w.ticket.LastActivity(); w.exchange.route.Kind == catalog.Stream && activity.After(last) {
+	last := w.attempt.lastData
+	if activity := w.attempt.ticket.LastActivity(); w.exchange.route.Kind == catalog.Stream && activity.After(last) {
 		last = activity
 	}
 	return w.timeout - now.Sub(last)
 }
 
 // recordHead records that the head of a response has arrived.
-func (w *idleWatchdog) recordHead(now time.Time) {
-	w.exchange.mutex.Lock()
-	defer w.exchange.mutex.Unlock()
-	w.lastData = now
+func (x *exchange) recordHead(a *attempt) {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	a.lastData = x.Clock.Now()
 }
 
-// recordEvent restarts the timer after an event of the stream.
-func (w *idleWatchdog) recordEvent(now time.Time) {
-	w.ticket.RecordActivity(now)
-	if w.timer == nil {
-		return
+// recordEvent records an event that is going to be forwarded and restarts the timer. The
+// replacements are not needed any more. It returns false if one of them was accepted
+// before: the event is not forwarded then, since that attempt will send it.
+func (w *idleWatchdog) recordEvent(e event, now time.Time) bool {
+	w.attempt.ticket.RecordActivity(now)
+	x := w.exchange
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	if x.replacements.accepted != nil {
+		return false
 	}
-	w.exchange.mutex.Lock()
-	defer w.exchange.mutex.Unlock()
-	w.lastData = now
-	w.timeout = w.exchange.options.StreamIdleTimeout
-	w.timer.Reset(w.timeout)
+	x.releasePending()
+	if e.hasID {
+		x.lastEvent = e.id
+	}
+	w.attempt.lastData = now
+	if w.timer != nil {
+		w.timeout = x.options.StreamIdleTimeout
+		w.timer.Reset(w.timeout)
+	}
+	return true
 }
 
-// stop ends the watch. Afterwards the attempt is no longer abandoned.
+// stop ends the watch. Afterwards no replacement is begun.
 func (w *idleWatchdog) stop() {
 	w.exchange.mutex.Lock()
 	defer w.exchange.mutex.Unlock()
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -91,7 +91,7 @@
 func (x *exchange) beginMove(runner string) (*streamMove, balance.Request, bool) {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
-	if x.currentRunner != runner || x.pendingMove != nil || x.next != nil {
+	if x.currentRunner != runner || x.pendingMove != nil || x.replacements.exist() {
 		return nil, balance.Request{}, false
 	}
 	x.pendingMove = &streamMove{done: make(chan struct{}), source: x.choice}
@@ -155,20 +155,22 @@
 	x.Log.Info("StreamMoved", "Request", x.call.ID, "From", source.ID, "To", choice.Runner.ID, "Copied", copied)
 }
 
-// returnToSource counts the request again at the runner that stopped its run. It returns
-// nil if that was tried before or the runner wants no requests now.
-func (x *exchange) returnToSource() *balance.Ticket {
+// returnToSource returns an attempt at the runner that stopped the run. It returns nil if
+// that was tried before or the runner wants no requests now.
+func (x *exchange) returnToSource() *attempt {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
 	if x.stoppedAt == nil {
 		return nil
 	}
-	x.setChoice(*x.stoppedAt)
+	source := *x.stoppedAt
 	x.stoppedAt = nil
-	ticket, err := x.Balancer.Acquire(x.choice.Runner, x.Clock.Now())
+	ticket, err := x.Balancer.Acquire(source.Runner, x.Clock.Now())
 	if err != nil {
-		x.Log.Info("RunLost", "Request", x.call.ID, "Runner", x.choice.Runner.ID, "Reason", err.Error())
+		x.Log.Info("RunLost", "Request", x.call.ID, "Runner", source.Runner.ID, "Reason", err.Error())
 		return nil
 	}
-	return ticket
+	return x.newAttempt(source, ticket, x.continuedRun)
 }
 
 // recordNotMoved counts and logs a stream that was not moved.
--- /dev/null
+++ b/gateway/opening.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/cranberrywalk/cranberrywalk/catalog"
+	"github.com/cranberrywalk/cranberrywalk/upstream"
+)
+
+// opening is the part of a runner's response that shows that the runner has accepted the
+// request: the first event of a stream, or a whole response that is no stream.
+type opening struct {
+	// buffered is a whole response, or nil for a stream.
+	buffered *bufferedAnswer
+	// answer is the response of a stream, and events reads its events.
+	answer *upstream.Answer
+	events *eventReader
+	// first is the first event if end is nil. Otherwise the stream has ended without an
+	// event, and end is io.EOF.
+	first event
+	end   error
+}
+
+// awaitOpening returns the opening of the current attempt.
+func (x *exchange) awaitOpening(a *attempt) (opening, error) {
+	if a.opened == nil {
+		return x.open(a)
+	}
+	<-a.opened
+	return a.opening, a.failure
+}
+
+// open makes an attempt until its runner has accepted the request or the attempt has
+// failed.
+func (x *exchange) open(a *attempt) (opening, error) {
+	answer, err := x.send(a)
+	if err != nil {
+		return opening{}, err
+	}
+	if err := x.checkAnswerHead(a, answer); err != nil {
+		x.discard(answer, err)
+		return opening{}, err
+	}
+	if x.route.Kind == catalog.Stream && answer.Status == http.StatusOK {
+		return x.openStream(a, answer)
+	}
+	x.recordHead(a)
+	buffered, err := x.readAnswer(a, answer)
+	if err != nil {
+		return opening{}, err
+	}
+	return opening{buffered: &buffered}, nil
+}
+
+// openStream reads the first event of a stream.
+func (x *exchange) openStream(a *attempt, answer *upstream.Answer) (opening, error) {
+	o := opening{answer: answer, events: newEventReader(answer)}
+	o.first, o.end = o.events.next()
+	err := o.end
+	switch {
+	case errors.Is(err, io.EOF):
+		return o, nil
+	case err != nil:
+		err = x.readFailure(a, err)
+	default:
+		err = x.checkFirstEvent(a, o.first)
+	}
+	if err != nil {
+		answer.Close(false)
+		return opening{}, err
+	}
+	return o, nil
+}
+
+// checkFirstEvent rejects a first event that does not follow the last one that the caller
+// has received.
+func (x *exchange) checkFirstEvent(a *attempt, e event) error {
+	if err := checkOrder(e, a.lastEvent); err != nil {
+		return &upstream.InvalidAnswerError{Address: a.choice.Runner.Address, Cause: err}
+	}
+	return nil
+}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strconv"
 
-	"github.com/cranberrywalk/cranberrywalk/balance"
 	"github.com/cranberrywalk/cranberrywalk/request"
 	"github.com/cranberrywalk/cranberrywalk/upstream"
 )
@@ -22,21 +21,21 @@
 // so that a truncated response can be retried or replaced by an error.
 func (x *exchange) servePlain() {
 	for {
-		ticket, err := x.choose()
+		a, err := x.choose()
 		if err != nil {
 			x.giveUp(err, "NoRunner")
 			return
 		}
-		answer, err := x.attemptPlain(ticket)
+		answer, err := x.attemptPlain(a)
 		if err == nil && !x.isRunnerFault(answer) {
-			x.forwardAnswer(ticket, answer)
+			x.forwardAnswer(a, answer)
 			return
 		}
 		failure := err
 		if failure == nil {
 			failure = &StatusError{Runner: x.choice.Runner.ID, Status: answer.status}
 		}
-		x.recordFailure(ticket, failure)
+		x.recordFailure(a, failure)
 		again, reason := x.mayRetry(failure)
 		if again {
 			continue
@@ -66,44 +65,39 @@
 	}
 }
 
-func (x *exchange) attemptPlain(ticket *balance.Ticket) (bufferedAnswer, error) {
-	ctx, cancel := context.WithCancelCause(x.ctx)
-	defer cancel(nil)
-	watchdog := x.startIdleWatchdog(ticket, cancel)
+func (x *exchange) attemptPlain(a *attempt) (bufferedAnswer, error) {
+	defer a.cancel(nil)
+	x.begin(a)
+	watchdog := x.startIdleWatchdog(a)
 	defer watchdog.stop()
-	answer, err := x.send(ctx)
+	o, err := x.awaitOpening(a)
 	if err != nil {
 		return bufferedAnswer{}, err
 	}
-	watchdog.recordHead(x.Clock.Now())
-	if err := x.checkAnswerHead(answer); err != nil {
-		x.discard(answer, err)
-		return bufferedAnswer{}, err
-	}
-	return x.readAnswer(ctx, answer)
+	return *o.buffered, nil
 }
 
 // readAnswer reads a response completely and closes it.
-func (x *exchange) readAnswer(ctx context.Context, answer *upstream.Answer) (bufferedAnswer, error) {
+func (x *exchange) readAnswer(a *attempt, answer *upstream.Answer) (bufferedAnswer, error) {
 	body, err := answer.ReadAll()
 	answer.Close(err == nil)
 	if err != nil {
-		return bufferedAnswer{}, x.readFailure(ctx, err)
+		return bufferedAnswer{}, x.readFailure(a, err)
 	}
 	return bufferedAnswer{status: answer.Status, header: answer.Header, body: body}, nil
 }
 
 // readFailure returns the error for a response that could not be read. Its cause is that
 // of the end of the attempt's context, if that has ended.
-func (x *exchange) readFailure(ctx context.Context, err error) error {
-	if cause := context.Cause(ctx); cause != nil {
+func (x *exchange) readFailure(a *attempt, err error) error {
+	if cause := context.Cause(a.ctx); cause != nil {
 		err = cause
 	}
 	var invalid *upstream.InvalidAnswerError
 	if errors.As(err, &invalid) {
 		return err
 	}
-	return &upstream.InvalidAnswerError{Address: x.choice.Runner.Address, Cause: err}
+	return &upstream.InvalidAnswerError{Address: a.choice.Runner.Address, Cause: err}
 }
 
 // discard closes a response that is not forwarded. The connection of a rejection
@@ -119,9 +113,9 @@
 }
 
 // forwardAnswer sends a runner's response to the caller.
-func (x *exchange) forwardAnswer(ticket *balance.Ticket, answer bufferedAnswer) {
+func (x *exchange) forwardAnswer(a *attempt, answer bufferedAnswer) {
 	x.write(answer)
-	x.succeed(ticket, answer.status)
+	x.succeed(a, answer.status)
 }
 
 // forwardFailure sends the caller a runner's response that reports a failure.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -17,43 +16,43 @@
 // another runner if the route is resumable.
 func (x *exchange) serveStream() {
 	x.lastEvent = x.call.LastEvent
-	ticket, err := x.choose()
+	a, err := x.choose()
 	for {
 		if err != nil {
 			x.giveUp(err, reasonOf(err))
 			return
 		}
-		failure := x.attemptStream(ticket)
+		failure := x.attemptStream(a)
 		if failure == nil {
 			return
 		}
 		move := x.awaitMove()
 		if move != nil && x.ctx.Err() == nil {
-			ticket = x.continueAfterMove(ticket, move)
+			a = x.continueAfterMove(a, move)
 			continue
 		}
 		if move != nil {
 			move.ticket.End(balance.Cancelled, x.Clock.Now())
 		}
-		x.recordFailure(ticket, failure)
+		x.recordFailure(a, failure)
 		again, reason := x.mayRetry(failure)
 		if !again {
 			x.giveUp(failure, reason)
 			return
 		}
-		ticket, err = x.chooseAgain()
+		a, err = x.chooseAgain()
 	}
 }
 
 // chooseAgain chooses the runner after a failure. A stopped run that the new runner
 // did not continue returns to the runner where it was stopped. If that fails too,
 // its KV cache is lost, and only a resumable stream is attempted again.
-func (x *exchange) chooseAgain() (*balance.Ticket, error) {
-	if x.continuedRun == nil || x.isNextSecured() {
+func (x *exchange) chooseAgain() (*attempt, error) {
+	if x.continuedRun == nil || x.hasReplacement() {
 		return x.choose()
 	}
-	if ticket := x.returnToSource(); ticket != nil {
-		return ticket, nil
+	if a := x.returnToSource(); a != nil {
+		return a, nil
 	}
 	x.continuedRun = nil
 	if !x.route.Repeatable() {
@@ -63,93 +62,82 @@
 }
 
 // continueAfterMove prepares the attempt that continues a run that was moved.
-func (x *exchange) continueAfterMove(ticket *balance.Ticket, move *streamMove) *balance.Ticket {
-	ticket.End(balance.Cancelled, x.Clock.Now())
+func (x *exchange) continueAfterMove(a *attempt, move *streamMove) *attempt {
+	a.ticket.End(balance.Cancelled, x.Clock.Now())
 	x.apply(request.AttemptSuspended)
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
 	x.continuedRun, x.stoppedAt = move.run, nil
-	if x.choice.Runner.ID != move.choice.Runner.ID {
-		source := x.choice
-		x.stoppedAt = &source
+	if a.choice.Runner.ID != move.choice.Runner.ID {
+		x.stoppedAt = &a.choice
 	}
-	x.setChoice(move.choice)
-	return move.ticket
+	return x.newAttempt(move.choice, move.ticket, move.run)
 }
 
 // attemptStream makes one attempt. It returns nil when the caller has received the
 // complete stream, or a response of the runner that is no stream.
-func (x *exchange) attemptStream(ticket *balance.Ticket) error {
-	ctx, cancel := context.WithCancelCause(x.ctx)
-	defer cancel(nil)
-	watchdog := x.startIdleWatchdog(ticket, cancel)
+func (x *exchange) attemptStream(a *attempt) error {
+	defer a.cancel(nil)
+	x.begin(a)
+	watchdog := x.startIdleWatchdog(a)
 	defer watchdog.stop()
-	runner := x.choice.Runner.ID
+	runner := a.choice.Runner.ID
 	x.registerStream(runner)
 	defer x.unregisterStream(runner)
-	answer, err := x.send(ctx)
+	o, err := x.awaitOpening(a)
 	if err != nil {
 		return err
 	}
-	if err := x.checkAnswerHead(answer); err != nil {
-		x.discard(answer, err)
-		return err
-	}
-	if answer.Status != http.StatusOK {
-		return x.forwardNonStream(ctx, ticket, answer)
+	if o.buffered != nil {
+		return x.forwardNonStream(a, *o.buffered)
 	}
-	if err := x.relayEvents(ctx, ticket, answer, watchdog); err != nil {
-		answer.Close(false)
+	if err := x.relayEvents(a, o, watchdog); err != nil {
+		o.answer.Close(false)
 		return err
 	}
-	answer.Close(true)
-	x.succeed(ticket, answer.Status)
+	o.answer.Close(true)
+	x.succeed(a, o.answer.Status)
 	return nil
 }
 
 // forwardNonStream handles a response that is no event stream.
-func (x *exchange) forwardNonStream(ctx context.Context, ticket *balance.Ticket, answer *upstream.Answer) error {
-	buffered, err := x.readAnswer(ctx, answer)
-	if err != nil {
-		return err
+func (x *exchange) forwardNonStream(a *attempt, answer bufferedAnswer) error {
+	if x.headWritten || x.isRunnerFault(answer) && (x.route.Repeatable() || !mayForward(answer.status)) {
+		return &StatusError{Runner: a.choice.Runner.ID, Status: answer.status}
 	}
-	if x.headWritten || x.isRunnerFault(buffered) && (x.route.Repeatable() || !mayForward(answer.Status)) {
-		return &StatusError{Runner: x.choice.Runner.ID, Status: answer.Status}
-	}
-	x.forwardAnswer(ticket, buffered)
+	x.forwardAnswer(a, answer)
 	return nil
 }
 
 // relayEvents forwards the events of a runner until the stream ends.
-func (x *exchange) relayEvents(ctx context.Context, ticket *balance.Ticket, answer *upstream.Answer, watchdog *idleWatchdog) error {
+func (x *exchange) relayEvents(a *attempt, o opening, watchdog *idleWatchdog) error {
 	controller := http.NewResponseController(x.writer)
-	events := newEventReader(answer)
-	for {
-		e, err := events.next()
+	for e, err := o.first, o.end; ; e, err = o.events.next() {
 		if errors.Is(err, io.EOF) {
-			x.writeHead(answer)
+			x.writeHead(o.answer)
 			return nil
 		}
 		if err != nil {
-			return x.readFailure(ctx, err)
+			return x.readFailure(a, err)
 		}
-		if err := x.checkOrder(e); err != nil {
-			return &upstream.InvalidAnswerError{Address: x.choice.Runner.Address, Cause: err}
+		if err := checkOrder(e, x.lastEvent); err != nil {
+			return &upstream.InvalidAnswerError{Address: a.choice.Runner.Address, Cause: err}
+		}
+		if !watchdog.recordEvent(e, x.Clock.Now()) {
+			return &AttemptTimeoutError{Runner: a.choice.Runner.ID}
 		}
-		watchdog.recordEvent(x.Clock.Now())
 		if !x.headWritten || x.machine.State() == request.Dispatched {
-			ticket.Started()
+			a.ticket.Started()
 			x.apply(request.AnswerBegan)
 			x.recordFirstEvent()
 		}
-		x.writeHead(answer)
+		x.writeHead(o.answer)
 		if _, err := x.writer.Write(e.content); err != nil {
 			return &CallerWriteError{Cause: err}
 		}
 		if err := controller.Flush(); err != nil {
 			return &CallerWriteError{Cause: err}
 		}
-		if e.hasID {
-			x.lastEvent = e.id
-		}
 	}
 }
 
@@ -163,9 +151,9 @@
 }
 
 // checkOrder rejects an event that does not follow the previous one.
-func (x *exchange) checkOrder(e event) error {
-	if e.hasID && e.id != x.lastEvent+1 {
-		return &EventOrderError{Want: x.lastEvent + 1, Got: e.id}
+func checkOrder(e event, last int) error {
+	if e.hasID && e.id != last+1 {
+		return &EventOrderError{Want: last + 1, Got: e.id}
 	}
 	return nil
 }
