Keep whether the connection was reused in all failures of an answer

What callers saw: nothing by itself. A failure that says it happened on a new connection counts as a crash of the backend server in `backend`, and the idempotent request is not sent again at once.

Cause: `writeFailure` and `ReadAll` built their InvalidAnswerError without Reused, so that a request written in part, or an answer that ended within its body, looked as if it had been sent on a new connection.

Evidence: TestFailureKeepsWhetherConnectionWasReused failed before:

--- FAIL: TestFailureKeepsWhetherConnectionWasReused/partly_written exchange_internal_test.go:63: value is not true, got: bool(false) --- FAIL: TestFailureKeepsWhetherConnectionWasReused/truncated exchange_internal_test.go:63: value is not true, got: bool(false)

Change: both pass Reused on.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -90,7 +90,7 @@
 	isReused := c.used
 	c.used = true
 	c.onRead = request.OnRead
-	written, err := c.write(encode(request))
+	written, err := c.write(encode(request), isReused)
 	if err != nil {
 		return nil, err
 	}
@@ -106,7 +106,7 @@
 
 // write writes a request up to maxInlineWrite directly and a longer one in the
 // background. The channel gets the result once the request has been written.
-func (c *connection) write(content []byte) (chan error, error) {
+func (c *connection) write(content []byte, isReused bool) (chan error, error) {
 	written := make(chan error, 1)
 	if len(content) > maxInlineWrite {
 		go func() {
@@ -117,7 +117,7 @@
 	}
 	count, err := c.raw.Write(content)
 	if err != nil {
-		return nil, c.writeFailure(count, err)
+		return nil, c.writeFailure(count, isReused, err)
 	}
 	written <- nil
 	return written, nil
@@ -125,11 +125,11 @@
 
 // writeFailure returns the error for a failed write. Its type depends on whether the
 // kernel accepted any byte.
-func (c *connection) writeFailure(count int, err error) error {
+func (c *connection) writeFailure(count int, isReused bool, err error) error {
 	if count == 0 {
 		return &UnwrittenError{Address: c.address, Cause: err}
 	}
-	return &InvalidAnswerError{Address: c.address, Cause: err}
+	return &InvalidAnswerError{Address: c.address, Reused: isReused, Cause: err}
 }
 
 // readHeader reads the header of the final answer. Interim answers are skipped.
@@ -186,14 +186,18 @@
 	limit := a.pool.options.MaxBodyBytes
 	body, err := io.ReadAll(io.LimitReader(a, int64(limit)+1))
 	if err != nil {
-		return nil, &InvalidAnswerError{Address: a.connection.address, Cause: err}
+		return nil, a.invalid(err)
 	}
 	if len(body) > limit {
-		return nil, &InvalidAnswerError{Address: a.connection.address, Cause: &AnswerTooLargeError{Limit: limit}}
+		return nil, a.invalid(&AnswerTooLargeError{Limit: limit})
 	}
 	return body, nil
 }
 
+func (a *Answer) invalid(cause error) error {
+	return &InvalidAnswerError{Address: a.connection.address, Reused: a.Reused, Cause: cause}
+}
+
 // Close ends the exchange. The connection returns to the pool if the answer was read
 // completely and valid is true, which means that it was the answer to this request.
 // Otherwise the connection is closed.
