Let a new connection take the place of an idle one at the limit

What callers saw: nothing yet, since the gateway asks for no new connections, and `backend`, which does, sets no limit. Found by reading.

Cause: `acquire` counts idle connections towards MaxConnections, and a request with NewConnection can't take over the place of one. It would be refused at a runner whose connections of this daemon are all idle.

Evidence: TestNewConnectionReplacesIdleOneAtLimit failed before:

limit_test.go:17: got non-nil error "nothing was written to 127.0.0.1:34429: all 1 connections are in use" (twice) limit_test.go:19: values are not equal, got: 1, want: 3

Change: at the limit, the least recently used idle connection is closed, and the new one is counted in its place, so that the number of open connections stays the same.

--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -69,7 +70,7 @@
 			return c, nil
 		}
 	}
-	if !p.reserve(request.Address, request.MaxConnections) {
+	if !p.reserve(request.Address, request.MaxConnections) && !p.closeOldestIdle(request.Address) {
 		return nil, &ConnectionLimitError{Limit: request.MaxConnections}
 	}
 	c, err := p.dial(ctx, request.Address)
@@ -114,6 +115,29 @@
 	return true
 }
 
+// closeOldestIdle closes the least recently used idle connection to an address and leaves
+// its place among the open ones to the caller. It returns false if there is none.
+func (p *Pool) closeOldestIdle(address string) bool {
+	c := p.popOldestIdle(address)
+	if c == nil {
+		return false
+	}
+	_ = c.raw.Close()
+	return true
+}
+
+func (p *Pool) popOldestIdle(address string) *connection {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	idle := p.idle[address]
+	if len(idle) == 0 {
+		return nil
+	}
+	c := idle[0]
+	p.idle[address] = slices.Delete(idle, 0, 1)
+	return c
+}
+
 func (p *Pool) release(address string) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
