Learn how long connections to runners may be idle, and reuse none that is probably stale

What callers saw: 502 with reason MayHaveRun on the first attempt, while runners dropped idle connections without notice. The requests had reached no runner.

Cause: a request that may not be repeated was sent on any idle connection within its timeout, although connections that had been idle as long had just been reset. After such a reset the request may have run, so it can't be sent again; only the choice of the connection helps.

Evidence: both tests failed before:

--- FAIL: TestRequestIsNotSentOnConnectionThatIsProbablyStale stale_test.go:22: got non-nil error: the answer of 127.0.0.1:36711 broke off: read: connection reset by peer (2 of the 5 requests after the first reset) --- FAIL: TestResetsOfStaleConnectionsAreNotRepeated (gateway) stale_test.go:46: 4 requests failed (of 6; at most one allowed)

Change: `idlelimit` remembers resets of reused connections that came soon after the request, before any byte of an answer, and after an idle time above 50 ms. A request that tolerates no reset gets a connection that was idle for at most a quarter of the shortest such time, or a new one in place of the idle one, so that the number of open connections stays the same. One reset is enough for it (2 s for other addresses, 10 s for its own, 10 s for all once two addresses show resets). A request that can be repeated is restricted only after a second reset, and for 2 s, since the first may be a crash; afterwards such requests show whether idle connections are still dropped. An answer after a longer idle time disproves earlier resets at its address.

To see it: the log line IdleLimitChanged, the gauge idle_limit_seconds, the counters Upstream.StaleConnections.* and Upstream.IdleConnectionsReplaced, and the idle time in the reason of AttemptFailed.

Weighed and left: a reset still counts as a possible crash in `suspect`. A request that crashes runners looks the same where connections rest for long, and would never be found.

--- a/backend/client.go
+++ b/backend/client.go
@@ -207,7 +207,7 @@
 		header.Set(DeadlineHeader, strconv.FormatInt(left, 10))
 	}
 	return upstream.Request{
-		Address: a.call.Address, Host: a.call.Address, NewConnection: a.call.Fresh || !a.call.Idempotent,
+		Address: a.call.Address, Host: a.call.Address, NewConnection: a.call.Fresh || !a.call.Idempotent, ToleratesReset: a.call.Idempotent,
 		Method: a.call.Method, Target: target.RequestURI(), Header: header, Body: a.call.Body,
 		OnRead: a.silence.reset,
 	}, nil
--- a/entry/run.go
+++ b/entry/run.go
@@ -40,6 +40,9 @@
 	e.metrics.RegisterGauge("store_epoch", "Number of times that the store was restored from an older copy.", func() float64 {
 		return float64(e.feedsByTopic[platform.ConfigurationTopic].End().Epoch)
 	})
+	e.metrics.RegisterGauge("idle_limit_seconds", "How long a connection to a runner may be idle to be reused for any request, or 0.", func() float64 {
+		return e.upstream.IdleLimit().Seconds()
+	})
 	e.metricsServer = &http.Server{Handler: e.metrics.Handler(), ReadHeaderTimeout: maxHeaderTime}
 	e.readinessServer = &http.Server{Handler: http.HandlerFunc(e.serveReadiness), ReadHeaderTimeout: maxHeaderTime}
 }
--- /dev/null
+++ b/gateway/stale_test.go
@@ -0,0 +1,47 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cranberrywalk/cranberrywalk/platform/standin"
+)
+
+const (
+	// dropAfter is how long the runners keep idle connections.
+	dropAfter = 100 * time.Millisecond
+	// longIdle is an idle time after which they have dropped them.
+	longIdle = 150 * time.Millisecond
+)
+
+// newDroppingRig returns a rig with two runners that drop idle connections without
+// notice. Each of them has an idle connection.
+func newDroppingRig(t *testing.T) *rig {
+	reject := standin.Behaviour{Status: http.StatusServiceUnavailable, NotRun: true}
+	r := newRig(t, inTurn(reject, okAnswer), always(okAnswer))
+	for _, runner := range r.runners {
+		runner.DropIdleAfter(dropAfter)
+	}
+	r.c.Assert(r.send("/once/a").status, qt.Equals, http.StatusOK)
+	r.c.Assert(r.arrivals(), qt.DeepEquals, []int{1, 1})
+	return r
+}
+
+// TestResetsOfStaleConnectionsAreNotRepeated guards against requests that may not be
+// repeated being sent on stale connections although one has just been reset.
+func TestResetsOfStaleConnectionsAreNotRepeated(t *testing.T) {
+	r := newDroppingRig(t)
+	failed := 0
+	for i := range 6 {
+		time.Sleep(longIdle)
+		got := r.send("/once/a", with(standin.HeaderCallID, fmt.Sprint("call-", i)))
+		if got.status != http.StatusOK {
+			failed++
+		}
+	}
+	r.c.Check(failed <= 1, qt.IsTrue, qt.Commentf("%d requests failed", failed))
+}
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -16,8 +16,10 @@
 	raw     net.Conn
 	address string
 	reader  *bufio.Reader
-	// used is true once a request has been sent.
-	used bool
+	// idleSince is when the last exchange ended. It is zero before the first one.
+	idleSince time.Time
+	// use is the current exchange, or the last one.
+	use use
 	// onRead is called after each read of the current exchange that returned
 	// bytes. It may be nil.
 	onRead func()
@@ -52,6 +54,9 @@
 	if c.headerBytesLeft > 0 {
 		c.headerBytesLeft -= count
 	}
+	if count > 0 {
+		c.use.isAnswered = true
+	}
 	if count > 0 && c.onRead != nil {
 		c.onRead()
 	}
--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -1,6 +1,9 @@
 package upstream
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // UnwrittenError means that a request failed before any byte of it was written, and
 // that none will be written.
@@ -33,11 +36,18 @@
 	// Reused is true if the connection had carried an earlier request, so that the
 	// runner may have closed it as idle.
 	Reused bool
-	Cause  error
+	// Idle is how long a reused connection had been idle.
+	Idle time.Duration
+	// Stale is true if the runner has probably dropped the connection while it was idle.
+	Stale bool
+	Cause error
 }
 
 // Error implements error.
 func (e *InvalidAnswerError) Error() string {
+	if e.Stale {
+		return fmt.Sprintf("the connection to %s was reset after it had been idle for %v: %v", e.Address, e.Idle, e.Cause)
+	}
 	return fmt.Sprintf("the answer of %s broke off: %v", e.Address, e.Cause)
 }
 
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -16,7 +16,10 @@
 	MaxConnections int
 	// NewConnection requires a new connection.
 	NewConnection bool
-	Method        string
+	// ToleratesReset is true if the request can be sent again after a reset. Other
+	// requests use an idle connection only if it is unlikely to be stale.
+	ToleratesReset bool
+	Method         string
 	// Target is the path with the query. It is sent unchanged.
 	Target string
 	Host   string
@@ -60,10 +63,12 @@
 		stop()
 		p.drop(c)
 		if ctx.Err() != nil {
-			err = replaceCause(err, context.Cause(ctx))
+			return nil, replaceCause(err, context.Cause(ctx))
 		}
+		p.recordFailure(c, request, err)
 		return nil, err
 	}
+	p.recordAnswer(c)
 	answer.detach = stop
 	return answer, nil
 }
@@ -76,7 +81,7 @@
 	}
 	var invalid *InvalidAnswerError
 	if errors.As(err, &invalid) {
-		return &InvalidAnswerError{Address: invalid.Address, Reused: invalid.Reused, Cause: cause}
+		return &InvalidAnswerError{Address: invalid.Address, Reused: invalid.Reused, Idle: invalid.Idle, Cause: cause}
 	}
 	return err
 }
@@ -87,26 +92,25 @@
 const maxInlineWrite = 8 << 10
 
 func (p *Pool) exchange(c *connection, request Request) (*Answer, error) {
-	isReused := c.used
-	c.used = true
+	c.beginUse(p.common.Clock.Now())
 	c.onRead = request.OnRead
-	written, err := c.write(encode(request), isReused)
+	written, err := c.write(encode(request))
 	if err != nil {
 		return nil, err
 	}
 	response, err := c.readHeader(request.Method, p.options.MaxHeaderBytes) //nolint:bodyclose // Answer.Close closes or recycles the connection.
 	if err != nil {
-		return nil, &InvalidAnswerError{Address: request.Address, Reused: isReused, Cause: err}
+		return nil, c.invalidAnswer(err)
 	}
 	return &Answer{
-		Status: response.StatusCode, Header: response.Header, Reused: isReused,
+		Status: response.StatusCode, Header: response.Header, Reused: c.use.isReused,
 		pool: p, connection: c, response: response, written: written,
 	}, nil
 }
 
 // write writes a request up to maxInlineWrite directly and a longer one in the
 // background. The channel gets the result once the request has been written.
-func (c *connection) write(content []byte, isReused bool) (chan error, error) {
+func (c *connection) write(content []byte) (chan error, error) {
 	written := make(chan error, 1)
 	if len(content) > maxInlineWrite {
 		go func() {
@@ -117,7 +121,7 @@
 	}
 	count, err := c.raw.Write(content)
 	if err != nil {
-		return nil, c.writeFailure(count, isReused, err)
+		return nil, c.writeFailure(count, err)
 	}
 	written <- nil
 	return written, nil
@@ -125,11 +129,11 @@
 
 // writeFailure returns the error for a failed write. Its type depends on whether the
 // kernel accepted any byte.
-func (c *connection) writeFailure(count int, isReused bool, err error) error {
+func (c *connection) writeFailure(count int, err error) error {
 	if count == 0 {
 		return &UnwrittenError{Address: c.address, Cause: err}
 	}
-	return &InvalidAnswerError{Address: c.address, Reused: isReused, Cause: err}
+	return c.invalidAnswer(err)
 }
 
 // readHeader reads the header of the final answer. Interim answers are skipped.
@@ -186,18 +190,14 @@
 	limit := a.pool.options.MaxBodyBytes
 	body, err := io.ReadAll(io.LimitReader(a, int64(limit)+1))
 	if err != nil {
-		return nil, a.invalid(err)
+		return nil, a.connection.invalidAnswer(err)
 	}
 	if len(body) > limit {
-		return nil, a.invalid(&AnswerTooLargeError{Limit: limit})
+		return nil, a.connection.invalidAnswer(&AnswerTooLargeError{Limit: limit})
 	}
 	return body, nil
 }
 
-func (a *Answer) invalid(cause error) error {
-	return &InvalidAnswerError{Address: a.connection.address, Reused: a.Reused, Cause: cause}
-}
-
 // Close ends the exchange. The connection returns to the pool if the answer was read
 // completely and valid is true, which means that it was the answer to this request.
 // Otherwise the connection is closed.
@@ -214,7 +214,8 @@
 		a.pool.drop(a.connection)
 		return
 	}
-	a.connection.idleUntil = a.pool.common.Clock.Now().Add(idle)
+	a.connection.idleSince = a.pool.common.Clock.Now()
+	a.connection.idleUntil = a.connection.idleSince.Add(idle)
 	a.pool.recycle(a.connection)
 }
 
--- a/upstream/exchange_internal_test.go
+++ b/upstream/exchange_internal_test.go
@@ -51,7 +51,7 @@
 			c := qt.New(t)
 			pool := New(telemetry.NewCommon(), DefaultOptions())
 			conn := newConnection(scenario.raw, "runner")
-			conn.used = true
+			conn.idleSince = pool.common.Clock.Now()
 
 			answer, err := pool.exchange(conn, Request{Address: "runner", Host: "runner", Method: "GET", Target: "/"})
 			if err == nil {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cranberrywalk/cranberrywalk/idlelimit"
 	"github.com/cranberrywalk/cranberrywalk/socket"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 )
@@ -55,18 +56,26 @@
 	idle map[string][]*connection
 	// open counts the connections by address, including idle ones.
 	open map[string]int
+
+	// idleLimits estimates how long runners keep idle connections.
+	idleLimits *idlelimit.Estimator
+	// loggedIdleLimit is the limit that was last logged; guarded by mutex.
+	loggedIdleLimit time.Duration
 }
 
 // New returns a pool without connections.
 func New(common telemetry.Common, options Options) *Pool {
-	return &Pool{common: common, options: options, idle: make(map[string][]*connection), open: make(map[string]int)}
+	return &Pool{
+		common: common, options: options, idle: make(map[string][]*connection), open: make(map[string]int),
+		idleLimits: idlelimit.New(idlelimit.DefaultOptions()),
+	}
 }
 
 // acquire returns an idle connection for a request, or a new one if there is none
 // or the request requires it.
 func (p *Pool) acquire(ctx context.Context, request Request) (*connection, error) {
 	if !request.NewConnection {
-		if c := p.acquireIdle(request.Address); c != nil {
+		if c := p.acquireIdle(request); c != nil {
 			return c, nil
 		}
 	}
@@ -81,15 +90,25 @@
 	return c, nil
 }
 
-// acquireIdle returns an idle connection that can be reused, or nil. It closes
-// idle connections that cannot be reused.
-func (p *Pool) acquireIdle(address string) *connection {
+// acquireIdle returns an idle connection that can be reused for a request, or nil. It
+// closes idle connections that cannot be reused. One that may be stale is closed as well,
+// so that a new connection takes its place.
+func (p *Pool) acquireIdle(request Request) *connection {
+	now := p.common.Clock.Now()
 	for {
-		c := p.popIdle(address)
-		if c == nil || c.isReusable(p.common.Clock.Now()) {
-			return c
+		c := p.popIdle(request.Address)
+		if c == nil {
+			return nil
 		}
-		p.drop(c)
+		if !c.isReusable(now) {
+			p.drop(c)
+			continue
+		}
+		if p.mayBeStale(c, request, now) {
+			p.drop(c)
+			return nil
+		}
+		return c
 	}
 }
 
@@ -194,6 +213,7 @@
 func (p *Pool) CloseExpired() {
 	now := p.common.Clock.Now()
 	p.closeIdle(func(c *connection) bool { return !now.Before(c.idleUntil) })
+	p.logIdleLimit(now)
 }
 
 // CloseIdleTo closes the idle connections to an address and returns their number.
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
 	"go.uber.org/goleak"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
@@ -28,13 +29,16 @@
 // rig is a pool and a fake runner that answers each request with the same bytes.
 type rig struct {
 	c           *qt.C
-	clock       interface{ Advance(time.Duration) }
+	clock       *clockwork.FakeClock
 	pool        *upstream.Pool
 	address     string
 	connections atomic.Int64
 	// limit is how many requests are answered on each connection. The next
 	// request closes it.
 	limit atomic.Int64
+	// dropAfter is how long a connection may be idle, in nanoseconds of the fake
+	// clock. The next request on it is reset, without an earlier sign.
+	dropAfter atomic.Int64
 }
 
 func newRig(t *testing.T, options upstream.Options, answer string) *rig {
@@ -44,6 +48,7 @@
 	common.Clock = fake
 	r.clock = fake
 	r.limit.Store(math.MaxInt64)
+	r.dropAfter.Store(math.MaxInt64)
 	r.pool = upstream.New(common, options)
 	r.c.Cleanup(r.pool.CloseAllIdle)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -68,12 +73,19 @@
 func (r *rig) serveConnection(conn net.Conn, answer string) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
+	idleSince := r.clock.Now()
 	for answered := int64(0); ; answered++ {
+		_, _ = reader.Peek(1)
+		if answered > 0 && int64(r.clock.Since(idleSince)) > r.dropAfter.Load() {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			return
+		}
 		request, err := http.ReadRequest(reader)
 		if err != nil || answered >= r.limit.Load() {
 			return
 		}
 		_, _ = io.Copy(io.Discard, request.Body)
+		idleSince = r.clock.Now()
 		_, _ = io.WriteString(conn, answer)
 	}
 }
