Send a retry on no connection that may be stale

What callers saw: 502 with reason AttemptsUsedUp for requests that can be repeated, while runners dropped idle connections without notice: both attempts had been reset.

Cause: the retry after the reset of an idle connection went to another runner, on another connection that had been idle as long. One reset restricts only requests that may not be repeated, and the last attempt was not treated as one of them.

Evidence: the test failed before, also with the idle limit in place:

--- FAIL: TestRetryAfterStaleConnectionUsesFreshOne stale_test.go:55: got: 502, want: 200

Change: only the first attempt of a request tolerates a reset. Any other attempt, and one that continues a stopped run, whose handle can be used once, gets a connection that is unlikely to be stale; after a reset that is a new one, or one that was idle for much shorter. The retry budget is still charged: the reset attempt may have arrived.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -32,7 +32,7 @@
 	}
 	defer func() { x.Meters.ObservePhase(x.route.Kind.String(), metric.Connect, x.Clock.Since(started)) }()
 	return x.Upstream.Send(ctx, upstream.Request{
-		Address: runner.Address, MaxConnections: maxConnections, ToleratesReset: x.route.Repeatable(),
+		Address: runner.Address, MaxConnections: maxConnections, ToleratesReset: x.toleratesReset(),
 		Method: x.call.Method, Target: x.call.Target, Host: x.call.Host, Body: x.call.Body,
 		Header: x.Codec.RunnerHeader(x.call, x.attemptOf(runner.ID, x.Clock.Now())),
 	})
--- a/gateway/stale_test.go
+++ b/gateway/stale_test.go
@@ -45,3 +45,13 @@
 	}
 	r.c.Check(failed <= 1, qt.IsTrue, qt.Commentf("%d requests failed", failed))
 }
+
+// TestRetryAfterStaleConnectionUsesFreshOne guards against the retry of a reset request
+// being sent on another stale connection.
+func TestRetryAfterStaleConnectionUsesFreshOne(t *testing.T) {
+	r := newDroppingRig(t)
+	time.Sleep(longIdle)
+	got := r.send("/again/a", with(standin.HeaderCallID, "call-1"))
+	r.c.Check(got.status, qt.Equals, http.StatusOK)
+	r.c.Check(got.body, qt.Equals, "answer")
+}
