Let a request go back to the runner that had dropped its idle connection

What callers saw: 502 for a request that can be repeated, if no other runner was free: after the reset of an idle connection, its runner was ruled out for the request.

Cause: each failed attempt excludes its runner from the next choice. A runner that drops an idle connection has not failed, accepts new connections, and holds the cached prompts for which it was chosen.

Evidence: the test failed before:

--- FAIL: TestStaleConnectionDoesNotRuleOutItsRunner stale_test.go:67: got: 502, want: 200 stale_test.go:68: arrivals got: [1], want: [2]

Change: a reset that is taken for that of a stale connection excludes no runner. The attempt still counts towards max_attempts and the retry budget, and the retry uses a connection that is unlikely to be stale, so that a runner that really fails is excluded by the retry.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -101,7 +101,9 @@
 		x.apply(request.AttemptFailed)
 		x.recordCrash(failure, now)
 	}
-	x.excluded = append(x.excluded, x.choice.Runner.ID)
+	if !isStale(failure) {
+		x.excluded = append(x.excluded, x.choice.Runner.ID)
+	}
 	x.Meters.CountAttempt(x.choice.Runner.ID, result.String())
 	x.Log.Info("AttemptFailed", append([]any{
 		"Request", x.call.ID, "Attempt", x.machine.Attempt(), "Result", result.String(), "Reason", failure.Error(),
--- a/gateway/stale_test.go
+++ b/gateway/stale_test.go
@@ -55,3 +55,15 @@
 	r.c.Check(got.status, qt.Equals, http.StatusOK)
 	r.c.Check(got.body, qt.Equals, "answer")
 }
+
+// TestStaleConnectionDoesNotRuleOutItsRunner guards against the retry of a reset request
+// finding no runner, although its runner was not reached and accepts new connections.
+func TestStaleConnectionDoesNotRuleOutItsRunner(t *testing.T) {
+	r := newRig(t, always(okAnswer))
+	r.runners[0].DropIdleAfter(dropAfter)
+	r.c.Assert(r.send("/again/a").status, qt.Equals, http.StatusOK)
+	time.Sleep(longIdle)
+	got := r.send("/again/a", with(standin.HeaderCallID, "call-1"))
+	r.c.Check(got.status, qt.Equals, http.StatusOK)
+	r.c.Check(r.arrivals(), qt.DeepEquals, []int{2})
+}
