Count the reset of a stale connection against no runner

What callers saw: a less suitable runner. A runner that had dropped an idle connection was avoided as one that had failed.

Cause: `resultOf` classified the reset as Failed, which raises the runner's failure score. Such a reset concerns the connection: the runner accepts new ones.

Evidence: the test failed before:

--- FAIL: TestStaleConnectionDoesNotCountAgainstItsRunner/stale stale_internal_test.go:29: got: "Failed", want: "Cancelled"

Change: the result is Cancelled, which does not change the score. If the runner has crashed, the next attempts on new connections show it.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -133,7 +133,7 @@
 	switch {
 	case errors.As(failure, &timedOut), x.timedOutUnanswered():
 		return balance.Silent
-	case x.ctx.Err() != nil, errors.As(failure, &full), isCallerWriteFailure(failure):
+	case x.ctx.Err() != nil, errors.As(failure, &full), isCallerWriteFailure(failure), isStale(failure):
 		return balance.Cancelled
 	case errors.As(failure, &unwritten):
 		return balance.Unreachable
