Let connections be idle for half of the time after which one was reset

What callers saw: nothing. A quarter makes more requests open new connections than needed.

Change: SafeFraction is 0.5.

--- a/idlelimit/estimator.go
+++ b/idlelimit/estimator.go
@@ -30,7 +30,7 @@
 // DefaultOptions returns the defaults.
 func DefaultOptions() Options {
 	return Options{
-		MinIdle: 50 * time.Millisecond, SafeFraction: 0.25,
+		MinIdle: 50 * time.Millisecond, SafeFraction: 0.5,
 		Lifetime: 2 * time.Second, CautiousLifetime: 10 * time.Second, MaxResets: 64,
 	}
 }
