Move streams on no connection that has been idle for long

What callers saw: a stream that stayed at a leaving runner, and broke off with it, if the runner had dropped the idle connection on which the move was sent.

Cause: the client for moves kept idle connections to runners for 10 s. net/http does not repeat a POST that was reset.

Evidence: the test failed before (with newClient, which moves used):

--- FAIL: TestMoveIsNotSentOnStaleConnection client_internal_test.go:25: Post "http://127.0.0.1:39963/-/kv-move": read: connection reset by peer

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -153,7 +152,7 @@
 	e.gateway = gateway.New(e.Common, gateway.Dependencies{
 		Codec: platform.Codec{}, Balancer: e.balancer, Upstream: e.upstream, Quotas: e.quotas,
 		Suspects: e.suspects, Usage: e.usage, SyncedClock: e.syncedClock, Group: e.group,
-		Mover: platform.NewMover(newClient()), Meters: e.metrics, RunnersAge: e.runnersAge,
+		Mover: platform.NewMover(newMoverClient()), Meters: e.metrics, RunnersAge: e.runnersAge,
 		RetryBudgets: gateway.NewRetryBudgets(retry.WindowOptions{
 			Length: bounds.RetryWindow, Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, SafetyFactor: retryBudgetShare,
 		}),
@@ -267,16 +266,6 @@
 	})
 }
 
-// newClient returns a client for the platform's services. It bounds dials and closes
-// idle connections.
-func newClient() *http.Client {
-	dialer := &net.Dialer{Timeout: outageTimeout}
-	return &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: 10 * time.Second,
-		DisableCompression: true,
-	}}
-}
-
 // runnersAge returns the time since the runners were last read.
 func (e *Entry) runnersAge() time.Duration {
 	return e.Clock.Since(e.feedsByTopic[platform.RunnersTopic].LastConfirmed())
