--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -97,7 +97,8 @@
 	}
 	defer func() { x.Meters.ObservePhase(x.route.Kind.String(), metric.Connect, x.Clock.Since(started)) }()
 	return x.Upstream.Send(a.ctx, upstream.Request{
-		Address: runner.Address, MaxConnections: maxConnections, NewConnection: a.newConnection,
+		Address: runner.Address, MaxConnections: maxConnections,
+		NewConnection: a.newConnection, ToleratesReset: x.toleratesReset(a),
 		Method: x.call.Method, Target: x.call.Target, Host: x.call.Host, Body: x.call.Body,
 		Header: x.Codec.RunnerHeader(x.call, x.attemptOf(a, x.Clock.Now())),
 	})
@@ -161,7 +162,9 @@
 	now := x.Clock.Now()
 	result := x.resultOf(a, failure)
 	a.ticket.End(result, now)
-	x.excluded = append(x.excluded, a.choice.Runner.ID)
+	if !isStale(failure) {
+		x.excluded = append(x.excluded, a.choice.Runner.ID)
+	}
 	x.Meters.CountAttempt(a.choice.Runner.ID, result.String())
 	x.Log.Info("AttemptFailed", append([]any{
 		"Request", x.call.ID, "Attempt", a.number, "Result", result.String(), "Reason", failure.Error(),
@@ -205,7 +208,7 @@
 	switch {
 	case errors.As(failure, &timedOut), x.timedOutUnanswered(a):
 		return balance.Silent
-	case x.ctx.Err() != nil, errors.As(failure, &full), isCallerWriteFailure(failure):
+	case x.ctx.Err() != nil, errors.As(failure, &full), isCallerWriteFailure(failure), isStale(failure):
 		return balance.Cancelled
 	case errors.As(failure, &unwritten):
 		return balance.Unreachable
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -16,7 +16,10 @@
 	MaxConnections int
 	// NewConnection requires a new connection.
 	NewConnection bool
-	Method        string
+	// ToleratesReset is true if the request can be sent again after a reset. Other
+	// requests use an idle connection only if it is unlikely to be stale.
+	ToleratesReset bool
+	Method         string
 	// Target is the path with the query. It is sent unchanged.
 	Target string
 	Host   string
@@ -60,10 +63,12 @@
 		stop()
 		p.drop(c)
 		if ctx.Err() != nil {
-			err = replaceCause(err, context.Cause(ctx))
+			return nil, replaceCause(err, context.Cause(ctx))
 		}
+		p.recordFailure(c, request, err)
 		return nil, err
 	}
+	p.recordAnswer(c)
 	answer.detach = stop
 	return answer, nil
 }
@@ -76,7 +81,7 @@
 	}
 	var invalid *InvalidAnswerError
 	if errors.As(err, &invalid) {
-		return &InvalidAnswerError{Address: invalid.Address, Reused: invalid.Reused, Cause: cause}
+		return &InvalidAnswerError{Address: invalid.Address, Reused: invalid.Reused, Idle: invalid.Idle, Cause: cause}
 	}
 	return err
 }
@@ -87,8 +92,7 @@
 const maxInlineWrite = 8 << 10
 
 func (p *Pool) exchange(c *connection, request Request) (*Answer, error) {
-	isReused := c.used
-	c.used = true
+	c.beginUse(p.common.Clock.Now())
 	c.onRead = request.OnRead
 	written, err := c.write(encode(request))
 	if err != nil {
@@ -96,10 +100,10 @@
 	}
 	response, err := c.readHeader(request.Method, p.options.MaxHeaderBytes) //nolint:bodyclose // Answer.Close closes or recycles the connection.
 	if err != nil {
-		return nil, &InvalidAnswerError{Address: request.Address, Reused: isReused, Cause: err}
+		return nil, c.invalidAnswer(err)
 	}
 	return &Answer{
-		Status: response.StatusCode, Header: response.Header, Reused: isReused,
+		Status: response.StatusCode, Header: response.Header, Reused: c.use.isReused,
 		pool: p, connection: c, response: response, written: written,
 	}, nil
 }
@@ -129,7 +133,7 @@
 	if count == 0 {
 		return &UnwrittenError{Address: c.address, Cause: err}
 	}
-	return &InvalidAnswerError{Address: c.address, Cause: err}
+	return c.invalidAnswer(err)
 }
 
 // readHeader reads the header of the final answer. Interim answers are skipped.
@@ -186,10 +190,10 @@
 	limit := a.pool.options.MaxBodyBytes
 	body, err := io.ReadAll(io.LimitReader(a, int64(limit)+1))
 	if err != nil {
-		return nil, &InvalidAnswerError{Address: a.connection.address, Cause: err}
+		return nil, a.connection.invalidAnswer(err)
 	}
 	if len(body) > limit {
-		return nil, &InvalidAnswerError{Address: a.connection.address, Cause: &AnswerTooLargeError{Limit: limit}}
+		return nil, a.connection.invalidAnswer(&AnswerTooLargeError{Limit: limit})
 	}
 	return body, nil
 }
@@ -210,7 +214,8 @@
 		a.pool.drop(a.connection)
 		return
 	}
-	a.connection.idleUntil = a.pool.common.Clock.Now().Add(idle)
+	a.connection.idleSince = a.pool.common.Clock.Now()
+	a.connection.idleUntil = a.connection.idleSince.Add(idle)
 	a.pool.recycle(a.connection)
 }
 
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cranberrywalk/cranberrywalk/idlelimit"
 	"github.com/cranberrywalk/cranberrywalk/socket"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 )
@@ -54,22 +56,30 @@
 	idle map[string][]*connection
 	// open counts the connections by address, including idle ones.
 	open map[string]int
+
+	// idleLimits estimates how long runners keep idle connections.
+	idleLimits *idlelimit.Estimator
+	// loggedIdleLimit is the limit that was last logged; guarded by mutex.
+	loggedIdleLimit time.Duration
 }
 
 // New returns a pool without connections.
 func New(common telemetry.Common, options Options) *Pool {
-	return &Pool{common: common, options: options, idle: make(map[string][]*connection), open: make(map[string]int)}
+	return &Pool{
+		common: common, options: options, idle: make(map[string][]*connection), open: make(map[string]int),
+		idleLimits: idlelimit.New(idlelimit.DefaultOptions()),
+	}
 }
 
 // acquire returns an idle connection for a request, or a new one if there is none
 // or the request requires it.
 func (p *Pool) acquire(ctx context.Context, request Request) (*connection, error) {
 	if !request.NewConnection {
-		if c := p.acquireIdle(request.Address); c != nil {
+		if c := p.acquireIdle(request); c != nil {
 			return c, nil
 		}
 	}
-	if !p.reserve(request.Address, request.MaxConnections) {
+	if !p.reserve(request.Address, request.MaxConnections) && !p.closeOldestIdle(request.Address) {
 		return nil, &ConnectionLimitError{Limit: request.MaxConnections}
 	}
 	c, err := p.dial(ctx, request.Address)
@@ -80,15 +90,25 @@
 	return c, nil
 }
 
-// acquireIdle returns an idle connection that can be reused, or nil. It closes
-// idle connections that cannot be reused.
-func (p *Pool) acquireIdle(address string) *connection {
+// acquireIdle returns an idle connection that can be reused for a request, or nil. It
+// closes idle connections that cannot be reused. One that may be stale is closed as well,
+// so that a new connection takes its place.
+func (p *Pool) acquireIdle(request Request) *connection {
+	now := p.common.Clock.Now()
 	for {
-		c := p.popIdle(address)
-		if c == nil || c.isReusable(p.common.Clock.Now()) {
-			return c
+		c := p.popIdle(request.Address)
+		if c == nil {
+			return nil
 		}
-		p.drop(c)
+		if !c.isReusable(now) {
+			p.drop(c)
+			continue
+		}
+		if p.mayBeStale(c, request, now) {
+			p.drop(c)
+			return nil
+		}
+		return c
 	}
 }
 
@@ -114,6 +134,29 @@
 	return true
 }
 
+// closeOldestIdle closes the least recently used idle connection to an address and leaves
+// its place among the open ones to the caller. It returns false if there is none.
+func (p *Pool) closeOldestIdle(address string) bool {
+	c := p.popOldestIdle(address)
+	if c == nil {
+		return false
+	}
+	_ = c.raw.Close()
+	return true
+}
+
+func (p *Pool) popOldestIdle(address string) *connection {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	idle := p.idle[address]
+	if len(idle) == 0 {
+		return nil
+	}
+	c := idle[0]
+	p.idle[address] = slices.Delete(idle, 0, 1)
+	return c
+}
+
 func (p *Pool) release(address string) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -170,6 +213,7 @@
 func (p *Pool) CloseExpired() {
 	now := p.common.Clock.Now()
 	p.closeIdle(func(c *connection) bool { return !now.Before(c.idleUntil) })
+	p.logIdleLimit(now)
 }
 
 // CloseIdleTo closes the idle connections to an address and returns their number.
