Let a daemon find the others after its startup period too

What operators saw: nothing. TestFewDaemonsSendTheirStateToANewOne failed twice in whole runs of the tests beside load, and in 16 of 60 plays in four processes at once; with 40 s in place of 5 s the daemons still did not know each other.

Cause: a daemon called its seeds, and asked for the list of the others, only while it was new. If no call succeeded in that time, it stayed alone, or knew its seed only, until the store listed the others.

Change: after the startup period the seeds are called as long as no other daemon is alive, and collected state is asked for until it was received once. The test waits until all daemons have it before it counts who sends state to a new one: four, as before.

Evidence: TestSeedIsFoundAfterTheStartupPeriod timed out before and passes now.

--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -23,18 +23,47 @@
 }
 
 // callSeeds calls the seeds from which no digest has arrived yet, throughout the
-// startup period: all daemons may start at once, in any order.
+// startup period: all daemons may start at once, in any order. Afterwards it calls them as
+// long as no other daemon is alive, since nobody else may know of this one.
 func (g *Group) callSeeds(ctx context.Context, calls *sync.WaitGroup) {
-	for g.isNew() {
-		for _, seed := range g.uncontactedSeeds() {
+	for {
+		for _, seed := range g.seedsToCall() {
 			calls.Go(func() { g.callAddress(ctx, Member{Address: seed}, nil) })
 		}
-		if clock.Sleep(ctx, g.common.Clock, g.options.Period) != nil {
+		if clock.Sleep(ctx, g.common.Clock, g.seedPeriod()) != nil {
 			return
 		}
 	}
 }
 
+// seedPeriod returns the time between two calls of the seeds.
+func (g *Group) seedPeriod() time.Duration {
+	if g.isNew() {
+		return g.options.Period
+	}
+	return g.options.DownRetryPeriod
+}
+
+func (g *Group) seedsToCall() []string {
+	if !g.isNew() && g.hasLivePeer() {
+		return nil
+	}
+	return g.uncontactedSeeds()
+}
+
+// hasLivePeer reports whether another daemon is alive.
+func (g *Group) hasLivePeer() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.common.Clock.Now()
+	for _, p := range g.peers {
+		if g.isAlive(p, now) {
+			return true
+		}
+	}
+	return false
+}
+
 func (g *Group) uncontactedSeeds() []string {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
@@ -141,11 +170,12 @@
 func (g *Group) isNew() bool { return g.common.Clock.Since(g.startedAt) < g.options.StartupPeriod }
 
 // beginStateRequest reports whether the next call asks for collected state: this daemon
-// has just started, and not enough others have sent theirs.
+// has just started, and not enough others have sent theirs, or nobody has until now.
 func (g *Group) beginStateRequest() bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if !g.isNew() || g.stateReplies >= g.options.MaxStateReplies {
+	isEnough := g.stateReplies >= g.options.MaxStateReplies
+	if isEnough || !g.isNew() && g.stateReplies > 0 {
 		return false
 	}
 	g.stateReplies++
--- a/membership/state_test.go
+++ b/membership/state_test.go
@@ -35,8 +35,7 @@
 	for _, d := range daemons {
 		eventually(c, "the daemons to know each other", func() bool { return d.group.Size() == others })
 	}
-	time.Sleep(20 * time.Millisecond)
-	before := statesSent(daemons)
+	before := settledStatesSent(c, daemons)
 	options := settledOptions(c, "late", seed)
 	options.StartupPeriod, options.Timeout = time.Minute, time.Minute
 	late := startWith(c, options)
@@ -46,6 +45,19 @@
 	c.Check(statesSent(daemons)-before, qt.Equals, options.MaxStateReplies)
 }
 
+// settledStatesSent returns statesSent once it no longer rises: each daemon asks until it has
+// collected state once.
+func settledStatesSent(c *qt.C, daemons []*daemon) int {
+	last, since := statesSent(daemons), time.Now()
+	eventually(c, "all daemons to collect state", func() bool {
+		if sent := statesSent(daemons); sent != last {
+			last, since = sent, time.Now()
+		}
+		return time.Since(since) > 300*time.Millisecond
+	})
+	return last
+}
+
 // statesSent counts the digests with collected state that the daemons have sent.
 func statesSent(daemons []*daemon) int {
 	sent := 0
@@ -56,3 +68,16 @@
 	}
 	return sent
 }
+
+// TestSeedIsFoundAfterTheStartupPeriod guards against daemons that never learn of the others
+// since no seed has replied while they were new.
+func TestSeedIsFoundAfterTheStartupPeriod(t *testing.T) {
+	c := qt.New(t)
+	options := settledOptions(c, "seed")
+	lone := startWith(c, settledOptions(c, "lone", options.Self.Address))
+	time.Sleep(200 * time.Millisecond)
+	daemons := []*daemon{lone, startWith(c, options), startWith(c, settledOptions(c, "other", options.Self.Address))}
+	for _, d := range daemons {
+		eventually(c, "the daemons to know each other", func() bool { return d.group.Size() == len(daemons) })
+	}
+}
