Let a request go on without the body of a rejection or a failure

Callers saw 503 at their deadline although a runner was idle: a runner had rejected the request, and the body of the rejection stalled. Cause: the header tells that the request did not run, but discard read the body to its end before the next runner was asked. The same held for failures whose status is not forwarded, which ended with 504 at the deadline instead of 502 at once, and for failures of resumable streams, which waited for the idle timeout.

The change: Answer.Discard ends an exchange without waiting. The decision to forward a response that is no stream, or a status that is never forwarded, now precedes the reading of its body; it used the status only.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -28,7 +28,7 @@
 			return
 		}
 		answer, err := x.attemptPlain(ticket)
-		if err == nil && !x.isRunnerFault(answer) {
+		if err == nil && !isRunnerFault(answer.status) {
 			x.forwardAnswer(ticket, answer)
 			return
 		}
@@ -41,7 +41,7 @@
 		if again {
 			continue
 		}
-		if err == nil && mayForward(answer.status) {
+		if err == nil {
 			x.forwardFailure(answer, reason)
 			return
 		}
@@ -50,9 +50,9 @@
 	}
 }
 
-// isRunnerFault reports whether a response indicates a failure of the runner.
-func (x *exchange) isRunnerFault(answer bufferedAnswer) bool {
-	return answer.status >= http.StatusInternalServerError || !mayForward(answer.status)
+// isRunnerFault reports whether a status indicates a failure of the runner.
+func isRunnerFault(status int) bool {
+	return status >= http.StatusInternalServerError || !mayForward(status)
 }
 
 // mayForward reports whether a runner's status may be forwarded to the caller. Some
@@ -80,6 +80,11 @@
 		x.discard(answer, err)
 		return bufferedAnswer{}, err
 	}
+	if !mayForward(answer.Status) {
+		err := &StatusError{Runner: x.choice.Runner.ID, Status: answer.Status}
+		x.discard(answer, err)
+		return bufferedAnswer{}, err
+	}
 	return x.readAnswer(ctx, answer)
 }
 
@@ -106,16 +111,16 @@
 	return &upstream.InvalidAnswerError{Address: x.choice.Runner.Address, Cause: err}
 }
 
-// discard closes a response that is not forwarded. The connection of a rejection
-// can be reused once its body has been read.
+// discard closes a response that is not forwarded. The request goes on without waiting
+// for its body. The connection can be reused if the response belongs to the request.
 func (x *exchange) discard(answer *upstream.Answer, failure error) {
 	var rejected *RejectedError
-	if !errors.As(failure, &rejected) {
-		answer.Close(false)
+	var failed *StatusError
+	if errors.As(failure, &rejected) || errors.As(failure, &failed) {
+		answer.Discard()
 		return
 	}
-	_, err := answer.ReadAll()
-	answer.Close(err == nil)
+	answer.Close(false)
 }
 
 // forwardAnswer sends a runner's response to the caller.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -107,13 +107,15 @@
 
 // forwardNonStream handles a response that is no event stream.
 func (x *exchange) forwardNonStream(ctx context.Context, ticket *balance.Ticket, answer *upstream.Answer) error {
+	if x.headWritten || isRunnerFault(answer.Status) && (x.route.Repeatable() || !mayForward(answer.Status)) {
+		err := &StatusError{Runner: x.choice.Runner.ID, Status: answer.Status}
+		x.discard(answer, err)
+		return err
+	}
 	buffered, err := x.readAnswer(ctx, answer)
 	if err != nil {
 		return err
 	}
-	if x.headWritten || x.isRunnerFault(buffered) && (x.route.Repeatable() || !mayForward(answer.Status)) {
-		return &StatusError{Runner: x.choice.Runner.ID, Status: answer.Status}
-	}
 	x.forwardAnswer(ticket, buffered)
 	return nil
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -198,7 +198,13 @@
 // completely and valid is true, which means that it was the answer to this request.
 // Otherwise the connection is closed.
 func (a *Answer) Close(valid bool) {
-	if !a.detach() || !valid || !a.readToEnd || a.response.Close || !a.isWritten() || a.connection.reader.Buffered() > 0 {
+	a.release(a.detach() && valid)
+}
+
+// release returns the connection to the pool if it can carry another request, and closes
+// it otherwise.
+func (a *Answer) release(valid bool) {
+	if !valid || !a.readToEnd || a.response.Close || !a.isWritten() || a.connection.reader.Buffered() > 0 {
 		a.pool.drop(a.connection)
 		return
 	}
