Bound the bytes of all answers that the process buffers

What callers would see: a daemon that runs out of memory loses all its requests at once. Each body is bounded (8 MiB, 16 MiB from the store), their sum was not, and a body that stalls or has no end holds its bytes until the deadline. The memory was measured in tests; no end of a process for want of memory was seen.

Evidence, before the change (go test ./gateway):

TestStalledBodiesHoldBoundedMemory: 24 bodies that stall after 7 MiB: "199 MiB are held", want below 40 (198 in a second run) TestTooLongBodyFailsAtOnce: 504 at the deadline for a Content-Length of 9 MiB, want 502 TestEndlessBodiesLeaveRoomForAnswers and TestBytesAfterTheAnswerAreNotRead: the sound answers and the closing of the connection passed before, too

The change: package buffer holds a budget of 23 MiB. A buffer of over 16 KiB reserves before it grows. Where the sum would exceed the limit, the incomplete answer that holds the most is failed: its connection is closed, which ends its reading, and its error says how many bytes it held. Nobody waits for room, so there is no deadlock, and short answers are never failed. A property test compares the budget with a model for any sequence of calls. ReadAll grows its buffer with what has arrived, not with the announced length; a body whose announced length is above the limit fails before it is read. The bytes of a whole answer count until it is written to the caller. Responses of the store, the cloud and moves count as well, by their transport. Such a failure is not recorded as a crash of the runner: without that, TestStalledBodiesHoldBoundedMemory saw 503, since three of them made the content suspected.

A gauge, a counter and a line of the log, at most once a second, show the use of the budget.

--- a/architecture_test.go
+++ b/architecture_test.go
@@ -18,7 +18,7 @@
 
 // corePackages must not perform I/O.
 var corePackages = []string{
-	"balance", "call", "catalog", "claim", "clocksync", "dutylease", "grant", "inventory", "latest", "lease", "limit", "peer/gossip",
+	"balance", "buffer", "call", "catalog", "claim", "clocksync", "dutylease", "grant", "inventory", "latest", "lease", "limit", "peer/gossip",
 	"placement", "plan", "prefix", "quota", "request", "retry", "roster", "route", "scaling", "store", "suspect",
 	"timeline", "usage",
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -14,6 +13,7 @@
 	"github.com/oklog/ulid/v2"
 
 	"github.com/cranberrywalk/cranberrywalk/balance"
+	"github.com/cranberrywalk/cranberrywalk/buffer"
 	"github.com/cranberrywalk/cranberrywalk/callerserver"
 	"github.com/cranberrywalk/cranberrywalk/clocksync"
 	"github.com/cranberrywalk/cranberrywalk/duties"
@@ -43,6 +43,7 @@
 
 	store           store.Store
 	balancer        *balance.Balancer
+	budget          *buffer.Budget
 	upstream        *upstream.Pool
 	quotas          *quota.Limiter
 	suspects        *suspect.Tracker
@@ -99,14 +100,15 @@
 			Capacity: settings.CPUMillicores,
 		},
 		balancer:    balance.New(balanceOptions(common, settings.Zone), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		upstream:    upstream.New(common, upstream.DefaultOptions()),
+		budget:      newBudget(common),
 		quotas:      quota.New(quota.DefaultOptions()),
 		suspects:    suspect.New(suspectOptions()),
 		usage:       usage.New(usageWindow(settings), usageWindowsKept),
 		syncedClock: clocksync.New(clockOffsetLifetime, now),
 		metrics:     metric.New(common.Metrics),
 	}
-	e.store = store.NewObservedStore(platform.NewStore(settings.StoreAddress, newClient()), common.Clock, e.countStoreCall)
+	e.upstream = upstream.New(common, upstreamOptions(e.budget))
+	e.store = store.NewObservedStore(platform.NewStore(settings.StoreAddress, e.newClient()), common.Clock, e.countStoreCall)
 	e.group = membership.New(common, membership.DefaultOptions(e.self, settings.Seeds), peerHandler{e})
 	e.addGateway()
 	e.addFeeds()
@@ -153,7 +155,7 @@
 	e.gateway = gateway.New(e.Common, gateway.Dependencies{
 		Codec: platform.Codec{}, Balancer: e.balancer, Upstream: e.upstream, Quotas: e.quotas,
 		Suspects: e.suspects, Usage: e.usage, SyncedClock: e.syncedClock, Group: e.group,
-		Mover: platform.NewMover(newClient()), Meters: e.metrics, RunnersAge: e.runnersAge,
+		Mover: platform.NewMover(e.newClient()), Meters: e.metrics, RunnersAge: e.runnersAge,
 		RetryBudgets: gateway.NewRetryBudgets(retry.WindowOptions{
 			Length: bounds.RetryWindow, Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, SafetyFactor: retryBudgetShare,
 		}),
@@ -257,7 +259,7 @@
 		lease = defaultLease
 	}
 	e.duties = duties.New(e.Common, duties.Dependencies{
-		Store: e.store, Platform: platform.NewCloudAPI(e.settings.CloudAPIAddress, e.self.Name, newClient()),
+		Store: e.store, Platform: platform.NewCloudAPI(e.settings.CloudAPIAddress, e.self.Name, e.newClient()),
 		Usage: e.usage, SyncedClock: e.syncedClock, Scaler: newScaler(e, scaling.DefaultOptions()),
 	}, duties.Options{
 		Topic: dutiesTopic, CountsTopic: countsTopic, Process: instanceID(e.self), Period: dutiesPeriod, Timeout: storeTimeout,
@@ -267,16 +269,6 @@
 	})
 }
 
-// newClient returns a client for the platform's services. It bounds dials and closes
-// idle connections.
-func newClient() *http.Client {
-	dialer := &net.Dialer{Timeout: outageTimeout}
-	return &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: 10 * time.Second,
-		DisableCompression: true,
-	}}
-}
-
 // runnersAge returns the time since the runners were last read.
 func (e *Entry) runnersAge() time.Duration {
 	return e.Clock.Since(e.feedsByTopic[platform.RunnersTopic].LastConfirmed())
--- a/entry/run.go
+++ b/entry/run.go
@@ -40,6 +40,9 @@
 	e.metrics.RegisterGauge("store_epoch", "Number of times that the store was restored from an older copy.", func() float64 {
 		return float64(e.feedsByTopic[platform.ConfigurationTopic].End().Epoch)
 	})
+	e.metrics.RegisterGauge("buffered_answer_bytes", "Bytes of answers that are held in long buffers.", func() float64 {
+		return float64(e.budget.HeldBytes())
+	})
 	e.metricsServer = &http.Server{Handler: e.metrics.Handler(), ReadHeaderTimeout: maxHeaderTime}
 	e.readinessServer = &http.Server{Handler: http.HandlerFunc(e.serveReadiness), ReadHeaderTimeout: maxHeaderTime}
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/balance"
+	"github.com/cranberrywalk/cranberrywalk/buffer"
 	"github.com/cranberrywalk/cranberrywalk/call"
 	"github.com/cranberrywalk/cranberrywalk/callerserver"
 	"github.com/cranberrywalk/cranberrywalk/metric"
@@ -156,9 +157,7 @@
 // recordCrash records a suspected crash for the content of a request whose runner
 // broke off the response.
 func (x *exchange) recordCrash(failure error, now time.Time) {
-	var invalid *upstream.InvalidAnswerError
-	var timedOut *AttemptTimeoutError
-	if x.ctx.Err() != nil || !errors.As(failure, &invalid) || errors.As(failure, &timedOut) {
+	if x.ctx.Err() != nil || !isBrokenOff(failure) {
 		return
 	}
 	crashID := suspect.CrashID(x.call.ID, x.choice.Runner.ID, x.machine.Attempt())
@@ -168,6 +167,15 @@
 	}
 }
 
+// isBrokenOff reports whether a runner broke off its response. It did not if the daemon
+// ended the attempt.
+func isBrokenOff(failure error) bool {
+	var invalid *upstream.InvalidAnswerError
+	var timedOut *AttemptTimeoutError
+	var exhausted *buffer.ExhaustedError
+	return errors.As(failure, &invalid) && !errors.As(failure, &timedOut) && !errors.As(failure, &exhausted)
+}
+
 // mayRetry decides after a failed attempt whether another one is made, and returns
 // the reason if not.
 func (x *exchange) mayRetry(failure error) (bool, string) {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -16,6 +16,16 @@
 	status int
 	header http.Header
 	body   []byte
+	// release stops counting the body against the budget for answers. It is nil if there
+	// is no answer.
+	release func()
+}
+
+// drop releases an answer that is not forwarded.
+func (b bufferedAnswer) drop() {
+	if b.release != nil {
+		b.release()
+	}
 }
 
 // servePlain serves a request whose response is forwarded only once it is complete,
@@ -39,6 +49,7 @@
 		x.recordFailure(ticket, failure)
 		again, reason := x.mayRetry(failure)
 		if again {
+			answer.drop()
 			continue
 		}
 		if err == nil {
@@ -95,7 +106,7 @@
 	if err != nil {
 		return bufferedAnswer{}, x.readFailure(ctx, err)
 	}
-	return bufferedAnswer{status: answer.Status, header: answer.Header, body: body}, nil
+	return bufferedAnswer{status: answer.Status, header: answer.Header, body: body, release: answer.Release}, nil
 }
 
 // readFailure returns the error for a response that could not be read. Its cause is that
@@ -143,6 +154,7 @@
 func (e *NoRetryError) Error() string { return "not retried: " + e.Reason }
 
 func (x *exchange) write(answer bufferedAnswer) {
+	defer answer.release()
 	x.copyHeader(answer.header)
 	header := x.writer.Header()
 	header.Set("Content-Length", strconv.Itoa(len(answer.body)))
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"strconv"
+
+	"github.com/cranberrywalk/cranberrywalk/buffer"
 )
 
 // Request is a request to a runner.
@@ -45,6 +47,10 @@
 	written chan error
 	// readToEnd is true once the body has been read to its end.
 	readToEnd bool
+	// account counts the buffer for the body.
+	account *buffer.Account
+	// holdsBody is true from the return of the body by ReadAll to Release.
+	holdsBody bool
 }
 
 // Send writes a request and reads the header of its answer. Its errors are
@@ -101,6 +107,7 @@
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header, Reused: isReused,
 		pool: p, connection: c, response: response, written: written,
+		account: p.options.Budget.Open(request.Address, func() { _ = c.raw.Close() }),
 	}, nil
 }
 
@@ -181,24 +188,15 @@
 	return count, err
 }
 
-// ReadAll returns the whole body. Its errors are *InvalidAnswerError.
-func (a *Answer) ReadAll() ([]byte, error) {
-	limit := a.pool.options.MaxBodyBytes
-	body, err := io.ReadAll(io.LimitReader(a, int64(limit)+1))
-	if err != nil {
-		return nil, &InvalidAnswerError{Address: a.connection.address, Cause: err}
-	}
-	if len(body) > limit {
-		return nil, &InvalidAnswerError{Address: a.connection.address, Cause: &AnswerTooLargeError{Limit: limit}}
-	}
-	return body, nil
-}
-
 // Close ends the exchange. The connection returns to the pool if the answer was read
 // completely and valid is true, which means that it was the answer to this request.
 // Otherwise the connection is closed.
 func (a *Answer) Close(valid bool) {
-	a.release(a.detach() && valid)
+	reusable := a.detach() && valid
+	if !a.holdsBody && a.account.Close() != nil {
+		reusable = false
+	}
+	a.release(reusable)
 }
 
 // release returns the connection to the pool if it can carry another request, and closes
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cranberrywalk/cranberrywalk/buffer"
 	"github.com/cranberrywalk/cranberrywalk/socket"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 )
@@ -28,6 +29,9 @@
 	MaxHeaderBytes int
 	// MaxBodyBytes bounds the body of an answer that is read by ReadAll.
 	MaxBodyBytes int
+	// Budget bounds the bytes of all answers that are held in buffers. Nil means no
+	// limit.
+	Budget *buffer.Budget
 }
 
 // DefaultOptions returns the defaults.
@@ -41,6 +45,7 @@
 		MaxHeaderBytes: 64 << 10,
 		// ReadAll holds the whole body in memory.
 		MaxBodyBytes: 8 << 20,
+		Budget:       buffer.New(buffer.DefaultOptions()),
 	}
 }
 
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -95,6 +95,7 @@
 	}
 	_, err = answer.ReadAll()
 	answer.Close(err == nil)
+	answer.Release()
 	return err
 }
 
