Do not take comments in a stream for events

What callers saw in tests: a resumable stream whose runner sends comments, or other lines without an event, without end waited for that runner until its deadline and was cut, with an idle runner beside it. Each comment was an event: it restarted the idle timeout, began the answer to the caller, so that a later runner's header was not used, and was forwarded. A stream that may not be repeated got comments until after its deadline. Besides, a line of 4,096 bytes and its end counted as an empty line, and the end of a longer line that begins with "id:" as an ID.

The change: the reader of events returns comments and lines without data or an ID together with the event that follows them, or with the end of the stream, so that the body reaches the caller unchanged. It fails a stream with over 64 KiB between two events. It evaluates whole lines only, and counts the bytes of an event against the budget of all answers.

--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -89,6 +89,12 @@
 // Error implements error.
 func (e *EventTooLargeError) Error() string { return fmt.Sprintf("event exceeds %d bytes", e.Bytes) }
 
+// NoEventError reports that a runner sent too many bytes without an event.
+type NoEventError struct{ Bytes int }
+
+// Error implements error.
+func (e *NoEventError) Error() string { return fmt.Sprintf("no event in over %d bytes", e.Bytes) }
+
 // RunLostError reports that no runner can continue a stopped run.
 type RunLostError struct{ Runner string }
 
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -9,15 +9,25 @@
 
 // event is one complete server-sent event.
 type event struct {
-	// content is the event as received, with the empty line that ends it.
+	// content is the event as received, with the empty line that ends it. Comments and
+	// other lines without an event that precede it are part of it.
 	content []byte
 	// id is the event's ID, if hasID.
 	id    int
 	hasID bool
 }
 
+// eventSource is a stream whose buffered bytes are counted.
+type eventSource interface {
+	io.Reader
+	// ResizeBuffer sets the number of bytes that are buffered. An error means that they
+	// are too many.
+	ResizeBuffer(bytes int) error
+}
+
 // eventReader splits a stream into events.
 type eventReader struct {
+	source eventSource
 	reader *bufio.Reader
 }
 
@@ -25,38 +35,110 @@
 	eventBufferBytes = 4 << 10
 	// maxEventBytes bounds the size of one event.
 	maxEventBytes = 1 << 20
+	// maxBytesBeforeEvent bounds the bytes between two events, such as comments.
+	maxBytesBeforeEvent = 64 << 10
 )
 
-func newEventReader(stream io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(stream, eventBufferBytes)}
+func newEventReader(source eventSource) *eventReader {
+	return &eventReader{source: source, reader: bufio.NewReaderSize(source, eventBufferBytes)}
+}
+
+// eventParser collects the lines of one event.
+type eventParser struct {
+	event
+	// hasData is true once a line with data or an ID has begun.
+	hasData bool
+	// lineStart is where the current line begins in the content.
+	lineStart int
+	// isOpen is true if the last complete line was not empty.
+	isOpen bool
 }
 
-// next returns the next complete event. It fails with io.EOF when the stream ends
-// between two events, and with io.ErrUnexpectedEOF when it ends within one.
+// next returns the next complete event. Bytes without an event, such as comments, are no
+// event of their own, since they are no sign that the runner works on the request; they are
+// returned with the event that follows, or with the end of the stream. next fails with
+// io.EOF when the stream ends between two events, and with io.ErrUnexpectedEOF when it ends
+// within one.
 func (r *eventReader) next() (event, error) {
-	var e event
+	var p eventParser
 	for {
-		line, err := r.reader.ReadSlice('\n')
-		e.content = append(e.content, line...)
-		if len(e.content) > maxEventBytes {
-			return event{}, &EventTooLargeError{Bytes: maxEventBytes}
+		part, err := r.reader.ReadSlice('\n')
+		p.add(part)
+		if failure := r.checkSize(&p); failure != nil {
+			return event{}, failure
 		}
-		if err == bufio.ErrBufferFull {
+		switch {
+		case err == bufio.ErrBufferFull:
 			continue
-		}
-		if err == io.EOF && len(e.content) > 0 {
+		case err == io.EOF && p.isBetweenEvents():
+			return p.rest()
+		case err == io.EOF:
 			return event{}, io.ErrUnexpectedEOF
-		}
-		if err != nil {
+		case err != nil:
 			return event{}, err
 		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return e, nil
+		if p.endLine() {
+			return p.event, nil
 		}
-		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
-			if id, err := strconv.Atoi(string(bytes.TrimSpace(value))); err == nil {
-				e.id, e.hasID = id, true
-			}
+	}
+}
+
+// checkSize fails when an event, or what precedes it, is too large, or when the source holds
+// too many bytes.
+func (r *eventReader) checkSize(p *eventParser) error {
+	if err := r.source.ResizeBuffer(cap(p.content)); err != nil {
+		return err
+	}
+	if len(p.content) > maxEventBytes {
+		return &EventTooLargeError{Bytes: maxEventBytes}
+	}
+	if !p.hasData && len(p.content) > maxBytesBeforeEvent {
+		return &NoEventError{Bytes: maxBytesBeforeEvent}
+	}
+	return nil
+}
+
+// add appends a part of the current line.
+func (p *eventParser) add(part []byte) {
+	if len(p.content) == p.lineStart && (isField(part, "data") || isField(part, "id")) {
+		p.hasData = true
+	}
+	p.content = append(p.content, part...)
+}
+
+// isField reports whether a line begins with a field of that name.
+func isField(line []byte, name string) bool {
+	rest, found := bytes.CutPrefix(line, []byte(name))
+	return found && len(rest) > 0 && bytes.IndexByte([]byte(":\r\n"), rest[0]) >= 0
+}
+
+// endLine evaluates the current line, which is complete. It returns true when the line ends
+// the event.
+func (p *eventParser) endLine() bool {
+	line := p.content[p.lineStart:]
+	p.lineStart = len(p.content)
+	p.isOpen = len(bytes.TrimRight(line, "\r\n")) > 0
+	if !p.isOpen {
+		return p.hasData
+	}
+	if value, found := bytes.CutPrefix(line, []byte("id:")); found {
+		if id, err := strconv.Atoi(string(bytes.TrimSpace(value))); err == nil {
+			p.id, p.hasID = id, true
 		}
 	}
+	return false
+}
+
+// isBetweenEvents reports whether the content holds no part of an event and ends with an
+// empty line.
+func (p *eventParser) isBetweenEvents() bool {
+	return !p.hasData && !p.isOpen && p.lineStart == len(p.content)
+}
+
+// rest returns the lines that follow the last event of the stream.
+func (p *eventParser) rest() (event, error) {
+	if len(p.content) == 0 {
+		return event{}, io.EOF
+	}
+	return p.event, nil
 }
