End an attempt whose head has no end

What callers saw in tests: 504 at their deadline when a runner slowly sends a head without end: bytes that are no answer, header lines, or interim answers one after the other. The head was bounded in bytes only. Nothing of it reached a caller.

Evidence, before the change (go test ./gateway -run EndlessHead):

TestEndlessHeadEndsTheAttempt: 504 after 3.0 s, want 502, in the ten cases with a pause of 20 ms; the ten without a pause passed, by the bound in bytes

The change: the first bytes are compared with the name of the protocol as they come, interim answers are bounded at eight, and a header has to end 1.5 s after its first byte, more than the silence of a sound runner. The time before the first byte is not bounded: the runner may be working.

--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -1,6 +1,9 @@
 package upstream
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // UnwrittenError means that a request failed before any byte of it was written, and
 // that none will be written.
@@ -66,3 +69,30 @@
 
 // Error implements error.
 func (*HeaderTooLargeError) Error() string { return "the head of the answer is too long" }
+
+// HeaderTimeoutError means that a header did not end in time after its first byte.
+type HeaderTimeoutError struct{ Timeout time.Duration }
+
+// Error implements error.
+func (e *HeaderTimeoutError) Error() string {
+	return fmt.Sprintf("the head of the answer did not end within %v", e.Timeout)
+}
+
+// InterimAnswersError means that a runner sent more interim answers than allowed.
+type InterimAnswersError struct{ Limit int }
+
+// Error implements error.
+func (e *InterimAnswersError) Error() string {
+	return fmt.Sprintf("over %d interim answers", e.Limit)
+}
+
+// ProtocolError means that what a runner sent is no HTTP/1 answer.
+type ProtocolError struct {
+	// Begin holds the first bytes.
+	Begin string
+}
+
+// Error implements error.
+func (e *ProtocolError) Error() string {
+	return fmt.Sprintf("what begins with %q is no HTTP answer", e.Begin)
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -100,7 +100,7 @@
 	if err != nil {
 		return nil, err
 	}
-	response, err := c.readHeader(request.Method, p.options.MaxHeaderBytes) //nolint:bodyclose // Answer.Close closes or recycles the connection.
+	response, err := p.readHeader(c, request.Method) //nolint:bodyclose // Answer.Close closes or recycles the connection.
 	if err != nil {
 		return nil, &InvalidAnswerError{Address: request.Address, Reused: isReused, Cause: err}
 	}
@@ -139,21 +139,6 @@
 	return &InvalidAnswerError{Address: c.address, Cause: err}
 }
 
-// readHeader reads the header of the final answer. Interim answers are skipped.
-func (c *connection) readHeader(method string, limit int) (*http.Response, error) {
-	c.headerBytesLeft = limit
-	defer func() { c.headerBytesLeft = noHeader }()
-	for {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
-		}
-	}
-}
-
 // encode serializes a request. The target is not normalized.
 func encode(request Request) []byte {
 	var content bytes.Buffer
