--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,7 @@
 
 # Runs the property tests with other seeds and many more steps.
 soak:
-	go test ./claim ./dutylease ./grant ./latest ./lease ./peer/gossip ./plan ./request ./roster ./timeline -rapid.checks=$(CHECKS) -rapid.seed=$(SEED) -timeout 60m
+	go test ./buffer ./claim ./dutylease ./grant ./latest ./lease ./peer/gossip ./plan ./request ./roster ./timeline -rapid.checks=$(CHECKS) -rapid.seed=$(SEED) -timeout 60m
 
 # Injects random faults into processes of the daemon, with fresh seeds: planned work
 # only, then all kinds of faults.
