Take no timer for headers that arrive at once

The bound in time on a header took a timer for each answer.

Headers that have arrived as a whole, as most do, are now parsed without a timer. The tests of headers without end pass as before.

--- a/upstream/header.go
+++ b/upstream/header.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -39,6 +40,9 @@
 	if _, err := c.peek(1); err != nil {
 		return nil, err
 	}
+	if c.isHeaderBuffered() {
+		return c.parseHeader(method)
+	}
 	timer := p.common.Clock.AfterFunc(maxHeaderTime, func() { _ = c.raw.Close() })
 	response, err := c.parseHeader(method)
 	if !timer.Stop() {
@@ -47,6 +51,14 @@
 	return response, err
 }
 
+// isHeaderBuffered reports whether a whole header has arrived. Most headers arrive at once
+// and need no timer, which would take processor time for each answer.
+func (c *connection) isHeaderBuffered() bool {
+	// Bytes that are buffered can be peeked at without an error.
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	return bytes.Contains(buffered, []byte("\r\n\r\n"))
+}
+
 // parseHeader fails as soon as a byte can't belong to an answer.
 func (c *connection) parseHeader(method string) (*http.Response, error) {
 	for length := 1; length <= len(protocolName); length++ {
