--- a/entry/client_internal_test.go
+++ b/entry/clients_internal_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/cranberrywalk/cranberrywalk/buffer"
 	"github.com/cranberrywalk/cranberrywalk/platform/standin"
 )
 
@@ -19,7 +20,7 @@
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(runner.Close)
 	runner.DropIdleAfter(200 * time.Millisecond)
-	client := newMoverClient()
+	client := newMoverClient(buffer.New(buffer.DefaultOptions()))
 	for range 2 {
 		response, err := client.Post("http://"+runner.Address()+"/-/kv-move", "application/json", http.NoBody)
 		c.Assert(err, qt.IsNil)
--- a/entry/run.go
+++ b/entry/run.go
@@ -43,6 +43,9 @@
 	e.metrics.RegisterGauge("idle_limit_seconds", "How long a connection to a runner may be idle to be reused for any request, or 0.", func() float64 {
 		return e.upstream.IdleLimit().Seconds()
 	})
+	e.metrics.RegisterGauge("buffered_answer_bytes", "Bytes of answers that are held in long buffers.", func() float64 {
+		return float64(e.budget.HeldBytes())
+	})
 	e.metricsServer = &http.Server{Handler: e.metrics.Handler(), ReadHeaderTimeout: maxHeaderTime}
 	e.readinessServer = &http.Server{Handler: http.HandlerFunc(e.serveReadiness), ReadHeaderTimeout: maxHeaderTime}
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/cranberrywalk/cranberrywalk/balance"
+	"github.com/cranberrywalk/cranberrywalk/buffer"
 	"github.com/cranberrywalk/cranberrywalk/call"
 	"github.com/cranberrywalk/cranberrywalk/callerserver"
 	"github.com/cranberrywalk/cranberrywalk/inventory"
@@ -233,9 +234,7 @@
 // recordCrash records a suspected crash for the content of a request whose runner
 // broke off the response.
 func (x *exchange) recordCrash(a *attempt, failure error, now time.Time) {
-	var invalid *upstream.InvalidAnswerError
-	var timedOut *AttemptTimeoutError
-	if x.ctx.Err() != nil || !errors.As(failure, &invalid) || errors.As(failure, &timedOut) {
+	if x.ctx.Err() != nil || !isBrokenOff(failure) {
 		return
 	}
 	crashID := suspect.CrashID(x.call.ID, a.choice.Runner.ID, a.number)
@@ -245,6 +244,15 @@
 	}
 }
 
+// isBrokenOff reports whether a runner broke off its response. It did not if the daemon
+// ended the attempt.
+func isBrokenOff(failure error) bool {
+	var invalid *upstream.InvalidAnswerError
+	var timedOut *AttemptTimeoutError
+	var exhausted *buffer.ExhaustedError
+	return errors.As(failure, &invalid) && !errors.As(failure, &timedOut) && !errors.As(failure, &exhausted)
+}
+
 // mayRetry decides after a failed attempt whether another one is made, and returns
 // the reason if not.
 func (x *exchange) mayRetry(failure error) (bool, string) {
--- a/gateway/opening.go
+++ b/gateway/opening.go
@@ -23,6 +23,16 @@
 	end   error
 }
 
+// drop gives back a response that is not forwarded.
+func (o opening) drop() {
+	if o.buffered != nil {
+		o.buffered.drop()
+	}
+	if o.answer != nil {
+		o.answer.Close(false)
+	}
+}
+
 // awaitOpening returns the opening of the current attempt.
 func (x *exchange) awaitOpening(a *attempt) (opening, error) {
 	if a.opened == nil {
@@ -46,6 +56,11 @@
 	if x.route.Kind == catalog.Stream && answer.Status == http.StatusOK {
 		return x.openStream(a, answer)
 	}
+	if x.isDiscarded(a, answer.Status) {
+		err := &StatusError{Runner: a.choice.Runner.ID, Status: answer.Status}
+		x.discard(answer, err)
+		return opening{}, err
+	}
 	x.recordHead(a)
 	buffered, err := x.readAnswer(a, answer)
 	if err != nil {
@@ -54,6 +69,19 @@
 	return opening{buffered: &buffered}, nil
 }
 
+// isDiscarded reports whether a response is certain not to be forwarded: its status says
+// what its runner did not confirm, or the request can be sent again, or the caller has a part
+// of the stream already.
+func (x *exchange) isDiscarded(a *attempt, status int) bool {
+	if !mayForward(status) {
+		return true
+	}
+	if x.route.Kind != catalog.Stream {
+		return false
+	}
+	return isRunnerFault(status) && x.route.Repeatable() || a.lastEvent > x.call.LastEvent
+}
+
 // openStream reads the first event of a stream.
 func (x *exchange) openStream(a *attempt, answer *upstream.Answer) (opening, error) {
 	o := opening{answer: answer, events: newEventReader(answer)}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -15,6 +15,16 @@
 	status int
 	header http.Header
 	body   []byte
+	// release stops counting the body against the budget for answers. It is nil if there
+	// is no answer.
+	release func()
+}
+
+// drop releases an answer that is not forwarded.
+func (b bufferedAnswer) drop() {
+	if b.release != nil {
+		b.release()
+	}
 }
 
 // servePlain serves a request whose response is forwarded only once it is complete,
@@ -27,7 +37,7 @@
 			return
 		}
 		answer, err := x.attemptPlain(a)
-		if err == nil && !x.isRunnerFault(answer) {
+		if err == nil && !isRunnerFault(answer.status) {
 			x.forwardAnswer(a, answer)
 			return
 		}
@@ -38,9 +48,10 @@
 		x.recordFailure(a, failure)
 		again, reason := x.mayRetry(failure)
 		if again {
+			answer.drop()
 			continue
 		}
-		if err == nil && mayForward(answer.status) {
+		if err == nil {
 			x.forwardFailure(answer, reason)
 			return
 		}
@@ -49,9 +60,9 @@
 	}
 }
 
-// isRunnerFault reports whether a response indicates a failure of the runner.
-func (x *exchange) isRunnerFault(answer bufferedAnswer) bool {
-	return answer.status >= http.StatusInternalServerError || !mayForward(answer.status)
+// isRunnerFault reports whether a status indicates a failure of the runner.
+func isRunnerFault(status int) bool {
+	return status >= http.StatusInternalServerError || !mayForward(status)
 }
 
 // mayForward reports whether a runner's status may be forwarded to the caller. Some
@@ -84,7 +95,7 @@
 	if err != nil {
 		return bufferedAnswer{}, x.readFailure(a, err)
 	}
-	return bufferedAnswer{status: answer.Status, header: answer.Header, body: body}, nil
+	return bufferedAnswer{status: answer.Status, header: answer.Header, body: body, release: answer.Release}, nil
 }
 
 // readFailure returns the error for a response that could not be read. Its cause is that
@@ -100,16 +111,16 @@
 	return &upstream.InvalidAnswerError{Address: a.choice.Runner.Address, Cause: err}
 }
 
-// discard closes a response that is not forwarded. The connection of a rejection
-// can be reused once its body has been read.
+// discard closes a response that is not forwarded. The request goes on without waiting
+// for its body. The connection can be reused if the response belongs to the request.
 func (x *exchange) discard(answer *upstream.Answer, failure error) {
 	var rejected *RejectedError
-	if !errors.As(failure, &rejected) {
-		answer.Close(false)
+	var failed *StatusError
+	if errors.As(failure, &rejected) || errors.As(failure, &failed) {
+		answer.Discard()
 		return
 	}
-	_, err := answer.ReadAll()
-	answer.Close(err == nil)
+	answer.Close(false)
 }
 
 // forwardAnswer sends a runner's response to the caller.
@@ -132,6 +143,7 @@
 func (e *NoRetryError) Error() string { return "not retried: " + e.Reason }
 
 func (x *exchange) write(answer bufferedAnswer) {
+	defer answer.release()
 	x.copyHeader(answer.header)
 	header := x.writer.Header()
 	header.Set("Content-Length", strconv.Itoa(len(answer.body)))
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -66,7 +66,7 @@
 // failureOf returns why an attempt that was opened does not replace the current one, or
 // nil.
 func (x *exchange) failureOf(a *attempt) error {
-	if a.failure == nil && a.opening.buffered != nil && x.isRunnerFault(*a.opening.buffered) {
+	if a.failure == nil && a.opening.buffered != nil && isRunnerFault(a.opening.buffered.status) {
 		return &StatusError{Runner: a.choice.Runner.ID, Status: a.opening.buffered.status}
 	}
 	return a.failure
@@ -99,6 +99,7 @@
 func (x *exchange) failReplacement(a *attempt, failure error) {
 	x.replacements.remove(a)
 	x.replacements.hasFailed = true
+	a.opening.drop()
 	x.replacements.endings = append(x.replacements.endings, x.countFailure(a, failure))
 	x.Count("Replacements.Failed", 1)
 	a.stopAcceptance()
@@ -169,9 +170,7 @@
 // discardReplacement gives back what an attempt holds that was released.
 func (x *exchange) discardReplacement(a *attempt) {
 	a.ticket.End(balance.Cancelled, x.Clock.Now())
-	if a.opening.answer != nil {
-		a.opening.answer.Close(false)
-	}
+	a.opening.drop()
 }
 
 // applyEndings applies the ends of failed replacements to the state machine.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -102,7 +102,8 @@
 
 // forwardNonStream handles a response that is no event stream.
 func (x *exchange) forwardNonStream(a *attempt, answer bufferedAnswer) error {
-	if x.headWritten || x.isRunnerFault(answer) && (x.route.Repeatable() || !mayForward(answer.status)) {
+	if x.headWritten {
+		answer.drop()
 		return &StatusError{Runner: a.choice.Runner.ID, Status: answer.status}
 	}
 	x.forwardAnswer(a, answer)
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"strconv"
+
+	"github.com/cranberrywalk/cranberrywalk/buffer"
 )
 
 // Request is a request to a runner.
@@ -48,6 +50,10 @@
 	written chan error
 	// readToEnd is true once the body has been read to its end.
 	readToEnd bool
+	// account counts the buffer for the body.
+	account *buffer.Account
+	// holdsBody is true from the return of the body by ReadAll to Release.
+	holdsBody bool
 }
 
 // Send writes a request and reads the header of its answer. Its errors are
@@ -98,13 +104,14 @@
 	if err != nil {
 		return nil, err
 	}
-	response, err := c.readHeader(request.Method, p.options.MaxHeaderBytes) //nolint:bodyclose // Answer.Close closes or recycles the connection.
+	response, err := p.readHeader(c, request.Method) //nolint:bodyclose // Answer.Close closes or recycles the connection.
 	if err != nil {
 		return nil, c.invalidAnswer(err)
 	}
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header, Reused: c.use.isReused,
 		pool: p, connection: c, response: response, written: written,
+		account: p.options.Budget.Open(request.Address, func() { _ = c.raw.Close() }),
 	}, nil
 }
 
@@ -136,21 +143,6 @@
 	return c.invalidAnswer(err)
 }
 
-// readHeader reads the header of the final answer. Interim answers are skipped.
-func (c *connection) readHeader(method string, limit int) (*http.Response, error) {
-	c.headerBytesLeft = limit
-	defer func() { c.headerBytesLeft = noHeader }()
-	for {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
-		}
-	}
-}
-
 // encode serializes a request. The target is not normalized.
 func encode(request Request) []byte {
 	var content bytes.Buffer
@@ -185,24 +177,21 @@
 	return count, err
 }
 
-// ReadAll returns the whole body. Its errors are *InvalidAnswerError.
-func (a *Answer) ReadAll() ([]byte, error) {
-	limit := a.pool.options.MaxBodyBytes
-	body, err := io.ReadAll(io.LimitReader(a, int64(limit)+1))
-	if err != nil {
-		return nil, a.connection.invalidAnswer(err)
-	}
-	if len(body) > limit {
-		return nil, a.connection.invalidAnswer(&AnswerTooLargeError{Limit: limit})
-	}
-	return body, nil
-}
-
 // Close ends the exchange. The connection returns to the pool if the answer was read
 // completely and valid is true, which means that it was the answer to this request.
 // Otherwise the connection is closed.
 func (a *Answer) Close(valid bool) {
-	if !a.detach() || !valid || !a.readToEnd || a.response.Close || !a.isWritten() || a.connection.reader.Buffered() > 0 {
+	reusable := a.detach() && valid
+	if !a.holdsBody && a.account.Close() != nil {
+		reusable = false
+	}
+	a.release(reusable)
+}
+
+// release returns the connection to the pool if it can carry another request, and closes
+// it otherwise.
+func (a *Answer) release(valid bool) {
+	if !valid || !a.readToEnd || a.response.Close || !a.isWritten() || a.connection.reader.Buffered() > 0 {
 		a.pool.drop(a.connection)
 		return
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cranberrywalk/cranberrywalk/buffer"
 	"github.com/cranberrywalk/cranberrywalk/idlelimit"
 	"github.com/cranberrywalk/cranberrywalk/socket"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
@@ -30,6 +31,9 @@
 	MaxHeaderBytes int
 	// MaxBodyBytes bounds the body of an answer that is read by ReadAll.
 	MaxBodyBytes int
+	// Budget bounds the bytes of all answers that are held in buffers. Nil means no
+	// limit.
+	Budget *buffer.Budget
 }
 
 // DefaultOptions returns the defaults.
@@ -43,6 +47,7 @@
 		MaxHeaderBytes: 64 << 10,
 		// ReadAll holds the whole body in memory.
 		MaxBodyBytes: 8 << 20,
+		Budget:       buffer.New(buffer.DefaultOptions()),
 	}
 }
 
