Stop a run only once its copy at another runner is complete

What callers saw: when a runner left, its streams were interrupted for a target that had no room or could not be reached, and went on at the runner that was leaving. When the answer to the stop was lost or late, a stream that may not be resumed was cut, and one that may be resumed began anew from its prompt, although its KV cache was at the target. A stream that broke off or fell silent by itself during a move waited for the move.

Cause: one request copied the KV cache and stopped the run, so the certain run was given up for an uncertain copy, and the handle of the copy was known only from the last answer.

Change: the first request copies while the run continues. A failure leaves the stream as it is, and gives the target and the retry back. Only then is the run stopped, if the stream is still served there, nothing replaces it and both runners want requests. Only a 4xx says that the run was not stopped; after any other failure of the stop the copy is kept and continues the stream if that breaks off. A copy that is not used is freed at the source, which frees both ends, or else at the target. Until the stop a move holds nothing up: it neither delays the resumption nor keeps the idle watchdog from acting.

The bytes copied are the same, since the second request copies only what is new. The copy may take 1 s, the stop 0.5 s as before; with the delay of 0.4 s that is less than the time that a leaving runner still serves.

--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -96,3 +96,9 @@
 func (e *RunLostError) Error() string {
 	return "the run that was stopped at runner " + e.Runner + " is lost"
 }
+
+// NotMovedError reports why a stream was not moved, if no call to a runner failed.
+type NotMovedError struct{ Reason string }
+
+// Error implements error.
+func (e *NotMovedError) Error() string { return e.Reason }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,12 +41,18 @@
 	RefusalHeader(callID string, retryAfter time.Duration) http.Header
 }
 
-// Mover stops runs and copies their KV caches to other runners.
+// Mover copies the KV caches of runs to other runners and stops runs.
 type Mover interface {
-	// StopRun ends a run at its runner and copies its KV cache to the target.
-	// copied is false when the run can only continue at its source. An error
-	// means that the run was not stopped, or that its KV cache is lost.
+	// CopyRun copies the KV cache of a run to the target while the run continues, and
+	// returns the handle of the complete copy. The run is not affected by an error.
+	CopyRun(ctx context.Context, source, callID, target string) (handle string, err error)
+	// StopRun ends a run at its runner and copies the rest of its KV cache to the
+	// target. copied is false when the run can only continue at its source. After an
+	// error whose method Refused returns true the run continues; after any other one
+	// the run may have been stopped.
 	StopRun(ctx context.Context, source, callID, target string) (run call.StoppedRun, copied bool, err error)
+	// FreeRun frees the memory of a handle at a runner.
+	FreeRun(ctx context.Context, runner, handle string) error
 }
 
 // Group is the set of daemons that share the runners and the retry budgets.
@@ -75,7 +81,9 @@
 	// MoveDelay is how long a stream stays at a runner that is leaving before it
 	// is moved, since many streams end within that time.
 	MoveDelay time.Duration
-	// MoveTimeout bounds the move of a stream to another runner.
+	// CopyTimeout bounds the copy of a run's KV cache, during which the run continues.
+	CopyTimeout time.Duration
+	// MoveTimeout bounds the request to stop a run that was copied.
 	MoveTimeout time.Duration
 	// MaxPlainRequestsPerSlot bounds the running and queued requests of a plain
 	// service, per slot of its runners.
@@ -89,7 +97,8 @@
 func DefaultOptions() Options {
 	return Options{
 		MaxUnwrittenAttempts: 6, StartWait: 250 * time.Millisecond, DefaultTimeout: 30 * time.Second, StreamIdleTimeout: 1500 * time.Millisecond,
-		FirstEventShare: 0.4, MoveDelay: 400 * time.Millisecond, MoveTimeout: 500 * time.Millisecond, MaxPlainRequestsPerSlot: 4, ConnectionShare: 0.9,
+		FirstEventShare: 0.4, MoveDelay: 400 * time.Millisecond, CopyTimeout: time.Second,
+		MoveTimeout: 500 * time.Millisecond, MaxPlainRequestsPerSlot: 4, ConnectionShare: 0.9,
 	}
 }
 
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/balance"
@@ -9,19 +8,21 @@
 	"github.com/cranberrywalk/cranberrywalk/clock"
 )
 
-// streamMove is the move of one stream away from a runner that is leaving.
+// streamMove is the move of one stream away from a runner that is leaving. The run is
+// stopped only once its copy at another runner is complete.
 type streamMove struct {
 	// done is closed when the move has succeeded or failed.
 	done chan struct{}
 	// source is the choice of the attempt that the move ends.
 	source balance.Choice
+	// stopping is true from the request to stop the run on. Until then the attempt goes
+	// on as if there were no move. It is guarded by the mutex of the exchange.
+	stopping bool
 	// run is the stopped run, or nil if the stream was not moved. It is set
 	// before done is closed.
 	run *call.StoppedRun
-	// choice is the runner that continues the run, and ticket counts the request
-	// at that runner.
-	choice balance.Choice
-	ticket *balance.Ticket
+	// target is the runner that continues the run.
+	target *moveTarget
 }
 
 // MoveStreams moves the streams away from a runner that is leaving.
@@ -59,9 +60,8 @@
 	}
 }
 
-// moveFrom stops the run at a runner that is leaving and copies the run's KV cache to
-// another runner. The stream then breaks off, and the goroutine that serves the
-// request continues it at the new runner.
+// moveFrom moves the stream away from a runner that is leaving. The stream then breaks
+// off, and the goroutine that serves the request continues it at the new runner.
 func (x *exchange) moveFrom(runner string) {
 	if x.awaitMoveTime(runner) != nil {
 		return
@@ -71,11 +71,13 @@
 		return
 	}
 	defer close(m.done)
-	x.move(m, r)
+	if err := x.move(m, r); err != nil {
+		x.recordNotMoved(m, err)
+	}
 }
 
 // awaitMoveTime waits for MoveDelay and until the runner wants requests again, since the
-// request to stop a run is one too. It fails when the context of the request ends.
+// request to copy a run is one too. It fails when the context of the request ends.
 func (x *exchange) awaitMoveTime(runner string) error {
 	pauseLeft := func() time.Duration { return x.Balancer.PauseLeft(runner, x.Clock.Now()) }
 	for wait := max(x.options.MoveDelay, pauseLeft()); wait > 0; wait = pauseLeft() {
@@ -116,43 +118,10 @@
 	return x.pendingMove != nil && x.pendingMove.hasEnded() && x.pendingMove.run != nil
 }
 
-// isMoving reports whether a move of the current attempt is in progress. The mutex must
+// isMoving reports whether the run of the current attempt is being stopped. The mutex must
 // be held.
 func (x *exchange) isMoving() bool {
-	return x.pendingMove != nil && !x.pendingMove.hasEnded()
-}
-
-func (x *exchange) move(m *streamMove, r balance.Request) {
-	if !x.RetryBudgets.AllowRetry(x.service, x.Group.Size(), x.Clock.Now()) {
-		x.recordNotMoved(m, "RetryBudgetUsedUp")
-		return
-	}
-	choice, ticket, err := x.Balancer.Choose(r, x.Clock.Now())
-	if err != nil {
-		x.recordNotMoved(m, err.Error())
-		return
-	}
-	ctx, cancel := context.WithTimeout(x.ctx, x.options.MoveTimeout)
-	defer cancel()
-	source := m.source.Runner
-	run, copied, err := x.Mover.StopRun(ctx, source.Address, x.call.ID, choice.Runner.Address)
-	if err != nil {
-		ticket.End(balance.Cancelled, x.Clock.Now())
-		x.recordNotMoved(m, err.Error())
-		return
-	}
-	if !copied {
-		ticket.End(balance.Cancelled, x.Clock.Now())
-		choice = m.source
-		ticket, err = x.Balancer.Acquire(source, x.Clock.Now())
-	}
-	if err != nil {
-		x.recordNotMoved(m, err.Error())
-		return
-	}
-	m.run, m.choice, m.ticket = &run, choice, ticket
-	x.Count("Streams.Moved", 1)
-	x.Log.Info("StreamMoved", "Request", x.call.ID, "From", source.ID, "To", choice.Runner.ID, "Copied", copied)
+	return x.pendingMove != nil && x.pendingMove.stopping && !x.pendingMove.hasEnded()
 }
 
 // returnToSource counts the request again at the runner that stopped its run. It returns
@@ -172,39 +141,54 @@
 }
 
 // recordNotMoved counts and logs a stream that was not moved.
-func (x *exchange) recordNotMoved(m *streamMove, reason string) {
+func (x *exchange) recordNotMoved(m *streamMove, cause error) {
 	x.Count("Streams.NotMoved", 1)
-	x.Log.Info("StreamStays", "Request", x.call.ID, "Runner", m.source.Runner.ID, "Reason", reason)
+	x.Log.Info("StreamStays", "Request", x.call.ID, "Runner", m.source.Runner.ID, "Reason", cause.Error())
 }
 
 // releaseMove gives back the runner of a move that the request no longer needs. The move
 // may still be in progress; the answer does not wait for its end.
 func (x *exchange) releaseMove() {
-	x.mutex.Lock()
-	m := x.pendingMove
-	x.mutex.Unlock()
-	if m == nil {
-		return
+	if m, _ := x.takeMove(); m != nil {
+		x.dropMove(m)
 	}
+}
+
+// takeMove ends the wait for the move of the current attempt and returns it, or nil.
+// stopping is false if the run was not stopped and no longer will be.
+func (x *exchange) takeMove() (m *streamMove, stopping bool) {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	m = x.pendingMove
+	x.pendingMove = nil
+	return m, m != nil && m.stopping
+}
+
+// dropMove gives back what a move holds, once it has ended.
+func (x *exchange) dropMove(m *streamMove) {
 	go func() {
 		<-m.done
-		if m.ticket != nil {
-			m.ticket.End(balance.Cancelled, x.Clock.Now())
+		if m.run != nil {
+			x.releaseTarget(m.target)
+			x.freeCopy(m.run.Handle, m.source.Runner, m.target.choice.Runner)
 		}
 	}()
 }
 
-// awaitMove returns the move that ended the attempt, or nil. It waits for a move
-// that is in progress.
+// awaitMove returns the move that ended the attempt, or nil. It waits for the answer to
+// the request to stop the run, but not for a copy: a run that broke off by itself can't
+// be stopped any more.
 func (x *exchange) awaitMove() *streamMove {
-	x.mutex.Lock()
-	m := x.pendingMove
-	x.pendingMove = nil
-	x.mutex.Unlock()
-	if m == nil {
+	m, stopping := x.takeMove()
+	if !stopping {
+		return nil
+	}
+	select {
+	case <-m.done:
+	case <-x.ctx.Done():
+		x.dropMove(m)
 		return nil
 	}
-	<-m.done
 	if m.run == nil {
 		return nil
 	}
--- a/gateway/move_test.go
+++ b/gateway/move_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -13,14 +14,28 @@
 	"github.com/cranberrywalk/cranberrywalk/platform/standin"
 )
 
-// fakeMover stops runs at the rig's first runner.
+// fakeMover copies and stops runs at the rig's first runner.
 type fakeMover struct {
 	mutex  sync.Mutex
 	stops  int
+	freed  []string
 	copied bool
 	err    error
+	// copyErr is the failure of each copy that precedes a stop.
+	copyErr error
+	// hold delays the first answer of each move until it is closed, if it is not nil.
+	hold chan struct{}
 	// stop is called for each successful stop.
 	stop func()
+	// answerLost makes a stop fail although the run was stopped.
+	answerLost bool
+}
+
+func (m *fakeMover) CopyRun(context.Context, string, string, string) (string, error) {
+	if m.hold != nil {
+		<-m.hold
+	}
+	return "h1", m.copyErr
 }
 
 func (m *fakeMover) StopRun(_ context.Context, source, _, _ string) (call.StoppedRun, bool, error) {
@@ -30,10 +45,30 @@
 	if m.err != nil {
 		return call.StoppedRun{}, false, m.err
 	}
+	if m.hold != nil {
+		<-m.hold
+	}
 	m.stop()
+	if m.answerLost {
+		return call.StoppedRun{}, false, &platform.MoveError{Cause: context.DeadlineExceeded}
+	}
 	return call.StoppedRun{Source: source, Handle: "h1"}, m.copied, nil
 }
 
+func (m *fakeMover) FreeRun(_ context.Context, _, handle string) error {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.freed = append(m.freed, handle)
+	return nil
+}
+
+// freedCopies returns the handles that were freed so far.
+func (m *fakeMover) freedCopies() []string {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return slices.Clone(m.freed)
+}
+
 // stopCount returns the number of stops so far, failed ones included.
 func (m *fakeMover) stopCount() int {
 	m.mutex.Lock()
--- /dev/null
+++ b/gateway/moverun.go
@@ -0,0 +1,157 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/balance"
+	"github.com/cranberrywalk/cranberrywalk/call"
+	"github.com/cranberrywalk/cranberrywalk/inventory"
+)
+
+// moveTarget is the runner that is to continue a run.
+type moveTarget struct {
+	choice balance.Choice
+	// ticket counts the request at the runner.
+	ticket *balance.Ticket
+	// granted is when the retry budget granted the attempt there.
+	granted time.Time
+}
+
+// move copies the run to another runner and then stops it.
+func (x *exchange) move(m *streamMove, r balance.Request) error {
+	target, err := x.secureTarget(r)
+	if err != nil {
+		return err
+	}
+	handle, err := x.copyRun(m.source.Runner, target.choice.Runner)
+	if err != nil {
+		x.releaseTarget(target)
+		return err
+	}
+	if err := x.beginStop(m, target); err != nil {
+		x.releaseTarget(target)
+		x.freeCopy(handle, m.source.Runner, target.choice.Runner)
+		return err
+	}
+	return x.stopRun(m, target, handle)
+}
+
+// secureTarget chooses the runner that is to continue the run.
+func (x *exchange) secureTarget(r balance.Request) (*moveTarget, error) {
+	now := x.Clock.Now()
+	if !x.RetryBudgets.AllowRetry(x.service, x.Group.Size(), now) {
+		return nil, &NotMovedError{Reason: "RetryBudgetUsedUp"}
+	}
+	choice, ticket, err := x.Balancer.Choose(r, now)
+	if err != nil {
+		x.RetryBudgets.ReturnRetry(x.service, now)
+		return nil, err
+	}
+	return &moveTarget{choice: choice, ticket: ticket, granted: now}, nil
+}
+
+// releaseTarget gives back a runner that does not continue the run.
+func (x *exchange) releaseTarget(target *moveTarget) {
+	target.ticket.End(balance.Cancelled, x.Clock.Now())
+	x.RetryBudgets.ReturnRetry(x.service, target.granted)
+}
+
+// copyRun copies the run, which continues. The copy does not end with the request: its
+// handle is needed to free it.
+func (x *exchange) copyRun(source, target inventory.Runner) (string, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), x.options.CopyTimeout)
+	defer cancel()
+	return x.Mover.CopyRun(ctx, source.Address, x.call.ID, target.Address)
+}
+
+// beginStop records that the run is about to be stopped, if the stream is still served at
+// the source, no other attempt replaces it, and both runners want requests.
+func (x *exchange) beginStop(m *streamMove, target *moveTarget) error {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	now := x.Clock.Now()
+	switch {
+	case x.pendingMove != m, x.currentRunner != m.source.Runner.ID, x.ctx.Err() != nil:
+		return &NotMovedError{Reason: "StreamEnded"}
+	case x.next != nil:
+		return &NotMovedError{Reason: "AttemptAbandoned"}
+	case x.Balancer.PauseLeft(m.source.Runner.ID, now) > 0:
+		return &NotMovedError{Reason: "SourcePaused"}
+	case x.Balancer.PauseLeft(target.choice.Runner.ID, now) > 0:
+		return &NotMovedError{Reason: "TargetPaused"}
+	}
+	m.stopping = true
+	return nil
+}
+
+// stopRun stops the run, whose copy is complete. If no answer says whether the run was
+// stopped, the copy is kept: it continues the run if the stream breaks off.
+func (x *exchange) stopRun(m *streamMove, target *moveTarget, handle string) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), x.options.MoveTimeout)
+	defer cancel()
+	source := m.source.Runner
+	run, copied, err := x.Mover.StopRun(ctx, source.Address, x.call.ID, target.choice.Runner.Address)
+	if isRefused(err) {
+		x.releaseTarget(target)
+		x.freeCopy(handle, source, target.choice.Runner)
+		return err
+	}
+	if err != nil {
+		x.Count("Streams.StopsUnanswered", 1)
+		x.Log.Info("StopUnanswered", "Request", x.call.ID, "Runner", source.ID, "Reason", err.Error())
+		run, copied = call.StoppedRun{Source: source.Address, Handle: handle}, true
+	}
+	if !copied {
+		target, err = x.returnTarget(m, target)
+		if err != nil {
+			return err
+		}
+	}
+	m.run, m.target = &run, target
+	x.Count("Streams.Moved", 1)
+	x.Log.Info("StreamMoved", "Request", x.call.ID, "From", source.ID, "To", target.choice.Runner.ID, "Copied", copied)
+	return nil
+}
+
+// isRefused reports whether a runner has answered that it did not stop a run.
+func isRefused(err error) bool {
+	var refused interface{ Refused() bool }
+	return errors.As(err, &refused) && refused.Refused()
+}
+
+// returnTarget replaces the target of a move by its source, where a run continues whose
+// rest could not be copied.
+func (x *exchange) returnTarget(m *streamMove, target *moveTarget) (*moveTarget, error) {
+	now := x.Clock.Now()
+	target.ticket.End(balance.Cancelled, now)
+	ticket, err := x.Balancer.Acquire(m.source.Runner, now)
+	if err != nil {
+		x.RetryBudgets.ReturnRetry(x.service, target.granted)
+		return nil, err
+	}
+	return &moveTarget{choice: m.source, ticket: ticket, granted: target.granted}, nil
+}
+
+// freeCopy frees a copy that no request uses. The source frees it at both ends; if the
+// source wants no requests or can't be reached, only the target is asked.
+func (x *exchange) freeCopy(handle string, source, target inventory.Runner) {
+	for _, runner := range []inventory.Runner{source, target} {
+		if x.Balancer.PauseLeft(runner.ID, x.Clock.Now()) > 0 {
+			continue
+		}
+		err := x.freeCopyAt(runner, handle)
+		if err == nil {
+			return
+		}
+		x.Count("Streams.CopiesNotFreed", 1)
+		x.Log.Info("CopyNotFreed", "Request", x.call.ID, "Runner", runner.ID, "Reason", err.Error())
+	}
+}
+
+func (x *exchange) freeCopyAt(runner inventory.Runner, handle string) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), x.options.MoveTimeout)
+	defer cancel()
+	return x.Mover.FreeRun(ctx, runner.Address, handle)
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -33,7 +33,7 @@
 			continue
 		}
 		if move != nil {
-			move.ticket.End(balance.Cancelled, x.Clock.Now())
+			x.dropMove(move)
 		}
 		x.recordFailure(ticket, failure)
 		again, reason := x.mayRetry(failure)
@@ -67,12 +67,12 @@
 	ticket.End(balance.Cancelled, x.Clock.Now())
 	x.apply(request.AttemptSuspended)
 	x.continuedRun, x.stoppedAt = move.run, nil
-	if x.choice.Runner.ID != move.choice.Runner.ID {
+	if x.choice.Runner.ID != move.target.choice.Runner.ID {
 		source := x.choice
 		x.stoppedAt = &source
 	}
-	x.setChoice(move.choice)
-	return move.ticket
+	x.setChoice(move.target.choice)
+	return move.target.ticket
 }
 
 // attemptStream makes one attempt. It returns nil when the caller has received the
