Move a stream whose runner began to leave as it was chosen

What callers saw: a stream that was sent to a runner just before that runner said that it leaves stayed there until the runner ended, and was cut.

Cause: the notice moves the streams that are registered with the runner. A stream between the choice of its runner and its registration was not among them.

Evidence, on the code before:

--- FAIL: TestStreamMovesWhenItsRunnerLeftAsItWasChosen (0.87s) arrivals: got []int{1, 0} want []int{1, 1} stops: got int(0) want int(1)

Change: after the registration the exchange asks whether the runner is leaving, so either the notice or this check sees the stream. A run that is back at the runner that stopped it, since it could go on nowhere else, is not moved again.

--- a/balance/signals.go
+++ b/balance/signals.go
@@ -69,6 +69,17 @@
 	return true
 }
 
+// IsLeaving reports whether an incarnation of a runner is leaving or was removed.
+func (b *Balancer) IsLeaving(entry inventory.Runner) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.signalsOf(entry.Incarnation()).isLeaving {
+		return true
+	}
+	r := b.runners[entry.ID]
+	return r == nil || !r.entry.SameIncarnation(entry) || r.entry.State == inventory.Leaving
+}
+
 // PausedError reports that a runner wants no requests for a while.
 type PausedError struct {
 	Runner string
--- a/balance/signals_test.go
+++ b/balance/signals_test.go
@@ -182,3 +182,21 @@
 	p.list(leaving, p.second)
 	p.c.Check(p.balancer.Report().Leaving, qt.HasLen, 0)
 }
+
+// TestIsLeaving guards against a stream that stays at a runner which has said that it
+// leaves, or whose record says so or is gone.
+func TestIsLeaving(t *testing.T) {
+	p := newPair(t)
+	p.c.Check(p.balancer.IsLeaving(p.first), qt.IsFalse)
+	p.balancer.MarkLeaving(p.first)
+	p.c.Check(p.balancer.IsLeaving(p.first), qt.IsTrue)
+	restarted, leaving := p.first, p.second
+	restarted.StartedAt = start.Add(time.Second)
+	leaving.State = inventory.Leaving
+	p.list(restarted, leaving)
+	p.c.Check(p.balancer.IsLeaving(restarted), qt.IsFalse)
+	p.c.Check(p.balancer.IsLeaving(p.first), qt.IsTrue)
+	p.c.Check(p.balancer.IsLeaving(p.second), qt.IsTrue)
+	p.list(restarted)
+	p.c.Check(p.balancer.IsLeaving(p.second), qt.IsTrue)
+}
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -40,6 +40,14 @@
 	x.mutex.Lock()
 	x.currentRunner = runner
 	x.mutex.Unlock()
+	x.addStream(runner)
+	// The runner may have begun to leave between its choice and the registration.
+	if !x.isBackAtSource() && x.Balancer.IsLeaving(x.choice.Runner) {
+		go x.moveFrom(runner)
+	}
+}
+
+func (x *exchange) addStream(runner string) {
 	x.Gateway.mutex.Lock()
 	defer x.Gateway.mutex.Unlock()
 	if x.streams[runner] == nil {
@@ -48,6 +56,12 @@
 	x.streams[runner][x] = struct{}{}
 }
 
+// isBackAtSource reports whether the attempt continues a stopped run at the runner that
+// stopped it, since it could not continue elsewhere.
+func (x *exchange) isBackAtSource() bool {
+	return x.continuedRun != nil && x.continuedRun.Source == x.choice.Runner.Address
+}
+
 func (x *exchange) unregisterStream(runner string) {
 	x.mutex.Lock()
 	x.currentRunner = ""
