Heed the Retry-After of a runner that turns a move away

What callers saw: a stream stayed at a leaving runner until it was cut when the runner had answered the request to move its run with 503 and Retry-After. Other requests of moves went to that runner within the time for which it wanted none.

Cause: the header of the answers to these requests was not read, and a move was tried once for each attempt.

Evidence, on the code before:

--- FAIL: TestMoveIsRepeatedAfterThePauseOfItsRunner (0.84s) arrivals: got []int{1, 0} want []int{1, 1} copies: got 1 want 2

Change: the errors of the mover tell the Retry-After, which pauses the runner like that of any other answer. A move that failed before its run was stopped is tried again when the pause of its source is over.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,7 +41,9 @@
 	RefusalHeader(callID string, retryAfter time.Duration) http.Header
 }
 
-// Mover copies the KV caches of runs to other runners and stops runs.
+// Mover copies the KV caches of runs to other runners and stops runs. The method
+// PauseWanted of an error, if it has one, returns for how long the runner that turned the
+// request away wants no others.
 type Mover interface {
 	// CopyRun copies the KV cache of a run to the target while the run continues, and
 	// returns the handle of the complete copy. The run is not affected by an error.
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -74,20 +74,40 @@
 	}
 }
 
-// moveFrom moves the stream away from a runner that is leaving. The stream then breaks
-// off, and the goroutine that serves the request continues it at the new runner.
+// moveFrom moves the stream away from a runner that is leaving. If that runner wants no
+// requests for a time, the move is tried again afterwards.
 func (x *exchange) moveFrom(runner string) {
-	if x.awaitMoveTime(runner) != nil {
-		return
+	for x.awaitMoveTime(runner) == nil && x.tryMove(runner) {
 	}
+}
+
+// tryMove moves the stream once, and reports whether to try again after the pause of the
+// runner. If the move succeeds, the stream breaks off, and the goroutine that serves the
+// request continues it at the new runner.
+func (x *exchange) tryMove(runner string) (again bool) {
 	m, r, started := x.beginMove(runner)
 	if !started {
-		return
+		return false
 	}
 	defer close(m.done)
-	if err := x.move(m, r); err != nil {
-		x.recordNotMoved(m, err)
+	err := x.move(m, r)
+	if err == nil {
+		return false
 	}
+	x.recordNotMoved(m, err)
+	return x.Balancer.PauseLeft(runner, x.Clock.Now()) > 0 && x.forgetMove(m)
+}
+
+// forgetMove allows another move of the current attempt. It returns false if the attempt
+// has ended or its run may have been stopped.
+func (x *exchange) forgetMove(m *streamMove) bool {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	if x.pendingMove != m || m.stopping {
+		return false
+	}
+	x.pendingMove = nil
+	return true
 }
 
 // awaitMoveTime waits for MoveDelay and until the runner wants requests again, since the
--- a/gateway/move_test.go
+++ b/gateway/move_test.go
@@ -21,8 +21,11 @@
 	freed  []string
 	copied bool
 	err    error
-	// copyErr is the failure of each copy that precedes a stop.
+	// copies holds the times of the copies, and copyErr is the failure of each of them.
+	copies  []time.Time
 	copyErr error
+	// refusal is the failure of the first copy, if it is not nil.
+	refusal error
 	// hold delays the first answer of each move until it is closed, if it is not nil.
 	hold chan struct{}
 	// stop is called for each successful stop.
@@ -35,9 +38,22 @@
 	if m.hold != nil {
 		<-m.hold
 	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.copies = append(m.copies, time.Now())
+	if m.refusal != nil && len(m.copies) == 1 {
+		return "", m.refusal
+	}
 	return "h1", m.copyErr
 }
 
+// copyTimes returns the times of the copies so far, failed ones included.
+func (m *fakeMover) copyTimes() []time.Time {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return slices.Clone(m.copies)
+}
+
 func (m *fakeMover) StopRun(_ context.Context, source, _, _ string) (call.StoppedRun, bool, error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
--- a/gateway/movecopy_test.go
+++ b/gateway/movecopy_test.go
@@ -136,3 +136,27 @@
 	}
 	r.c.Check(r.mover.freedCopies(), qt.DeepEquals, []string{"h1"})
 }
+
+// turnedAwayError is the refusal of a runner that wants no requests for a time.
+type turnedAwayError struct{ pause time.Duration }
+
+func (*turnedAwayError) Error() string { return "turned away" }
+
+// PauseWanted returns the time for which the runner wants no requests.
+func (e *turnedAwayError) PauseWanted() time.Duration { return e.pause }
+
+// TestMoveIsRepeatedAfterThePauseOfItsRunner guards against streams that stay at a leaving
+// runner which has turned the request to copy their run away, and against requests within
+// the pause that it has asked for.
+func TestMoveIsRepeatedAfterThePauseOfItsRunner(t *testing.T) {
+	const pause = 200 * time.Millisecond
+	r := newRig(t, always(standin.Behaviour{Events: 40, Gap: 20 * time.Millisecond}), always(standin.Behaviour{Events: 40}))
+	r.mover.copied, r.mover.refusal = true, &turnedAwayError{pause: pause}
+	r.mover.stop = r.runners[0].ResetConnections
+	go r.moveFirstRunner()
+	r.c.Check(r.send("/single/a").body, qt.Equals, standin.Events(40))
+	r.c.Check(r.arrivals(), qt.DeepEquals, []int{1, 1})
+	copies := r.mover.copyTimes()
+	r.c.Assert(copies, qt.HasLen, 2)
+	r.c.Check(copies[1].Sub(copies[0]) >= pause, qt.IsTrue)
+}
--- a/gateway/moverun.go
+++ b/gateway/moverun.go
@@ -63,7 +63,18 @@
 func (x *exchange) copyRun(source, target inventory.Runner) (string, error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), x.options.CopyTimeout)
 	defer cancel()
-	return x.Mover.CopyRun(ctx, source.Address, x.call.ID, target.Address)
+	handle, err := x.Mover.CopyRun(ctx, source.Address, x.call.ID, target.Address)
+	x.applyPause(source, err)
+	return handle, err
+}
+
+// applyPause records that a runner has turned away a request of a move and wants no
+// others for a time.
+func (x *exchange) applyPause(runner inventory.Runner, err error) {
+	var turnedAway interface{ PauseWanted() time.Duration }
+	if errors.As(err, &turnedAway) && turnedAway.PauseWanted() > 0 {
+		x.Balancer.Pause(runner, turnedAway.PauseWanted(), x.Clock.Now())
+	}
 }
 
 // beginStop records that the run is about to be stopped, if the stream is still served at
@@ -93,6 +104,7 @@
 	defer cancel()
 	source := m.source.Runner
 	run, copied, err := x.Mover.StopRun(ctx, source.Address, x.call.ID, target.choice.Runner.Address)
+	x.applyPause(source, err)
 	if isRefused(err) {
 		x.releaseTarget(target)
 		x.freeCopy(handle, source, target.choice.Runner)
@@ -153,5 +165,7 @@
 func (x *exchange) freeCopyAt(runner inventory.Runner, handle string) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), x.options.MoveTimeout)
 	defer cancel()
-	return x.Mover.FreeRun(ctx, runner.Address, handle)
+	err := x.Mover.FreeRun(ctx, runner.Address, handle)
+	x.applyPause(runner, err)
+	return err
 }
