Renew the lease on the duties beside the calls to the platform

What was seen: while the platform did not answer, two daemons took the duties from each other, and each time the orders for runners were planned anew.

Cause: one goroutine renewed the lease and waited for the platform. A usage report and an order, with 0.8 s each, took longer than the 1 s of the lease and its margin of 0.4 s, so the certain lease was given up for answers that may never come.

Evidence, on the code before, with the timeouts of a daemon; the process of each call:

--- FAIL: TestLeaseIsKeptWhileThePlatformIsSilent (9.00s) [a a a a b b a a b b a a]: got "b" want "a"

Change: the lease has its own goroutine. A mutex is held during each sequence of calls that read the log or append to it, so that entries are applied in order; the calls to the platform don't hold it. Decisions check the lease under it, a revocation waits for a renewal that is under way, and orders end when the fencing token changes.

--- a/duties/duties.go
+++ b/duties/duties.go
@@ -91,8 +91,15 @@
 	// handoversReadFor the last window before whose decision they were.
 	handoversEnd     latest.Position
 	handoversReadFor int64
-	// wasHolding is whether the process held the lease when that was last logged.
-	wasHolding bool
+	// wasHolding is whether the process held the lease when that was last logged, and
+	// loggedToken is its fencing token.
+	wasHolding  bool
+	loggedToken uint64
+
+	// logMutex is held during each sequence of calls that read the log of duties or
+	// append to it, so that the log is applied to the lease in order. It is locked
+	// before mutex.
+	logMutex sync.Mutex
 
 	mutex sync.Mutex
 	// lease is this process's view of the lease, guarded by mutex.
@@ -174,17 +181,27 @@
 // now reads the clock that also advances while the VM is suspended.
 func (d *Duties) now() time.Time { return clock.SuspendAwareNow(d.Clock) }
 
-// Run carries out the duties until ctx ends, and then releases the lease.
+// Run carries out the duties until ctx ends, and then releases the lease. The lease is
+// renewed beside the calls to the platform, which may take longer than it lasts.
 func (d *Duties) Run(ctx context.Context) {
 	defer close(d.done)
-	for clock.Sleep(ctx, d.Clock, d.options.Period) == nil {
-		d.round(ctx)
+	var loops sync.WaitGroup
+	for _, step := range []func(context.Context){d.acquireOrRenew, d.round} {
+		loops.Go(func() { d.repeat(ctx, step) })
 	}
+	loops.Wait()
 	d.release()
 }
 
+// repeat runs a step in each period until ctx ends.
+func (d *Duties) repeat(ctx context.Context, step func(context.Context)) {
+	for clock.Sleep(ctx, d.Clock, d.options.Period) == nil {
+		step(ctx)
+	}
+}
+
+// round carries out the duties once, if this process holds the lease.
 func (d *Duties) round(ctx context.Context) {
-	d.acquireOrRenew(ctx)
 	fencingToken, holding := d.holding()
 	d.logHolderChange(fencingToken, holding)
 	if !holding {
@@ -195,7 +212,7 @@
 	}
 	if d.options.SendsScaleOrders && d.Clock.Since(d.lastOrders) >= d.options.OrderPeriod {
 		d.lastOrders = d.Clock.Now()
-		d.sendOrders(ctx)
+		d.sendOrders(ctx, fencingToken)
 	}
 }
 
@@ -205,12 +222,13 @@
 	return d.lease.Holding(d.now())
 }
 
-// logHolderChange logs when this process acquires or loses the lease.
+// logHolderChange logs when this process acquires or loses the lease. Another token means
+// that it was lost and acquired again since.
 func (d *Duties) logHolderChange(fencingToken uint64, holding bool) {
-	if holding == d.wasHolding {
+	if holding == d.wasHolding && (!holding || fencingToken == d.loggedToken) {
 		return
 	}
-	d.wasHolding = holding
+	d.wasHolding, d.loggedToken = holding, fencingToken
 	if holding {
 		d.Scaler.Reset()
 		d.Log.Info("DutiesTaken", "Fence", fencingToken)
@@ -222,6 +240,8 @@
 // acquireOrRenew acquires the lease when it is free and renews it when this process
 // holds it.
 func (d *Duties) acquireOrRenew(ctx context.Context) {
+	d.logMutex.Lock()
+	defer d.logMutex.Unlock()
 	d.mutex.Lock()
 	mustRead, mustRenew := d.lease.MustRead(d.now()), d.lease.MustRenew(d.now())
 	d.mutex.Unlock()
@@ -243,6 +263,8 @@
 
 // release releases the lease, so that another daemon need not wait for its expiry.
 func (d *Duties) release() {
+	d.logMutex.Lock()
+	defer d.logMutex.Unlock()
 	d.mutex.Lock()
 	isHolder := d.lease.IsHolder()
 	d.mutex.Unlock()
@@ -252,7 +274,10 @@
 }
 
 // revokeLease ends this process's lease after the platform has seen a higher fencing token.
+// A renewal that is under way ends before, so that it does not restore the lease.
 func (d *Duties) revokeLease() {
+	d.logMutex.Lock()
+	defer d.logMutex.Unlock()
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.lease.Revoke(d.now())
--- a/duties/duties_test.go
+++ b/duties/duties_test.go
@@ -66,22 +66,43 @@
 }
 
 func (r *fixture) startWithDelays(name string, reportDelay, usageDelay time.Duration) *process {
+	cloud := platform.NewCloudAPI(r.cloud.Address(), name, &http.Client{})
+	return r.launch(name, cloud, idleScaler{}, duties.Options{UsageDelay: usageDelay, ReportDelay: reportDelay})
+}
+
+// startAt starts a process with a long lease whose orders are evaluated in each round.
+func (r *fixture) startAt(name string, cloud dutylease.Platform, scaler duties.Scaler) *process {
+	return r.launch(name, cloud, scaler, duties.Options{
+		UsageDelay: 50 * time.Millisecond, ReportDelay: 40 * time.Millisecond, SendsScaleOrders: true, OrderPeriod: time.Millisecond,
+		Timeout: silentTimeout, Lease: dutylease.DefaultOptions(longLease),
+	})
+}
+
+// launch starts a process. It sets the options that are the same in all tests.
+func (r *fixture) launch(name string, cloud dutylease.Platform, scaler duties.Scaler, options duties.Options) *process {
 	address, err := r.store.Listen(name)
 	r.c.Assert(err, qt.IsNil)
 	common := telemetry.NewCommon()
 	common.Log = logr.Discard()
 	counter := usage.New(window, 40)
+	options.Topic, options.CountsTopic, options.Process = "duties", "counts", name+"/1"
+	options.Period = 20 * time.Millisecond
+	if options.Timeout == 0 {
+		options.Timeout = 200 * time.Millisecond
+	}
+	options.OutstandingDelay, options.UsageMaxAge = outstandingDelay, 5*time.Second
+	options.ReportsUsage = true
+	if options.Lease == (dutylease.Options{}) {
+		options.Lease = dutylease.DefaultOptions(lease)
+	}
+	if options.OrderPeriod == 0 {
+		options.OrderPeriod = time.Second
+	}
 	p := &process{usage: counter}
 	p.duties = duties.New(common, duties.Dependencies{
-		Store: platform.NewStore(address, &http.Client{}), Usage: counter, Scaler: idleScaler{},
-		Platform:    platform.NewCloudAPI(r.cloud.Address(), name, &http.Client{}),
-		SyncedClock: clocksync.New(time.Minute, common.Clock.Now()),
-	}, duties.Options{
-		Topic: "duties", CountsTopic: "counts", Process: name + "/1", Period: 20 * time.Millisecond, Timeout: 200 * time.Millisecond,
-		UsageDelay: usageDelay, OutstandingDelay: outstandingDelay, ReportDelay: reportDelay,
-		UsageMaxAge: 5 * time.Second, OrderPeriod: time.Second,
-		ReportsUsage: true, Lease: dutylease.DefaultOptions(lease),
-	})
+		Store: platform.NewStore(address, &http.Client{}), Usage: counter, Scaler: scaler,
+		Platform: cloud, SyncedClock: clocksync.New(time.Minute, common.Clock.Now()),
+	}, options)
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
 	go p.duties.Run(ctx)
--- a/duties/log.go
+++ b/duties/log.go
@@ -11,6 +11,7 @@
 )
 
 // read applies the new entries of the log. It reports whether it has reached the end.
+// logMutex must be held.
 func (d *Duties) read(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, d.options.Timeout)
 	defer cancel()
@@ -84,7 +85,7 @@
 }
 
 // append adds a record at the end of the log as read so far. It reports whether the
-// record is known to have taken effect.
+// record is known to have taken effect. logMutex must be held.
 func (d *Duties) append(ctx context.Context, record dutylease.Record) bool {
 	end := d.End()
 	record.Epoch = end.Epoch
--- a/duties/orders.go
+++ b/duties/orders.go
@@ -7,11 +7,12 @@
 	"github.com/cranberrywalk/cranberrywalk/dutylease"
 )
 
-// sendOrders sends the orders that are due.
-func (d *Duties) sendOrders(ctx context.Context) {
+// sendOrders sends the orders that are due, as long as this process holds the lease that
+// it acquired with the fencing token.
+func (d *Duties) sendOrders(ctx context.Context, fencingToken uint64) {
 	for _, order := range d.Scaler.Due(d.Clock.Now()) {
-		fencingToken, holding := d.holding()
-		if !holding {
+		current, holding := d.holding()
+		if !holding || current != fencingToken {
 			return
 		}
 		if !d.sendOrder(ctx, fencingToken, order) {
--- a/duties/usage.go
+++ b/duties/usage.go
@@ -33,18 +33,25 @@
 	if d.Clock.Since(d.started) < d.options.UsageDelay {
 		return
 	}
-	undecided := d.dueReports(first, last)
-	if len(undecided) == 0 && last <= d.handoversReadFor {
+	if len(d.dueReports(first, last)) == 0 && last <= d.handoversReadFor {
 		return
 	}
 	if !d.readHandovers(ctx) {
 		return
 	}
 	d.handoversReadFor = last
-	undecided = d.dueReports(first, last)
-	if len(undecided) > 0 {
-		d.append(ctx, dutylease.Record{Holder: d.options.Process, Reports: undecided})
+	d.appendReports(ctx, first, last)
+}
+
+// appendReports decides the reports that are due, unless the lease was lost meanwhile.
+func (d *Duties) appendReports(ctx context.Context, first, last int64) {
+	d.logMutex.Lock()
+	defer d.logMutex.Unlock()
+	undecided := d.dueReports(first, last)
+	if _, holding := d.holding(); !holding || len(undecided) == 0 {
+		return
 	}
+	d.append(ctx, dutylease.Record{Holder: d.options.Process, Reports: undecided})
 }
 
 // dueReports returns reports with the present counts of the windows from first to last
