Try a move again that failed before its run was stopped

What callers saw: a stream whose run had not begun when its runner left, or whose first target had no room, stayed at that runner and was cut when the runner ended.

Cause: a move was tried once. Before runs were copied first, a second try would have meant a second interruption; now a failed try does no harm.

Evidence, on the code before:

--- FAIL: TestMoveIsTriedAgain (2.67s) 404, 409, 503: stops got int(0) want int(1); targets: one, want two

Change: up to four tries while the stream is still served there, each after the delay and the pause of the runner, and not at the target that failed the time before.

--- a/gateway/move.go
+++ b/gateway/move.go
@@ -74,28 +74,43 @@
 	}
 }
 
-// moveFrom moves the stream away from a runner that is leaving. If that runner wants no
-// requests for a time, the move is tried again afterwards.
+// maxMoveTries bounds the tries to move a stream. A try that fails before the run is
+// stopped does no harm: the run may not have begun, or the target may have had no room.
+const maxMoveTries = 4
+
+// moveFrom moves the stream away from a runner that is leaving. The stream then breaks
+// off, and the goroutine that serves the request continues it at the new runner.
 func (x *exchange) moveFrom(runner string) {
-	for x.awaitMoveTime(runner) == nil && x.tryMove(runner) {
+	failed := ""
+	for range maxMoveTries {
+		if x.awaitMoveTime(runner) != nil {
+			return
+		}
+		m, r, started := x.beginMove(runner)
+		if !started {
+			return
+		}
+		if failed != "" {
+			r.Excluded = append(r.Excluded, failed)
+		}
+		target, again := x.tryMove(m, r)
+		if !again {
+			return
+		}
+		failed = target
 	}
 }
 
-// tryMove moves the stream once, and reports whether to try again after the pause of the
-// runner. If the move succeeds, the stream breaks off, and the goroutine that serves the
-// request continues it at the new runner.
-func (x *exchange) tryMove(runner string) (again bool) {
-	m, r, started := x.beginMove(runner)
-	if !started {
-		return false
-	}
+// tryMove moves the stream once. It reports whether to try again, and at which target the
+// move failed, if one was chosen.
+func (x *exchange) tryMove(m *streamMove, r balance.Request) (failed string, again bool) {
 	defer close(m.done)
-	err := x.move(m, r)
+	target, err := x.move(m, r)
 	if err == nil {
-		return false
+		return "", false
 	}
 	x.recordNotMoved(m, err)
-	return x.Balancer.PauseLeft(runner, x.Clock.Now()) > 0 && x.forgetMove(m)
+	return target, x.forgetMove(m)
 }
 
 // forgetMove allows another move of the current attempt. It returns false if the attempt
--- a/gateway/move_test.go
+++ b/gateway/move_test.go
@@ -24,6 +24,8 @@
 	// copies holds the times of the copies, and copyErr is the failure of each of them.
 	copies  []time.Time
 	copyErr error
+	// targets holds the addresses to which runs were to be copied.
+	targets []string
 	// refusal is the failure of the first copy, if it is not nil.
 	refusal error
 	// hold delays the first answer of each move until it is closed, if it is not nil.
@@ -34,13 +36,13 @@
 	answerLost bool
 }
 
-func (m *fakeMover) CopyRun(context.Context, string, string, string) (string, error) {
+func (m *fakeMover) CopyRun(_ context.Context, _, _, target string) (string, error) {
 	if m.hold != nil {
 		<-m.hold
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.copies = append(m.copies, time.Now())
+	m.copies, m.targets = append(m.copies, time.Now()), append(m.targets, target)
 	if m.refusal != nil && len(m.copies) == 1 {
 		return "", m.refusal
 	}
--- a/gateway/movecopy_test.go
+++ b/gateway/movecopy_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -160,3 +161,24 @@
 	r.c.Assert(copies, qt.HasLen, 2)
 	r.c.Check(copies[1].Sub(copies[0]) >= pause, qt.IsTrue)
 }
+
+// TestMoveIsTriedAgain guards against streams that stay at a leaving runner until it ends
+// because their run had not begun, or the first target had no room, when they were to be
+// moved.
+func TestMoveIsTriedAgain(t *testing.T) {
+	for _, status := range []int{404, 409, 503} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			rest := always(standin.Behaviour{Events: 40})
+			r := newRig(t, always(standin.Behaviour{Events: 40, Gap: 20 * time.Millisecond}), rest, rest)
+			r.mover.copied, r.mover.refusal = true, &platform.MoveError{Status: status}
+			r.mover.stop = r.runners[0].ResetConnections
+			r.takeRetries(1)
+			go r.moveFirstRunner()
+			r.c.Check(r.send("/single/a").body, qt.Equals, standin.Events(40))
+			r.c.Check(r.mover.stopCount(), qt.Equals, 1)
+			r.c.Assert(r.mover.targets, qt.HasLen, 2)
+			r.c.Check(r.mover.targets[0], qt.Not(qt.Equals), r.mover.targets[1])
+			r.c.Check(r.retriesLeft(), qt.Equals, 0, qt.Commentf("the attempt that was not made is not counted"))
+		})
+	}
+}
--- a/gateway/moverun.go
+++ b/gateway/moverun.go
@@ -19,12 +19,17 @@
 	granted time.Time
 }
 
-// move copies the run to another runner and then stops it.
-func (x *exchange) move(m *streamMove, r balance.Request) error {
+// move copies the run to another runner and then stops it. It returns the ID of that
+// runner, if one was chosen.
+func (x *exchange) move(m *streamMove, r balance.Request) (runner string, err error) {
 	target, err := x.secureTarget(r)
 	if err != nil {
-		return err
+		return "", err
 	}
+	return target.choice.Runner.ID, x.moveTo(target, m)
+}
+
+func (x *exchange) moveTo(target *moveTarget, m *streamMove) error {
 	handle, err := x.copyRun(m.source.Runner, target.choice.Runner)
 	if err != nil {
 		x.releaseTarget(target)
