--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -32,7 +32,7 @@
 			continue
 		}
 		if move != nil {
-			move.ticket.End(balance.Cancelled, x.Clock.Now())
+			x.dropMove(move)
 		}
 		x.recordFailure(a, failure)
 		again, reason := x.mayRetry(failure)
@@ -68,10 +68,10 @@
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	x.continuedRun, x.stoppedAt = move.run, nil
-	if a.choice.Runner.ID != move.choice.Runner.ID {
+	if a.choice.Runner.ID != move.target.choice.Runner.ID {
 		x.stoppedAt = &a.choice
 	}
-	return x.newAttempt(move.choice, move.ticket, move.run)
+	return x.newAttempt(move.target.choice, move.target.ticket, move.run)
 }
 
 // attemptStream makes one attempt. It returns nil when the caller has received the
