Ask the next backend server without reading a rejection to its end

A caller whose first engine answered 429 or 503 waited until its deadline and got an error if the body of that rejection stalled or did not end, although another engine was free.

The dispatcher read the body of a rejection completely before it went on. The status line says all that it needs.

TestRejectionIsNotReadToItsEnd failed before:

--- FAIL: TestRejectionIsNotReadToItsEnd/stalled_rejection (10.00s) problem: the caller has gone: context deadline exceeded got: s"Unknown" want: s"Answered" --- FAIL: TestRejectionIsNotReadToItsEnd/endless_rejection (10.00s) problem: the caller has gone: context deadline exceeded got: s"Unknown" want: s"Answered"

A rejected answer is now discarded: a goroutine of the client reads at most 64 KiB of it for at most 1 s, so that its connection can be reused, and closes the connection otherwise. The exchange is detached from the attempt's context for this, which would else close the connection at once. The end of a stream uses the same function, so that closing the client no longer waits for the silence timeout.

--- a/backend/answer.go
+++ b/backend/answer.go
@@ -22,6 +22,8 @@
 	call   Call
 	ctx    context.Context
 	cancel context.CancelCauseFunc
+	// detach keeps the exchange from ending with the context of its attempt.
+	detach func() bool
 	// answer is nil until the header of the answer has arrived.
 	answer *upstream.Answer
 	// ended guards against ending the exchange twice.
@@ -35,7 +37,8 @@
 
 func (c *Client) newAnswer(ctx context.Context, call Call) *Answer {
 	a := &Answer{client: c, call: call}
-	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	a.ctx, a.cancel = context.WithCancelCause(context.WithoutCancel(ctx))
+	a.detach = context.AfterFunc(ctx, func() { a.cancel(context.Cause(ctx)) })
 	a.silence = newSilenceTimer(c.Clock, c.silenceTimeout(call), a.onSilence)
 	return a
 }
@@ -97,6 +100,7 @@
 func (a *Answer) end(complete bool) {
 	a.ended.Do(func() {
 		a.silence.stop()
+		a.detach()
 		if a.answer != nil {
 			a.answer.Close(complete)
 		}
--- a/backend/client.go
+++ b/backend/client.go
@@ -94,11 +94,12 @@
 	telemetry.Common
 	options Options
 	pool    *upstream.Pool
-	// stop ends the goroutine that closes idle connections.
+	// ctx ends when the client is closed.
+	ctx  context.Context
 	stop func()
-	// cleaner waits for that goroutine.
+	// cleaner waits for the goroutine that closes idle connections.
 	cleaner sync.WaitGroup
-	// drains waits for the ended streams whose connections are not yet
+	// drains waits for the ended exchanges whose connections are not yet
 	// returned to the pool or closed.
 	drains sync.WaitGroup
 	done   chan struct{}
@@ -108,10 +109,10 @@
 func New(common telemetry.Common, options Options) *Client {
 	ctx, stop := context.WithCancel(context.Background())
 	c := &Client{
-		Common: common, options: options, stop: stop, done: make(chan struct{}),
+		Common: common, options: options, ctx: ctx, stop: stop, done: make(chan struct{}),
 		pool: upstream.New(common, options.upstreamOptions()),
 	}
-	c.cleaner.Go(func() { c.closeIdleConnections(ctx) })
+	c.cleaner.Go(c.closeIdleConnections)
 	return c
 }
 
@@ -129,9 +130,9 @@
 }
 
 // closeIdleConnections periodically closes the connections that have been idle for
-// too long, until ctx ends.
-func (c *Client) closeIdleConnections(ctx context.Context) {
-	for clock.Sleep(ctx, c.Clock, c.options.IdleTimeout) == nil {
+// too long, until the client is closed.
+func (c *Client) closeIdleConnections() {
+	for clock.Sleep(c.ctx, c.Clock, c.options.IdleTimeout) == nil {
 		c.pool.CloseExpired()
 	}
 }
@@ -166,6 +167,9 @@
 
 func (c *Client) send(ctx context.Context, call Call) (*Answer, error) {
 	a := c.newAnswer(ctx, call)
+	if ctx.Err() != nil {
+		a.cancel(context.Cause(ctx))
+	}
 	request, err := a.newRequest()
 	if err != nil {
 		return nil, a.failToSend(Malformed, &upstream.UnwrittenError{Address: call.Address, Cause: err})
--- a/backend/fault.go
+++ b/backend/fault.go
@@ -101,3 +101,15 @@
 func (e *ContentTypeError) Error() string {
 	return fmt.Sprintf("content type %q is not a stream of events", e.ContentType)
 }
+
+// DrainTimeoutError means that the rest of an answer did not arrive in time.
+type DrainTimeoutError struct{}
+
+// Error implements error.
+func (*DrainTimeoutError) Error() string { return "the rest of the answer did not arrive in time" }
+
+// ClientClosedError means that the client has been closed.
+type ClientClosedError struct{}
+
+// Error implements error.
+func (*ClientClosedError) Error() string { return "the client is closed" }
--- a/backend/stream.go
+++ b/backend/stream.go
@@ -93,7 +93,7 @@
 		return Chunk{}, a.fail(Truncated, err)
 	}
 	if bytes.Equal(payload, done) {
-		a.drain()
+		a.drain(a.reader, 0)
 		return Chunk{Payload: payload, Last: true}, nil
 	}
 	chunk := Chunk{Payload: payload}
@@ -139,18 +139,3 @@
 		}
 	}
 }
-
-// drain ends the exchange after the end event. The connection returns to the pool
-// when the body ends there; otherwise it is closed, so that trailing bytes cannot
-// be taken for the answer to another request.
-func (a *Answer) drain() {
-	a.silence.start()
-	a.client.drains.Go(func() {
-		rest, err := io.ReadAll(io.LimitReader(a.reader, 1))
-		if err != nil || len(rest) > 0 {
-			a.Close()
-			return
-		}
-		a.end(true)
-	})
-}
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -78,9 +78,7 @@
 	observed := Observation{Status: response.Status()}
 	_ = f.apply(request.AnswerBegan)
 	if f.isRetryableBusy(response) {
-		if _, err := response.ReadAll(); err != nil {
-			return observed, err
-		}
+		response.Discard()
 		return observed, &BusyError{Backend: target.Name, Status: observed.Status, RetryAfter: parseRetryAfter(response.Header())}
 	}
 	switch {
--- a/dispatch/backend_fake_test.go
+++ b/dispatch/backend_fake_test.go
@@ -114,6 +114,15 @@
 	return false
 }
 
+// writeWithoutEnd writes chunks until the peer closes the connection.
+func (f *fakeBackend) writeWithoutEnd(w io.Writer) bool {
+	for {
+		if _, err := io.WriteString(w, "2\r\nno\r\n"); err != nil {
+			return false
+		}
+	}
+}
+
 func (f *fakeBackend) respond(w io.Writer, reader *bufio.Reader, r *http.Request, body []byte) bool {
 	id := r.Header.Get(backend.RequestIDHeader)
 	if !f.behave.late {
@@ -129,6 +138,12 @@
 		case "busy":
 			fmt.Fprintf(w, "HTTP/1.1 503 Busy\r\nX-Request-Id: %s\r\nRetry-After: 7\r\nContent-Length: 0\r\n\r\n", id)
 			return true
+		case "stalled rejection":
+			fmt.Fprintf(w, "HTTP/1.1 503 Busy\r\nX-Request-Id: %s\r\nContent-Length: 10\r\n\r\n", id)
+			return f.hang(reader)
+		case "endless rejection":
+			fmt.Fprintf(w, "HTTP/1.1 503 Busy\r\nX-Request-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n", id)
+			return f.writeWithoutEnd(w)
 		}
 	}
 	if strings.Contains(string(body), `"stream":true`) {
