Count only data as activity of a backend server, and bound an event

A caller whose engine sent comment lines, interim answers or a header without end waited until its deadline, although another engine was free.

Every received byte restarted the silence timer, and a line was read whole before its length was checked.

Only a complete header, a complete event with data, and the bytes of a body that is not a stream count now. A body is bounded by its size and the deadline. An event may have 1 MiB, and the length of a line is checked while it is read.

--- a/backend/answer.go
+++ b/backend/answer.go
@@ -60,6 +60,14 @@
 // onSilence cancels the exchange with a SilentError.
 func (a *Answer) onSilence() { a.cancel(&SilentError{}) }
 
+// onRead restarts the silence timer when bytes of a body that is not a stream are
+// received. Bytes of a header, or of a stream without an event, could arrive without end.
+func (a *Answer) onRead() {
+	if a.answer != nil && a.reader == nil {
+		a.silence.reset()
+	}
+}
+
 // fail ends the exchange, closes its connection and returns the fault. If the exchange
 // was cancelled, the kind and the cause of the fault come from its context. A Silent
 // fault closes the idle connections to the same address, too.
--- a/backend/client.go
+++ b/backend/client.go
@@ -31,11 +31,11 @@
 type Options struct {
 	// DialTimeout bounds the opening of a connection.
 	DialTimeout time.Duration
-	// StreamSilenceTimeout bounds the time between two received bytes of a streamed
-	// answer.
+	// StreamSilenceTimeout bounds the time to the header of a streamed answer, and
+	// between two of its events. Other bytes, such as comments, don't count.
 	StreamSilenceTimeout time.Duration
-	// SilenceTimeout bounds the time between two received bytes of an answer
-	// that is not streamed.
+	// SilenceTimeout bounds the time to the header of an answer that is not streamed,
+	// and between two received bytes of its body.
 	SilenceTimeout time.Duration
 	// MinSilenceTimeout is the lower limit of the silence timeout of an
 	// idempotent call, which is shortened when its deadline is near, to leave
@@ -47,6 +47,8 @@
 	IdleConnections int
 	// MaxAnswerBytes bounds the body of an answer.
 	MaxAnswerBytes int
+	// MaxEventBytes bounds an event of a stream.
+	MaxEventBytes int
 	// MaxHeaderBytes bounds the status line and header of an answer.
 	MaxHeaderBytes int
 }
@@ -61,6 +63,7 @@
 		IdleTimeout:          30 * time.Second,
 		IdleConnections:      4,
 		MaxAnswerBytes:       8 << 20,
+		MaxEventBytes:        1 << 20,
 		MaxHeaderBytes:       64 << 10,
 	}
 }
@@ -213,6 +216,6 @@
 	return upstream.Request{
 		Address: a.call.Address, Host: a.call.Address, NewConnection: a.call.Fresh || !a.call.Idempotent,
 		Method: a.call.Method, Target: target.RequestURI(), Header: header, Body: a.call.Body,
-		OnRead: a.silence.reset,
+		OnRead: a.onRead,
 	}, nil
 }
--- a/backend/silence.go
+++ b/backend/silence.go
@@ -9,9 +9,9 @@
 	"github.com/cranberrywalk/cranberrywalk/clock"
 )
 
-// silenceTimer is a timeout for the time between two received bytes. It runs only
-// while the exchange waits for the backend server, not while the answer is passed
-// on to a slow caller.
+// silenceTimer is a timeout for the time without data from the backend server: a header,
+// an event of a stream or bytes of another body. It runs only while the exchange waits
+// for the backend server, not while the answer is passed on to a slow caller.
 type silenceTimer struct {
 	timeout time.Duration
 
@@ -40,7 +40,7 @@
 	s.timer.Reset(s.timeout)
 }
 
-// reset restarts a running timer when bytes are received.
+// reset restarts a running timer when data is received.
 func (s *silenceTimer) reset() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/backend/stream.go
+++ b/backend/stream.go
@@ -115,18 +115,13 @@
 	var payload []byte
 	var found bool
 	for {
-		line, err := a.reader.ReadBytes('\n')
-		a.bytes += len(line)
-		if a.bytes > a.client.options.MaxAnswerBytes {
-			return nil, &LengthError{Bytes: a.client.options.MaxAnswerBytes}
-		}
-		if err == io.EOF {
-			return nil, io.ErrUnexpectedEOF
-		}
+		line, err := a.readLine()
 		if err != nil {
 			return nil, err
 		}
-		line = bytes.TrimRight(line, "\r\n")
+		if len(payload)+len(line) > a.client.options.MaxEventBytes {
+			return nil, &LengthError{Bytes: a.client.options.MaxEventBytes}
+		}
 		if len(line) == 0 && found {
 			return payload, nil
 		}
@@ -139,3 +134,28 @@
 		}
 	}
 }
+
+// readLine reads a line of a stream and returns it without its end. The lengths of the
+// line and of the whole stream are bounded.
+func (a *Answer) readLine() ([]byte, error) {
+	var line []byte
+	for {
+		part, err := a.reader.ReadSlice('\n')
+		a.bytes += len(part)
+		if a.bytes > a.client.options.MaxAnswerBytes {
+			return nil, &LengthError{Bytes: a.client.options.MaxAnswerBytes}
+		}
+		line = append(line, part...)
+		if len(line) > a.client.options.MaxEventBytes {
+			return nil, &LengthError{Bytes: a.client.options.MaxEventBytes}
+		}
+		switch {
+		case err == nil:
+			return bytes.TrimRight(line, "\r\n"), nil
+		case errors.Is(err, io.EOF):
+			return nil, io.ErrUnexpectedEOF
+		case !errors.Is(err, bufio.ErrBufferFull):
+			return nil, err
+		}
+	}
+}
