Give up a silent backend server only for one that has answered

A caller whose backend server was silent for a while and then went on lost its request: it got an error at once when it may not run twice, when the retry budget was used up or when the other servers rejected it. In other cases the request began anew, with less time left.

The silence timer cancelled the attempt before anything else was known: whether another attempt may be made, and whether its server accepts the request.

The attempt goes on now. The silence is reported to the dispatcher, which makes a second attempt (a hedge) if the request may run twice, the retry budget grants it and a server can be chosen. The hedge is accepted when its server has sent the first event of a stream, or a complete answer that reports no failure. Only then is the silent attempt cancelled. Data of the silent server before that cancels the hedge. Both decisions are made under the lock of the request, together with the change of the stream's state, so that no token is lost or repeated. A failed hedge is excluded from further ones, and counts as written, so that the outcome NotRun stays proven. A stream that lacks only its end is still ended at once.

One test changes: in TestEveryFaultAtEveryStep, a request that may not run twice waits at a silent server for its deadline now, so the clock is advanced to that. Its outcome is the same, Unknown. For the other requests the clock is advanced repeatedly, since tokens that arrive after the first step end the first silence.

--- a/backend/answer.go
+++ b/backend/answer.go
@@ -31,6 +31,11 @@
 	// reader is set by the first call of Next.
 	reader  *bufio.Reader
 	silence *silenceTimer
+	// first is the first event if AwaitData has read it and Next has not returned it.
+	first *Chunk
+	// body is the complete body if hasBody is true.
+	body    []byte
+	hasBody bool
 	// bytes is the number of bytes read of a streamed body.
 	bytes int
 }
@@ -57,8 +62,16 @@
 	return min(max(share, c.options.MinSilenceTimeout), c.options.SilenceTimeout)
 }
 
-// onSilence cancels the exchange with a SilentError.
-func (a *Answer) onSilence() { a.cancel(&SilentError{}) }
+// onSilence reports the silence to the caller of Send, or cancels the exchange with a
+// SilentError.
+func (a *Answer) onSilence() {
+	if a.call.OnSilence == nil {
+		a.cancel(&SilentError{})
+		return
+	}
+	a.silence.repeat()
+	a.call.OnSilence()
+}
 
 // onRead restarts the silence timer when bytes of a body that is not a stream are
 // received. Bytes of a header, or of a stream without an event, could arrive without end.
@@ -79,6 +92,8 @@
 		fault.Kind, fault.Cause = Silent, ended
 		abandoned := a.client.pool.CloseIdleTo(a.call.Address)
 		a.client.Count("BackendConnectionsAbandoned", int64(abandoned))
+	case ended != nil && a.silence.isExpired():
+		fault.Kind, fault.Cause = Silent, ended
 	case ended != nil:
 		fault.Kind, fault.Cause = Cancelled, ended
 	}
@@ -133,6 +148,9 @@
 
 // ReadAll reads the complete body and ends the exchange. Every error is a *FaultError.
 func (a *Answer) ReadAll() ([]byte, error) {
+	if a.hasBody {
+		return a.body, nil
+	}
 	if !a.answer.IsDelimited() {
 		return nil, a.fail(Truncated, &UndelimitedError{})
 	}
@@ -147,3 +165,20 @@
 	a.end(true)
 	return body, nil
 }
+
+// AwaitData waits for the first event of a stream, or for the complete body of another
+// answer. Next or ReadAll return it afterwards.
+func (a *Answer) AwaitData() error {
+	if !a.call.Stream || a.Status() != http.StatusOK || !a.IsStream() {
+		body, err := a.ReadAll()
+		a.body, a.hasBody = body, err == nil
+		return err
+	}
+	chunk, err := a.Next()
+	if err != nil {
+		return err
+	}
+	a.silence.stop()
+	a.first = &chunk
+	return nil
+}
--- a/backend/client.go
+++ b/backend/client.go
@@ -90,6 +90,9 @@
 	// Stream is true when the answer is expected as server-sent events.
 	Stream   bool
 	Deadline time.Time
+	// OnSilence is called in a goroutine of its own when the silence timeout expires,
+	// and then repeatedly until data arrives. If it is nil, the call fails instead.
+	OnSilence func()
 }
 
 // Client sends calls to backend servers over pooled connections.
--- a/backend/fault.go
+++ b/backend/fault.go
@@ -18,7 +18,7 @@
 	Malformed FaultKind = "Malformed"
 	// TooLarge means that the answer exceeds the size limit.
 	TooLarge FaultKind = "TooLarge"
-	// Silent means that no byte was received within the silence timeout.
+	// Silent means that no data was received within the silence timeout.
 	Silent FaultKind = "Silent"
 	// Cancelled means that the daemon ended the exchange itself.
 	Cancelled FaultKind = "Cancelled"
@@ -57,7 +57,7 @@
 type SilentError struct{}
 
 // Error implements error.
-func (*SilentError) Error() string { return "no byte came within the bound on silence" }
+func (*SilentError) Error() string { return "no data came within the bound on silence" }
 
 // SealedError means that an attempt has ended and may not write any more.
 type SealedError struct{}
--- a/backend/silence.go
+++ b/backend/silence.go
@@ -19,6 +19,8 @@
 	timer clockwork.Timer
 	// running is true while the timer runs.
 	running bool
+	// expired is true when the timeout has expired since the last data.
+	expired bool
 }
 
 // newSilenceTimer returns a stopped timer. It calls onSilence in a separate
@@ -36,7 +38,7 @@
 func (s *silenceTimer) start() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.running = true
+	s.running, s.expired = true, false
 	s.timer.Reset(s.timeout)
 }
 
@@ -45,10 +47,31 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.running {
+		s.expired = false
 		s.timer.Reset(s.timeout)
 	}
 }
 
+// silenceInterval is the time between two reports of the same silence.
+const silenceInterval = 250 * time.Millisecond
+
+// repeat starts an expired timer again with a shorter timeout.
+func (s *silenceTimer) repeat() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running {
+		s.expired = true
+		s.timer.Reset(silenceInterval)
+	}
+}
+
+// isExpired reports whether the timeout has expired since the last data.
+func (s *silenceTimer) isExpired() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.expired
+}
+
 // stop stops the timer while the exchange does not wait for bytes.
 func (s *silenceTimer) stop() {
 	s.mu.Lock()
--- a/backend/stream.go
+++ b/backend/stream.go
@@ -79,6 +79,10 @@
 // Next returns the next complete event. After the Last one the exchange has ended.
 // Every error is a *FaultError.
 func (a *Answer) Next() (Chunk, error) {
+	if first := a.first; first != nil {
+		a.first = nil
+		return *first, nil
+	}
 	if a.reader == nil {
 		body := io.LimitReader(a.answer, int64(a.client.options.MaxAnswerBytes)+1)
 		a.reader = bufio.NewReaderSize(body, streamBuffer)
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/backend"
 	"github.com/cranberrywalk/cranberrywalk/request"
@@ -19,25 +18,34 @@
 		return err
 	}
 	f.machine = next
-	ctx, cancel := context.WithCancelCause(f.ctx)
-	defer cancel(nil)
-	f.startAttempt(target, cancel)
-	defer f.endAttempt()
-	f.Chooser.AttemptStarted(target, f.request)
-	f.recordEvent("Dispatched", target.Name, "")
-	start := f.Clock.Now()
-	observed, err := f.exchange(ctx, target, start)
-	f.reportAttempt(target, start, observed, err)
+	a := f.takeAcceptedHedge()
+	if a == nil {
+		a = f.newAttempt(target)
+	}
+	defer a.cancel(nil)
+	f.startAttempt(target, a.cancel)
+	observed, err := f.exchange(a)
+	f.settleHedge(err)
+	f.reportAttempt(target, a.started, observed, err)
 	if err != nil {
 		f.recordFailure(target, err)
 	}
 	return err
 }
 
+// newAttempt returns an attempt that has not been sent.
+func (f *inFlightRequest) newAttempt(target Target) *backendAttempt {
+	a := &backendAttempt{target: target, started: f.Clock.Now()}
+	a.ctx, a.cancel = context.WithCancelCause(f.ctx)
+	f.Chooser.AttemptStarted(target, f.request)
+	f.recordEvent("Dispatched", target.Name, "")
+	return a
+}
+
 // recordFailure reports the failure of an attempt to the state machine.
 func (f *inFlightRequest) recordFailure(target Target, err error) {
 	var fault *backend.FaultError
-	if errors.As(err, &fault) && !fault.MaybeWritten {
+	if errors.As(err, &fault) && !fault.MaybeWritten && !f.isHedgeWritten() {
 		_ = f.apply(request.AttemptUnwritten)
 		return
 	}
@@ -70,8 +78,8 @@
 }
 
 // exchange sends the request and relays the response.
-func (f *inFlightRequest) exchange(ctx context.Context, target Target, start time.Time) (Observation, error) {
-	response, err := f.Client.Send(ctx, f.newCall(target))
+func (f *inFlightRequest) exchange(a *backendAttempt) (Observation, error) {
+	response, err := f.send(a)
 	if err != nil {
 		return Observation{}, err
 	}
@@ -79,26 +87,34 @@
 	_ = f.apply(request.AnswerBegan)
 	if f.isRetryableBusy(response) {
 		response.Discard()
-		return observed, &BusyError{Backend: target.Name, Status: observed.Status, RetryAfter: parseRetryAfter(response.Header())}
+		return observed, &BusyError{Backend: a.target.Name, Status: observed.Status, RetryAfter: parseRetryAfter(response.Header())}
 	}
 	switch {
 	case observed.Status != http.StatusOK || !f.expectsStream():
 		return f.relayNonStream(response, observed)
 	case response.IsStream():
-		return f.relayStream(response, observed, start)
+		return f.relayStream(response, observed, a.started)
 	case f.request.Stream:
 		return observed, response.Reject()
 	}
 	return f.relayNonStream(response, observed)
 }
 
-// newCall returns the call of package backend for the attempt.
-func (f *inFlightRequest) newCall(target Target) backend.Call {
+// send returns the answer of an attempt. A hedge has been sent already.
+func (f *inFlightRequest) send(a *backendAttempt) (*backend.Answer, error) {
+	if a.answer != nil {
+		return a.answer, nil
+	}
+	return f.Client.Send(a.ctx, f.newCall(a.target, f.machine.Attempt()))
+}
+
+// newCall returns the call of package backend for an attempt.
+func (f *inFlightRequest) newCall(target Target, attempt int) backend.Call {
 	return backend.Call{
 		Backend: target.Name, Address: target.Address, ID: f.request.ID,
 		Method: f.request.Method, Path: f.request.Path,
 		Header: backendHeader(f.request.Header), Body: f.stream.nextBody(),
-		Idempotent: f.request.Idempotent, Fresh: f.machine.Attempt() > 1,
+		Idempotent: f.request.Idempotent, Fresh: attempt > 1, OnSilence: f.onSilence(attempt),
 		Stream: f.expectsStream(), Deadline: f.request.Deadline,
 	}
 }
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -16,6 +16,8 @@
 //     relayed event by event (stream.go), and streamState records what the
 //     caller has received, so that another engine can continue it
 //     (streamstate.go, rewrite.go, body.go).
+//     While its backend server is silent, a second attempt may be made (hedge.go).
+//     The first of both that delivers data wins.
 //  5. After a failure, the state machine, the retry budget and the deadline
 //     decide whether there is another attempt.
 //  6. conclude stores the answer for other requests with the same key, reports
--- a/dispatch/errors.go
+++ b/dispatch/errors.go
@@ -181,3 +181,14 @@
 func (e *CollectError) Error() string {
 	return fmt.Sprintf("the stream of %s cannot be collected", e.Backend)
 }
+
+// HedgeLostError reports that an attempt was cancelled because another attempt of the
+// request delivered data first.
+type HedgeLostError struct {
+	Backend string
+}
+
+// Error implements error.
+func (e *HedgeLostError) Error() string {
+	return fmt.Sprintf("another attempt was faster than that at %s", e.Backend)
+}
--- a/dispatch/inflight.go
+++ b/dispatch/inflight.go
@@ -59,6 +59,16 @@
 	moveTarget *Target
 	// crashedBackend is the backend server of the last suspected crash.
 	crashedBackend Target
+	// attemptNumber counts the attempts that were started.
+	attemptNumber int
+	// hedge is the hedge of the current attempt; nil while there is none.
+	hedge *backendAttempt
+	// acceptedHedge is the hedge that the next attempt goes on with, or nil.
+	acceptedHedge *backendAttempt
+	// failedHedges are the failed hedges of the current attempt.
+	failedHedges []failedHedge
+	// hedgeWritten is true when a hedge may have been written.
+	hedgeWritten bool
 	// leaving holds the backend servers that the request must move away from.
 	leaving map[string]bool
 }
@@ -95,6 +105,7 @@
 	if f.deadline != nil {
 		f.deadline.Stop()
 	}
+	f.releaseHedge()
 	f.cancel(nil)
 	if next := f.takeMoveTarget(); next != nil {
 		f.releaseTarget(*next)
@@ -133,6 +144,9 @@
 	if err := f.stopError(); err != nil {
 		return Target{}, err
 	}
+	if h := f.currentAcceptedHedge(); h != nil {
+		return h.target, nil
+	}
 	now := f.Clock.Now()
 	if f.Suspects.Refused(f.fingerprint, now) {
 		f.Count("RequestsSuspected", 1)
@@ -141,7 +155,7 @@
 	if next := f.takeMoveTarget(); next != nil {
 		return *next, nil
 	}
-	target, err := f.chooseIsolated(now)
+	target, err := f.chooseIsolated(f.excluded, now)
 	var none *NoBackendError
 	if errors.As(err, &none) && len(f.excluded) > 0 {
 		// Backend servers that failed before may work on a new connection.
@@ -205,7 +219,7 @@
 	// multiply the load, and ending the stream would break off the response that
 	// the caller is already receiving. The continuation is not charged to the
 	// retry budget, so the failure of a whole zone does not use it up.
-	if !f.isLeaving(target.Name) && !f.stream.progressed() {
+	if f.currentAcceptedHedge() == nil && !f.isLeaving(target.Name) && !f.stream.progressed() {
 		if err := f.chargeRetry(failure); err != nil {
 			return err
 		}
--- a/dispatch/isolate.go
+++ b/dispatch/isolate.go
@@ -11,22 +11,22 @@
 // a crash caused by one request would be counted against the others again. If no
 // backend server satisfies both conditions, it tries without the second, then
 // without the first, and finally without either.
-func (f *inFlightRequest) chooseIsolated(now time.Time) (Target, error) {
+func (f *inFlightRequest) chooseIsolated(excluded []string, now time.Time) (Target, error) {
 	if !f.Suspects.Suspected(f.fingerprint, now) {
-		return f.Chooser.Choose(f.request, f.excluded, now)
+		return f.Chooser.Choose(f.request, excluded, now)
 	}
-	isolated := slices.Concat(f.excluded, f.otherSuspectBackends(now))
+	isolated := slices.Concat(excluded, f.otherSuspectBackends(now))
 	otherZone := f.request.WithAvoidedZones([]string{f.lastCrash().Zone})
 	if target, err := f.Chooser.Choose(otherZone, isolated, now); err == nil {
 		return target, nil
 	}
-	if target, err := f.Chooser.Choose(otherZone, f.excluded, now); err == nil {
+	if target, err := f.Chooser.Choose(otherZone, excluded, now); err == nil {
 		return target, nil
 	}
 	if target, err := f.Chooser.Choose(f.request, isolated, now); err == nil {
 		return target, nil
 	}
-	return f.Chooser.Choose(f.request, f.excluded, now)
+	return f.Chooser.Choose(f.request, excluded, now)
 }
 
 // otherSuspectBackends returns the backend servers that run other suspected
--- a/dispatch/matrix_test.go
+++ b/dispatch/matrix_test.go
@@ -134,7 +134,16 @@
 		if b.clock.BlockUntilContext(ctx, timersOfSilentAttempt) != nil {
 			return
 		}
-		b.clock.Advance(time.Minute)
+		if !r.Idempotent {
+			// No other attempt may be made, so the request waits for its deadline.
+			b.clock.Advance(r.Deadline.Sub(b.clock.Now()))
+			return
+		}
+		// The bytes that were sent before may arrive after the first steps.
+		for step := 0; step < 30 && ctx.Err() == nil; step++ {
+			b.clock.Advance(time.Minute)
+			time.Sleep(reactionTime)
+		}
 	case "slow":
 		b.clock.Advance(5 * time.Second)
 		close(first.release)
--- a/dispatch/move.go
+++ b/dispatch/move.go
@@ -94,7 +94,7 @@
 func (f *inFlightRequest) cancelForMove(backendName string, target Target) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.cancelAttempt == nil || f.moveTarget != nil || f.target.Name != backendName {
+	if f.cancelAttempt == nil || f.moveTarget != nil || f.acceptedHedge != nil || f.target.Name != backendName {
 		return false
 	}
 	f.moveTarget = &target
@@ -112,15 +112,23 @@
 func (f *inFlightRequest) startAttempt(target Target, cancel context.CancelCauseFunc) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.attemptNumber++
+	f.stream.startAttempt()
 	f.target = target
 	f.cancelAttempt = cancel
 	f.movable = f.expectsStream() && f.stream.body.continuable()
 }
 
-func (f *inFlightRequest) endAttempt() {
+// endAttempt ends the current attempt and returns its hedge, or nil. The hedge is
+// cancelled unless the request can go on with it.
+func (f *inFlightRequest) endAttempt(failure error) *backendAttempt {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.cancelAttempt = nil
+	if f.hedge != nil && (failure == nil || f.moveTarget != nil) {
+		f.hedge.cancel(&HedgeLostError{Backend: f.target.Name})
+	}
+	return f.hedge
 }
 
 // takeMoveTarget returns and clears the target selected by a move.
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -27,7 +27,11 @@
 		}
 		observed = observed.withUsage(chunk.Usage)
 		before := f.stream.tokens
-		payload := f.stream.addChunk(chunk)
+		payload, err := f.addChunk(chunk)
+		if err != nil {
+			response.Close()
+			return observed, err
+		}
 		if before == f.stream.priorTokens && f.stream.tokens > before {
 			observed.FirstToken = f.Clock.Since(start)
 			f.reportFirstToken(observed.FirstToken)
@@ -43,6 +47,17 @@
 	}
 }
 
+// addChunk adds a chunk to the state of the stream and returns the payload to relay to the
+// caller, or nil. It fails if a hedge has delivered data before.
+func (f *inFlightRequest) addChunk(chunk backend.Chunk) ([]byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.takeData() {
+		return nil, &HedgeLostError{Backend: f.target.Name}
+	}
+	return f.stream.addChunk(chunk), nil
+}
+
 // writeEvent writes an event to the caller.
 func (f *inFlightRequest) writeEvent(header http.Header, payload []byte) {
 	if !f.headWritten {
--- a/dispatch/streamstate.go
+++ b/dispatch/streamstate.go
@@ -86,10 +86,14 @@
 	return max(s.request.MaxTokens-s.tokens, 0)
 }
 
-// nextBody returns the body of the next attempt.
-func (s *streamState) nextBody() []byte {
+// startAttempt records the start of an attempt.
+func (s *streamState) startAttempt() {
 	s.attempts++
 	s.priorTokens = s.tokens
+}
+
+// nextBody returns the body of an attempt that starts now.
+func (s *streamState) nextBody() []byte {
 	if !s.request.IsModelCall() {
 		return s.request.Body
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -80,7 +80,7 @@
 // Backends configures the connections to backend servers.
 type Backends struct {
 	ConnectTimeout time.Duration `min:"10ms" doc:"Longest time for opening a connection to a backend server."`
-	Silence        time.Duration `min:"100ms" doc:"Longest time without data from a backend server, such as an event of a stream, before its connection is closed."`
+	Silence        time.Duration `min:"100ms" doc:"Longest time without data from a backend server, such as an event of a stream, before the request is sent to another one as well."`
 	MaxAnswerBytes int           `min:"1024" doc:"Largest answer of a backend server that is not streamed, in bytes."`
 }
 
