Count no timeout of a connection as a crash of the backend server

Harmless requests were refused as crashing ones (422) after two of their connections had timed out, for example while the network to a zone was cut.

When the kernel ends a connection whose bytes are not acknowledged, the fault is Closed or Truncated, and both counted as crashes of the server.

A fault whose cause is a timeout is no crash any more. A reset still is one.

--- a/backend/fault.go
+++ b/backend/fault.go
@@ -1,6 +1,9 @@
 package backend
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+)
 
 // FaultKind is the way in which an exchange with a backend server failed.
 type FaultKind string
@@ -48,9 +51,19 @@
 
 // IsCrash reports whether the fault looks like a crash of the backend server. A
 // reused connection that was closed does not count, since the server may have
-// closed it as idle.
+// closed it as idle. Neither does a connection that timed out, since the network
+// may have failed.
 func (e *FaultError) IsCrash() bool {
-	return e.MaybeWritten && (e.Kind == Truncated || e.Kind == Closed && !e.Reused)
+	if !e.MaybeWritten || isTimeout(e.Cause) {
+		return false
+	}
+	return e.Kind == Truncated || e.Kind == Closed && !e.Reused
+}
+
+// isTimeout reports whether an error is a timeout of a connection.
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
 // SilentError is the cause of a Silent fault.
