Report the deadline of a request that waits for the holder of its key

A caller whose deadline passed while its request waited for the daemon that holds its key got 502 and a text that blames that daemon, instead of 504.

A call to another daemon returns the error of its context without the cause, so the dispatcher took the end of the request for a failure of the holder.

TestDeadlineDuringRelayIsReported failed before:

--- FAIL: TestDeadlineDuringRelayIsReported (0.05s) problem: no answer from entry-2, which holds key key: context canceled got: bool(false) (is a DeadlineError)

The dispatcher now looks first whether the request itself has ended. The relayer returns the cause of its context.

--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -64,7 +64,7 @@
 			return answer.Answer{}, &AnswerLostError{Key: winner.Key, Daemon: winner.Daemon}
 		}
 		if ctx.Err() != nil {
-			return answer.Answer{}, ctx.Err()
+			return answer.Answer{}, context.Cause(ctx)
 		}
 	}
 }
--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -51,6 +51,9 @@
 // relayFromHolder relays the response of the daemon that holds the claim.
 func (f *inFlightRequest) relayFromHolder(winner claim.Claim) Result {
 	response, err := f.fetch(winner)
+	if err != nil && f.stopError() != nil {
+		return f.giveUp(f.stopError())
+	}
 	if err != nil {
 		return f.giveUp(&RelayError{Winner: winner, Cause: err})
 	}
