Test that a cancelled hedge is made again

A hedge that is cancelled because the silent server delivered data says nothing about its own server. If that server were excluded, a request whose first server falls silent for good later would wait for its deadline.

With that part of failHedge taken out on a scratch copy, the test fails:

--- FAIL: TestCancelledHedgeIsMadeAgain (10.00s) problem: the caller has gone: context deadline exceeded got: s"Unknown" want: s"Answered"

--- a/dispatch/backend_fake_test.go
+++ b/dispatch/backend_fake_test.go
@@ -123,6 +123,13 @@
 	}
 }
 
+// isFirst reports whether the backend server has got its first request.
+func (f *fakeBackend) isFirst() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.requests == 1
+}
+
 func (f *fakeBackend) respond(w io.Writer, reader *bufio.Reader, r *http.Request, body []byte) bool {
 	id := r.Header.Get(backend.RequestIDHeader)
 	if !f.behave.late {
@@ -131,6 +138,10 @@
 			return false
 		case "silent", "cancelled", "deadline":
 			return f.hang(reader)
+		case "silent once":
+			if f.isFirst() {
+				return f.hang(reader)
+			}
 		case "slow":
 			f.waitForRelease()
 		case "crossed":
@@ -192,12 +203,15 @@
 				return false
 			case "crossed":
 				id = "other"
-			case "slow":
+			case "slow", "silent again":
 				f.waitForRelease()
 			default:
 				return f.hang(reader)
 			}
 		}
+		if f.behave.fault == "silent again" && i == start+faultTokens+1 {
+			return f.hang(reader)
+		}
 		writeChunk(w, event(id, write(fmt.Sprintf("w%d ", i)), ""))
 	}
 	usage := fmt.Sprintf(`,"usage":{"prompt_tokens":%d,"completion_tokens":%d}`, 10+start, answerTokens-start)
--- a/dispatch/silence_test.go
+++ b/dispatch/silence_test.go
@@ -110,3 +110,39 @@
 		c.Assert(b.requests(), qt.Equals, 2)
 	}
 }
+
+// TestCancelledHedgeIsMadeAgain guards against a hedge that is never made again because
+// the silent backend server delivered data before it fell silent for good.
+func TestCancelledHedgeIsMadeAgain(t *testing.T) {
+	c := qt.New(t)
+	b := newTestbed(t, behaviour{fault: "silent again", late: true}, behaviour{fault: "silent once"})
+	r := chat(b.clock.Now()).WithDeadline(b.clock.Now().Add(time.Hour))
+	w := &fakeWriter{}
+	delivered := make(chan struct{})
+	w.onChunk = func(count int) {
+		if count == 1+faultTokens+1 {
+			close(delivered)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	go func() {
+		<-b.backends[0].hung
+		time.Sleep(reactionTime)
+		b.clock.Advance(silence)
+		<-b.backends[1].hung
+		close(b.backends[0].release)
+		<-delivered
+		for ctx.Err() == nil {
+			time.Sleep(reactionTime)
+			b.clock.Advance(silence)
+		}
+	}()
+
+	result := b.Do(ctx, r, w)
+
+	cancel()
+	c.Assert(result.Outcome, qt.Equals, request.Answered, qt.Commentf("problem: %v", result.Problem))
+	checkInvariants(c, b, r, w)
+	c.Assert(result.Backend, qt.Equals, "runner-2")
+}
