Add a silence that ends, beside rejections that stall, to the fault matrix

The matrix had only connections that stay silent. The new row keeps the backend server silent for longer than each silence timeout while the other servers send rejections whose bodies stall, and then lets it go on. Every request has to be answered, also those that may not run twice.

--- a/matrix/reasons.go
+++ b/matrix/reasons.go
@@ -46,6 +46,9 @@
 		StepChoose:  reasonNoConnection,
 		StepPublish: reasonOperatorOnly, StepFold: reasonNoConnection,
 	},
+	RowSilenceAndRejections: merge(allConfigurationSteps(reasonNoRequest), map[Step]string{
+		StepAccept: reasonNoBackendYet, StepClaim: reasonNoBackendYet, StepChoose: reasonNoBackendYet,
+	}),
 	RowCrossedAnswer: merge(allConfigurationSteps(reasonNoRequest), map[Step]string{
 		StepAccept: reasonNoBackendYet, StepClaim: reasonNoBackendYet, StepChoose: reasonNoBackendYet,
 	}),
@@ -67,13 +70,15 @@
 
 // orderReasons holds one reason for all steps of an order, by row.
 var orderReasons = map[Row]string{
-	RowRacingOperators:  reasonNextRound,
-	RowCrashingRequest:  reasonNoCaller,
-	RowCrossedAnswer:    reasonNoCaller,
-	RowPeersCutOneWay:   reasonOrderNoPeers,
-	RowPeersCutBothWays: reasonOrderNoPeers,
-	RowCutAndRace:       reasonNextRound,
-	RowDeathAndResend:   reasonNoCaller,
+	RowRacingOperators: reasonNextRound,
+	RowCrashingRequest: reasonNoCaller,
+	RowCrossedAnswer:   reasonNoCaller,
+
+	RowSilenceAndRejections: reasonNoCaller,
+	RowPeersCutOneWay:       reasonOrderNoPeers,
+	RowPeersCutBothWays:     reasonOrderNoPeers,
+	RowCutAndRace:           reasonNextRound,
+	RowDeathAndResend:       reasonNoCaller,
 }
 
 // reasonOf returns why the fault cannot occur at the step, or "".
--- a/matrix/requestfaults.go
+++ b/matrix/requestfaults.go
@@ -1,6 +1,8 @@
 package matrix
 
 import (
+	"time"
+
 	"github.com/cranberrywalk/cranberrywalk/hosting"
 	"github.com/cranberrywalk/cranberrywalk/roster"
 )
@@ -65,8 +67,9 @@
 		},
 		mayFail: never,
 	},
-	RowCrashingRequest:  {inject: injectCrashes, mayFail: always, beforeHeal: sendToAll},
-	RowSilentConnection: {inject: injectSilence, mayFail: ifNotRetryable},
+	RowCrashingRequest:      {inject: injectCrashes, mayFail: always, beforeHeal: sendToAll},
+	RowSilentConnection:     {inject: injectSilence, mayFail: ifNotRetryable},
+	RowSilenceAndRejections: {inject: injectSilenceAndRejections, mayFail: never},
 	RowCrossedAnswer: {
 		inject: func(s *requestScript) action {
 			s.record.addFault()
@@ -227,6 +230,23 @@
 	return proceed
 }
 
+// injectSilenceAndRejections keeps the backend server silent for longer than each silence
+// timeout, while all others reject requests.
+func injectSilenceAndRejections(s *requestScript) action {
+	s.record.addFault()
+	for _, r := range s.runners {
+		r.setRejecting(true)
+	}
+	for range 10 {
+		s.Clock.Advance(10 * time.Second)
+		time.Sleep(5 * pollInterval)
+	}
+	for _, r := range s.runners {
+		r.setRejecting(false)
+	}
+	return proceed
+}
+
 // sendAcrossCut sends the request to the second daemon, which cannot reach the first
 // one.
 func (s *requestScript) sendAcrossCut() action {
--- a/matrix/rows.go
+++ b/matrix/rows.go
@@ -21,6 +21,9 @@
 	RowCrashingRequest Row = "Request that crashes backend servers"
 	// RowSilentConnection is a connection that stays open and delivers nothing.
 	RowSilentConnection Row = "Silent connection"
+	// RowSilenceAndRejections is a backend server that is silent for a while and goes on.
+	// The other ones reject all requests meanwhile, with bodies that stall.
+	RowSilenceAndRejections Row = "Silence for a while, others reject"
 	// RowCrossedAnswer is a backend server that returns the answer to another request.
 	RowCrossedAnswer     Row = "Crossed answer"
 	RowPeersCutOneWay    Row = "Daemon cut from a peer, one way"
@@ -39,7 +42,7 @@
 	return []Row{
 		RowReclaimWave, RowRefusedStart, RowDeathInReclaim, RowLogDown, RowLogSlow,
 		RowEffectWithoutAnswer, RowHolderPaused, RowRacingOperators, RowCrashingRequest,
-		RowSilentConnection, RowCrossedAnswer, RowPeersCutOneWay, RowPeersCutBothWays, RowLogCutOneWay,
+		RowSilentConnection, RowSilenceAndRejections, RowCrossedAnswer, RowPeersCutOneWay, RowPeersCutBothWays, RowLogCutOneWay,
 		RowLogCutBothWays, RowLogDownAndDeath, RowEffectAndPause, RowReclaimAndSilence,
 		RowCutAndRace, RowDeathAndResend,
 	}
--- a/matrix/runner.go
+++ b/matrix/runner.go
@@ -46,6 +46,8 @@
 	// crashStep is the step at which every request crashes the server, except those
 	// with harmlessPath; empty for no crashes.
 	crashStep Step
+	// isRejecting is true while the server rejects requests.
+	isRejecting bool
 	// runs counts the runs of requests.
 	runs int
 }
@@ -110,6 +112,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	a := &reply{runner: r, w: w, call: call, id: call.Header.Get(backend.RequestIDHeader)}
+	if r.rejects() {
+		a.reject()
+	}
 	a.run = r.recordRun(call, body)
 	a.runHook(StepDispatch)
 	if strings.HasPrefix(call.URL.Path, "/v1/") {
@@ -119,6 +124,18 @@
 	a.answerCall()
 }
 
+func (r *runner) setRejecting(isRejecting bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.isRejecting = isRejecting
+}
+
+func (r *runner) rejects() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.isRejecting
+}
+
 // recordRun records the run of a request.
 func (r *runner) recordRun(call *http.Request, body []byte) Run {
 	r.mu.Lock()
@@ -161,6 +178,15 @@
 	}
 }
 
+// reject rejects the request with a body that stalls.
+func (a *reply) reject() {
+	a.w.Header().Set(backend.RequestIDHeader, a.id)
+	a.w.Header().Set("Content-Length", "1")
+	a.w.WriteHeader(http.StatusServiceUnavailable)
+	a.flush()
+	a.hang()
+}
+
 // hang sends no further byte until the daemon closes the connection or the VM stops.
 func (a *reply) hang() {
 	select {
