--- a/backend/answer.go
+++ b/backend/answer.go
@@ -22,6 +22,8 @@
 	call   Call
 	ctx    context.Context
 	cancel context.CancelCauseFunc
+	// detach keeps the exchange from ending with the context of its attempt.
+	detach func() bool
 	// answer is nil until the header of the answer has arrived.
 	answer *upstream.Answer
 	// ended guards against ending the exchange twice.
@@ -29,13 +31,19 @@
 	// reader is set by the first call of Next.
 	reader  *bufio.Reader
 	silence *silenceTimer
+	// first is the first event if AwaitData has read it and Next has not returned it.
+	first *Chunk
+	// body is the complete body if hasBody is true.
+	body    []byte
+	hasBody bool
 	// bytes is the number of bytes read of a streamed body.
 	bytes int
 }
 
 func (c *Client) newAnswer(ctx context.Context, call Call) *Answer {
 	a := &Answer{client: c, call: call}
-	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	a.ctx, a.cancel = context.WithCancelCause(context.WithoutCancel(ctx))
+	a.detach = context.AfterFunc(ctx, func() { a.cancel(context.Cause(ctx)) })
 	a.silence = newSilenceTimer(c.Clock, c.silenceTimeout(call), a.onSilence)
 	return a
 }
@@ -54,8 +62,24 @@
 	return min(max(share, c.options.MinSilenceTimeout), c.options.SilenceTimeout)
 }
 
-// onSilence cancels the exchange with a SilentError.
-func (a *Answer) onSilence() { a.cancel(&SilentError{}) }
+// onSilence reports the silence to the caller of Send, or cancels the exchange with a
+// SilentError.
+func (a *Answer) onSilence() {
+	if a.call.OnSilence == nil {
+		a.cancel(&SilentError{})
+		return
+	}
+	a.silence.repeat()
+	a.call.OnSilence()
+}
+
+// onRead restarts the silence timer when bytes of a body that is not a stream are
+// received. Bytes of a header, or of a stream without an event, could arrive without end.
+func (a *Answer) onRead() {
+	if a.answer != nil && a.reader == nil {
+		a.silence.reset()
+	}
+}
 
 // fail ends the exchange, closes its connection and returns the fault. If the exchange
 // was cancelled, the kind and the cause of the fault come from its context. A Silent
@@ -68,6 +92,8 @@
 		fault.Kind, fault.Cause = Silent, ended
 		abandoned := a.client.pool.CloseIdleTo(a.call.Address)
 		a.client.Count("BackendConnectionsAbandoned", int64(abandoned))
+	case ended != nil && a.silence.isExpired():
+		fault.Kind, fault.Cause = Silent, ended
 	case ended != nil:
 		fault.Kind, fault.Cause = Cancelled, ended
 	}
@@ -97,6 +123,7 @@
 func (a *Answer) end(complete bool) {
 	a.ended.Do(func() {
 		a.silence.stop()
+		a.detach()
 		if a.answer != nil {
 			a.answer.Close(complete)
 		}
@@ -121,6 +148,9 @@
 
 // ReadAll reads the complete body and ends the exchange. Every error is a *FaultError.
 func (a *Answer) ReadAll() ([]byte, error) {
+	if a.hasBody {
+		return a.body, nil
+	}
 	if !a.answer.IsDelimited() {
 		return nil, a.fail(Truncated, &UndelimitedError{})
 	}
@@ -135,3 +165,20 @@
 	a.end(true)
 	return body, nil
 }
+
+// AwaitData waits for the first event of a stream, or for the complete body of another
+// answer. Next or ReadAll return it afterwards.
+func (a *Answer) AwaitData() error {
+	if !a.call.Stream || a.Status() != http.StatusOK || !a.IsStream() {
+		body, err := a.ReadAll()
+		a.body, a.hasBody = body, err == nil
+		return err
+	}
+	chunk, err := a.Next()
+	if err != nil {
+		return err
+	}
+	a.silence.stop()
+	a.first = &chunk
+	return nil
+}
--- a/backend/client.go
+++ b/backend/client.go
@@ -31,11 +31,11 @@
 type Options struct {
 	// DialTimeout bounds the opening of a connection.
 	DialTimeout time.Duration
-	// StreamSilenceTimeout bounds the time between two received bytes of a streamed
-	// answer.
+	// StreamSilenceTimeout bounds the time to the header of a streamed answer, and
+	// between two of its events. Other bytes, such as comments, don't count.
 	StreamSilenceTimeout time.Duration
-	// SilenceTimeout bounds the time between two received bytes of an answer
-	// that is not streamed.
+	// SilenceTimeout bounds the time to the header of an answer that is not streamed,
+	// and between two received bytes of its body.
 	SilenceTimeout time.Duration
 	// MinSilenceTimeout is the lower limit of the silence timeout of an
 	// idempotent call, which is shortened when its deadline is near, to leave
@@ -47,6 +47,8 @@
 	IdleConnections int
 	// MaxAnswerBytes bounds the body of an answer.
 	MaxAnswerBytes int
+	// MaxEventBytes bounds an event of a stream.
+	MaxEventBytes int
 	// MaxHeaderBytes bounds the status line and header of an answer.
 	MaxHeaderBytes int
 }
@@ -61,6 +63,7 @@
 		IdleTimeout:          30 * time.Second,
 		IdleConnections:      4,
 		MaxAnswerBytes:       8 << 20,
+		MaxEventBytes:        1 << 20,
 		MaxHeaderBytes:       64 << 10,
 	}
 }
@@ -87,6 +90,9 @@
 	// Stream is true when the answer is expected as server-sent events.
 	Stream   bool
 	Deadline time.Time
+	// OnSilence is called in a goroutine of its own when the silence timeout expires,
+	// and then repeatedly until data arrives. If it is nil, the call fails instead.
+	OnSilence func()
 }
 
 // Client sends calls to backend servers over pooled connections.
@@ -94,11 +100,12 @@
 	telemetry.Common
 	options Options
 	pool    *upstream.Pool
-	// stop ends the goroutine that closes idle connections.
+	// ctx ends when the client is closed.
+	ctx  context.Context
 	stop func()
-	// cleaner waits for that goroutine.
+	// cleaner waits for the goroutine that closes idle connections.
 	cleaner sync.WaitGroup
-	// drains waits for the ended streams whose connections are not yet
+	// drains waits for the ended exchanges whose connections are not yet
 	// returned to the pool or closed.
 	drains sync.WaitGroup
 	done   chan struct{}
@@ -108,10 +115,10 @@
 func New(common telemetry.Common, options Options) *Client {
 	ctx, stop := context.WithCancel(context.Background())
 	c := &Client{
-		Common: common, options: options, stop: stop, done: make(chan struct{}),
+		Common: common, options: options, ctx: ctx, stop: stop, done: make(chan struct{}),
 		pool: upstream.New(common, options.upstreamOptions()),
 	}
-	c.cleaner.Go(func() { c.closeIdleConnections(ctx) })
+	c.cleaner.Go(c.closeIdleConnections)
 	return c
 }
 
@@ -129,9 +136,9 @@
 }
 
 // closeIdleConnections periodically closes the connections that have been idle for
-// too long, until ctx ends.
-func (c *Client) closeIdleConnections(ctx context.Context) {
-	for clock.Sleep(ctx, c.Clock, c.options.IdleTimeout) == nil {
+// too long, until the client is closed.
+func (c *Client) closeIdleConnections() {
+	for clock.Sleep(c.ctx, c.Clock, c.options.IdleTimeout) == nil {
 		c.pool.CloseExpired()
 	}
 }
@@ -166,6 +173,9 @@
 
 func (c *Client) send(ctx context.Context, call Call) (*Answer, error) {
 	a := c.newAnswer(ctx, call)
+	if ctx.Err() != nil {
+		a.cancel(context.Cause(ctx))
+	}
 	request, err := a.newRequest()
 	if err != nil {
 		return nil, a.failToSend(Malformed, &upstream.UnwrittenError{Address: call.Address, Cause: err})
@@ -209,6 +219,6 @@
 	return upstream.Request{
 		Address: a.call.Address, Host: a.call.Address, NewConnection: a.call.Fresh || !a.call.Idempotent, ToleratesReset: a.call.Idempotent,
 		Method: a.call.Method, Target: target.RequestURI(), Header: header, Body: a.call.Body,
-		OnRead: a.silence.reset,
+		OnRead: a.onRead,
 	}, nil
 }
--- a/backend/fault.go
+++ b/backend/fault.go
@@ -1,6 +1,9 @@
 package backend
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+)
 
 // FaultKind is the way in which an exchange with a backend server failed.
 type FaultKind string
@@ -18,7 +21,7 @@
 	Malformed FaultKind = "Malformed"
 	// TooLarge means that the answer exceeds the size limit.
 	TooLarge FaultKind = "TooLarge"
-	// Silent means that no byte was received within the silence timeout.
+	// Silent means that no data was received within the silence timeout.
 	Silent FaultKind = "Silent"
 	// Cancelled means that the daemon ended the exchange itself.
 	Cancelled FaultKind = "Cancelled"
@@ -48,16 +51,26 @@
 
 // IsCrash reports whether the fault looks like a crash of the backend server. A
 // reused connection that was closed does not count, since the server may have
-// closed it as idle.
+// closed it as idle. Neither does a connection that timed out, since the network
+// may have failed.
 func (e *FaultError) IsCrash() bool {
-	return e.MaybeWritten && (e.Kind == Truncated || e.Kind == Closed && !e.Reused)
+	if !e.MaybeWritten || isTimeout(e.Cause) {
+		return false
+	}
+	return e.Kind == Truncated || e.Kind == Closed && !e.Reused
+}
+
+// isTimeout reports whether an error is a timeout of a connection.
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
 // SilentError is the cause of a Silent fault.
 type SilentError struct{}
 
 // Error implements error.
-func (*SilentError) Error() string { return "no byte came within the bound on silence" }
+func (*SilentError) Error() string { return "no data came within the bound on silence" }
 
 // SealedError means that an attempt has ended and may not write any more.
 type SealedError struct{}
@@ -101,3 +114,15 @@
 func (e *ContentTypeError) Error() string {
 	return fmt.Sprintf("content type %q is not a stream of events", e.ContentType)
 }
+
+// DrainTimeoutError means that the rest of an answer did not arrive in time.
+type DrainTimeoutError struct{}
+
+// Error implements error.
+func (*DrainTimeoutError) Error() string { return "the rest of the answer did not arrive in time" }
+
+// ClientClosedError means that the client has been closed.
+type ClientClosedError struct{}
+
+// Error implements error.
+func (*ClientClosedError) Error() string { return "the client is closed" }
--- a/backend/stream.go
+++ b/backend/stream.go
@@ -79,6 +79,10 @@
 // Next returns the next complete event. After the Last one the exchange has ended.
 // Every error is a *FaultError.
 func (a *Answer) Next() (Chunk, error) {
+	if first := a.first; first != nil {
+		a.first = nil
+		return *first, nil
+	}
 	if a.reader == nil {
 		body := io.LimitReader(a.answer, int64(a.client.options.MaxAnswerBytes)+1)
 		a.reader = bufio.NewReaderSize(body, streamBuffer)
@@ -93,7 +97,7 @@
 		return Chunk{}, a.fail(Truncated, err)
 	}
 	if bytes.Equal(payload, done) {
-		a.drain()
+		a.drain(a.reader, 0)
 		return Chunk{Payload: payload, Last: true}, nil
 	}
 	chunk := Chunk{Payload: payload}
@@ -115,18 +119,13 @@
 	var payload []byte
 	var found bool
 	for {
-		line, err := a.reader.ReadBytes('\n')
-		a.bytes += len(line)
-		if a.bytes > a.client.options.MaxAnswerBytes {
-			return nil, &LengthError{Bytes: a.client.options.MaxAnswerBytes}
-		}
-		if err == io.EOF {
-			return nil, io.ErrUnexpectedEOF
-		}
+		line, err := a.readLine()
 		if err != nil {
 			return nil, err
 		}
-		line = bytes.TrimRight(line, "\r\n")
+		if len(payload)+len(line) > a.client.options.MaxEventBytes {
+			return nil, &LengthError{Bytes: a.client.options.MaxEventBytes}
+		}
 		if len(line) == 0 && found {
 			return payload, nil
 		}
@@ -140,17 +139,27 @@
 	}
 }
 
-// drain ends the exchange after the end event. The connection returns to the pool
-// when the body ends there; otherwise it is closed, so that trailing bytes cannot
-// be taken for the answer to another request.
-func (a *Answer) drain() {
-	a.silence.start()
-	a.client.drains.Go(func() {
-		rest, err := io.ReadAll(io.LimitReader(a.reader, 1))
-		if err != nil || len(rest) > 0 {
-			a.Close()
-			return
+// readLine reads a line of a stream and returns it without its end. The lengths of the
+// line and of the whole stream are bounded.
+func (a *Answer) readLine() ([]byte, error) {
+	var line []byte
+	for {
+		part, err := a.reader.ReadSlice('\n')
+		a.bytes += len(part)
+		if a.bytes > a.client.options.MaxAnswerBytes {
+			return nil, &LengthError{Bytes: a.client.options.MaxAnswerBytes}
+		}
+		line = append(line, part...)
+		if len(line) > a.client.options.MaxEventBytes {
+			return nil, &LengthError{Bytes: a.client.options.MaxEventBytes}
 		}
-		a.end(true)
-	})
+		switch {
+		case err == nil:
+			return bytes.TrimRight(line, "\r\n"), nil
+		case errors.Is(err, io.EOF):
+			return nil, io.ErrUnexpectedEOF
+		case !errors.Is(err, bufio.ErrBufferFull):
+			return nil, err
+		}
+	}
 }
--- a/dispatch/backend_fake_test.go
+++ b/dispatch/backend_fake_test.go
@@ -114,6 +114,22 @@
 	return false
 }
 
+// writeWithoutEnd writes chunks until the peer closes the connection.
+func (f *fakeBackend) writeWithoutEnd(w io.Writer) bool {
+	for {
+		if _, err := io.WriteString(w, "2\r\nno\r\n"); err != nil {
+			return false
+		}
+	}
+}
+
+// isFirst reports whether the backend server has got its first request.
+func (f *fakeBackend) isFirst() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.requests == 1
+}
+
 func (f *fakeBackend) respond(w io.Writer, reader *bufio.Reader, r *http.Request, body []byte) bool {
 	id := r.Header.Get(backend.RequestIDHeader)
 	if !f.behave.late {
@@ -122,6 +138,10 @@
 			return false
 		case "silent", "cancelled", "deadline":
 			return f.hang(reader)
+		case "silent once":
+			if f.isFirst() {
+				return f.hang(reader)
+			}
 		case "slow":
 			f.waitForRelease()
 		case "crossed":
@@ -129,6 +149,12 @@
 		case "busy":
 			fmt.Fprintf(w, "HTTP/1.1 503 Busy\r\nX-Request-Id: %s\r\nRetry-After: 7\r\nContent-Length: 0\r\n\r\n", id)
 			return true
+		case "stalled rejection":
+			fmt.Fprintf(w, "HTTP/1.1 503 Busy\r\nX-Request-Id: %s\r\nContent-Length: 10\r\n\r\n", id)
+			return f.hang(reader)
+		case "endless rejection":
+			fmt.Fprintf(w, "HTTP/1.1 503 Busy\r\nX-Request-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n", id)
+			return f.writeWithoutEnd(w)
 		}
 	}
 	if strings.Contains(string(body), `"stream":true`) {
@@ -177,12 +203,15 @@
 				return false
 			case "crossed":
 				id = "other"
-			case "slow":
+			case "slow", "silent again":
 				f.waitForRelease()
 			default:
 				return f.hang(reader)
 			}
 		}
+		if f.behave.fault == "silent again" && i == start+faultTokens+1 {
+			return f.hang(reader)
+		}
 		writeChunk(w, event(id, write(fmt.Sprintf("w%d ", i)), ""))
 	}
 	usage := fmt.Sprintf(`,"usage":{"prompt_tokens":%d,"completion_tokens":%d}`, 10+start, answerTokens-start)
