Count closings of idle connections by rest, and log requests that cross them

What callers saw: a connection that the daemon closed just as they sent a request on it. The daemon left no trace: no handler had seen the request, a closing was counted by its reason only, and nobody looked at the socket again once it was closed. Cause: the server looked at the socket once, before it closed, and closed both sides at once. Evidence: the new tests can't pass on the code before, which has neither the lines nor the counters; they are not a reproduction of a fault. Change: a connection at rest is closed in two steps. The writing side goes first, then the goroutine that reads from the connection waits for at most 50 ms for the caller's side. It waits in the runtime's poller and reads no bytes, so that the kernel still resets the connection and the caller knows that its request was not taken. What arrives is logged as RequestCrossedClose, a reset as ConnectionResetAtClose, with the time of the rest, the idle timeout when it began and the one in force now. Closings are counted by reason and by the rest compared with the idle timeout. A connection that is closed with all others (ServerClosed) is looked at once more without a wait. A request whose bytes arrive before the writing side is closed is served, as before.

--- a/callerserver/closing.go
+++ b/callerserver/closing.go
@@ -14,6 +14,8 @@
 	headerLate  closeReason = "HeaderLate"
 	bodyLate    closeReason = "BodyLate"
 	stopping    closeReason = "Stopping"
+	// serverClosed means that all connections were closed at once.
+	serverClosed closeReason = "ServerClosed"
 )
 
 // firstRequestTimeout is how long a new connection waits for its first request while
@@ -54,6 +56,8 @@
 		c.requestClose(stopping)
 	case c.phase == awaiting:
 		c.requestClose(idleTooLong)
+	case c.phase == lingering:
+		c.endLinger()
 	}
 }
 
@@ -110,6 +114,6 @@
 	if c.closedBy == "" {
 		c.closedBy = Daemon
 	}
-	c.server.common.Count("CallerConnections.Closed."+string(c.closing), 1)
+	c.countClosed()
 	return false, timeout
 }
--- a/callerserver/connection.go
+++ b/callerserver/connection.go
@@ -6,6 +6,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/socket"
 )
 
 // phase is what the server does with a connection.
@@ -23,6 +25,9 @@
 	// ending means that the handler has returned, and the next request is not awaited
 	// yet.
 	ending phase = "Ending"
+	// lingering means that the server has closed its side of a connection at rest and
+	// waits for the caller's side.
+	lingering phase = "Lingering"
 )
 
 // connection is a caller's connection. The server asks for its closing from any
@@ -48,6 +53,8 @@
 	closing closeReason
 	// readDeadline is the deadline that net/http has set.
 	readDeadline time.Time
+	// rest is the time since the connection last became idle.
+	rest rest
 	// closedBy is empty while the connection is open.
 	closedBy Closer
 	// timer is nil until arm is first called.
@@ -71,15 +78,16 @@
 		return
 	}
 	c.phase = awaiting
+	c.rest = rest{began: c.server.common.Clock.Now(), timeout: c.server.options.Timeouts().Idle}
 	switch {
 	case isDraining && c.hasRequested:
 		c.requestClose(stopping)
 	case isDraining:
 		c.arm(firstRequestTimeout)
 	case c.hasRequested:
-		c.arm(c.server.options.Timeouts().Idle)
+		c.arm(c.rest.timeout)
 	default:
-		c.arm(shorter(c.server.options.Timeouts().Idle, c.server.options.MaxHeaderTime))
+		c.arm(shorter(c.rest.timeout, c.server.options.MaxHeaderTime))
 	}
 }
 
@@ -129,9 +137,12 @@
 func (c *connection) Read(buffer []byte) (int, error) {
 	for {
 		count, err := c.Conn.Read(buffer)
-		if again, err := c.recordRead(len(buffer), count, err); !again {
-			return count, err
+		again, err := c.recordRead(len(buffer), count, err)
+		if again {
+			continue
 		}
+		c.lingerIfAtRest()
+		return count, err
 	}
 }
 
@@ -203,18 +214,28 @@
 
 // Close implements net.Conn.
 func (c *connection) Close() error {
-	c.mutex.Lock()
-	if c.closedBy == "" {
-		c.closedBy = Daemon
-		if c.isUnanswered() {
-			c.recordCut("ConnectionClosedInRequest")
-		}
-	}
-	c.mutex.Unlock()
+	c.recordClose()
 	c.server.forget(c)
 	return c.Conn.Close()
 }
 
+func (c *connection) recordClose() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.closedBy != "" {
+		return
+	}
+	c.closedBy = Daemon
+	switch {
+	case c.phase == awaiting:
+		c.closing = serverClosed
+		c.countClosed()
+		c.recordCrossing(socket.StateOf(c.Conn))
+	case c.isUnanswered():
+		c.recordCut("ConnectionClosedInRequest")
+	}
+}
+
 // isUnanswered reports whether a request is under way whose answer has not been left to
 // net/http.
 func (c *connection) isUnanswered() bool {
--- /dev/null
+++ b/callerserver/rest.go
@@ -0,0 +1,48 @@
+package callerserver
+
+import "time"
+
+// rest is a time during which a connection awaits a request.
+type rest struct {
+	began time.Time
+	// timeout is the idle timeout that was in force when the rest began; zero means
+	// none.
+	timeout time.Duration
+}
+
+// restClass says how long a connection has rested, compared with the idle timeout that
+// was in force when it began to rest.
+type restClass string
+
+const (
+	// reusable means that callers may still send a request on the connection.
+	reusable restClass = "Reusable"
+	// nearTimeout means that callers should use the connection no more.
+	nearTimeout restClass = "NearTimeout"
+	// overTimeout means that the connection has rested for the timeout or longer.
+	overTimeout restClass = "OverTimeout"
+	// withoutTimeout means that there was no timeout.
+	withoutTimeout restClass = "WithoutTimeout"
+)
+
+// Callers use a connection again until it has rested for reusableParts of timeoutParts of
+// the idle timeout.
+const (
+	reusableParts = 4
+	timeoutParts  = 5
+)
+
+// classAt returns the class of a rest that ends now.
+func (r rest) classAt(now time.Time) restClass {
+	rested := now.Sub(r.began)
+	switch {
+	case r.timeout <= 0:
+		return withoutTimeout
+	case rested <= r.timeout/timeoutParts*reusableParts:
+		return reusable
+	case rested < r.timeout:
+		return nearTimeout
+	default:
+		return overTimeout
+	}
+}
--- a/callerserver/rig_test.go
+++ b/callerserver/rig_test.go
@@ -7,11 +7,14 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr/funcr"
 	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/cranberrywalk/cranberrywalk/callerserver"
 	"github.com/cranberrywalk/cranberrywalk/clock"
@@ -91,6 +94,8 @@
 type gatedConn struct {
 	*net.TCPConn
 	beforeRead, afterRead gates
+	// beforeCloseWrite holds a closing that the server has decided on.
+	beforeCloseWrite gates
 }
 
 // The reads that net/http makes on a connection.
@@ -112,6 +117,12 @@
 	return count, err
 }
 
+// CloseWrite closes the writing side.
+func (c *gatedConn) CloseWrite() error {
+	c.beforeCloseWrite.pass()
+	return c.TCPConn.CloseWrite()
+}
+
 // stopRig is a server on gated connections with a fake clock, and one caller.
 type stopRig struct {
 	c        *qt.C
@@ -124,13 +135,24 @@
 	accepted *gatedConn
 	conn     net.Conn
 	reader   *bufio.Reader
+	// lines receives the log lines; those for which there is no room are dropped.
+	lines chan string
+	// idle is the idle timeout in force.
+	idle atomic.Int64
 }
 
 func newStopRig(t *testing.T, handler http.HandlerFunc) *stopRig {
-	r := &stopRig{c: qt.New(t), common: telemetry.NewCommon(), clock: clock.NewFake(time.Unix(1000, 0)), served: make(chan error, 1)}
+	r := &stopRig{
+		c: qt.New(t), common: telemetry.NewCommon(), clock: clock.NewFake(time.Unix(1000, 0)),
+		served: make(chan error, 1), lines: make(chan string, 10),
+	}
 	r.common.Clock = r.clock
+	r.common.Log = funcr.New(func(_, line string) { r.keepLine(line) }, funcr.Options{})
+	r.setIdle(idleTimeout)
 	r.server = callerserver.New(r.common, callerserver.Options{
-		Timeouts: func() callerserver.Timeouts { return callerserver.Timeouts{Idle: idleTimeout, Header: headerTimeout} },
+		Timeouts: func() callerserver.Timeouts {
+			return callerserver.Timeouts{Idle: time.Duration(r.idle.Load()), Header: headerTimeout}
+		},
 	}, handler)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	r.c.Assert(err, qt.IsNil)
@@ -149,6 +171,20 @@
 	headerTimeout = 2 * time.Second
 )
 
+// setIdle puts an idle timeout in force.
+func (r *stopRig) setIdle(timeout time.Duration) { r.idle.Store(int64(timeout)) }
+
+func (r *stopRig) keepLine(line string) {
+	select {
+	case r.lines <- line:
+	default:
+	}
+}
+
+func (r *stopRig) count(counter string) int64 {
+	return metrics.GetOrRegisterCounter(counter, r.common.Metrics).Count()
+}
+
 func (r *stopRig) dial() (net.Conn, *bufio.Reader) {
 	conn, err := net.Dial("tcp", r.listener.Addr().String())
 	r.c.Assert(err, qt.IsNil)
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -20,6 +20,8 @@
 	Readable
 	// Ended means that the peer has closed the connection, or that it has failed.
 	Ended
+	// Reset means that the peer has reset the connection.
+	Reset
 )
 
 // StateOf returns the state of a connection without reading from it.
@@ -36,6 +38,23 @@
 	return state
 }
 
+// Await waits until a connection is no longer Quiet, without reading from it, and returns
+// its state. It returns Quiet if the read deadline passes before.
+func Await(conn any) State {
+	raw, ok := rawConn(conn)
+	if !ok {
+		return Unknown
+	}
+	state := Unknown
+	// An error means that the deadline has passed, or that this side has closed the
+	// connection: the last state is all that is known.
+	_ = raw.Read(func(fd uintptr) bool {
+		state = peek(int(fd))
+		return state != Quiet
+	})
+	return state
+}
+
 func peek(fd int) State {
 	var peeked [1]byte
 	count, _, err := unix.Recvfrom(fd, peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
@@ -44,6 +63,8 @@
 		return Quiet
 	case err == nil && count > 0:
 		return Readable
+	case err == unix.ECONNRESET:
+		return Reset
 	default:
 		return Ended
 	}
