Close idle connections by the longest timeout that callers go by

What callers saw: around a change of the idle timeout, the daemon closed a connection that its caller took for open, while a request was on its way. Cause: the timer of a connection was set once, when the connection became idle, with the timeout that the daemon knew then. After the timeout was lowered, connections closed before callers knew. After it was raised, timers of connections that were idle already closed them by the old timeout, although callers went by the new one. Change: the server keeps the timeouts that were replaced for as long as callers may go by them, config_apply_ms of the platform's settings and a second. When the timer of an idle connection ends, the connection closes only if it has rested for the longest of these; otherwise the timer is set for the rest of the time, or until that timeout is dropped. Since callers stop at four fifths of a timeout that they know, none sends on a connection that closes then. A caller that learns of a raised timeout before the daemon is not covered.

--- a/callerserver/closing.go
+++ b/callerserver/closing.go
@@ -55,12 +55,28 @@
 	case c.phase == awaiting && isDraining:
 		c.requestClose(stopping)
 	case c.phase == awaiting:
-		c.requestClose(idleTooLong)
+		c.closeAfterRest()
 	case c.phase == lingering:
 		c.endLinger()
 	}
 }
 
+// closeAfterRest closes the connection if it has rested for the idle timeout that callers
+// go by, or schedules the next look. That timeout may change while the connection rests.
+func (c *connection) closeAfterRest() {
+	now := c.server.common.Clock.Now()
+	timeout, lasts := c.server.limits.longest(now, c.server.options.Timeouts().Idle)
+	if !c.hasRequested {
+		timeout = shorter(timeout, c.server.options.MaxHeaderTime)
+	}
+	rested := now.Sub(c.rest.began)
+	if timeout > 0 && rested >= timeout {
+		c.requestClose(idleTooLong)
+		return
+	}
+	c.arm(shorter(timeout-rested, lasts))
+}
+
 // requestClose asks the reading goroutine to close the connection.
 func (c *connection) requestClose(reason closeReason) {
 	c.closing = reason
@@ -114,6 +130,6 @@
 	if c.closedBy == "" {
 		c.closedBy = Daemon
 	}
-	c.countClosed()
+	c.recordClosed()
 	return false, timeout
 }
--- a/callerserver/connection.go
+++ b/callerserver/connection.go
@@ -84,10 +84,8 @@
 		c.requestClose(stopping)
 	case isDraining:
 		c.arm(firstRequestTimeout)
-	case c.hasRequested:
-		c.arm(c.rest.timeout)
 	default:
-		c.arm(shorter(c.rest.timeout, c.server.options.MaxHeaderTime))
+		c.closeAfterRest()
 	}
 }
 
@@ -229,7 +227,7 @@
 	switch {
 	case c.phase == awaiting:
 		c.closing = serverClosed
-		c.countClosed()
+		c.recordClosed()
 		c.recordCrossing(socket.StateOf(c.Conn))
 	case c.isUnanswered():
 		c.recordCut("ConnectionClosedInRequest")
--- a/callerserver/linger.go
+++ b/callerserver/linger.go
@@ -58,13 +58,14 @@
 // endLinger makes the wait for the caller end.
 func (c *connection) endLinger() { _ = c.Conn.SetReadDeadline(longAgo) }
 
-// countClosed counts a connection that the server closes, by reason, and by the time of its
+// recordClosed counts a connection that the server closes, by reason, and by the time of its
 // rest if it awaits a request.
-func (c *connection) countClosed() {
+func (c *connection) recordClosed() {
 	name := "CallerConnections.Closed." + string(c.closing)
 	c.server.common.Count(name, 1)
 	if c.phase == awaiting {
-		c.server.common.Count(name+"."+string(c.rest.classAt(c.server.common.Clock.Now())), 1)
+		c.endRest()
+		c.server.common.Count(name+"."+string(c.rest.class()), 1)
 	}
 }
 
@@ -72,19 +73,20 @@
 func (c *connection) recordCrossing(state socket.State) {
 	switch state {
 	case socket.Readable:
-		c.recordClosing("RequestCrossedClose", "CallerConnections.RequestsCrossedClose")
+		c.recordArrival("RequestCrossedClose", "CallerConnections.RequestsCrossedClose")
 	case socket.Reset:
-		c.recordClosing("ConnectionResetAtClose", "CallerConnections.ResetAtClose")
+		c.recordArrival("ConnectionResetAtClose", "CallerConnections.ResetAtClose")
 	}
 }
 
-func (c *connection) recordClosing(message, counter string) {
+func (c *connection) recordArrival(message, counter string) {
 	common := c.server.common
 	timeoutNow := c.server.options.Timeouts().Idle
 	common.Count(counter, 1)
 	common.Log.Info(message, "Caller", c.RemoteAddr().String(), "Reason", string(c.closing),
-		"RestedMilliseconds", common.Clock.Since(c.rest.began).Milliseconds(),
-		"TimeoutMilliseconds", c.rest.timeout.Milliseconds(),
+		"RestedMilliseconds", c.rest.length().Milliseconds(),
+		"TimeoutAtRestMilliseconds", c.rest.timeout.Milliseconds(),
+		"TimeoutMilliseconds", c.rest.limit.Milliseconds(),
 		"TimeoutNowMilliseconds", timeoutNow.Milliseconds(),
 		"HasTimeoutChanged", timeoutNow != c.rest.timeout)
 }
--- a/callerserver/linger_test.go
+++ b/callerserver/linger_test.go
@@ -10,15 +10,6 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// rest makes the connection idle. It returns once the server waits for the next request.
-func (r *stopRig) rest() {
-	reading := newGate()
-	r.accepted.beforeRead.hold(readOfNextRequest, reading)
-	r.exchange()
-	<-reading.reached
-	close(reading.open)
-}
-
 // TestRequestThatCrossesClosingIsLogged guards against a closing of an idle connection that
 // loses a request without a trace.
 func TestRequestThatCrossesClosingIsLogged(t *testing.T) {
@@ -36,6 +27,7 @@
 	r.c.Check(line, qt.Contains, `"msg"="RequestCrossedClose"`)
 	r.c.Check(line, qt.Contains, `"Reason"="IdleTooLong"`)
 	r.c.Check(line, qt.Contains, `"RestedMilliseconds"=10000`)
+	r.c.Check(line, qt.Contains, `"TimeoutAtRestMilliseconds"=10000`)
 	r.c.Check(line, qt.Contains, `"TimeoutMilliseconds"=10000`)
 	r.c.Check(line, qt.Contains, `"TimeoutNowMilliseconds"=20000`)
 	r.c.Check(line, qt.Contains, `"HasTimeoutChanged"=true`)
--- a/callerserver/rest.go
+++ b/callerserver/rest.go
@@ -8,6 +8,10 @@
 	// timeout is the idle timeout that was in force when the rest began; zero means
 	// none.
 	timeout time.Duration
+	// ended is when the server closed the connection, or zero.
+	ended time.Time
+	// limit is the idle timeout that the server went by when it closed the connection.
+	limit time.Duration
 }
 
 // restClass says how long a connection has rested, compared with the idle timeout that
@@ -32,9 +36,18 @@
 	timeoutParts  = 5
 )
 
-// classAt returns the class of a rest that ends now.
-func (r rest) classAt(now time.Time) restClass {
-	rested := now.Sub(r.began)
+// endRest records that the server closes the connection at rest.
+func (c *connection) endRest() {
+	c.rest.ended = c.server.common.Clock.Now()
+	c.rest.limit, _ = c.server.limits.longest(c.rest.ended, c.server.options.Timeouts().Idle)
+}
+
+// length returns how long the connection rested.
+func (r rest) length() time.Duration { return r.ended.Sub(r.began) }
+
+// class returns the class of a rest that has ended.
+func (r rest) class() restClass {
+	rested := r.length()
 	switch {
 	case r.timeout <= 0:
 		return withoutTimeout
--- a/callerserver/rig_test.go
+++ b/callerserver/rig_test.go
@@ -139,6 +139,8 @@
 	lines chan string
 	// idle is the idle timeout in force.
 	idle atomic.Int64
+	// rests counts how often conn was made idle.
+	rests int
 }
 
 func newStopRig(t *testing.T, handler http.HandlerFunc) *stopRig {
@@ -153,6 +155,7 @@
 		Timeouts: func() callerserver.Timeouts {
 			return callerserver.Timeouts{Idle: time.Duration(r.idle.Load()), Header: headerTimeout}
 		},
+		CallersLearnWithin: learnTime,
 	}, handler)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	r.c.Assert(err, qt.IsNil)
@@ -169,6 +172,7 @@
 const (
 	idleTimeout   = 10 * time.Second
 	headerTimeout = 2 * time.Second
+	learnTime     = 3 * time.Second
 )
 
 // setIdle puts an idle timeout in force.
@@ -220,6 +224,23 @@
 	return reply{status: answer.StatusCode, closes: answer.Close}
 }
 
+// rest makes the connection idle. It returns once the server waits for the next request.
+func (r *stopRig) rest() {
+	reading := r.holdNextRest()
+	r.exchange()
+	<-reading.reached
+	close(reading.open)
+}
+
+// holdNextRest holds the server before it waits for another request. Each request takes two
+// reads: one of the request, and one that watches for a caller that disconnects.
+func (r *stopRig) holdNextRest() *gate {
+	r.rests++
+	reading := newGate()
+	r.accepted.beforeRead.hold(2*r.rests+1, reading)
+	return reading
+}
+
 // drain starts to drain the server. The returned channel receives the result.
 func (r *stopRig) drain(ctx context.Context) <-chan error {
 	drained := make(chan error, 1)
--- a/callerserver/server.go
+++ b/callerserver/server.go
@@ -34,6 +34,9 @@
 	// Timeouts returns the timeouts in force. It is called concurrently; nil means
 	// that there are none.
 	Timeouts func() Timeouts
+	// CallersLearnWithin is how long after a change of Timeouts callers may still go by
+	// the earlier ones.
+	CallersLearnWithin time.Duration
 }
 
 // Server serves the connections of callers.
@@ -42,6 +45,7 @@
 	options Options
 	handler http.Handler
 	server  *http.Server
+	limits  idleLimits
 	// requests is the parent of the contexts of all requests. It ends, with a
 	// *StoppedError as its cause, when the time for a stop is over.
 	requests       context.Context
@@ -65,7 +69,10 @@
 	if options.Timeouts == nil {
 		options.Timeouts = func() Timeouts { return Timeouts{} }
 	}
-	s := &Server{common: common, options: options, handler: handler, open: make(map[*connection]struct{})}
+	s := &Server{
+		common: common, options: options, handler: handler, open: make(map[*connection]struct{}),
+		limits: idleLimits{learnWithin: options.CallersLearnWithin},
+	}
 	s.requests, s.cancelRequests = context.WithCancelCause(context.Background())
 	s.server = &http.Server{
 		Handler:        http.HandlerFunc(s.serveRequest),
--- a/entry/run.go
+++ b/entry/run.go
@@ -32,7 +32,7 @@
 
 func (e *Entry) addServers() {
 	e.callers = callerserver.New(e.Common, callerserver.Options{
-		MaxHeaderTime: maxHeaderTime, Timeouts: e.callerTimeouts,
+		MaxHeaderTime: maxHeaderTime, Timeouts: e.callerTimeouts, CallersLearnWithin: e.callersLearnWithin(),
 	}, e.gateway)
 	e.metrics.RegisterGauge("runners_age_seconds", "Time since the runners were last read.", func() float64 {
 		return e.runnersAge().Seconds()
@@ -60,6 +60,25 @@
 	return callerserver.Timeouts{Header: limits.HeaderTimeout, Idle: limits.IdleTimeout}
 }
 
+const (
+	// defaultConfigurationTime is used when the platform does not set how long a
+	// configuration may take to be in force everywhere.
+	defaultConfigurationTime = 3 * time.Second
+	// callerLag is the additional time in which requests arrive from callers that did not
+	// know the newest configuration when they sent them.
+	callerLag = time.Second
+)
+
+// callersLearnWithin returns how long after this daemon callers may learn of a
+// configuration.
+func (e *Entry) callersLearnWithin() time.Duration {
+	applied := e.settings.Bounds.ConfigurationTime
+	if applied <= 0 {
+		applied = defaultConfigurationTime
+	}
+	return applied + callerLag
+}
+
 func (e *Entry) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	if e.ready() {
 		w.WriteHeader(http.StatusOK)
