Keep a connection whose last answer took long to write

What callers saw: the daemon closed a connection as soon as it had answered, without having announced it, and a request that came at once was reset. Cause: once a handler has returned, the time of a header bounds the rest of the request's body. Writing the last bytes of the answer falls into that time too. When it passed, closing was asked for as BodyLate, and the request to close stayed in force when the connection became idle. The read that watches for callers that disconnect took it for its own too. Change: a request to close for a late body ends when the connection becomes idle, and has no effect on the read that watches, which begins once the body has been read.

--- a/callerserver/connection.go
+++ b/callerserver/connection.go
@@ -72,6 +72,8 @@
 	isDraining := c.server.currentStage() == draining
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	// A timeout that passed while the last answer was written concerns that one only.
+	c.withdrawClose()
 	if c.isReadAhead {
 		c.isReadAhead = false
 		c.receive()
@@ -156,6 +158,11 @@
 	if err == nil {
 		return false, nil
 	}
+	if c.closing == bodyLate && size == watchSize {
+		// The body has been read to its end.
+		c.withdrawClose()
+		return isTimeout(err), err
+	}
 	if c.closing != "" && isTimeout(err) {
 		return c.closeUnlessReadable(err)
 	}
@@ -168,11 +175,14 @@
 	case awaiting:
 		c.receive()
 	case received, serving, ending:
-		// net/http reads a single byte only to notice a caller that disconnects.
-		c.isReadAhead = size == 1
+		c.isReadAhead = size == watchSize
 	}
 }
 
+// watchSize is the size of a read by which net/http notices a caller that disconnects. It
+// begins once the body of the request has been read.
+const watchSize = 1
+
 // receive starts the header timeout.
 func (c *connection) receive() {
 	c.withdrawClose()
