Wait for the closing itself in the test of counted closings

The test advanced the clock until the server was drained, so on a busy machine the time of the rest grew past four fifths before the connection was closed: it failed once in two runs of the whole package with the race detector. It now reads the end of the connection before it advances the clock.

--- a/callerserver/linger_test.go
+++ b/callerserver/linger_test.go
@@ -88,8 +88,10 @@
 			r := newStopRig(t, answer)
 			r.rest()
 			r.clock.Advance(scenario.rested)
-			r.c.Check(r.awaitDrained(r.drain(context.Background())), qt.IsNil)
+			drained := r.drain(context.Background())
+			r.expectClosed()
 			r.c.Check(r.count("CallerConnections.Closed.Stopping."+scenario.class), qt.Equals, int64(1))
+			r.c.Check(r.awaitDrained(drained), qt.IsNil)
 		})
 	}
 }
