Read no further on a connection whose header came too late

What callers saw: a request whose header came too late was answered with 400, or served, depending on where the pause fell; RequestOnClosedConnection was logged for some of them. Cause: net/http takes a line that a timeout has cut for a whole one and goes on to read. If more bytes had arrived by then, the server took back its decision to close the connection, and net/http parsed the halves of a line as two. Change: once the reading goroutine has found nothing to read and decided to close, later reads of the connection fail in the same way. Bytes that arrive before that decision are read, as before.

--- a/callerserver/closing.go
+++ b/callerserver/closing.go
@@ -118,8 +118,12 @@
 
 // closeUnlessReadable is called by the reading goroutine when a closing was asked for and
 // nothing was read. It ends the connection with the timeout of the read, on which net/http
-// closes without an answer, unless bytes have arrived meanwhile.
+// closes without an answer, unless bytes have arrived meanwhile. Later reads fail too:
+// net/http takes a line that a timeout has cut for a whole one, and reads on after it.
 func (c *connection) closeUnlessReadable(timeout error) (again bool, result error) {
+	if c.closedBy == Daemon {
+		return false, timeout
+	}
 	if socket.StateOf(c.Conn) == socket.Readable {
 		c.withdrawClose()
 		if c.phase == receiving {
--- a/callerserver/rest_test.go
+++ b/callerserver/rest_test.go
@@ -1,6 +1,7 @@
 package callerserver_test
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -29,3 +30,28 @@
 	settle()
 	r.c.Check(r.exchange().status, qt.Equals, http.StatusOK)
 }
+
+// TestLateHeaderIsNotTakenForWhole guards against a request that is read on after its
+// header was given up: net/http takes a line that a timeout has cut for a whole one.
+func TestLateHeaderIsNotTakenForWhole(t *testing.T) {
+	r := newStopRig(t, answer)
+	r.rest()
+	head := "GET / HTTP/1.1\r\nHost: lib"
+	waiting := newGate()
+	r.accepted.beforeRead.holdNext(waiting)
+	_, err := io.WriteString(r.conn, head)
+	r.c.Assert(err, qt.IsNil)
+	<-waiting.reached
+	again := newGate()
+	r.accepted.beforeRead.holdNext(again)
+	close(waiting.open)
+	settle()
+	r.clock.Advance(headerTimeout)
+	<-again.reached
+	_, err = io.WriteString(r.conn, "rary\r\n\r\n")
+	r.c.Assert(err, qt.IsNil)
+	settle()
+	close(again.open)
+	_, err = http.ReadResponse(r.reader, nil)
+	r.c.Check(err, qt.IsNotNil)
+}
--- a/callerserver/rig_test.go
+++ b/callerserver/rig_test.go
@@ -56,6 +56,14 @@
 	g.held[number] = at
 }
 
+// holdNext makes the next call wait at the gate.
+func (g *gates) holdNext(at *gate) {
+	g.mutex.Lock()
+	next := g.calls + 1
+	g.mutex.Unlock()
+	g.hold(next, at)
+}
+
 // pass is called by the function.
 func (g *gates) pass() {
 	g.mutex.Lock()
