Begin the rest of a connection when its caller has the last answer

What callers saw: a caller that read an answer slowly, or had a slow link, found its connection closed right after the answer, and a request that it sent at once was reset. Cause: the rest of a connection began when the kernel had taken the answer, while the caller counts from when it has received it. Change: when the idle timeout ends and the caller has not acknowledged all bytes, the rest begins anew, once. A caller that has vanished so holds its connection for at most twice the timeout.

--- a/callerserver/closing.go
+++ b/callerserver/closing.go
@@ -71,12 +71,27 @@
 	}
 	rested := now.Sub(c.rest.began)
 	if timeout > 0 && rested >= timeout {
+		if c.restAgainIfUnacknowledged(now) {
+			c.arm(timeout)
+			return
+		}
 		c.requestClose(idleTooLong)
 		return
 	}
 	c.arm(shorter(timeout-rested, lasts))
 }
 
+// restAgainIfUnacknowledged begins the rest anew, once, if the caller has not received the
+// last answer yet: its own count of the rest begins when it has.
+func (c *connection) restAgainIfUnacknowledged(now time.Time) bool {
+	if c.rest.isExtended || !socket.HasUnacknowledged(c.Conn) {
+		return false
+	}
+	c.rest.began = now
+	c.rest.isExtended = true
+	return true
+}
+
 // requestClose asks the reading goroutine to close the connection.
 func (c *connection) requestClose(reason closeReason) {
 	c.closing = reason
--- a/callerserver/rest.go
+++ b/callerserver/rest.go
@@ -8,6 +8,9 @@
 	// timeout is the idle timeout that was in force when the rest began; zero means
 	// none.
 	timeout time.Duration
+	// isExtended is true if the rest began anew since the caller had not received the last
+	// answer.
+	isExtended bool
 	// ended is when the server closed the connection, or zero.
 	ended time.Time
 	// limit is the idle timeout that the server went by when it closed the connection.
--- a/callerserver/rest_test.go
+++ b/callerserver/rest_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -55,3 +56,24 @@
 	_, err = http.ReadResponse(r.reader, nil)
 	r.c.Check(err, qt.IsNotNil)
 }
+
+// TestUnreadAnswerKeepsTheConnection guards against an idle timeout that begins before the
+// caller has received the last answer.
+func TestUnreadAnswerKeepsTheConnection(t *testing.T) {
+	r := newStopRig(t, answerAtLength)
+	reading := r.holdNextRest()
+	r.send()
+	<-reading.reached
+	close(reading.open)
+	r.clock.Advance(idleTimeout)
+	settle()
+	r.c.Check(readAnswer(r.c, r.reader).closes, qt.IsFalse)
+	r.c.Check(r.exchange().status, qt.Equals, http.StatusOK)
+}
+
+// longAnswer is the length of an answer that fills the buffers of a connection.
+const longAnswer = 1 << 20
+
+func answerAtLength(w http.ResponseWriter, _ *http.Request) {
+	_, _ = io.WriteString(w, strings.Repeat("a", longAnswer))
+}
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -70,6 +70,19 @@
 	}
 }
 
+// HasUnacknowledged reports whether the peer has not acknowledged all bytes that were
+// written to a connection.
+func HasUnacknowledged(conn any) bool {
+	raw, ok := rawConn(conn)
+	if !ok {
+		return false
+	}
+	count := 0
+	var failure error
+	err := raw.Control(func(fd uintptr) { count, failure = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return err == nil && failure == nil && count > 0
+}
+
 // HasPending reports whether a listener has connections that are established but not
 // accepted yet.
 func HasPending(listener any) bool {
