--- a/callerserver/closing.go
+++ b/callerserver/closing.go
@@ -14,6 +14,8 @@
 	headerLate  closeReason = "HeaderLate"
 	bodyLate    closeReason = "BodyLate"
 	stopping    closeReason = "Stopping"
+	// serverClosed means that all connections were closed at once.
+	serverClosed closeReason = "ServerClosed"
 )
 
 // firstRequestTimeout is how long a new connection waits for its first request while
@@ -53,8 +55,41 @@
 	case c.phase == awaiting && isDraining:
 		c.requestClose(stopping)
 	case c.phase == awaiting:
+		c.closeAfterRest()
+	case c.phase == lingering:
+		c.endLinger()
+	}
+}
+
+// closeAfterRest closes the connection if it has rested for the idle timeout that callers
+// go by, or schedules the next look. That timeout may change while the connection rests.
+func (c *connection) closeAfterRest() {
+	now := c.server.common.Clock.Now()
+	timeout, lasts := c.server.limits.longest(now, c.server.options.Timeouts().Idle)
+	if !c.hasRequested {
+		timeout = shorter(timeout, c.server.options.MaxHeaderTime)
+	}
+	rested := now.Sub(c.rest.began)
+	if timeout > 0 && rested >= timeout {
+		if c.restAgainIfUnacknowledged(now) {
+			c.arm(timeout)
+			return
+		}
 		c.requestClose(idleTooLong)
+		return
 	}
+	c.arm(shorter(timeout-rested, lasts))
+}
+
+// restAgainIfUnacknowledged begins the rest anew, once, if the caller has not received the
+// last answer yet: its own count of the rest begins when it has.
+func (c *connection) restAgainIfUnacknowledged(now time.Time) bool {
+	if c.rest.isExtended || !socket.HasUnacknowledged(c.Conn) {
+		return false
+	}
+	c.rest.began = now
+	c.rest.isExtended = true
+	return true
 }
 
 // requestClose asks the reading goroutine to close the connection.
@@ -98,8 +133,12 @@
 
 // closeUnlessReadable is called by the reading goroutine when a closing was asked for and
 // nothing was read. It ends the connection with the timeout of the read, on which net/http
-// closes without an answer, unless bytes have arrived meanwhile.
+// closes without an answer, unless bytes have arrived meanwhile. Later reads fail too:
+// net/http takes a line that a timeout has cut for a whole one, and reads on after it.
 func (c *connection) closeUnlessReadable(timeout error) (again bool, result error) {
+	if c.closedBy == Daemon {
+		return false, timeout
+	}
 	if socket.StateOf(c.Conn) == socket.Readable {
 		c.withdrawClose()
 		if c.phase == receiving {
@@ -110,6 +149,6 @@
 	if c.closedBy == "" {
 		c.closedBy = Daemon
 	}
-	c.server.common.Count("CallerConnections.Closed."+string(c.closing), 1)
+	c.recordClosed()
 	return false, timeout
 }
--- a/callerserver/connection.go
+++ b/callerserver/connection.go
@@ -6,6 +6,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/socket"
 )
 
 // phase is what the server does with a connection.
@@ -23,6 +25,9 @@
 	// ending means that the handler has returned, and the next request is not awaited
 	// yet.
 	ending phase = "Ending"
+	// lingering means that the server has closed its side of a connection at rest and
+	// waits for the caller's side.
+	lingering phase = "Lingering"
 )
 
 // connection is a caller's connection. The server asks for its closing from any
@@ -48,6 +53,8 @@
 	closing closeReason
 	// readDeadline is the deadline that net/http has set.
 	readDeadline time.Time
+	// rest is the time since the connection last became idle.
+	rest rest
 	// closedBy is empty while the connection is open.
 	closedBy Closer
 	// timer is nil until arm is first called.
@@ -65,21 +72,22 @@
 	isDraining := c.server.currentStage() == draining
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	// A timeout that passed while the last answer was written concerns that one only.
+	c.withdrawClose()
 	if c.isReadAhead {
 		c.isReadAhead = false
 		c.receive()
 		return
 	}
 	c.phase = awaiting
+	c.rest = rest{began: c.server.common.Clock.Now(), timeout: c.server.options.Timeouts().Idle}
 	switch {
 	case isDraining && c.hasRequested:
 		c.requestClose(stopping)
 	case isDraining:
 		c.arm(firstRequestTimeout)
-	case c.hasRequested:
-		c.arm(c.server.options.Timeouts().Idle)
 	default:
-		c.arm(shorter(c.server.options.Timeouts().Idle, c.server.options.MaxHeaderTime))
+		c.closeAfterRest()
 	}
 }
 
@@ -129,9 +137,12 @@
 func (c *connection) Read(buffer []byte) (int, error) {
 	for {
 		count, err := c.Conn.Read(buffer)
-		if again, err := c.recordRead(len(buffer), count, err); !again {
-			return count, err
+		again, err := c.recordRead(len(buffer), count, err)
+		if again {
+			continue
 		}
+		c.lingerIfAtRest()
+		return count, err
 	}
 }
 
@@ -147,6 +158,11 @@
 	if err == nil {
 		return false, nil
 	}
+	if c.closing == bodyLate && size == watchSize {
+		// The body has been read to its end.
+		c.withdrawClose()
+		return isTimeout(err), err
+	}
 	if c.closing != "" && isTimeout(err) {
 		return c.closeUnlessReadable(err)
 	}
@@ -159,11 +175,14 @@
 	case awaiting:
 		c.receive()
 	case received, serving, ending:
-		// net/http reads a single byte only to notice a caller that disconnects.
-		c.isReadAhead = size == 1
+		c.isReadAhead = size == watchSize
 	}
 }
 
+// watchSize is the size of a read by which net/http notices a caller that disconnects. It
+// begins once the body of the request has been read.
+const watchSize = 1
+
 // receive starts the header timeout.
 func (c *connection) receive() {
 	c.withdrawClose()
@@ -203,18 +222,28 @@
 
 // Close implements net.Conn.
 func (c *connection) Close() error {
-	c.mutex.Lock()
-	if c.closedBy == "" {
-		c.closedBy = Daemon
-		if c.isUnanswered() {
-			c.recordCut("ConnectionClosedInRequest")
-		}
-	}
-	c.mutex.Unlock()
+	c.recordClose()
 	c.server.forget(c)
 	return c.Conn.Close()
 }
 
+func (c *connection) recordClose() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.closedBy != "" {
+		return
+	}
+	c.closedBy = Daemon
+	switch {
+	case c.phase == awaiting:
+		c.closing = serverClosed
+		c.recordClosed()
+		c.recordCrossing(socket.StateOf(c.Conn))
+	case c.isUnanswered():
+		c.recordCut("ConnectionClosedInRequest")
+	}
+}
+
 // isUnanswered reports whether a request is under way whose answer has not been left to
 // net/http.
 func (c *connection) isUnanswered() bool {
