--- a/backend/client.go
+++ b/backend/client.go
@@ -194,12 +194,21 @@
 // faultKindOf classifies a failure before the header of the answer.
 func faultKindOf(err error) FaultKind {
 	var dial *upstream.DialError
-	if errors.As(err, &dial) {
+	var late *upstream.HeaderTimeoutError
+	var interim *upstream.InterimAnswersError
+	switch {
+	case errors.As(err, &dial):
 		return Refused
+	case errors.As(err, &late):
+		return Silent
+	case errors.As(err, &interim):
+		return Malformed
+	default:
+		return Closed
 	}
-	return Closed
 }
 
+
 // newRequest returns the HTTP request of the attempt. Parsing the path ensures that
 // no byte of the target can end the request line.
 func (a *Answer) newRequest() (upstream.Request, error) {
