--- a/backend/client.go
+++ b/backend/client.go
@@ -208,7 +208,6 @@
 	}
 }
 
-
 // newRequest returns the HTTP request of the attempt. Parsing the path ensures that
 // no byte of the target can end the request line.
 func (a *Answer) newRequest() (upstream.Request, error) {
