Count only a request that was written as accepted by silence

A stream was cut, or ended with 502, because its runner was silent for a while and was given up for a runner that no connection reached.

Cause: the time in which a runner may reject a stream began before the connection was opened. The limit on opening a connection is as long, so that the attempt was mostly taken for accepted just before it failed without a byte written.

The time now begins when the request was written. An attempt whose request is not written is accepted by nothing and fails beside the silent one, which goes on.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -37,6 +37,9 @@
 	// headReceived is true when the runner has sent the head of a response.
 	headReceived bool
 
+	// onWritten is called when the request was written. It may be nil.
+	onWritten func()
+
 	// opened is closed when opening and failure are set by another goroutine than that
 	// of the request. It is nil for an attempt that replaces none.
 	opened  chan struct{}
@@ -99,7 +102,7 @@
 	defer func() { x.Meters.ObservePhase(x.route.Kind.String(), metric.Connect, x.Clock.Since(started)) }()
 	return x.Upstream.Send(a.ctx, upstream.Request{
 		Address: runner.Address, MaxConnections: maxConnections,
-		NewConnection: a.newConnection, ToleratesReset: x.toleratesReset(a),
+		NewConnection: a.newConnection, ToleratesReset: x.toleratesReset(a), OnWritten: a.onWritten,
 		Method: x.call.Method, Target: x.call.Target, Host: x.call.Host, Body: x.call.Body,
 		Header: x.Codec.RunnerHeader(x.call, x.attemptOf(a, x.Clock.Now())),
 	})
--- a/gateway/replace.go
+++ b/gateway/replace.go
@@ -6,8 +6,8 @@
 	"github.com/cranberrywalk/cranberrywalk/catalog"
 )
 
-// acceptanceTimeout is how long a runner may take to reject a stream. One that has not
-// done so by then has begun the request or has put it into its queue. The time bounds how
+// acceptanceTimeout is how long a runner may take to reject a stream that was written to it.
+// One that has not done so by then has begun the request or has put it into its queue. The time bounds how
 // long two runners may work on one stream.
 const acceptanceTimeout = 250 * time.Millisecond
 
@@ -76,7 +76,7 @@
 		"Request", x.call.ID, "Attempt", a.number, "SilentRunner", x.choice.Runner.ID, "LastEvent", x.lastEvent,
 	}, choiceFields(a.choice)...)...)
 	if x.isAcceptedBySilence(a) {
-		a.acceptance = x.Clock.AfterFunc(acceptanceTimeout, func() { x.acceptUnlessRejected(a) })
+		a.onWritten = func() { x.startAcceptance(a) }
 	}
 	go x.runReplacement(a)
 	return true
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -72,6 +72,17 @@
 	return a.failure
 }
 
+// startAcceptance lets an attempt be accepted unless its runner rejects it in time. It is
+// called once the request was written: a runner that is not reached accepts nothing.
+func (x *exchange) startAcceptance(a *attempt) {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	if a.isTaken || a.isReleased || a.isOpened {
+		return
+	}
+	a.acceptance = x.Clock.AfterFunc(acceptanceTimeout, func() { x.acceptUnlessRejected(a) })
+}
+
 // acceptUnlessRejected accepts an attempt of which nothing is known yet.
 func (x *exchange) acceptUnlessRejected(a *attempt) {
 	x.mutex.Lock()
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -27,6 +27,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// OnWritten is called when the kernel has taken the whole request. It may be nil.
+	OnWritten func()
 	// OnRead is called after each read of the answer that returned bytes. It may
 	// be nil.
 	OnRead func()
@@ -100,7 +102,7 @@
 func (p *Pool) exchange(c *connection, request Request) (*Answer, error) {
 	c.beginUse(p.common.Clock.Now())
 	c.onRead = request.OnRead
-	written, err := c.write(encode(request))
+	written, err := c.write(encode(request), request.OnWritten)
 	if err != nil {
 		return nil, err
 	}
@@ -116,12 +118,15 @@
 }
 
 // write writes a request up to maxInlineWrite directly and a longer one in the
-// background. The channel gets the result once the request has been written.
-func (c *connection) write(content []byte) (chan error, error) {
+// background. onWritten is called then, if it is not nil. The channel gets the result once the request has been written.
+func (c *connection) write(content []byte, onWritten func()) (chan error, error) {
 	written := make(chan error, 1)
 	if len(content) > maxInlineWrite {
 		go func() {
 			_, err := c.raw.Write(content)
+			if err == nil && onWritten != nil {
+				onWritten()
+			}
 			written <- err
 		}()
 		return written, nil
@@ -130,6 +135,9 @@
 	if err != nil {
 		return nil, c.writeFailure(count, err)
 	}
+	if onWritten != nil {
+		onWritten()
+	}
 	written <- nil
 	return written, nil
 }
