Let a stream return to its silent runner after a late rejection

A stream was cut, or ended with 502, because the runner that replaced a silent one took longer than the acceptance timeout to reject it, as a runner that is silent for a while does. The abandoned runner was not asked again, although it counts among MaxAttempts.

Cause: a request could return to its silent runner only beside the silent attempt. An attempt that is accepted since its runner has not rejected it yet ends that one.

After a rejection the request returns once, if the retry budget allows it, to the runner that was abandoned, when no further runner may be asked or there is none.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -276,10 +276,12 @@
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	var unwritten *upstream.UnwrittenError
+	var rejected *RejectedError
 	if errors.As(failure, &unwritten) {
 		return x.unwrittenAttempts < x.options.MaxUnwrittenAttempts, "Unreachable"
 	}
-	if x.writtenAttempts >= x.route.MaxAttempts || x.unwrittenAttempts >= x.options.MaxUnwrittenAttempts {
+	mayReturn := errors.As(failure, &rejected) && x.replacements.mayReturnAfterward()
+	if x.writtenAttempts >= x.route.MaxAttempts && !mayReturn || x.unwrittenAttempts >= x.options.MaxUnwrittenAttempts {
 		return false, "AttemptsUsedUp"
 	}
 	if !x.RetryBudgets.AllowRetry(x.service, x.Group.Size(), x.Clock.Now()) {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -109,18 +109,27 @@
 }
 
 // choose returns the next attempt: one that replaces the last one, if there is such, or
-// one at a runner that the balancer chooses.
+// one at a runner that the balancer chooses. If there is none, or no further one may be
+// asked, the request returns to the silent runner that was abandoned.
 func (x *exchange) choose() (*attempt, error) {
 	if a := x.takeReplacement(); a != nil {
 		return a, nil
 	}
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
-	choice, ticket, err := x.Balancer.Choose(x.balanceRequest(), x.Clock.Now())
-	if err != nil {
-		return nil, err
+	now := x.Clock.Now()
+	mayReturn := x.replacements.mayReturnAfterward()
+	if mayReturn && x.writtenAttempts >= x.route.MaxAttempts {
+		return x.chooseSilentRunner(x.replacements.silentRunner, now)
+	}
+	choice, ticket, err := x.Balancer.Choose(x.balanceRequest(), now)
+	if err == nil {
+		return x.newAttempt(choice, ticket, nil), nil
+	}
+	if mayReturn {
+		return x.chooseSilentRunner(x.replacements.silentRunner, now)
 	}
-	return x.newAttempt(choice, ticket, nil), nil
+	return nil, err
 }
 
 // choiceFields returns the log fields that explain the choice of a runner.
--- a/gateway/lateacceptance_test.go
+++ b/gateway/lateacceptance_test.go
@@ -45,3 +45,30 @@
 	r.c.Check(got.body, qt.Equals, standin.Events(3))
 	r.c.Check(got.broken, qt.IsFalse)
 }
+
+// TestStreamReturnsAfterALateRejection guards against streams that are cut because the runner
+// that replaced a silent one rejected them only after it had been taken for the one that
+// holds them.
+func TestStreamReturnsAfterALateRejection(t *testing.T) {
+	for _, scenario := range []struct {
+		name      string
+		rejection standin.Behaviour
+		runners   int
+	}{
+		{"full", standin.Behaviour{Status: 503, NotRun: true, Gap: 500 * time.Millisecond}, 2},
+		{"full, and a third runner may not be asked", standin.Behaviour{Status: 503, NotRun: true, Gap: 500 * time.Millisecond}, 3},
+		{"another one by now", standin.Behaviour{Status: 421, NotRun: true, Gap: 500 * time.Millisecond}, 2},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			t.Parallel()
+			first := inTurn(standin.Behaviour{Events: 3, StallAfter: 1}, standin.Behaviour{Events: 3})
+			scripts := []func(standin.ReceivedRequest) standin.Behaviour{first, always(scenario.rejection), always(scenario.rejection)}
+			r := newRig(t, scripts[:scenario.runners]...)
+			got := r.send("/resumable/a")
+			r.c.Check(got.status, qt.Equals, 200)
+			r.c.Check(got.body, qt.Equals, standin.Events(3))
+			r.c.Check(got.broken, qt.IsFalse)
+			r.c.Check(r.arrivals()[0], qt.Equals, 2)
+		})
+	}
+}
--- a/gateway/replace.go
+++ b/gateway/replace.go
@@ -20,7 +20,9 @@
 	if x.mayAskAnotherRunner() && x.replaceAt(x.chooseReplacement, now) {
 		return true
 	}
-	return x.mayReturn(silence) && x.replaceAt(x.chooseSilentRunner, now)
+	return x.mayReturn(silence) && x.replaceAt(func(now time.Time) (*attempt, error) {
+		return x.chooseSilentRunner(x.choice.Runner.ID, now)
+	}, now)
 }
 
 // mayReplace reports whether the current attempt may be replaced. With less than the
@@ -113,10 +115,10 @@
 	return x.newAttempt(choice, ticket, nil), nil
 }
 
-// chooseSilentRunner chooses the silent runner once more. The mutex must be held.
-func (x *exchange) chooseSilentRunner(now time.Time) (*attempt, error) {
+// chooseSilentRunner chooses a silent runner once more. The mutex must be held.
+func (x *exchange) chooseSilentRunner(runner string, now time.Time) (*attempt, error) {
 	r := x.balanceRequest()
-	r.Excluded, r.Only = nil, x.choice.Runner.ID
+	r.Excluded, r.Only = nil, runner
 	choice, ticket, err := x.Balancer.Choose(r, now)
 	if err != nil {
 		return nil, err
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -16,6 +16,9 @@
 	pending []*attempt
 	// accepted is the attempt that replaces the current one, or nil.
 	accepted *attempt
+	// silentRunner is the runner whose attempt was abandoned for one that was accepted, or
+	// empty.
+	silentRunner string
 	// hasFailed is true once an attempt has failed before it was accepted.
 	hasFailed bool
 	// hasReturned is true once a new attempt was made at the silent runner itself.
@@ -28,6 +31,11 @@
 // exist reports whether the current attempt may be replaced by one that has begun.
 func (r *replacements) exist() bool { return r.accepted != nil || len(r.pending) > 0 }
 
+// mayReturnAfterward reports whether the request may return to the runner that was
+// abandoned. MaxAttempts bounds the runners that a request is sent to, and that runner was
+// one of them.
+func (r *replacements) mayReturnAfterward() bool { return r.silentRunner != "" && !r.hasReturned }
+
 // remove removes an attempt and reports whether it was one of them.
 func (r *replacements) remove(a *attempt) bool {
 	if r.accepted == a {
@@ -100,6 +108,7 @@
 		return
 	}
 	x.replacements.accepted = a
+	x.replacements.silentRunner = x.choice.Runner.ID
 	x.Count("Replacements.Accepted", 1)
 	x.Log.Info("ReplacementAccepted", "Request", x.call.ID, "Attempt", a.number, "Runner", a.choice.Runner.ID, "HasAnswered", a.isOpened)
 	x.watchdog.attempt.cancel(&AttemptTimeoutError{Runner: x.choice.Runner.ID})
