Move a stream after the replacement of its silent attempt is settled

A stream stayed at a leaving runner until it ended there, although the runner had sent its next event and the other runner that was asked beside it was not needed.

Cause: a move ended for good when it found that another attempt might replace the current one, which for a stream lasts at most the acceptance timeout.

Evidence: TestMoveIsTriedAfterAnUnneededReplacement on the code before (stops of the run): got: int(0) want: int(1)

The move now waits until the replacement is settled. If the replacement is accepted, the stream is served elsewhere and the move ends as before.

--- a/gateway/move.go
+++ b/gateway/move.go
@@ -125,11 +125,10 @@
 	return true
 }
 
-// awaitMoveTime waits for MoveDelay and until the runner wants requests again, since the
-// request to copy a run is one too. It fails when the context of the request ends.
+// awaitMoveTime waits for MoveDelay and until the stream can be moved. It fails when the
+// context of the request ends.
 func (x *exchange) awaitMoveTime(runner string) error {
-	pauseLeft := func() time.Duration { return x.Balancer.PauseLeft(runner, x.Clock.Now()) }
-	for wait := max(x.options.MoveDelay, pauseLeft()); wait > 0; wait = pauseLeft() {
+	for wait := max(x.options.MoveDelay, x.moveObstacle(runner)); wait > 0; wait = x.moveObstacle(runner) {
 		if err := clock.Sleep(x.ctx, x.Clock, wait); err != nil {
 			return err
 		}
@@ -137,6 +136,22 @@
 	return nil
 }
 
+// moveObstacle returns how long to wait before it is checked again whether the stream can be
+// moved, or zero if it can be now. The runner may want no requests for a time, of which the
+// request to copy a run is one. A stream is not moved while another attempt may replace the
+// current one, which may yet go on.
+func (x *exchange) moveObstacle(runner string) time.Duration {
+	if pause := x.Balancer.PauseLeft(runner, x.Clock.Now()); pause > 0 {
+		return pause
+	}
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	if x.currentRunner == runner && x.replacements.exist() {
+		return replaceCheckInterval
+	}
+	return 0
+}
+
 // beginMove returns a move away from the runner, and the request for the choice of
 // the new one, if the runner still serves the stream.
 func (x *exchange) beginMove(runner string) (*streamMove, balance.Request, bool) {
