--- a/gateway/replace.go
+++ b/gateway/replace.go
@@ -6,8 +6,8 @@
 	"github.com/cranberrywalk/cranberrywalk/catalog"
 )
 
-// acceptanceTimeout is how long a runner may take to reject a stream. One that has not
-// done so by then has begun the request or has put it into its queue. The time bounds how
+// acceptanceTimeout is how long a runner may take to reject a stream that was written to it.
+// One that has not done so by then has begun the request or has put it into its queue. The time bounds how
 // long two runners may work on one stream.
 const acceptanceTimeout = 250 * time.Millisecond
 
@@ -20,7 +20,9 @@
 	if x.mayAskAnotherRunner() && x.replaceAt(x.chooseReplacement, now) {
 		return true
 	}
-	return x.mayReturn(silence) && x.replaceAt(x.chooseSilentRunner, now)
+	return x.mayReturn(silence) && x.replaceAt(func(now time.Time) (*attempt, error) {
+		return x.chooseSilentRunner(x.choice.Runner.ID, now)
+	}, now)
 }
 
 // mayReplace reports whether the current attempt may be replaced. With less than the
@@ -76,7 +78,7 @@
 		"Request", x.call.ID, "Attempt", a.number, "SilentRunner", x.choice.Runner.ID, "LastEvent", x.lastEvent,
 	}, choiceFields(a.choice)...)...)
 	if x.isAcceptedBySilence(a) {
-		a.acceptance = x.Clock.AfterFunc(acceptanceTimeout, func() { x.acceptUnlessRejected(a) })
+		a.onWritten = func() { x.startAcceptance(a) }
 	}
 	go x.runReplacement(a)
 	return true
@@ -113,10 +115,10 @@
 	return x.newAttempt(choice, ticket, nil), nil
 }
 
-// chooseSilentRunner chooses the silent runner once more. The mutex must be held.
-func (x *exchange) chooseSilentRunner(now time.Time) (*attempt, error) {
+// chooseSilentRunner chooses a silent runner once more. The mutex must be held.
+func (x *exchange) chooseSilentRunner(runner string, now time.Time) (*attempt, error) {
 	r := x.balanceRequest()
-	r.Excluded, r.Only = nil, x.choice.Runner.ID
+	r.Excluded, r.Only = nil, runner
 	choice, ticket, err := x.Balancer.Choose(r, now)
 	if err != nil {
 		return nil, err
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -16,6 +16,9 @@
 	pending []*attempt
 	// accepted is the attempt that replaces the current one, or nil.
 	accepted *attempt
+	// silentRunner is the runner whose attempt was abandoned for one that was accepted, or
+	// empty.
+	silentRunner string
 	// hasFailed is true once an attempt has failed before it was accepted.
 	hasFailed bool
 	// hasReturned is true once a new attempt was made at the silent runner itself.
@@ -28,6 +31,11 @@
 // exist reports whether the current attempt may be replaced by one that has begun.
 func (r *replacements) exist() bool { return r.accepted != nil || len(r.pending) > 0 }
 
+// mayReturnAfterward reports whether the request may return to the runner that was
+// abandoned. MaxAttempts bounds the runners that a request is sent to, and that runner was
+// one of them.
+func (r *replacements) mayReturnAfterward() bool { return r.silentRunner != "" && !r.hasReturned }
+
 // remove removes an attempt and reports whether it was one of them.
 func (r *replacements) remove(a *attempt) bool {
 	if r.accepted == a {
@@ -72,6 +80,17 @@
 	return a.failure
 }
 
+// startAcceptance lets an attempt be accepted unless its runner rejects it in time. It is
+// called once the request was written: a runner that is not reached accepts nothing.
+func (x *exchange) startAcceptance(a *attempt) {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	if a.isTaken || a.isReleased || a.isOpened {
+		return
+	}
+	a.acceptance = x.Clock.AfterFunc(acceptanceTimeout, func() { x.acceptUnlessRejected(a) })
+}
+
 // acceptUnlessRejected accepts an attempt of which nothing is known yet.
 func (x *exchange) acceptUnlessRejected(a *attempt) {
 	x.mutex.Lock()
@@ -89,6 +108,7 @@
 		return
 	}
 	x.replacements.accepted = a
+	x.replacements.silentRunner = x.choice.Runner.ID
 	x.Count("Replacements.Accepted", 1)
 	x.Log.Info("ReplacementAccepted", "Request", x.call.ID, "Attempt", a.number, "Runner", a.choice.Runner.ID, "HasAnswered", a.isOpened)
 	x.watchdog.attempt.cancel(&AttemptTimeoutError{Runner: x.choice.Runner.ID})
@@ -185,9 +205,10 @@
 	}
 }
 
-// applyUnsettled records in the state machine that replacements whose end is not known may
-// have run.
+// applyUnsettled records in the state machine the replacements that have failed since the
+// last attempt ended, and that those whose end is not known may have run.
 func (x *exchange) applyUnsettled() {
+	x.applyEndings()
 	if x.hasReplacement() {
 		x.apply(request.AttemptBegan)
 		x.apply(request.AttemptFailed)
