--- a/gateway/replace.go
+++ b/gateway/replace.go
@@ -7,8 +7,8 @@
 )
 
 // acceptanceTimeout is how long a runner may take to reject a stream that was written to it.
-// One that has not done so by then has begun the request or has put it into its queue. The time bounds how
-// long two runners may work on one stream.
+// One that has not done so by then has begun the request or has put it into its queue. The
+// time bounds how long two runners may work on one stream.
 const acceptanceTimeout = 250 * time.Millisecond
 
 // replace begins an attempt that replaces the current one if it is accepted. It returns
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -118,7 +118,8 @@
 }
 
 // write writes a request up to maxInlineWrite directly and a longer one in the
-// background. onWritten is called then, if it is not nil. The channel gets the result once the request has been written.
+// background. Once the request has been written, onWritten is called, if it is not nil, and
+// the channel gets the result.
 func (c *connection) write(content []byte, onWritten func()) (chan error, error) {
 	written := make(chan error, 1)
 	if len(content) > maxInlineWrite {
