--- /dev/null
+++ b/gateway/failure.go
@@ -0,0 +1,155 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/balance"
+	"github.com/cranberrywalk/cranberrywalk/buffer"
+	"github.com/cranberrywalk/cranberrywalk/callerserver"
+	"github.com/cranberrywalk/cranberrywalk/request"
+	"github.com/cranberrywalk/cranberrywalk/suspect"
+	"github.com/cranberrywalk/cranberrywalk/upstream"
+)
+
+// recordFailure records the failure of the current attempt, and those of the attempts
+// that were to replace it.
+func (x *exchange) recordFailure(a *attempt, failure error) {
+	x.mutex.Lock()
+	ending := x.countFailure(a, failure)
+	x.mutex.Unlock()
+	x.apply(ending)
+	x.applyEndings()
+}
+
+// countFailure records a failed attempt in the balancer and in the logs and metrics. It
+// returns the event for the state machine of the request. The mutex must be held.
+func (x *exchange) countFailure(a *attempt, failure error) request.EventKind {
+	now := x.Clock.Now()
+	result := x.resultOf(a, failure)
+	a.ticket.End(result, now)
+	if !isStale(failure) {
+		x.excluded = append(x.excluded, a.choice.Runner.ID)
+	}
+	x.Meters.CountAttempt(a.choice.Runner.ID, result.String())
+	x.Log.Info("AttemptFailed", append([]any{
+		"Request", x.call.ID, "Attempt", a.number, "Result", result.String(), "Reason", failure.Error(),
+		"LastEvent", a.lastEvent, "RunnersAgeMilliseconds", x.RunnersAge().Milliseconds(),
+	}, choiceFields(a.choice)...)...)
+	var unwritten *upstream.UnwrittenError
+	var rejected *RejectedError
+	switch {
+	case errors.As(failure, &unwritten):
+		x.unwrittenAttempts++
+		return request.AttemptUnwritten
+	case errors.As(failure, &rejected):
+		x.countRejection(a, rejected)
+		return request.AttemptUnwritten
+	default:
+		x.writtenAttempts++
+		x.recordCrash(a, failure, now)
+		return request.AttemptFailed
+	}
+}
+
+// countRejection counts a rejected attempt. The attempt counts as unwritten in two
+// cases: another runner now has the address, so that no runner of the service was
+// reached; or the attempt was to continue a stopped run and thus belongs to the
+// previous attempt.
+func (x *exchange) countRejection(a *attempt, rejected *RejectedError) {
+	if rejected.Replaced || a.resumed != nil {
+		x.unwrittenAttempts++
+		return
+	}
+	x.writtenAttempts++
+}
+
+// resultOf classifies a failure for the balancer.
+func (x *exchange) resultOf(a *attempt, failure error) balance.Result {
+	var unwritten *upstream.UnwrittenError
+	var rejected *RejectedError
+	var full *upstream.ConnectionLimitError
+	var timedOut *AttemptTimeoutError
+	var timeout interface{ Timeout() bool }
+	switch {
+	case errors.As(failure, &timedOut), x.timedOutUnanswered(a):
+		return balance.Silent
+	case x.ctx.Err() != nil, errors.As(failure, &full), isCallerWriteFailure(failure), isStale(failure):
+		return balance.Cancelled
+	case errors.As(failure, &unwritten):
+		return balance.Unreachable
+	case errors.As(failure, &timeout) && timeout.Timeout():
+		return balance.Silent
+	case errors.As(failure, &rejected) && rejected.Replaced:
+		return balance.Replaced
+	case errors.As(failure, &rejected):
+		return balance.Rejected
+	default:
+		return balance.Failed
+	}
+}
+
+// timedOutUnanswered reports whether the deadline of the request passed before the
+// runner sent the head of a response.
+func (x *exchange) timedOutUnanswered(a *attempt) bool {
+	var deadline *DeadlineError
+	return !a.headReceived && errors.As(context.Cause(x.ctx), &deadline)
+}
+
+// recordCrash records a suspected crash for the content of a request whose runner
+// broke off the response.
+func (x *exchange) recordCrash(a *attempt, failure error, now time.Time) {
+	if x.ctx.Err() != nil || !isBrokenOff(failure) {
+		return
+	}
+	crashID := suspect.CrashID(x.call.ID, a.choice.Runner.ID, a.number)
+	entry := x.Suspects.RecordCrash(x.fingerprint, crashID, now)
+	if x.Suspects.Refused(x.fingerprint, now) {
+		x.Log.Info("RequestSuspected", "Request", x.call.ID, "Runner", a.choice.Runner.ID, "Crashes", len(entry.Crashes))
+	}
+}
+
+// isBrokenOff reports whether a runner broke off its response. It did not if the daemon
+// ended the attempt.
+func isBrokenOff(failure error) bool {
+	var invalid *upstream.InvalidAnswerError
+	var timedOut *AttemptTimeoutError
+	var exhausted *buffer.ExhaustedError
+	return errors.As(failure, &invalid) && !errors.As(failure, &timedOut) && !errors.As(failure, &exhausted)
+}
+
+// mayRetry decides after a failed attempt whether another one is made, and returns
+// the reason if not.
+func (x *exchange) mayRetry(failure error) (bool, string) {
+	switch {
+	case callerserver.IsStopped(x.ctx):
+		return false, "Stopping"
+	case x.ctx.Err() != nil:
+		return false, "TimeIsOver"
+	case isCallerWriteFailure(failure):
+		return false, "CallerNotWritable"
+	case !x.machine.MayAttempt():
+		return false, "MayHaveRun"
+	case x.Suspects.Refused(x.fingerprint, x.Clock.Now()):
+		return false, "CrashesRunners"
+	case x.hasReplacement():
+		return true, ""
+	}
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	var unwritten *upstream.UnwrittenError
+	var rejected *RejectedError
+	if errors.As(failure, &unwritten) {
+		return x.unwrittenAttempts < x.options.MaxUnwrittenAttempts, "Unreachable"
+	}
+	mayReturn := errors.As(failure, &rejected) && x.replacements.mayReturnAfterward()
+	if x.writtenAttempts >= x.route.MaxAttempts && !mayReturn || x.unwrittenAttempts >= x.options.MaxUnwrittenAttempts {
+		return false, "AttemptsUsedUp"
+	}
+	if !x.RetryBudgets.AllowRetry(x.service, x.Group.Size(), x.Clock.Now()) {
+		return false, "RetryBudgetUsedUp"
+	}
+	x.Count("Retries", 1)
+	return true, ""
+}
