--- a/callerserver/change_test.go
+++ b/callerserver/change_test.go
@@ -14,7 +14,7 @@
 // expectOpen fails unless a request on the connection is answered, after which it is idle.
 func (r *stopRig) expectOpen(when string) {
 	settle()
-	reading := r.holdNextRest()
+	reading := r.holdNextIdle()
 	r.send()
 	_, err := r.reader.Peek(1)
 	r.c.Assert(err, qt.IsNil, qt.Commentf("%s", when))
@@ -33,7 +33,7 @@
 // closed by a new idle timeout while callers still go by the longer one before it.
 func TestLoweredIdleTimeoutSparesCallersThatDoNotKnowIt(t *testing.T) {
 	r := newStopRig(t, answer)
-	r.rest()
+	r.makeIdle()
 	r.setIdle(lowIdleTimeout)
 	r.expectOpen("no time has passed")
 	r.clock.Advance(lowIdleTimeout)
@@ -44,7 +44,7 @@
 // lowered idle timeout by more than the time in which callers learn of it.
 func TestLoweredIdleTimeoutHoldsOnceCallersKnowIt(t *testing.T) {
 	r := newStopRig(t, answer)
-	r.rest()
+	r.makeIdle()
 	r.setIdle(lowIdleTimeout)
 	r.expectOpen("no time has passed")
 	r.clock.Advance(lowIdleTimeout)
@@ -57,7 +57,7 @@
 // callers may still go by the timeout before the first one.
 func TestSeveralIdleTimeoutsWithinShortTime(t *testing.T) {
 	r := newStopRig(t, answer)
-	r.rest()
+	r.makeIdle()
 	r.setIdle(lowIdleTimeout)
 	r.expectOpen("no time has passed")
 	r.setIdle(lowIdleTimeout / 2)
@@ -70,7 +70,7 @@
 // the timeout in force when it became idle, although callers know a longer one since.
 func TestRaisedIdleTimeoutSparesIdleConnections(t *testing.T) {
 	r := newStopRig(t, answer)
-	r.rest()
+	r.makeIdle()
 	r.setIdle(2 * idleTimeout)
 	r.clock.Advance(idleTimeout)
 	r.expectOpen("callers know the longer timeout")
@@ -80,7 +80,7 @@
 // once the timeout that they began with was raised.
 func TestRaisedIdleTimeoutHoldsForIdleConnections(t *testing.T) {
 	r := newStopRig(t, answer)
-	r.rest()
+	r.makeIdle()
 	r.setIdle(2 * idleTimeout)
 	r.clock.Advance(idleTimeout)
 	settle()
@@ -91,7 +91,7 @@
 // TestIdleTimeoutInPlaceOfNone covers callers that know no idle timeout when one is set.
 func TestIdleTimeoutInPlaceOfNone(t *testing.T) {
 	r := newStopRig(t, answer)
-	r.rest()
+	r.makeIdle()
 	r.setIdle(0)
 	r.expectOpen("no time has passed")
 	r.clock.Advance(learnTime)
--- a/callerserver/closing.go
+++ b/callerserver/closing.go
@@ -55,40 +55,40 @@
 	case c.phase == awaiting && isDraining:
 		c.requestClose(stopping)
 	case c.phase == awaiting:
-		c.closeAfterRest()
+		c.closeIfIdleTooLong()
 	case c.phase == lingering:
 		c.endLinger()
 	}
 }
 
-// closeAfterRest closes the connection if it has rested for the idle timeout that callers
-// go by, or schedules the next look. That timeout may change while the connection rests.
-func (c *connection) closeAfterRest() {
+// closeIfIdleTooLong closes the connection if it has been idle for the timeout that callers
+// go by, or schedules the next look. That timeout may change while the connection is idle.
+func (c *connection) closeIfIdleTooLong() {
 	now := c.server.common.Clock.Now()
 	timeout, lasts := c.server.limits.longest(now, c.server.options.Timeouts().Idle)
 	if !c.hasRequested {
 		timeout = shorter(timeout, c.server.options.MaxHeaderTime)
 	}
-	rested := now.Sub(c.rest.began)
-	if timeout > 0 && rested >= timeout {
-		if c.restAgainIfUnacknowledged(now) {
+	idle := now.Sub(c.idle.began)
+	if timeout > 0 && idle >= timeout {
+		if c.extendIfUnacknowledged(now) {
 			c.arm(timeout)
 			return
 		}
 		c.requestClose(idleTooLong)
 		return
 	}
-	c.arm(shorter(timeout-rested, lasts))
+	c.arm(shorter(timeout-idle, lasts))
 }
 
-// restAgainIfUnacknowledged begins the rest anew, once, if the caller has not received the
-// last answer yet: its own count of the rest begins when it has.
-func (c *connection) restAgainIfUnacknowledged(now time.Time) bool {
-	if c.rest.isExtended || !socket.HasUnacknowledged(c.Conn) {
+// extendIfUnacknowledged begins the idle period anew, once, if the caller has not received the
+// last answer yet: its own idle period begins when it has.
+func (c *connection) extendIfUnacknowledged(now time.Time) bool {
+	if c.idle.isExtended || !socket.HasUnacknowledged(c.Conn) {
 		return false
 	}
-	c.rest.began = now
-	c.rest.isExtended = true
+	c.idle.began = now
+	c.idle.isExtended = true
 	return true
 }
 
--- a/callerserver/connection.go
+++ b/callerserver/connection.go
@@ -25,7 +25,7 @@
 	// ending means that the handler has returned, and the next request is not awaited
 	// yet.
 	ending phase = "Ending"
-	// lingering means that the server has closed its side of a connection at rest and
+	// lingering means that the server has closed its side of an idle connection and
 	// waits for the caller's side.
 	lingering phase = "Lingering"
 )
@@ -53,8 +53,8 @@
 	closing closeReason
 	// readDeadline is the deadline that net/http has set.
 	readDeadline time.Time
-	// rest is the time since the connection last became idle.
-	rest rest
+	// idle is the time since the connection last became idle.
+	idle idlePeriod
 	// closedBy is empty while the connection is open.
 	closedBy Closer
 	// timer is nil until arm is first called.
@@ -80,14 +80,14 @@
 		return
 	}
 	c.phase = awaiting
-	c.rest = rest{began: c.server.common.Clock.Now(), timeout: c.server.options.Timeouts().Idle}
+	c.idle = idlePeriod{began: c.server.common.Clock.Now(), timeout: c.server.options.Timeouts().Idle}
 	switch {
 	case isDraining && c.hasRequested:
 		c.requestClose(stopping)
 	case isDraining:
 		c.arm(firstRequestTimeout)
 	default:
-		c.closeAfterRest()
+		c.closeIfIdleTooLong()
 	}
 }
 
@@ -141,7 +141,7 @@
 		if again {
 			continue
 		}
-		c.lingerIfAtRest()
+		c.lingerIfIdle()
 		return count, err
 	}
 }
--- a/callerserver/rest_test.go
+++ b/callerserver/idleperiod_test.go
@@ -36,7 +36,7 @@
 // header was given up: net/http takes a line that a timeout has cut for a whole one.
 func TestLateHeaderIsNotTakenForWhole(t *testing.T) {
 	r := newStopRig(t, answer)
-	r.rest()
+	r.makeIdle()
 	head := "GET / HTTP/1.1\r\nHost: lib"
 	waiting := newGate()
 	r.accepted.beforeRead.holdNext(waiting)
@@ -61,7 +61,7 @@
 // caller has received the last answer.
 func TestUnreadAnswerKeepsTheConnection(t *testing.T) {
 	r := newStopRig(t, answerAtLength)
-	reading := r.holdNextRest()
+	reading := r.holdNextIdle()
 	r.send()
 	<-reading.reached
 	close(reading.open)
--- a/callerserver/linger.go
+++ b/callerserver/linger.go
@@ -6,8 +6,8 @@
 	"github.com/cranberrywalk/cranberrywalk/socket"
 )
 
-// lingerTime is how long the server waits for the caller to close its side of a
-// connection at rest. It covers the time in which a request that was sent before the
+// lingerTime is how long the server waits for the caller to close its side of an
+// idle connection. It covers the time in which a request that was sent before the
 // caller learned of the closing arrives.
 const lingerTime = 50 * time.Millisecond
 
@@ -16,12 +16,12 @@
 	CloseWrite() error
 }
 
-// lingerIfAtRest is called by the reading goroutine after a read that failed. If the
+// lingerIfIdle is called by the reading goroutine after a read that failed. If the
 // server closes the connection while it awaits a request, only the writing side is closed
 // at first, so that a request that crosses the closing is noticed. Its bytes are not read:
 // the kernel then resets the connection, which tells the caller that the request was not
 // taken.
-func (c *connection) lingerIfAtRest() {
+func (c *connection) lingerIfIdle() {
 	if !c.beginLinger() {
 		return
 	}
@@ -58,18 +58,18 @@
 // endLinger makes the wait for the caller end.
 func (c *connection) endLinger() { _ = c.Conn.SetReadDeadline(longAgo) }
 
-// recordClosed counts a connection that the server closes, by reason, and by the time of its
-// rest if it awaits a request.
+// recordClosed counts a connection that the server closes, by reason, and by the time it was
+// idle if it awaits a request.
 func (c *connection) recordClosed() {
 	name := "CallerConnections.Closed." + string(c.closing)
 	c.server.common.Count(name, 1)
 	if c.phase == awaiting {
-		c.endRest()
-		c.server.common.Count(name+"."+string(c.rest.class()), 1)
+		c.endIdle()
+		c.server.common.Count(name+"."+string(c.idle.class()), 1)
 	}
 }
 
-// recordCrossing logs and counts what arrived while the server closed a connection at rest.
+// recordCrossing logs and counts what arrived while the server closed an idle connection.
 func (c *connection) recordCrossing(state socket.State) {
 	switch state {
 	case socket.Readable:
@@ -84,9 +84,9 @@
 	timeoutNow := c.server.options.Timeouts().Idle
 	common.Count(counter, 1)
 	common.Log.Info(message, "Caller", c.RemoteAddr().String(), "Reason", string(c.closing),
-		"RestedMilliseconds", c.rest.length().Milliseconds(),
-		"TimeoutAtRestMilliseconds", c.rest.timeout.Milliseconds(),
-		"TimeoutMilliseconds", c.rest.limit.Milliseconds(),
+		"IdleMilliseconds", c.idle.length().Milliseconds(),
+		"TimeoutWhenIdleMilliseconds", c.idle.timeout.Milliseconds(),
+		"TimeoutMilliseconds", c.idle.limit.Milliseconds(),
 		"TimeoutNowMilliseconds", timeoutNow.Milliseconds(),
-		"HasTimeoutChanged", timeoutNow != c.rest.timeout)
+		"HasTimeoutChanged", timeoutNow != c.idle.timeout)
 }
--- a/callerserver/linger_test.go
+++ b/callerserver/linger_test.go
@@ -16,7 +16,7 @@
 	r := newStopRig(t, answer)
 	closing := newGate()
 	r.accepted.beforeCloseWrite.hold(1, closing)
-	r.rest()
+	r.makeIdle()
 	r.clock.Advance(idleTimeout)
 	<-closing.reached
 	r.send()
@@ -26,8 +26,8 @@
 	line := r.nextLine()
 	r.c.Check(line, qt.Contains, `"msg"="RequestCrossedClose"`)
 	r.c.Check(line, qt.Contains, `"Reason"="IdleTooLong"`)
-	r.c.Check(line, qt.Contains, `"RestedMilliseconds"=10000`)
-	r.c.Check(line, qt.Contains, `"TimeoutAtRestMilliseconds"=10000`)
+	r.c.Check(line, qt.Contains, `"IdleMilliseconds"=10000`)
+	r.c.Check(line, qt.Contains, `"TimeoutWhenIdleMilliseconds"=10000`)
 	r.c.Check(line, qt.Contains, `"TimeoutMilliseconds"=10000`)
 	r.c.Check(line, qt.Contains, `"TimeoutNowMilliseconds"=20000`)
 	r.c.Check(line, qt.Contains, `"HasTimeoutChanged"=true`)
@@ -49,7 +49,7 @@
 // TestResetAtClosingIsLogged covers a caller that resets a connection which the server closes.
 func TestResetAtClosingIsLogged(t *testing.T) {
 	r := newStopRig(t, answer)
-	r.rest()
+	r.makeIdle()
 	r.clock.Advance(idleTimeout)
 	_, err := r.reader.ReadByte()
 	r.c.Assert(err, qt.Equals, io.EOF)
@@ -62,7 +62,7 @@
 // TestCallerThatClosesTooIsNotLogged covers a closing that no request crosses.
 func TestCallerThatClosesTooIsNotLogged(t *testing.T) {
 	r := newStopRig(t, answer)
-	r.rest()
+	r.makeIdle()
 	r.clock.Advance(idleTimeout)
 	_, err := r.reader.ReadByte()
 	r.c.Assert(err, qt.Equals, io.EOF)
@@ -73,21 +73,21 @@
 	r.c.Check(r.count("CallerConnections.RequestsCrossedClose"), qt.Equals, int64(0))
 }
 
-// TestClosedConnectionsAreCountedByTheirRest covers the classes of how long connections
-// rested before a stop closed them.
-func TestClosedConnectionsAreCountedByTheirRest(t *testing.T) {
+// TestClosedConnectionsAreCountedByTheirIdleTime covers the classes of how long connections
+// were idle before a stop closed them.
+func TestClosedConnectionsAreCountedByTheirIdleTime(t *testing.T) {
 	for _, scenario := range []struct {
-		name   string
-		rested time.Duration
-		class  string
+		name  string
+		idle  time.Duration
+		class string
 	}{
 		{"callers may use it", idleTimeout * 4 / 5, "Reusable"},
 		{"callers should not use it", idleTimeout * 9 / 10, "NearTimeout"},
 	} {
 		t.Run(scenario.name, func(t *testing.T) {
 			r := newStopRig(t, answer)
-			r.rest()
-			r.clock.Advance(scenario.rested)
+			r.makeIdle()
+			r.clock.Advance(scenario.idle)
 			drained := r.drain(context.Background())
 			r.expectClosed()
 			r.c.Check(r.count("CallerConnections.Closed.Stopping."+scenario.class), qt.Equals, int64(1))
--- a/callerserver/rig_test.go
+++ b/callerserver/rig_test.go
@@ -147,8 +147,8 @@
 	lines chan string
 	// idle is the idle timeout in force.
 	idle atomic.Int64
-	// rests counts how often conn was made idle.
-	rests int
+	// idlePeriods counts how often conn was made idle.
+	idlePeriods int
 }
 
 func newStopRig(t *testing.T, handler http.HandlerFunc) *stopRig {
@@ -232,20 +232,20 @@
 	return reply{status: answer.StatusCode, closes: answer.Close}
 }
 
-// rest makes the connection idle. It returns once the server waits for the next request.
-func (r *stopRig) rest() {
-	reading := r.holdNextRest()
+// makeIdle makes the connection idle. It returns once the server waits for the next request.
+func (r *stopRig) makeIdle() {
+	reading := r.holdNextIdle()
 	r.exchange()
 	<-reading.reached
 	close(reading.open)
 }
 
-// holdNextRest holds the server before it waits for another request. Each request takes two
+// holdNextIdle holds the server before it waits for another request. Each request takes two
 // reads: one of the request, and one that watches for a caller that disconnects.
-func (r *stopRig) holdNextRest() *gate {
-	r.rests++
+func (r *stopRig) holdNextIdle() *gate {
+	r.idlePeriods++
 	reading := newGate()
-	r.accepted.beforeRead.hold(2*r.rests+1, reading)
+	r.accepted.beforeRead.hold(2*r.idlePeriods+1, reading)
 	return reading
 }
 
