Count a head without an end as no crash of its request

What callers saw: 503 CrashesRunners for a request whose content is sound, after three runners had sent heads without an end.

Cause: an attempt that this daemon ends since a head exceeds a limit counted like a connection that a crashing runner breaks off. Besides, the parser took the line that the limit on the size had cut for a malformed one, so that the limit was not named.

Change: what exceeds a limit on heads is no crash; the limit on the size is named. The own interface classifies a head that is too large as TooLarge.

--- a/backend/client.go
+++ b/backend/client.go
@@ -196,6 +196,7 @@
 	var dial *upstream.DialError
 	var late *upstream.HeaderTimeoutError
 	var interim *upstream.InterimAnswersError
+	var tooLarge *upstream.HeaderTooLargeError
 	switch {
 	case errors.As(err, &dial):
 		return Refused
@@ -203,6 +204,8 @@
 		return Silent
 	case errors.As(err, &interim):
 		return Malformed
+	case errors.As(err, &tooLarge):
+		return TooLarge
 	default:
 		return Closed
 	}
--- a/gateway/failure.go
+++ b/gateway/failure.go
@@ -116,7 +116,17 @@
 	var invalid *upstream.InvalidAnswerError
 	var timedOut *AttemptTimeoutError
 	var exhausted *buffer.ExhaustedError
-	return errors.As(failure, &invalid) && !errors.As(failure, &timedOut) && !errors.As(failure, &exhausted)
+	return errors.As(failure, &invalid) && !errors.As(failure, &timedOut) && !errors.As(failure, &exhausted) &&
+		!isHeadOverLimit(failure)
+}
+
+// isHeadOverLimit reports whether this daemon ended an attempt since the head of its response
+// exceeded a limit. A runner that has crashed sends no bytes.
+func isHeadOverLimit(failure error) bool {
+	var late *upstream.HeaderTimeoutError
+	var tooLarge *upstream.HeaderTooLargeError
+	var interim *upstream.InterimAnswersError
+	return errors.As(failure, &late) || errors.As(failure, &tooLarge) || errors.As(failure, &interim)
 }
 
 // mayRetry decides after a failed attempt whether another one is made, and returns
--- a/upstream/header.go
+++ b/upstream/header.go
@@ -70,7 +70,12 @@
 			return nil, &ProtocolError{Begin: string(begin)}
 		}
 	}
-	return http.ReadResponse(c.reader, &http.Request{Method: method})
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil && c.headerBytesLeft == 0 {
+		// The parser takes the line that the limit has cut for a malformed one.
+		return nil, &HeaderTooLargeError{}
+	}
+	return response, err
 }
 
 // peek returns the next bytes without reading them.
