--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -71,7 +71,7 @@
 	// watchdog watches the current attempt, or the last one between attempts. It is nil
 	// before the first.
 	watchdog *idleWatchdog
-	// replacements is empty while a move is in progress or has succeeded.
+	// replacements is empty while the run is being stopped for a move, and afterwards.
 	replacements replacements
 }
 
