--- a/entry/rig_test.go
+++ b/entry/rig_test.go
@@ -186,6 +186,22 @@
 
 // send sends a request to a daemon.
 func (s *testSystem) send(d *daemon, path, key string) reply {
+	return s.do(s.newRequest(d, path, key))
+}
+
+// sendPrompt sends a request whose prompt has the segments and a last one of its own.
+func (s *testSystem) sendPrompt(d *daemon, path string, segments ...string) reply {
+	request := s.newRequest(d, path, s.keys[0])
+	prompt := ""
+	for _, segment := range segments {
+		prompt += segment + ":300,"
+	}
+	request.Header.Set(standin.HeaderTokenCount, "900,50")
+	request.Header.Set(standin.HeaderPrompt, prompt+request.Header.Get(standin.HeaderCallID)+":100")
+	return s.do(request)
+}
+
+func (s *testSystem) newRequest(d *daemon, path, key string) *http.Request {
 	method, body := http.MethodPost, io.Reader(strings.NewReader("a question"))
 	if strings.HasPrefix(path, readRoute) {
 		method, body = http.MethodGet, nil
@@ -196,6 +212,11 @@
 	request.Header.Set(standin.HeaderCallID, nextAttempt())
 	request.Header.Set(standin.HeaderAPIKey, key)
 	request.Header.Set(standin.HeaderDeadline, "4000")
+	return request
+}
+
+// do sends a request on its own connection.
+func (s *testSystem) do(request *http.Request) reply {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	if err != nil {
