Name the shared segments of failed attempts in the log

The logs of the incident could not tell whether the requests that crashed runners had something in common: no line named the segments of a prompt, nor whether an answer had begun. AttemptFailed names both. What counts as a shared segment, all but the last, is said once, in call.

--- a/balance/runner.go
+++ b/balance/runner.go
@@ -87,12 +87,11 @@
 	return max(request.PromptTokens-cached, 0)
 }
 
-// sharedTokens counts the tokens of the segments that other requests may share,
-// which are all but the last.
+// sharedTokens counts the tokens of the segments that other requests may share.
 func sharedTokens(prompt []call.PromptSegment) int {
 	total := 0
-	for i := range len(prompt) - 1 {
-		total += prompt[i].Tokens
+	for _, segment := range call.SharedSegments(prompt) {
+		total += segment.Tokens
 	}
 	return total
 }
@@ -100,10 +99,11 @@
 // preferredRunner returns the runner that all daemons prefer for the shared segments
 // of a prompt, chosen by rendezvous hashing, or nil if the prompt has none.
 func preferredRunner(candidates []*runner, prompt []call.PromptSegment) *runner {
-	if len(prompt) < 2 {
+	segments := call.SharedSegments(prompt)
+	if len(segments) == 0 {
 		return nil
 	}
-	shared := prompt[len(prompt)-2].ID
+	shared := segments[len(segments)-1].ID
 	var best *runner
 	var highest uint64
 	for _, r := range candidates {
--- a/call/call.go
+++ b/call/call.go
@@ -3,6 +3,7 @@
 package call
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -44,6 +45,27 @@
 	LastEvent int
 }
 
+// SharedSegments returns the segments of a prompt that other prompts may share, which are all
+// but the last.
+func SharedSegments(prompt []PromptSegment) []PromptSegment { return prompt[:max(len(prompt)-1, 0)] }
+
+// maxSegmentIDBytes is the length up to which the ID of a segment stands for itself.
+const maxSegmentIDBytes = 32
+
+// SharedSegmentIDs returns the IDs of the shared segments of the prompt. A long one is replaced by
+// its hash.
+func (c Call) SharedSegmentIDs() []string {
+	var ids []string
+	for _, segment := range SharedSegments(c.Prompt) {
+		id := segment.ID
+		if len(id) > maxSegmentIDBytes {
+			id = strconv.FormatUint(xxhash.Sum64String(id), 16)
+		}
+		ids = append(ids, id)
+	}
+	return ids
+}
+
 // Tokens returns the sum of PromptTokens and MaxTokens.
 func (c Call) Tokens() int { return c.PromptTokens + c.MaxTokens }
 
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -126,6 +126,7 @@
 func (x *exchange) checkLimits() *Refusal {
 	now := x.Clock.Now()
 	x.fingerprint = x.call.Fingerprint(x.customer.Name)
+	x.segments = x.call.SharedSegmentIDs()
 	if x.Suspects.Refused(x.fingerprint, now) {
 		return unavailable("CrashesRunners", 0, nil)
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -34,7 +34,9 @@
 	service     string
 	cost        float64
 	fingerprint uint64
-	machine     request.Machine
+	// segments are the IDs of the segments of the prompt that other prompts may share.
+	segments []string
+	machine  request.Machine
 
 	// firstEvent is the time to the first event of a stream.
 	firstEvent time.Duration
--- a/gateway/failure.go
+++ b/gateway/failure.go
@@ -35,7 +35,7 @@
 	x.Meters.CountAttempt(a.choice.Runner.ID, result.String())
 	x.Log.Info("AttemptFailed", append([]any{
 		"Request", x.call.ID, "Attempt", a.number, "Result", result.String(), "Reason", failure.Error(),
-		"LastEvent", a.lastEvent, "RunnersAgeMilliseconds", x.RunnersAge().Milliseconds(),
+		"LastEvent", a.lastEvent, "HasBegun", x.lastEvent > a.lastEvent, "Segments", x.segments, "RunnersAgeMilliseconds", x.RunnersAge().Milliseconds(),
 	}, choiceFields(a.choice)...)...)
 	var unwritten *upstream.UnwrittenError
 	var rejected *RejectedError
