Refuse the prompt segments that crash runners

Callers of one kind of requests got 502 again and again, and the streams of others that ran on the same runners broke off. No two of the requests were alike, but all shared one segment of their prompts, which crashed each runner that began to answer it.

Cause: a crash was counted against the whole request, by a hash that none of them had twice, and daemons told each other of these hashes only. Where the request could be repeated, the first crash led straight to a second one.

Change: suspect.SegmentTracker counts crashes by what their requests have in common. A crash is an incarnation of a runner, so that six daemons that see it count it once. A segment is cleared by an answer that begins later, at any daemon. What is left after three crashes in a row is refused at all daemons before quota and queue, also at one that starts later. A request is not sent to a second runner after two. Segments that only come together are refused together, so that sound requests with the same first segment go on. A trial lets a segment come back.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -47,6 +47,7 @@
 	upstream        *upstream.Pool
 	quotas          *quota.Limiter
 	suspects        *suspect.Tracker
+	segments        *suspect.SegmentTracker
 	usage           *usage.Counter
 	syncedClock     *clocksync.Clock
 	metrics         *metric.Set
@@ -103,6 +104,7 @@
 		budget:      newBudget(common),
 		quotas:      quota.New(quota.DefaultOptions()),
 		suspects:    suspect.New(suspectOptions()),
+		segments:    suspect.NewSegmentTracker(segmentOptions(common)),
 		usage:       usage.New(usageWindow(settings), usageWindowsKept),
 		syncedClock: clocksync.New(clockOffsetLifetime, now),
 		metrics:     metric.New(common.Metrics),
@@ -143,6 +145,17 @@
 	return options
 }
 
+func segmentOptions(common telemetry.Common) suspect.SegmentOptions {
+	options := suspect.DefaultSegmentOptions()
+	options.OnChange = func(change suspect.FindingChange) {
+		f := change.Finding
+		common.Count("Suspects."+string(change.Kind), 1)
+		common.Log.Info(string(change.Kind), "Segments", f.Segments, "Crashes", f.Crashes, "Trials", f.Trials,
+			"FirstCrash", f.Since, "LastCrash", f.Last)
+	}
+	return options
+}
+
 func usageWindow(settings platform.Settings) time.Duration {
 	if settings.Bounds.UsageWindow <= 0 {
 		return defaultUsageWindow
@@ -154,7 +167,7 @@
 	bounds := e.settings.Bounds
 	e.gateway = gateway.New(e.Common, gateway.Dependencies{
 		Codec: platform.Codec{}, Balancer: e.balancer, Upstream: e.upstream, Quotas: e.quotas,
-		Suspects: e.suspects, Usage: e.usage, SyncedClock: e.syncedClock, Group: e.group,
+		Suspects: e.suspects, Segments: e.segments, Usage: e.usage, SyncedClock: e.syncedClock, Group: e.group,
 		Mover: platform.NewMover(newMoverClient(e.budget)), Meters: e.metrics, RunnersAge: e.runnersAge,
 		RetryBudgets: gateway.NewRetryBudgets(retry.WindowOptions{
 			Length: bounds.RetryWindow, Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, SafetyFactor: retryBudgetShare,
--- a/entry/peerhandler.go
+++ b/entry/peerhandler.go
@@ -36,6 +36,7 @@
 
 		ConfigurationVersion: h.configurationVersion(),
 		CountsAreFinal:       countsAreFinal,
+		Segments:             h.segments.Report(toNew, now),
 	}
 	if toNew {
 		digest.PeerCounts = h.usage.PeerCounts(from)
@@ -60,6 +61,7 @@
 	h.quotas.Merge(sender.Name, sender.Incarnation, digest.Usage, now.Add(-delay))
 	h.applyCounts(digest, now.Add(-delay))
 	h.suspects.Merge(digest.Crashes, now)
+	h.segments.Merge(digest.Segments, now.Add(-delay), now)
 	h.duties.ObservePeerProcess(sender.Name, instanceID(sender))
 	h.duties.ObserveReports(digest.Reports)
 	for _, end := range digest.Ends {
--- a/explain/cause.go
+++ b/explain/cause.go
@@ -12,7 +12,7 @@
 	"UnknownKey":        "No customer of the current configuration has the API key.",
 	"LongBody":          "The body is larger than the configuration allows.",
 	"BrokenBody":        "The caller did not send the complete body.",
-	"CrashesRunners":    "Requests with this content have crashed runners before, so they are no longer sent to any.",
+	"CrashesRunners":    "Requests with this content, or with the same segments of their prompts, have crashed runners before, so they are no longer sent to any.",
 	"ServiceFull":       "The queues of all runners of the service were full; the request was not run.",
 	"QuotaExceeded":     "The customer's quota, counted over all daemons, was used up; the request was not run.",
 	"NoRunner":          "No runner of the service accepted requests, or all that did had already failed this one.",
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -127,8 +127,8 @@
 	now := x.Clock.Now()
 	x.fingerprint = x.call.Fingerprint(x.customer.Name)
 	x.segments = x.call.SharedSegmentIDs()
-	if x.Suspects.Refused(x.fingerprint, now) {
-		return unavailable("CrashesRunners", 0, nil)
+	if refusal := x.checkCrashes(now); refusal != nil {
+		return refusal
 	}
 	if refusal := x.checkQueue(now); refusal != nil {
 		return refusal
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -21,6 +21,10 @@
 	number int
 	choice balance.Choice
 	ticket *balance.Ticket
+	// incarnation identifies that of the runner.
+	incarnation uint64
+	// sentAt is when the attempt was made.
+	sentAt time.Time
 	// resumed is the stopped run that the attempt continues, or nil.
 	resumed *call.StoppedRun
 	// newConnection is true if the attempt must not use a pooled connection.
@@ -46,6 +50,11 @@
 
 	// lastData is when the attempt began or last received data.
 	lastData time.Time
+	// answeredAt is when the answer began: the first event of a stream, or the head of another
+	// answer. It is zero before.
+	answeredAt time.Time
+	// isProven is true once the runner is known not to crash on the request.
+	isProven bool
 	// isOpened is true when opening and failure are set.
 	isOpened bool
 	// isTaken is true when the attempt has become the current one, and isReleased when it
@@ -58,7 +67,10 @@
 // newAttempt returns an attempt that has not begun. The mutex must be held.
 func (x *exchange) newAttempt(choice balance.Choice, ticket *balance.Ticket, resumed *call.StoppedRun) *attempt {
 	x.attempts++
-	a := &attempt{number: x.attempts, choice: choice, ticket: ticket, resumed: resumed, lastEvent: x.lastEvent}
+	a := &attempt{
+		number: x.attempts, choice: choice, ticket: ticket, resumed: resumed, lastEvent: x.lastEvent,
+		incarnation: choice.Runner.Incarnation().Hash(), sentAt: x.Clock.Now(),
+	}
 	a.ctx, a.cancel = context.WithCancelCause(x.ctx)
 	return a
 }
@@ -108,6 +120,7 @@
 // if the response may be forwarded to the caller.
 func (x *exchange) checkAnswerHead(a *attempt, answer *upstream.Answer) error {
 	a.headReceived = true
+	x.Segments.RecordData(a.incarnation, a.sentAt, x.Clock.Now())
 	head := x.Codec.DecodeAnswer(answer.Status, answer.Header)
 	x.applySignals(a.choice.Runner, head)
 	runner := a.choice.Runner.ID
@@ -157,5 +170,8 @@
 	x.Meters.CountAttempt(a.choice.Runner.ID, result.String())
 	x.apply(request.AnswerWhole)
 	x.Suspects.RecordAnswer(x.fingerprint, now)
+	if result == balance.Succeeded {
+		x.recordProof(a, now)
+	}
 	x.recordEnd(status, "Answered", nil)
 }
--- a/gateway/crashingsegment_test.go
+++ b/gateway/crashingsegment_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -31,8 +32,10 @@
 type crashingFleet struct {
 	*rig
 	mutex sync.Mutex
-	// ready holds the runners that have not crashed.
-	ready []inventory.Runner
+	// listed holds the runners that have not been replaced, and crashed those that have
+	// crashed.
+	listed  []inventory.Runner
+	crashed map[string]bool
 	// crashes holds when runners crashed, and arrivals when requests with the segment
 	// reached runners.
 	crashes, arrivals []time.Time
@@ -50,7 +53,7 @@
 )
 
 func newCrashingFleet(t *testing.T) *crashingFleet {
-	f := &crashingFleet{rig: newRig(t, always(standin.Behaviour{}))}
+	f := &crashingFleet{rig: newRig(t, always(standin.Behaviour{})), crashed: make(map[string]bool)}
 	for range fleetSize {
 		f.boot()
 	}
@@ -66,12 +69,13 @@
 	runner, err := standin.NewRunner(id, func(r standin.ReceivedRequest) standin.Behaviour { return f.behaviour(id, r) })
 	f.c.Assert(err, qt.IsNil)
 	f.c.Cleanup(runner.Close)
-	f.ready = append(f.ready, inventory.Runner{ID: id, Service: "desk", Address: runner.Address(), Zone: "zone-1", Slots: 6})
+	f.listed = append(f.listed, inventory.Runner{ID: id, Service: "desk", Address: runner.Address(), Zone: "zone-1", Slots: 6})
 	f.setRunners()
 }
 
+// setRunners passes the listed runners to the balancer. The mutex must be held.
 func (f *crashingFleet) setRunners() {
-	f.gateway.Balancer.SetRunners(f.ready, func(string) int { return 0 })
+	f.gateway.Balancer.SetRunners(f.listed, func(string) int { return 0 })
 }
 
 func (f *crashingFleet) behaviour(id string, r standin.ReceivedRequest) standin.Behaviour {
@@ -81,23 +85,30 @@
 	f.mutex.Lock()
 	f.arrivals = append(f.arrivals, time.Now())
 	f.mutex.Unlock()
-	time.AfterFunc(timeToCrash, func() { f.crash(id) })
+	time.AfterFunc(timeToCrash, func() { f.recordCrash(id) })
 	return standin.Behaviour{Gap: timeToCrash, Crash: true}
 }
 
-// crash removes a runner that crashes, and replaces it later.
-func (f *crashingFleet) crash(id string) {
+// recordCrash records that a runner crashes now. A new one takes its place later.
+func (f *crashingFleet) recordCrash(id string) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	for i, r := range f.ready {
-		if r.ID == id {
-			f.ready = append(f.ready[:i:i], f.ready[i+1:]...)
-			f.crashes = append(f.crashes, time.Now())
-			f.setRunners()
-			time.AfterFunc(bootTime, f.boot)
-			return
-		}
+	if f.crashed[id] {
+		return
 	}
+	f.crashed[id] = true
+	f.crashes = append(f.crashes, time.Now())
+	time.AfterFunc(bootTime, func() {
+		f.remove(id)
+		f.boot()
+	})
+}
+
+func (f *crashingFleet) remove(id string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.listed = slices.DeleteFunc(f.listed, func(r inventory.Runner) bool { return r.ID == id })
+	f.setRunners()
 }
 
 // limitBegins returns when the limit on requests with the segment applies, and false before
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -108,3 +109,12 @@
 
 // Error implements error.
 func (e *NotMovedError) Error() string { return e.Reason }
+
+// CrashingSegmentsError means that requests with all of the segments crash the runners that answer
+// them.
+type CrashingSegmentsError struct{ Segments []string }
+
+// Error implements error.
+func (e *CrashingSegmentsError) Error() string {
+	return "the segments " + strings.Join(e.Segments, ", ") + " of the prompt crash runners"
+}
--- a/gateway/failure.go
+++ b/gateway/failure.go
@@ -3,13 +3,10 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/balance"
-	"github.com/cranberrywalk/cranberrywalk/buffer"
 	"github.com/cranberrywalk/cranberrywalk/callerserver"
 	"github.com/cranberrywalk/cranberrywalk/request"
-	"github.com/cranberrywalk/cranberrywalk/suspect"
 	"github.com/cranberrywalk/cranberrywalk/upstream"
 )
 
@@ -97,38 +94,6 @@
 	return !a.headReceived && errors.As(context.Cause(x.ctx), &deadline)
 }
 
-// recordCrash records a suspected crash for the content of a request whose runner
-// broke off the response.
-func (x *exchange) recordCrash(a *attempt, failure error, now time.Time) {
-	if x.ctx.Err() != nil || !isBrokenOff(failure) {
-		return
-	}
-	crashID := suspect.CrashID(x.call.ID, a.choice.Runner.ID, a.number)
-	entry := x.Suspects.RecordCrash(x.fingerprint, crashID, now)
-	if x.Suspects.Refused(x.fingerprint, now) {
-		x.Log.Info("RequestSuspected", "Request", x.call.ID, "Runner", a.choice.Runner.ID, "Crashes", len(entry.Crashes))
-	}
-}
-
-// isBrokenOff reports whether a runner broke off its response. It did not if the daemon
-// ended the attempt.
-func isBrokenOff(failure error) bool {
-	var invalid *upstream.InvalidAnswerError
-	var timedOut *AttemptTimeoutError
-	var exhausted *buffer.ExhaustedError
-	return errors.As(failure, &invalid) && !errors.As(failure, &timedOut) && !errors.As(failure, &exhausted) &&
-		!isHeadOverLimit(failure)
-}
-
-// isHeadOverLimit reports whether this daemon ended an attempt since the head of its response
-// exceeded a limit. A runner that has crashed sends no bytes.
-func isHeadOverLimit(failure error) bool {
-	var late *upstream.HeaderTimeoutError
-	var tooLarge *upstream.HeaderTooLargeError
-	var interim *upstream.InterimAnswersError
-	return errors.As(failure, &late) || errors.As(failure, &tooLarge) || errors.As(failure, &interim)
-}
-
 // mayRetry decides after a failed attempt whether another one is made, and returns
 // the reason if not.
 func (x *exchange) mayRetry(failure error) (bool, string) {
@@ -141,8 +106,8 @@
 		return false, "CallerNotWritable"
 	case !x.machine.MayAttempt():
 		return false, "MayHaveRun"
-	case x.Suspects.Refused(x.fingerprint, x.Clock.Now()):
-		return false, "CrashesRunners"
+	case x.isSuspected(x.Clock.Now()):
+		return false, reasonCrashes
 	case x.hasReplacement():
 		return true, ""
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,6 +61,9 @@
 type Group interface {
 	// Size returns the number of known daemons, including this one.
 	Size() int
+	// Decides reports whether this daemon is the one of the group that decides on the matter
+	// with the key.
+	Decides(key string) bool
 }
 
 // Options sets the limits and timeouts for requests.
@@ -111,6 +114,7 @@
 	Upstream     *upstream.Pool
 	Quotas       *quota.Limiter
 	Suspects     *suspect.Tracker
+	Segments     *suspect.SegmentTracker
 	Usage        *usage.Counter
 	SyncedClock  *clocksync.Clock
 	RetryBudgets *RetryBudgets
--- a/gateway/idle.go
+++ b/gateway/idle.go
@@ -102,6 +102,7 @@
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	a.lastData = x.Clock.Now()
+	a.answeredAt = a.lastData
 }
 
 // recordEvent records an event that is going to be forwarded and restarts the timer. The
@@ -110,12 +111,14 @@
 func (w *idleWatchdog) recordEvent(e event, now time.Time) bool {
 	w.attempt.ticket.RecordActivity(now)
 	x := w.exchange
+	x.Segments.RecordData(w.attempt.incarnation, w.attempt.sentAt, now)
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	if x.replacements.accepted != nil {
 		return false
 	}
 	x.releasePending()
+	x.recordProgress(w.attempt, now)
 	if e.hasID {
 		x.lastEvent = e.id
 	}
--- a/gateway/replace.go
+++ b/gateway/replace.go
@@ -37,7 +37,7 @@
 	case x.unwrittenAttempts+1 >= x.options.MaxUnwrittenAttempts:
 		return false
 	default:
-		return !x.Suspects.Refused(x.fingerprint, now)
+		return !x.isSuspected(now)
 	}
 }
 
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -42,7 +42,9 @@
 	quotas  *quota.Limiter
 	usage   *usage.Counter
 	suspect *suspect.Tracker
-	mover   *fakeMover
+	// segments tracks segments that crash runners.
+	segments *suspect.SegmentTracker
+	mover    *fakeMover
 }
 
 // singleDaemon is a group of one daemon.
@@ -50,6 +52,8 @@
 
 func (singleDaemon) Size() int { return 1 }
 
+func (singleDaemon) Decides(string) bool { return true }
+
 const (
 	testHost = "desk.example"
 	testKey  = "key-of-library"
@@ -94,6 +98,7 @@
 	options := suspect.DefaultOptions()
 	options.Threshold = 3
 	r.suspect = suspect.New(options)
+	r.segments = suspect.NewSegmentTracker(suspect.DefaultSegmentOptions())
 	balancer := balance.New(balance.DefaultOptions("zone-1"), rand.New(rand.NewPCG(1, 2)))
 	var entries []inventory.Runner
 	for i, script := range scripts {
@@ -114,7 +119,7 @@
 	gatewayOptions.MoveDelay = 10 * time.Millisecond
 	r.gateway = gateway.New(common, gateway.Dependencies{
 		Codec: platform.Codec{}, Balancer: balancer, Upstream: upstream.New(common, upstream.DefaultOptions()),
-		Quotas: r.quotas, Suspects: r.suspect, Usage: r.usage, SyncedClock: clocksync.New(time.Minute, now),
+		Quotas: r.quotas, Suspects: r.suspect, Segments: r.segments, Usage: r.usage, SyncedClock: clocksync.New(time.Minute, now),
 		RetryBudgets: gateway.NewRetryBudgets(retry.WindowOptions{Length: 10 * time.Second, Ratio: 0.2, Slack: 20, SafetyFactor: 1}),
 		Group:        singleDaemon{},
 		Mover:        r.mover,
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -231,7 +231,10 @@
 
 // countingGroup is a group of one daemon that counts how often it is asked for its size,
 // as it is for each request for a retry.
-type countingGroup struct{ calls atomic.Int64 }
+type countingGroup struct {
+	singleDaemon
+	calls atomic.Int64
+}
 
 func (g *countingGroup) Size() int {
 	g.calls.Add(1)
--- a/inventory/runner.go
+++ b/inventory/runner.go
@@ -2,7 +2,12 @@
 // about themselves. It does no I/O.
 package inventory
 
-import "time"
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // State is the state that a runner reports.
 type State int
@@ -63,6 +68,16 @@
 	Service   string
 }
 
+// Hash returns a hash of the incarnation that is the same at all daemons.
+func (i Incarnation) Hash() uint64 {
+	digest := xxhash.New()
+	for _, part := range []string{i.ID, strconv.FormatInt(i.StartedAt, 10), i.Address, i.Service} {
+		_, _ = digest.WriteString(part)
+		_, _ = digest.Write([]byte{0})
+	}
+	return digest.Sum64()
+}
+
 // Incarnation returns the incarnation that the runner describes.
 func (r Runner) Incarnation() Incarnation {
 	return Incarnation{ID: r.ID, StartedAt: r.StartedAt.UnixMilli(), Address: r.Address, Service: r.Service}
--- a/membership/digest.go
+++ b/membership/digest.go
@@ -56,6 +56,8 @@
 	// CountsAreFinal is true when the sender starts no more requests, so that Counts
 	// are its last.
 	CountsAreFinal bool
+	// Segments tells of segments of prompts that crash runners.
+	Segments suspect.SegmentReport
 }
 
 // TopicEnd is the state of a daemon's copy of a topic.
--- a/membership/encoding_test.go
+++ b/membership/encoding_test.go
@@ -29,6 +29,15 @@
 		Counts:    []usage.Count{{Window: 355268094, Customer: "gohu412", Requests: 41}},
 		Crashes:   []suspect.Entry{{Fingerprint: 1 << 63, Crashes: []uint64{1, 2}, Expires: time.Unix(1774131277, 0)}},
 		Stopping:  true,
+		Segments: suspect.SegmentReport{
+			Crashes: []suspect.ReportedCrash{{
+				Runner: 1 << 63, Age: 80 * time.Millisecond,
+				Attempts: []suspect.ReportedAttempt{{Segments: []string{"5c1e07a2", "91bd3f06"}, Age: 210 * time.Millisecond}},
+			}},
+			LifeSigns: []suspect.ReportedLifeSign{{Runner: 7, Age: time.Second}},
+			Answers:   []suspect.ReportedAnswer{{Segment: "5c1e07a2", Age: time.Second}},
+			Findings:  []suspect.ReportedFinding{{Segments: []string{"91bd3f06"}, SinceAge: time.Minute, LastAge: time.Second, Crashes: 3, TrialsMade: 1}},
+		},
 	}
 	for i := range 20 {
 		digest.Load.Loads = append(digest.Load.Loads, balance.Load{Runner: fmt.Sprintf("i-72a25050%02x", i), Running: 4, PrefillTokens: 5320})
@@ -47,5 +56,6 @@
 	c.Check(got.Counts, qt.DeepEquals, digest.Counts)
 	c.Check(got.Crashes[0].Expires.Equal(digest.Crashes[0].Expires), qt.IsTrue)
 	c.Check(got.Sender, qt.Equals, digest.Sender)
+	c.Check(got.Segments, qt.DeepEquals, digest.Segments)
 	c.Check(got.Stopping, qt.IsTrue)
 }
--- /dev/null
+++ b/suspect/crash.go
@@ -0,0 +1,97 @@
+package suspect
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Attempt is an attempt at a runner whose answer had not begun.
+type Attempt struct {
+	// Segments are the IDs of the segments of its prompt that other prompts may share. They
+	// are not changed.
+	Segments []string
+	// Sent is when the attempt began.
+	Sent time.Time
+	// isOwn is true if this daemon has made it.
+	isOwn bool
+}
+
+// crash is the end of an incarnation of a runner. It is immutable.
+type crash struct {
+	// runner identifies the incarnation.
+	runner uint64
+	at     time.Time
+	// attempts holds the attempts that were broken off without an answer, one for each list of
+	// segments.
+	attempts []Attempt
+}
+
+func (c crash) compareTime(other crash) int {
+	return cmp.Or(c.at.Compare(other.at), cmp.Compare(c.runner, other.runner))
+}
+
+// merge returns the crash with the attempts of another daemon, at most maxAttempts.
+func (c crash) merge(other crash, maxAttempts int) crash {
+	merged := crash{runner: c.runner, at: c.at, attempts: slices.Clone(c.attempts)}
+	if other.at.Before(c.at) {
+		merged.at = other.at
+	}
+	for _, added := range other.attempts {
+		i := slices.IndexFunc(merged.attempts, func(a Attempt) bool { return slices.Equal(a.Segments, added.Segments) })
+		switch {
+		case i >= 0:
+			merged.attempts[i] = merged.attempts[i].merge(added)
+		case len(merged.attempts) < maxAttempts:
+			merged.attempts = append(merged.attempts, added)
+		}
+	}
+	return merged
+}
+
+// merge returns the later one of two attempts with the same segments.
+func (a Attempt) merge(other Attempt) Attempt {
+	if other.Sent.After(a.Sent) {
+		a.Sent = other.Sent
+	}
+	a.isOwn = a.isOwn || other.isOwn
+	return a
+}
+
+func (c crash) contains(segment string) bool {
+	return slices.ContainsFunc(c.attempts, func(a Attempt) bool { return slices.Contains(a.Segments, segment) })
+}
+
+// sentWith returns when the last attempt with a segment was sent, and false if there is none.
+func (c crash) sentWith(segment string) (time.Time, bool) {
+	var last time.Time
+	found := false
+	for _, a := range c.attempts {
+		if slices.Contains(a.Segments, segment) && (!found || a.Sent.After(last)) {
+			last, found = a.Sent, true
+		}
+	}
+	return last, found
+}
+
+// row counts crashes in a row: those of requests that were sent after the crash before.
+// Crashes at the same time, such as those of a zone, have a common cause that is no
+// request, and count once.
+type row struct {
+	count    int
+	first    time.Time
+	lastTime time.Time
+}
+
+// add counts a crash of a request that was sent at a time. Crashes are added in the order of
+// their times.
+func (r row) add(sent, crashed time.Time) row {
+	if r.count == 0 {
+		return row{count: 1, first: crashed, lastTime: crashed}
+	}
+	if sent.After(r.lastTime) {
+		r.count++
+		r.lastTime = crashed
+	}
+	return r
+}
--- a/upstream/stale.go
+++ b/upstream/stale.go
@@ -37,12 +37,12 @@
 
 // isResetUnanswered reports whether a reused connection ended at now as a stale one does.
 func (u use) isResetUnanswered(cause error, now time.Time) bool {
-	return u.isReused && !u.isAnswered && isClosedByPeer(cause) && now.Sub(u.began) <= maxResetDelay
+	return u.isReused && !u.isAnswered && IsClosedByPeer(cause) && now.Sub(u.began) <= maxResetDelay
 }
 
-// isClosedByPeer reports whether an error means that the peer reset or closed the
+// IsClosedByPeer reports whether an error means that the peer reset or closed the
 // connection.
-func isClosedByPeer(err error) bool {
+func IsClosedByPeer(err error) bool {
 	for _, closed := range []error{syscall.ECONNRESET, syscall.EPIPE, io.EOF, io.ErrUnexpectedEOF} {
 		if errors.Is(err, closed) {
 			return true
