Take no stream without length and events for a whole one

Callers got an empty stream, complete to all appearance, when a runner crashed after the head of a response that has neither a length nor chunks; and the request was cleared of crashes by it.

Cause: the end of such a connection counts as the end of the response, also before the first event. Evidence: TestUnframedStreamWithoutEventIsNotWhole failed with 200, and without a crash, for no bytes and for a comment. Change: without an event only a length or the last chunk says that a stream is whole. Streams with events may still end with their connection, and empty ones with a length are whole; both have tests, which passed before too.

--- a/gateway/event.go
+++ b/gateway/event.go
@@ -15,6 +15,8 @@
 	// id is the event's ID, if hasID.
 	id    int
 	hasID bool
+	// isRest is true for lines without an event at the end of the stream.
+	isRest bool
 }
 
 // eventSource is a stream whose buffered bytes are counted.
@@ -140,5 +142,6 @@
 	if len(p.content) == 0 {
 		return event{}, io.EOF
 	}
+	p.isRest = true
 	return p.event, nil
 }
--- a/gateway/opening.go
+++ b/gateway/opening.go
@@ -17,8 +17,8 @@
 	// answer is the response of a stream, and events reads its events.
 	answer *upstream.Answer
 	events *eventReader
-	// first is the first event if end is nil. Otherwise the stream has ended without an
-	// event, and end is io.EOF.
+	// first is the first event, or the lines of a stream without events, if end is nil.
+	// Otherwise the stream has ended without any, and end is io.EOF.
 	first event
 	end   error
 }
@@ -87,8 +87,12 @@
 	o := opening{answer: answer, events: newEventReader(answer)}
 	o.first, o.end = o.events.next()
 	err := o.end
+	hasEnded := errors.Is(err, io.EOF) || o.first.isRest
 	switch {
-	case errors.Is(err, io.EOF):
+	case hasEnded && !answer.IsDelimited():
+		// The runner may have crashed as well as ended a stream without events.
+		err = x.readFailure(a, io.ErrUnexpectedEOF)
+	case hasEnded:
 		return o, nil
 	case err != nil:
 		err = x.readFailure(a, err)
