Blame the smallest number of segment sets that explain the crashes

With four runners that all crash again and again, no sound request is answered, and callers were refused for sound segments: the soak with such a segment found ten sound ones, among them the first segment of all prompts, before the one that crashed the runners.

Causes: each set of segments was judged alone, so that popular ones reached three crashes in a row first; and requests that were sent to a runner after its crash counted as suspects of it. Change: sets are taken in the order of the crashes that they explain, and attempts after a crash are no suspects of it.

--- a/suspect/crash.go
+++ b/suspect/crash.go
@@ -31,13 +31,20 @@
 	return cmp.Or(c.at.Compare(other.at), cmp.Compare(c.runner, other.runner))
 }
 
-// merge returns the crash with the attempts of another daemon, at most maxAttempts.
+// maxClockError bounds the error of times that other daemons have told.
+const maxClockError = 100 * time.Millisecond
+
+// merge returns the crash with further attempts at the runner, at most maxAttempts. Those that
+// were sent after the crash did not cause it: the runner was dead.
 func (c crash) merge(other crash, maxAttempts int) crash {
-	merged := crash{runner: c.runner, at: c.at, attempts: slices.Clone(c.attempts)}
+	merged := crash{runner: c.runner, at: c.at}
 	if other.at.Before(c.at) {
 		merged.at = other.at
 	}
-	for _, added := range other.attempts {
+	for _, added := range slices.Concat(c.attempts, other.attempts) {
+		if added.Sent.After(merged.at.Add(maxClockError)) {
+			continue
+		}
 		i := slices.IndexFunc(merged.attempts, func(a Attempt) bool { return slices.Equal(a.Segments, added.Segments) })
 		switch {
 		case i >= 0:
@@ -58,16 +65,24 @@
 	return a
 }
 
-func (c crash) contains(segment string) bool {
-	return slices.ContainsFunc(c.attempts, func(a Attempt) bool { return slices.Contains(a.Segments, segment) })
+// segments returns the distinct segments of the attempts.
+func (c crash) segments() map[string]bool {
+	segments := make(map[string]bool)
+	for _, a := range c.attempts {
+		for _, segment := range a.Segments {
+			segments[segment] = true
+		}
+	}
+	return segments
 }
 
-// sentWith returns when the last attempt with a segment was sent, and false if there is none.
-func (c crash) sentWith(segment string) (time.Time, bool) {
+// sentWith returns when the last attempt with all of the segments was sent, and false if there
+// is none.
+func (c crash) sentWith(segments []string) (time.Time, bool) {
 	var last time.Time
 	found := false
 	for _, a := range c.attempts {
-		if slices.Contains(a.Segments, segment) && (!found || a.Sent.After(last)) {
+		if containsAll(a.Segments, segments) && (!found || a.Sent.After(last)) {
 			last, found = a.Sent, true
 		}
 	}
--- a/suspect/evaluate.go
+++ b/suspect/evaluate.go
@@ -1,10 +1,8 @@
 package suspect
 
 import (
-	"cmp"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -52,14 +50,14 @@
 // unclearedAttempts returns the attempts of a crash without the segments that were cleared of it.
 // The mutex must be held.
 func (t *SegmentTracker) unclearedAttempts(c crash) []Attempt {
-	var left crash
+	left := crash{at: c.at}
 	for _, a := range c.attempts {
 		isCleared := func(segment string) bool { return t.isCleared(segment, c.at) }
 		if slices.ContainsFunc(a.Segments, isCleared) {
 			a.Segments = slices.DeleteFunc(slices.Clone(a.Segments), isCleared)
 		}
 		if len(a.Segments) > 0 {
-			left = left.merge(crash{attempts: []Attempt{a}}, t.options.MaxAttempts)
+			left = left.merge(crash{at: c.at, attempts: []Attempt{a}}, t.options.MaxAttempts)
 		}
 	}
 	return left.attempts
@@ -75,7 +73,7 @@
 func (t *SegmentTracker) crashesInRow(segment string, crashes []crash) int {
 	var r row
 	for _, c := range crashes {
-		sent, found := c.sentWith(segment)
+		sent, found := c.sentWith([]string{segment})
 		if found && !t.isCleared(segment, c.at) {
 			r = r.add(sent, c.at)
 		}
@@ -86,105 +84,29 @@
 // evaluate looks for new findings in the crashes that have settled. The mutex must be held.
 func (t *SegmentTracker) evaluate(now time.Time) {
 	crashes := slices.DeleteFunc(t.sortedCrashes(), func(c crash) bool { return now.Sub(c.at) < t.options.Settling })
-	if len(crashes) < t.options.Threshold {
-		return
-	}
-	culprits := t.culprits(crashes)
-	if len(culprits) == 0 {
-		return
-	}
-	for _, f := range t.combinations(crashes, culprits) {
-		t.addFinding(f)
+	for _, f := range findCauses(crashes, t.options.Threshold) {
+		t.found(f)
 	}
 }
 
-// culprits returns the segments that stand in enough crashes in a row. The mutex must be held.
-func (t *SegmentTracker) culprits(crashes []crash) map[string]bool {
-	seen, culprits := make(map[string]bool), make(map[string]bool)
-	for _, c := range crashes {
-		for _, a := range c.attempts {
-			for _, segment := range a.Segments {
-				if seen[segment] {
-					continue
-				}
-				seen[segment] = true
-				if t.crashesInRow(segment, crashes) >= t.options.Threshold {
-					culprits[segment] = true
-				}
-			}
-		}
+// found adds a finding and reports it if it is new. The mutex must be held.
+func (t *SegmentTracker) found(f Finding) {
+	if t.addFinding(f) {
+		t.report(SegmentsFound, f)
 	}
-	return culprits
 }
 
-// explanation is a combination of culprits that explains crashes.
-type explanation struct {
-	segments []string
-	row      row
-}
-
-// combinations returns the combinations of culprits that explain enough crashes in a row. Where
-// requests with more of the culprits were at a runner, those with fewer don't explain its
-// crash. The mutex must be held.
-func (t *SegmentTracker) combinations(crashes []crash, culprits map[string]bool) []Finding {
-	explanations := make(map[string]explanation)
-	for _, c := range crashes {
-		for _, a := range largest(t.suspectsOf(c, culprits)) {
-			key := strings.Join(a.Segments, segmentSeparator)
-			known := explanations[key]
-			explanations[key] = explanation{segments: a.Segments, row: known.row.add(a.Sent, c.at)}
-		}
-	}
-	var findings []Finding
-	for _, e := range slices.SortedFunc(maps.Values(explanations), compareSize) {
-		if e.row.count >= t.options.Threshold {
-			findings = append(findings, Finding{Segments: e.segments, Since: e.row.first, Last: e.row.lastTime, Crashes: e.row.count})
-		}
-	}
-	return findings
-}
-
-func compareSize(x, y explanation) int {
-	return cmp.Or(cmp.Compare(len(x.segments), len(y.segments)), slices.Compare(x.segments, y.segments))
-}
-
-// suspectsOf returns the attempts of a crash with only those of their segments that are
-// culprits, sorted. The mutex must be held.
-func (t *SegmentTracker) suspectsOf(c crash, culprits map[string]bool) []Attempt {
-	var suspects crash
-	for _, a := range c.attempts {
-		segments := slices.DeleteFunc(slices.Clone(a.Segments), func(s string) bool {
-			return !culprits[s] || t.isCleared(s, c.at)
-		})
-		if len(segments) > 0 {
-			slices.Sort(segments)
-			attempt := Attempt{Segments: slices.Compact(segments), Sent: a.Sent}
-			suspects = suspects.merge(crash{attempts: []Attempt{attempt}}, t.options.MaxAttempts)
-		}
-	}
-	return suspects.attempts
-}
-
-// largest returns the attempts whose segments are not all contained in another one.
-func largest(attempts []Attempt) []Attempt {
-	return slices.DeleteFunc(slices.Clone(attempts), func(a Attempt) bool {
-		return slices.ContainsFunc(attempts, func(other Attempt) bool {
-			return len(other.Segments) > len(a.Segments) && containsAll(other.Segments, a.Segments)
-		})
-	})
-}
-
-// addFinding adds a finding, or what is known of it elsewhere. Of two findings of which one
-// contains the other, that with fewer segments applies to more requests and is kept. The
-// mutex must be held.
-func (t *SegmentTracker) addFinding(added Finding) {
+// addFinding adds a finding, or what is known of it elsewhere, and returns whether it is new.
+// Of two findings of which one contains the other, that with fewer segments applies to more
+// requests and is kept. The mutex must be held.
+func (t *SegmentTracker) addFinding(added Finding) bool {
 	for key, known := range t.findings {
 		switch {
 		case key == added.Key():
 			t.findings[key] = known.merge(added)
-			return
+			return false
 		case containsAll(added.Segments, known.Segments):
-			return
+			return false
 		case containsAll(known.Segments, added.Segments):
 			added = added.merge(known)
 			delete(t.findings, key)
@@ -195,7 +117,7 @@
 		t.removeFinding(oldest.Key(), oldest)
 	}
 	t.findings[added.Key()] = added
-	t.report(SegmentsFound, added)
+	return true
 }
 
 // narrowFindings takes a segment that was cleared out of the findings whose crashes are all
@@ -212,8 +134,9 @@
 		}
 		delete(t.findings, f.Key())
 		narrowed := f.without(segment)
-		t.report(SegmentsNarrowed, narrowed)
-		t.addFinding(narrowed)
+		if t.addFinding(narrowed) {
+			t.report(SegmentsNarrowed, narrowed)
+		}
 	}
 }
 
--- a/suspect/report.go
+++ b/suspect/report.go
@@ -170,6 +170,6 @@
 		}
 	}
 	if len(f.Segments) > 0 {
-		t.addFinding(f)
+		t.found(f)
 	}
 }
--- a/suspect/segments.go
+++ b/suspect/segments.go
@@ -24,6 +24,8 @@
 	// LifeSignDelay is how long after a crash data of its runner may still arrive, and
 	// LifeSignWindow is how long after it no new runner takes the place of a crashed one.
 	LifeSignDelay, LifeSignWindow time.Duration
+	// RemovalTime is how long after a crash the runner may still be used, in vain.
+	RemovalTime time.Duration
 	// TrialDelays are the times from the last crash to each request with refused segments
 	// that is sent to a runner all the same, to see whether they still crash it.
 	TrialDelays []time.Duration
@@ -39,9 +41,9 @@
 func DefaultSegmentOptions() SegmentOptions {
 	return SegmentOptions{
 		Threshold: 3, Settling: 500 * time.Millisecond, Lifetime: 10 * time.Minute,
-		LifeSignDelay: 100 * time.Millisecond, LifeSignWindow: time.Second,
+		LifeSignDelay: 100 * time.Millisecond, LifeSignWindow: time.Second, RemovalTime: 6 * time.Second,
 		TrialDelays: []time.Duration{5 * time.Second, 30 * time.Second, 2 * time.Minute},
-		MaxCrashes:  128, MaxAttempts: 64, MaxFindings: 32, MaxAnswered: 8192,
+		MaxCrashes:  64, MaxAttempts: 64, MaxFindings: 32, MaxAnswered: 8192,
 	}
 }
 
@@ -107,10 +109,10 @@
 	case !found:
 		t.evictCrash()
 		t.crashes[added.runner] = added
-	case added.at.Sub(known.at) > t.options.Settling:
-		// An incarnation crashes once, so that it had only lost a connection before.
+	case added.at.Sub(known.at) > t.options.RemovalTime:
+		// A crashed runner would not be used any more: it had only lost a connection before.
 		t.crashes[added.runner] = added
-	case known.at.Sub(added.at) <= t.options.Settling:
+	case known.at.Sub(added.at) <= t.options.RemovalTime:
 		t.crashes[added.runner] = known.merge(added, t.options.MaxAttempts)
 	}
 	t.crashCount.Store(int64(len(t.crashes)))
@@ -195,7 +197,7 @@
 // isSuspect reports whether a segment stands in a crash. The mutex must be held.
 func (t *SegmentTracker) isSuspect(segment string) bool {
 	for _, c := range t.crashes {
-		if c.contains(segment) {
+		if _, found := c.sentWith([]string{segment}); found {
 			return true
 		}
 	}
