--- a/entry/entry.go
+++ b/entry/entry.go
@@ -46,8 +46,8 @@
 	budget          *buffer.Budget
 	upstream        *upstream.Pool
 	quotas          *quota.Limiter
-	suspects        *suspect.Tracker
-	segments        *suspect.SegmentTracker
+	segments        *suspect.CrashTracker
+	contents        *suspect.CrashTracker
 	usage           *usage.Counter
 	syncedClock     *clocksync.Clock
 	metrics         *metric.Set
@@ -103,8 +103,8 @@
 		balancer:    balance.New(balanceOptions(common, settings.Zone), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		budget:      newBudget(common),
 		quotas:      quota.New(quota.DefaultOptions()),
-		suspects:    suspect.New(suspectOptions()),
-		segments:    suspect.NewSegmentTracker(segmentOptions(common)),
+		segments:    suspect.NewCrashTracker(crashOptions(common, "Segments")),
+		contents:    suspect.NewCrashTracker(crashOptions(common, "Contents").WithSettling(0)),
 		usage:       usage.New(usageWindow(settings), usageWindowsKept),
 		syncedClock: clocksync.New(clockOffsetLifetime, now),
 		metrics:     metric.New(common.Metrics),
@@ -126,9 +126,6 @@
 	// clockOffsetLifetime is how long a measured offset to another VM's clock is
 	// used.
 	clockOffsetLifetime = 10 * time.Second
-	// crashThreshold is the number of runners that a request may crash before it is
-	// refused.
-	crashThreshold = 3
 	// defaultUsageWindow is used when the platform sets none.
 	defaultUsageWindow = 5 * time.Second
 	// retryBudgetShare is the fraction of the platform's retry limit that is used.
@@ -139,18 +136,13 @@
 	e.metrics.ObserveStoreCall(call.Name, call.Topic, string(call.Result), call.Duration)
 }
 
-func suspectOptions() suspect.Options {
-	options := suspect.DefaultOptions()
-	options.Threshold = crashThreshold
-	return options
-}
-
-func segmentOptions(common telemetry.Common) suspect.SegmentOptions {
-	options := suspect.DefaultSegmentOptions()
+// crashOptions returns the options of the tracker of a kind of traits.
+func crashOptions(common telemetry.Common, kind string) suspect.CrashOptions {
+	options := suspect.DefaultCrashOptions()
 	options.OnChange = func(change suspect.FindingChange) {
 		f := change.Finding
-		common.Count("Suspects."+string(change.Kind), 1)
-		common.Log.Info(string(change.Kind), "Segments", f.Segments, "Crashes", f.Crashes, "Trials", f.Trials,
+		common.Count("Crashes."+kind+"."+string(change.Kind), 1)
+		common.Log.Info("Crash"+string(change.Kind), kind, f.Traits, "Crashes", f.Crashes, "Trials", f.Trials,
 			"FirstCrash", f.Since, "LastCrash", f.Last)
 	}
 	return options
@@ -167,7 +159,7 @@
 	bounds := e.settings.Bounds
 	e.gateway = gateway.New(e.Common, gateway.Dependencies{
 		Codec: platform.Codec{}, Balancer: e.balancer, Upstream: e.upstream, Quotas: e.quotas,
-		Suspects: e.suspects, Segments: e.segments, Usage: e.usage, SyncedClock: e.syncedClock, Group: e.group,
+		Segments: e.segments, Contents: e.contents, Usage: e.usage, SyncedClock: e.syncedClock, Group: e.group,
 		Mover: platform.NewMover(newMoverClient(e.budget)), Meters: e.metrics, RunnersAge: e.runnersAge,
 		RetryBudgets: gateway.NewRetryBudgets(retry.WindowOptions{
 			Length: bounds.RetryWindow, Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, SafetyFactor: retryBudgetShare,
--- a/entry/peerhandler.go
+++ b/entry/peerhandler.go
@@ -17,9 +17,6 @@
 // daemons.
 const sharedUsageWindows = 2
 
-// sharedCrashAge is the age up to which crashes are sent to other daemons.
-const sharedCrashAge = 5 * time.Second
-
 // Digest implements membership.Handler.
 func (h peerHandler) Digest(toNew bool) membership.Digest {
 	now := h.Clock.Now()
@@ -31,16 +28,15 @@
 		Load:     h.balancer.Report(),
 		Usage:    h.quotas.OwnUsage(),
 		Counts:   h.usage.OwnCounts(from),
-		Crashes:  h.suspects.Recent(sharedCrashAge, now),
 		Reports:  h.duties.ReportsToShare(toNew),
 
 		ConfigurationVersion: h.configurationVersion(),
 		CountsAreFinal:       countsAreFinal,
 		Segments:             h.segments.Report(toNew, now),
+		Contents:             h.contents.Report(toNew, now),
 	}
 	if toNew {
 		digest.PeerCounts = h.usage.PeerCounts(from)
-		digest.Crashes = h.suspects.Entries(now)
 	}
 	for topic, f := range h.feedsByTopic {
 		end := membership.TopicEnd{Topic: topic, End: f.End(), Age: now.Sub(f.LastConfirmed())}
@@ -60,8 +56,8 @@
 	}
 	h.quotas.Merge(sender.Name, sender.Incarnation, digest.Usage, now.Add(-delay))
 	h.applyCounts(digest, now.Add(-delay))
-	h.suspects.Merge(digest.Crashes, now)
 	h.segments.Merge(digest.Segments, now.Add(-delay), now)
+	h.contents.Merge(digest.Contents, now.Add(-delay), now)
 	h.duties.ObservePeerProcess(sender.Name, instanceID(sender))
 	h.duties.ObserveReports(digest.Reports)
 	for _, end := range digest.Ends {
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -125,8 +125,7 @@
 // or exceed the customer's quota.
 func (x *exchange) checkLimits() *Refusal {
 	now := x.Clock.Now()
-	x.fingerprint = x.call.Fingerprint(x.customer.Name)
-	x.segments = x.call.SharedSegmentIDs()
+	x.setTraits()
 	if refusal := x.checkCrashes(now); refusal != nil {
 		return refusal
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -120,7 +120,7 @@
 // if the response may be forwarded to the caller.
 func (x *exchange) checkAnswerHead(a *attempt, answer *upstream.Answer) error {
 	a.headReceived = true
-	x.Segments.RecordData(a.incarnation, a.sentAt, x.Clock.Now())
+	x.recordData(a, x.Clock.Now())
 	head := x.Codec.DecodeAnswer(answer.Status, answer.Header)
 	x.applySignals(a.choice.Runner, head)
 	runner := a.choice.Runner.ID
@@ -169,7 +169,6 @@
 	a.ticket.End(result, now)
 	x.Meters.CountAttempt(a.choice.Runner.ID, result.String())
 	x.apply(request.AnswerWhole)
-	x.Suspects.RecordAnswer(x.fingerprint, now)
 	if result == balance.Succeeded {
 		x.recordProof(a, now)
 	}
--- a/gateway/callerwrite_test.go
+++ b/gateway/callerwrite_test.go
@@ -29,7 +29,7 @@
 	request.RequestURI = request.URL.RequestURI()
 	r.c.Check(func() { r.gateway.ServeHTTP(failingWriter{recorder}, request) }, qt.PanicMatches, http.ErrAbortHandler.Error())
 	r.c.Check(r.arrivals(), qt.DeepEquals, []int{1, 0})
-	r.c.Check(r.suspect.Entries(time.Now()), qt.HasLen, 0)
+	r.c.Check(r.contents.Report(true, time.Now()).Crashes, qt.HasLen, 0)
 	metrics := httptest.NewRecorder()
 	r.gateway.Meters.Handler().ServeHTTP(metrics, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	for _, line := range []string{`Reason="CallerNotWritable"`, `cranberrywalk_attempts_total{Result="Cancelled",Runner="i-a"} 1`} {
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -2,25 +2,39 @@
 
 import (
 	"errors"
+	"slices"
+	"strconv"
 	"time"
 
-	"github.com/cranberrywalk/cranberrywalk/buffer"
 	"github.com/cranberrywalk/cranberrywalk/suspect"
 	"github.com/cranberrywalk/cranberrywalk/upstream"
 )
 
-// checkCrashes refuses a request whose content, or whose segments, crash runners.
+// trackedTraits are the traits of a request that a tracker of crashes knows.
+type trackedTraits struct {
+	tracker *suspect.CrashTracker
+	traits  []string
+}
+
+// setTraits sets the traits of the request: the segments that it shares with others, and its
+// content.
+func (x *exchange) setTraits() {
+	x.segments = x.call.SharedSegmentIDs()
+	content := strconv.FormatUint(x.call.Fingerprint(x.customer.Name), 16)
+	x.traits = []trackedTraits{{x.Segments, x.segments}, {x.Contents, []string{content}}}
+}
+
+// checkCrashes refuses a request whose traits crash runners.
 func (x *exchange) checkCrashes(now time.Time) *Refusal {
-	if x.Suspects.Refused(x.fingerprint, now) {
-		return unavailable(reasonCrashes, 0, nil)
-	}
-	admission := x.Segments.Admit(x.segments, x.Group.Decides, now)
-	switch {
-	case admission.Refused:
-		return unavailable(reasonCrashes, 0, &CrashingSegmentsError{Segments: admission.Finding.Segments})
-	case admission.IsTrial:
-		x.Count("Suspects.Trials", 1)
-		x.Log.Info("SegmentsTried", "Request", x.call.ID, "Segments", admission.Finding.Segments, "Trial", admission.Finding.Trials)
+	for _, t := range x.traits {
+		admission := t.tracker.Admit(t.traits, x.Group.Decides, now)
+		switch {
+		case admission.Refused:
+			return unavailable(reasonCrashes, 0, &CrashingTraitsError{Traits: admission.Finding.Traits})
+		case admission.IsTrial:
+			x.Count("Crashes.Trials", 1)
+			x.Log.Info("CrashCauseTried", "Request", x.call.ID, "Traits", admission.Finding.Traits, "Trial", admission.Finding.Trials)
+		}
 	}
 	return nil
 }
@@ -31,55 +45,38 @@
 
 // isSuspected reports whether a request must not be sent to another runner.
 func (x *exchange) isSuspected(now time.Time) bool {
-	return x.Suspects.Refused(x.fingerprint, now) || x.Segments.IsSuspected(x.segments, now)
+	return slices.ContainsFunc(x.traits, func(t trackedTraits) bool { return t.tracker.IsSuspected(t.traits, now) })
 }
 
-// recordCrash records a suspected crash for the content of a request whose runner
-// broke off the response. The mutex must be held.
+// proofTime is how long after the begin of its answer a runner is known not to crash on a
+// request.
+const proofTime = 250 * time.Millisecond
+
+// recordCrash records that the runner of a request seems to have crashed before its answer had
+// begun, or at its begin. Runners that leave close their connections too. The mutex must be
+// held.
 func (x *exchange) recordCrash(a *attempt, failure error, now time.Time) {
-	if x.ctx.Err() != nil || !isBrokenOff(failure) {
+	hasBegun := !a.answeredAt.IsZero() && now.Sub(a.answeredAt) >= proofTime
+	if hasBegun || x.ctx.Err() != nil || !isBrokenOff(failure) || x.Balancer.IsLeaving(a.choice.Runner) {
 		return
 	}
-	x.recordSegmentCrash(a, failure, now)
-	crashID := suspect.CrashID(x.call.ID, a.choice.Runner.ID, a.number)
-	entry := x.Suspects.RecordCrash(x.fingerprint, crashID, now)
-	if x.Suspects.Refused(x.fingerprint, now) {
-		x.Log.Info("RequestSuspected", "Request", x.call.ID, "Runner", a.choice.Runner.ID, "Crashes", len(entry.Crashes))
+	for _, t := range x.traits {
+		t.tracker.RecordCrash(a.incarnation, suspect.Attempt{Traits: t.traits, Sent: a.sentAt}, now)
 	}
 }
 
-// isBrokenOff reports whether a runner broke off its response. It did not if the daemon
-// ended the attempt.
+// isBrokenOff reports whether the runner closed its connection before the end of its response.
+// It did not if the daemon ended the attempt.
 func isBrokenOff(failure error) bool {
 	var invalid *upstream.InvalidAnswerError
-	var timedOut *AttemptTimeoutError
-	var exhausted *buffer.ExhaustedError
-	return errors.As(failure, &invalid) && !errors.As(failure, &timedOut) && !errors.As(failure, &exhausted) &&
-		!isHeadOverLimit(failure)
+	return errors.As(failure, &invalid) && upstream.IsClosedByPeer(invalid.Cause)
 }
 
-// isHeadOverLimit reports whether this daemon ended an attempt since the head of its response
-// exceeded a limit. A runner that has crashed sends no bytes.
-func isHeadOverLimit(failure error) bool {
-	var late *upstream.HeaderTimeoutError
-	var tooLarge *upstream.HeaderTooLargeError
-	var interim *upstream.InterimAnswersError
-	return errors.As(failure, &late) || errors.As(failure, &tooLarge) || errors.As(failure, &interim)
-}
-
-// proofTime is how long after the begin of its answer a runner is known not to crash on a
-// request.
-const proofTime = 250 * time.Millisecond
-
-// recordSegmentCrash records that the runner of a request has crashed before its answer had
-// begun, or at its begin. Runners that leave close their connections too. The mutex must be
-// held.
-func (x *exchange) recordSegmentCrash(a *attempt, failure error, now time.Time) {
-	hasBegun := !a.answeredAt.IsZero() && now.Sub(a.answeredAt) >= proofTime
-	if hasBegun || !upstream.IsClosedByPeer(failure) || x.Balancer.IsLeaving(a.choice.Runner) {
-		return
+// recordData records that a runner has sent data for an attempt.
+func (x *exchange) recordData(a *attempt, now time.Time) {
+	for _, t := range x.traits {
+		t.tracker.RecordData(a.incarnation, a.sentAt, now)
 	}
-	x.Segments.RecordCrash(a.incarnation, suspect.Attempt{Segments: x.segments, Sent: a.sentAt}, now)
 }
 
 // recordProgress records an event of a stream. The mutex must be held.
@@ -106,5 +103,7 @@
 		return
 	}
 	a.isProven = true
-	x.Segments.RecordAnswer(x.segments, a.answeredAt, now)
+	for _, t := range x.traits {
+		t.tracker.RecordAnswer(t.traits, a.answeredAt, now)
+	}
 }
--- a/gateway/crashingsegment_test.go
+++ b/gateway/crashingsegment_test.go
@@ -25,6 +25,8 @@
 	crashesBeforeLimit, maxRequestsAfterLimit = 5, 3
 
 	crashingSegment = "bad1"
+	// crashingPath ends the path of a request that crashes its runner each time it is sent.
+	crashingPath = "crash"
 )
 
 // crashingFleet is a rig whose runners crash when they begin to answer a prompt with
@@ -79,7 +81,8 @@
 }
 
 func (f *crashingFleet) behaviour(id string, r standin.ReceivedRequest) standin.Behaviour {
-	if !strings.Contains(r.Header.Get(standin.HeaderPrompt), crashingSegment+":") {
+	hasSegment := strings.Contains(r.Header.Get(standin.HeaderPrompt), crashingSegment+":")
+	if !hasSegment && !strings.HasSuffix(r.Target, crashingPath) {
 		return standin.Behaviour{Events: 4, Gap: 10 * time.Millisecond}
 	}
 	f.mutex.Lock()
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -110,11 +110,11 @@
 // Error implements error.
 func (e *NotMovedError) Error() string { return e.Reason }
 
-// CrashingSegmentsError means that requests with all of the segments crash the runners that answer
-// them.
-type CrashingSegmentsError struct{ Segments []string }
+// CrashingTraitsError means that requests with all of the traits, which are segments of a prompt or
+// the content of the request, crash the runners that answer them.
+type CrashingTraitsError struct{ Traits []string }
 
 // Error implements error.
-func (e *CrashingSegmentsError) Error() string {
-	return "the segments " + strings.Join(e.Segments, ", ") + " of the prompt crash runners"
+func (e *CrashingTraitsError) Error() string {
+	return "requests with " + strings.Join(e.Traits, ", ") + " crash runners"
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -27,16 +27,17 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	call        call.Call
-	catalog     *catalog.Catalog
-	route       catalog.Route
-	customer    catalog.Customer
-	service     string
-	cost        float64
-	fingerprint uint64
+	call     call.Call
+	catalog  *catalog.Catalog
+	route    catalog.Route
+	customer catalog.Customer
+	service  string
+	cost     float64
 	// segments are the IDs of the segments of the prompt that other prompts may share.
 	segments []string
-	machine  request.Machine
+	// traits are what the trackers of crashes know the request by.
+	traits  []trackedTraits
+	machine request.Machine
 
 	// firstEvent is the time to the first event of a stream.
 	firstEvent time.Duration
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -109,18 +109,19 @@
 
 // Dependencies are the dependencies of a gateway.
 type Dependencies struct {
-	Codec        Codec
-	Balancer     *balance.Balancer
-	Upstream     *upstream.Pool
-	Quotas       *quota.Limiter
-	Suspects     *suspect.Tracker
-	Segments     *suspect.SegmentTracker
-	Usage        *usage.Counter
-	SyncedClock  *clocksync.Clock
-	RetryBudgets *RetryBudgets
-	Group        Group
-	Mover        Mover
-	Meters       *metric.Set
+	Codec    Codec
+	Balancer *balance.Balancer
+	Upstream *upstream.Pool
+	Quotas   *quota.Limiter
+	// Segments and Contents track the segments of prompts, and the requests, that crash
+	// runners.
+	Segments, Contents *suspect.CrashTracker
+	Usage              *usage.Counter
+	SyncedClock        *clocksync.Clock
+	RetryBudgets       *RetryBudgets
+	Group              Group
+	Mover              Mover
+	Meters             *metric.Set
 	// RunnersAge returns the time since the list of runners was last read.
 	RunnersAge func() time.Duration
 }
--- a/gateway/idle.go
+++ b/gateway/idle.go
@@ -111,7 +111,7 @@
 func (w *idleWatchdog) recordEvent(e event, now time.Time) bool {
 	w.attempt.ticket.RecordActivity(now)
 	x := w.exchange
-	x.Segments.RecordData(w.attempt.incarnation, w.attempt.sentAt, now)
+	x.recordData(w.attempt, now)
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	if x.replacements.accepted != nil {
--- a/gateway/plain_test.go
+++ b/gateway/plain_test.go
@@ -1,7 +1,6 @@
 package gateway_test
 
 import (
-	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -234,20 +233,6 @@
 	r.c.Check(r.arrivals(), qt.DeepEquals, []int{1})
 }
 
-func TestRequestThatCrashesRunnersIsRefused(t *testing.T) {
-	crash := always(standin.Behaviour{Reset: true})
-	r := newRig(t, crash, crash)
-	for i := range 6 {
-		r.send("/again/crash", with(standin.HeaderCallID, fmt.Sprint("attempt-", i)))
-	}
-	total := 0
-	for _, count := range r.arrivals() {
-		total += count
-	}
-	r.c.Check(total <= 4, qt.IsTrue, qt.Commentf("%d runs", total))
-	r.c.Check(r.send("/again/crash").status, qt.Equals, http.StatusServiceUnavailable)
-}
-
 func TestExceededQuotaSetsRetryAfter(t *testing.T) {
 	r := newRig(t, always(okAnswer))
 	changed := spec()
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -41,10 +41,9 @@
 	runners []*standin.Runner
 	quotas  *quota.Limiter
 	usage   *usage.Counter
-	suspect *suspect.Tracker
-	// segments tracks segments that crash runners.
-	segments *suspect.SegmentTracker
-	mover    *fakeMover
+	// segments and contents track what crashes runners.
+	segments, contents *suspect.CrashTracker
+	mover              *fakeMover
 }
 
 // singleDaemon is a group of one daemon.
@@ -95,10 +94,8 @@
 	common.Log = logr.Discard()
 	now := common.Clock.Now()
 	r := &rig{c: c, quotas: quota.New(quota.DefaultOptions()), usage: usage.New(time.Hour, 4), mover: &fakeMover{}}
-	options := suspect.DefaultOptions()
-	options.Threshold = 3
-	r.suspect = suspect.New(options)
-	r.segments = suspect.NewSegmentTracker(suspect.DefaultSegmentOptions())
+	r.segments = suspect.NewCrashTracker(suspect.DefaultCrashOptions())
+	r.contents = suspect.NewCrashTracker(suspect.DefaultCrashOptions().WithSettling(0))
 	balancer := balance.New(balance.DefaultOptions("zone-1"), rand.New(rand.NewPCG(1, 2)))
 	var entries []inventory.Runner
 	for i, script := range scripts {
@@ -119,7 +116,7 @@
 	gatewayOptions.MoveDelay = 10 * time.Millisecond
 	r.gateway = gateway.New(common, gateway.Dependencies{
 		Codec: platform.Codec{}, Balancer: balancer, Upstream: upstream.New(common, upstream.DefaultOptions()),
-		Quotas: r.quotas, Suspects: r.suspect, Segments: r.segments, Usage: r.usage, SyncedClock: clocksync.New(time.Minute, now),
+		Quotas: r.quotas, Segments: r.segments, Contents: r.contents, Usage: r.usage, SyncedClock: clocksync.New(time.Minute, now),
 		RetryBudgets: gateway.NewRetryBudgets(retry.WindowOptions{Length: 10 * time.Second, Ratio: 0.2, Slack: 20, SafetyFactor: 1}),
 		Group:        singleDaemon{},
 		Mover:        r.mover,
--- a/gateway/unframedstream_test.go
+++ b/gateway/unframedstream_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -22,7 +23,7 @@
 				r := newRig(t, always(standin.Behaviour{Body: scenario.body, Unframed: true}))
 				got := r.send(path)
 				r.c.Check(got.status == http.StatusOK && !got.broken, qt.IsFalse)
-				r.c.Check(r.suspect.Entries(r.gateway.Clock.Now()), qt.HasLen, 1)
+				r.c.Check(r.contents.Report(true, time.Now()).Crashes, qt.HasLen, 1)
 			})
 		}
 	}
--- a/membership/digest.go
+++ b/membership/digest.go
@@ -7,6 +7,8 @@
 import (
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/cranberrywalk/cranberrywalk/balance"
 	"github.com/cranberrywalk/cranberrywalk/dutylease"
 	"github.com/cranberrywalk/cranberrywalk/feed"
@@ -44,7 +46,8 @@
 	// PeerCounts holds the counts of other processes. It is set for a receiver that
 	// has just started and may have missed them.
 	PeerCounts []usage.ProcessCounts
-	Crashes    []suspect.Entry
+	// Reserved keeps the place of a field that older daemons send.
+	Reserved msgpack.RawMessage
 	// Members holds the daemons that the sender knows. It is set for a receiver
 	// that has just started.
 	Members []Member
@@ -56,8 +59,9 @@
 	// CountsAreFinal is true when the sender starts no more requests, so that Counts
 	// are its last.
 	CountsAreFinal bool
-	// Segments tells of segments of prompts that crash runners.
-	Segments suspect.SegmentReport
+	// Segments tells of segments of prompts that crash runners, and Contents of requests
+	// that crash them each time they are sent.
+	Segments, Contents suspect.CrashReport
 }
 
 // TopicEnd is the state of a daemon's copy of a topic.
--- a/membership/encoding_test.go
+++ b/membership/encoding_test.go
@@ -27,16 +27,18 @@
 		Ends:      []TopicEnd{{Topic: "keyed.x", End: latest.Position{Offset: 14022}, Age: 380 * time.Millisecond}, {Topic: "duties", End: latest.Position{Offset: 70}}},
 		Usage:     []quota.Usage{{Customer: "gohu412", Units: 1234567.0}, {Customer: "bazi853", Units: 765}},
 		Counts:    []usage.Count{{Window: 355268094, Customer: "gohu412", Requests: 41}},
-		Crashes:   []suspect.Entry{{Fingerprint: 1 << 63, Crashes: []uint64{1, 2}, Expires: time.Unix(1774131277, 0)}},
 		Stopping:  true,
-		Segments: suspect.SegmentReport{
+		Segments: suspect.CrashReport{
 			Crashes: []suspect.ReportedCrash{{
 				Runner: 1 << 63, Age: 80 * time.Millisecond,
-				Attempts: []suspect.ReportedAttempt{{Segments: []string{"5c1e07a2", "91bd3f06"}, Age: 210 * time.Millisecond}},
+				Attempts: []suspect.ReportedAttempt{{Traits: []string{"5c1e07a2", "91bd3f06"}, Age: 210 * time.Millisecond}},
 			}},
 			LifeSigns: []suspect.ReportedLifeSign{{Runner: 7, Age: time.Second}},
-			Answers:   []suspect.ReportedAnswer{{Segment: "5c1e07a2", Age: time.Second}},
-			Findings:  []suspect.ReportedFinding{{Segments: []string{"91bd3f06"}, SinceAge: time.Minute, LastAge: time.Second, Crashes: 3, TrialsMade: 1}},
+			Answers:   []suspect.ReportedAnswer{{Trait: "5c1e07a2", Age: time.Second}},
+			Findings:  []suspect.ReportedFinding{{Traits: []string{"91bd3f06"}, SinceAge: time.Minute, LastAge: time.Second, Crashes: 3, TrialsMade: 1}},
+		},
+		Contents: suspect.CrashReport{
+			Crashes: []suspect.ReportedCrash{{Runner: 9, Attempts: []suspect.ReportedAttempt{{Traits: []string{"8a2b3d673598208c"}, Age: time.Second}}}},
 		},
 	}
 	for i := range 20 {
@@ -48,14 +50,13 @@
 	c.Check(len(content) <= maxDigestBytes, qt.IsTrue, qt.Commentf("%d bytes", len(content)))
 	var got Digest
 	c.Assert(encoding{}.Unmarshal(content, &got), qt.IsNil)
-	got.Crashes[0].Expires = got.Crashes[0].Expires.Round(0)
 	c.Check(got.Load.Loads, qt.DeepEquals, digest.Load.Loads)
 	c.Check(got.Load.Leaving, qt.DeepEquals, digest.Load.Leaving)
 	c.Check(got.Ends, qt.DeepEquals, digest.Ends)
 	c.Check(got.Usage, qt.DeepEquals, digest.Usage)
 	c.Check(got.Counts, qt.DeepEquals, digest.Counts)
-	c.Check(got.Crashes[0].Expires.Equal(digest.Crashes[0].Expires), qt.IsTrue)
 	c.Check(got.Sender, qt.Equals, digest.Sender)
 	c.Check(got.Segments, qt.DeepEquals, digest.Segments)
+	c.Check(got.Contents, qt.DeepEquals, digest.Contents)
 	c.Check(got.Stopping, qt.IsTrue)
 }
--- a/suspect/cause.go
+++ b/suspect/cause.go
@@ -7,32 +7,32 @@
 	"strings"
 )
 
-// cause is a set of segments that may be the cause of crashes: in each of them, a request with
-// all of the segments was at the runner.
+// cause is a set of traits that may be the cause of crashes: in each of them, a request with
+// all of the traits was at the runner.
 type cause struct {
-	// segments are sorted.
-	segments []string
+	// traits are sorted.
+	traits []string
 	// crashes are the numbers of the crashes in ascending order.
 	crashes []int
 }
 
-func (c cause) key() string { return strings.Join(c.segments, segmentSeparator) }
+func (c cause) key() string { return strings.Join(c.traits, traitSeparator) }
 
-// isPartOf reports whether another cause has the same segments and more.
+// isPartOf reports whether another cause has the same traits and more.
 func (c cause) isPartOf(other cause) bool {
-	return len(other.segments) > len(c.segments) && containsAll(other.segments, c.segments)
+	return len(other.traits) > len(c.traits) && containsAll(other.traits, c.traits)
 }
 
-// compareCauses orders causes by how much they explain: more crashes first, then more segments.
+// compareCauses orders causes by how much they explain: more crashes first, then more traits.
 func compareCauses(x, y cause) int {
-	return cmp.Or(cmp.Compare(len(y.crashes), len(x.crashes)), cmp.Compare(len(y.segments), len(x.segments)), slices.Compare(x.segments, y.segments))
+	return cmp.Or(cmp.Compare(len(y.crashes), len(x.crashes)), cmp.Compare(len(y.traits), len(x.traits)), slices.Compare(x.traits, y.traits))
 }
 
 // equalCrashesMargin is how many crashes above the threshold it takes to blame each of several
 // causes of the same crashes.
 const equalCrashesMargin = 2
 
-// causeFinder looks for the causes of crashes. The attempts of the crashes hold only segments
+// causeFinder looks for the causes of crashes. The attempts of the crashes hold only traits
 // that were not cleared.
 type causeFinder struct {
 	crashes   []crash
@@ -41,7 +41,7 @@
 	explained map[int]bool
 }
 
-// findCauses returns the smallest number of sets of segments that explain the crashes, which are
+// findCauses returns the smallest number of sets of traits that explain the crashes, which are
 // in the order of their times. A set must stand in threshold crashes in a row.
 func findCauses(crashes []crash, threshold int) []Finding {
 	if len(crashes) < threshold {
@@ -80,7 +80,7 @@
 }
 
 func findingOf(c cause, r row) Finding {
-	return Finding{Segments: c.segments, Since: r.first, Last: r.lastTime, Crashes: r.count}
+	return Finding{Traits: c.traits, Since: r.first, Last: r.lastTime, Crashes: r.count}
 }
 
 // causes returns the possible causes, the likeliest first. A set that is a part of another
@@ -90,18 +90,18 @@
 	byKey := make(map[string]cause)
 	for _, c := range f.crashes {
 		for _, a := range c.attempts {
-			segments := slices.DeleteFunc(slices.Clone(a.Segments), func(s string) bool { return !culprits[s] })
-			if len(segments) == 0 {
+			traits := slices.DeleteFunc(slices.Clone(a.Traits), func(s string) bool { return !culprits[s] })
+			if len(traits) == 0 {
 				continue
 			}
-			slices.Sort(segments)
-			possible := cause{segments: slices.Compact(segments)}
+			slices.Sort(traits)
+			possible := cause{traits: slices.Compact(traits)}
 			byKey[possible.key()] = possible
 		}
 	}
 	var causes []cause
 	for _, possible := range byKey {
-		possible.crashes = f.crashesOf(possible.segments)
+		possible.crashes = f.crashesOf(possible.traits)
 		if len(possible.crashes) >= f.threshold {
 			causes = append(causes, possible)
 		}
@@ -112,28 +112,28 @@
 	return causes
 }
 
-// culprits returns the segments that stand in enough crashes.
+// culprits returns the traits that stand in enough crashes.
 func (f *causeFinder) culprits() map[string]bool {
 	counts := make(map[string]int)
 	for _, c := range f.crashes {
-		for segment := range c.segments() {
-			counts[segment]++
+		for trait := range c.traits() {
+			counts[trait]++
 		}
 	}
 	culprits := make(map[string]bool)
-	for segment, count := range counts {
+	for trait, count := range counts {
 		if count >= f.threshold {
-			culprits[segment] = true
+			culprits[trait] = true
 		}
 	}
 	return culprits
 }
 
-// crashesOf returns the numbers of the crashes of requests with all of the segments.
-func (f *causeFinder) crashesOf(segments []string) []int {
+// crashesOf returns the numbers of the crashes of requests with all of the traits.
+func (f *causeFinder) crashesOf(traits []string) []int {
 	var numbers []int
 	for i, c := range f.crashes {
-		if _, found := c.sentWith(segments); found {
+		if _, found := c.sentWith(traits); found {
 			numbers = append(numbers, i)
 		}
 	}
@@ -155,30 +155,30 @@
 func (f *causeFinder) rowOf(c cause, crashes []int) row {
 	var r row
 	for _, i := range crashes {
-		sent, _ := f.crashes[i].sentWith(c.segments)
+		sent, _ := f.crashes[i].sentWith(c.traits)
 		r = r.add(sent, f.crashes[i].at)
 	}
 	return r
 }
 
-// generalize returns single segments of the findings that stand in further crashes in a row,
-// with other segments than those of the finding.
+// generalize returns single traits of the findings that stand in further crashes in a row,
+// with other traits than those of the finding.
 func (f *causeFinder) generalize(found []Finding) []Finding {
 	explained := make(map[int]bool)
 	parts := make(map[string]bool)
 	for _, finding := range found {
-		for _, i := range f.crashesOf(finding.Segments) {
+		for _, i := range f.crashesOf(finding.Traits) {
 			explained[i] = true
 		}
-		for _, segment := range finding.Segments {
-			parts[segment] = len(finding.Segments) > 1
+		for _, trait := range finding.Traits {
+			parts[trait] = len(finding.Traits) > 1
 		}
 	}
 	f.explained = explained
 	var general []Finding
-	for _, segment := range slices.Sorted(maps.Keys(parts)) {
-		c := cause{segments: []string{segment}, crashes: f.crashesOf([]string{segment})}
-		if parts[segment] && f.rowOf(c, f.unexplained(c)).count >= f.threshold-1 {
+	for _, trait := range slices.Sorted(maps.Keys(parts)) {
+		c := cause{traits: []string{trait}, crashes: f.crashesOf([]string{trait})}
+		if parts[trait] && f.rowOf(c, f.unexplained(c)).count >= f.threshold-1 {
 			general = append(general, findingOf(c, f.rowOf(c, c.crashes)))
 		}
 	}
--- a/suspect/crash.go
+++ b/suspect/crash.go
@@ -8,9 +8,8 @@
 
 // Attempt is an attempt at a runner whose answer had not begun.
 type Attempt struct {
-	// Segments are the IDs of the segments of its prompt that other prompts may share. They
-	// are not changed.
-	Segments []string
+	// Traits are the IDs of the traits of its request. They are not changed.
+	Traits []string
 	// Sent is when the attempt began.
 	Sent time.Time
 	// isOwn is true if this daemon has made it.
@@ -22,8 +21,8 @@
 	// runner identifies the incarnation.
 	runner uint64
 	at     time.Time
-	// attempts holds the attempts that were broken off without an answer, one for each list of
-	// segments.
+	// attempts holds the attempts that were broken off without an answer, one for each list
+	// of traits.
 	attempts []Attempt
 }
 
@@ -45,7 +44,7 @@
 		if added.Sent.After(merged.at.Add(maxClockError)) {
 			continue
 		}
-		i := slices.IndexFunc(merged.attempts, func(a Attempt) bool { return slices.Equal(a.Segments, added.Segments) })
+		i := slices.IndexFunc(merged.attempts, func(a Attempt) bool { return slices.Equal(a.Traits, added.Traits) })
 		switch {
 		case i >= 0:
 			merged.attempts[i] = merged.attempts[i].merge(added)
@@ -56,7 +55,7 @@
 	return merged
 }
 
-// merge returns the later one of two attempts with the same segments.
+// merge returns the later one of two attempts with the same traits.
 func (a Attempt) merge(other Attempt) Attempt {
 	if other.Sent.After(a.Sent) {
 		a.Sent = other.Sent
@@ -65,24 +64,24 @@
 	return a
 }
 
-// segments returns the distinct segments of the attempts.
-func (c crash) segments() map[string]bool {
-	segments := make(map[string]bool)
+// traits returns the distinct traits of the attempts.
+func (c crash) traits() map[string]bool {
+	traits := make(map[string]bool)
 	for _, a := range c.attempts {
-		for _, segment := range a.Segments {
-			segments[segment] = true
+		for _, trait := range a.Traits {
+			traits[trait] = true
 		}
 	}
-	return segments
+	return traits
 }
 
-// sentWith returns when the last attempt with all of the segments was sent, and false if there
+// sentWith returns when the last attempt with all of the traits was sent, and false if there
 // is none.
-func (c crash) sentWith(segments []string) (time.Time, bool) {
+func (c crash) sentWith(traits []string) (time.Time, bool) {
 	var last time.Time
 	found := false
 	for _, a := range c.attempts {
-		if containsAll(a.Segments, segments) && (!found || a.Sent.After(last)) {
+		if containsAll(a.Traits, traits) && (!found || a.Sent.After(last)) {
 			last, found = a.Sent, true
 		}
 	}
--- a/suspect/segments.go
+++ b/suspect/crashtracker.go
@@ -10,15 +10,15 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 )
 
-// SegmentOptions are the settings of a SegmentTracker.
-type SegmentOptions struct {
+// CrashOptions are the settings of a CrashTracker.
+type CrashOptions struct {
 	// Threshold is the number of crashes in a row, over all daemons, from which on the
-	// segments that they have in common are refused.
+	// traits that they have in common are refused.
 	Threshold int
 	// Settling is how long after a crash it is taken into account: by then, each daemon has
 	// told the others what it knows of it.
 	Settling time.Duration
-	// Lifetime is how long a crash counts, and how long after the last one its segments are
+	// Lifetime is how long a crash counts, and how long after the last one its traits are
 	// refused.
 	Lifetime time.Duration
 	// LifeSignDelay is how long after a crash data of its runner may still arrive, and
@@ -26,37 +26,44 @@
 	LifeSignDelay, LifeSignWindow time.Duration
 	// RemovalTime is how long after a crash the runner may still be used, in vain.
 	RemovalTime time.Duration
-	// TrialDelays are the times from the last crash to each request with refused segments
+	// TrialDelays are the times from the last crash to each request with refused traits
 	// that is sent to a runner all the same, to see whether they still crash it.
 	TrialDelays []time.Duration
 	// MaxCrashes bounds the crashes, MaxAttempts the attempts of each, MaxFindings the
-	// findings, and MaxAnswered the segments with answers that are remembered.
+	// findings, and MaxAnswered the traits with answers that are remembered.
 	MaxCrashes, MaxAttempts, MaxFindings, MaxAnswered int
 	// OnChange is called when a finding changes. It must not block or call the tracker. It
 	// may be nil.
 	OnChange func(FindingChange)
 }
 
-// DefaultSegmentOptions returns the defaults.
-func DefaultSegmentOptions() SegmentOptions {
-	return SegmentOptions{
+// DefaultCrashOptions returns the defaults.
+func DefaultCrashOptions() CrashOptions {
+	return CrashOptions{
 		Threshold: 3, Settling: 500 * time.Millisecond, Lifetime: 10 * time.Minute,
 		LifeSignDelay: 100 * time.Millisecond, LifeSignWindow: time.Second, RemovalTime: 6 * time.Second,
 		TrialDelays: []time.Duration{5 * time.Second, 30 * time.Second, 2 * time.Minute},
-		MaxCrashes:  64, MaxAttempts: 64, MaxFindings: 32, MaxAnswered: 8192,
+		MaxCrashes:  64, MaxAttempts: 64, MaxFindings: 32, MaxAnswered: 16384,
 	}
 }
 
-// SegmentTracker finds the segments of prompts that crash the runners which begin to answer
-// them, whatever else a request holds. It is safe for concurrent use.
+// WithSettling returns a copy with another settling time.
+func (o CrashOptions) WithSettling(settling time.Duration) CrashOptions {
+	o.Settling = settling
+	return o
+}
+
+// CrashTracker finds the traits of requests that crash the runners which begin to answer
+// them. A trait is what requests may have in common: a segment of their prompts, or their
+// content. CrashTracker is safe for concurrent use.
 //
 // A crash breaks off all requests at its runner. Those whose answer had not begun are its
-// suspects, and so are the segments of their prompts. A segment is cleared of all crashes before
+// suspects, and so are the traits of their prompts. A trait is cleared of all crashes before
 // an answer to a request with it begins. What is left after some crashes in a row crashes runners.
-// Segments that only ever come together are found together, and only requests with all of
+// Traits that only ever come together are found together, and only requests with all of
 // them are refused.
-type SegmentTracker struct {
-	options SegmentOptions
+type CrashTracker struct {
+	options CrashOptions
 	// crashCount is the number of crashes, so that nothing is locked while there are none.
 	crashCount atomic.Int64
 
@@ -65,9 +72,9 @@
 	crashes map[uint64]crash
 	// disproved holds when a runner that seemed to have crashed has sent data since.
 	disproved *lru.Cache[uint64, time.Time]
-	// answered holds when the last answer to a request with a segment began.
+	// answered holds when the last answer to a request with a trait began.
 	answered *lru.Cache[string, time.Time]
-	// clearances holds when segments were cleared of crashes, as they are told to others.
+	// clearances holds when traits were cleared of crashes, as they are told to others.
 	clearances *lru.Cache[string, time.Time]
 	// findings holds at most MaxFindings findings by their key. None of them contains
 	// another one.
@@ -76,9 +83,9 @@
 	evaluateAt time.Time
 }
 
-// NewSegmentTracker returns a SegmentTracker without crashes.
-func NewSegmentTracker(options SegmentOptions) *SegmentTracker {
-	t := &SegmentTracker{options: options, crashes: make(map[uint64]crash), findings: make(map[string]Finding)}
+// NewCrashTracker returns a CrashTracker without crashes.
+func NewCrashTracker(options CrashOptions) *CrashTracker {
+	t := &CrashTracker{options: options, crashes: make(map[uint64]crash), findings: make(map[string]Finding)}
 	// The only failure of lru.New is a size below 1.
 	t.disproved, _ = lru.New[uint64, time.Time](max(options.MaxCrashes, 1))
 	t.answered, _ = lru.New[string, time.Time](max(options.MaxAnswered, 1))
@@ -89,8 +96,8 @@
 // RecordCrash records that a runner has broken off an attempt whose answer had not begun, as a
 // crash does. runner identifies the incarnation of the runner, so that one crash that breaks
 // off several attempts counts once.
-func (t *SegmentTracker) RecordCrash(runner uint64, attempt Attempt, now time.Time) {
-	if len(attempt.Segments) == 0 {
+func (t *CrashTracker) RecordCrash(runner uint64, attempt Attempt, now time.Time) {
+	if len(attempt.Traits) == 0 {
 		return
 	}
 	attempt.isOwn = true
@@ -100,7 +107,7 @@
 }
 
 // addCrash adds a crash, or what another daemon knows of it. The mutex must be held.
-func (t *SegmentTracker) addCrash(added crash, now time.Time) {
+func (t *CrashTracker) addCrash(added crash, now time.Time) {
 	if t.isDisproved(added) || now.Sub(added.at) >= t.options.Lifetime {
 		return
 	}
@@ -120,7 +127,7 @@
 }
 
 // evictCrash makes room for a crash. The mutex must be held.
-func (t *SegmentTracker) evictCrash() {
+func (t *CrashTracker) evictCrash() {
 	if len(t.crashes) < t.options.MaxCrashes {
 		return
 	}
@@ -129,7 +136,7 @@
 }
 
 // evaluateBy makes the next evaluation no later than at. The mutex must be held.
-func (t *SegmentTracker) evaluateBy(at time.Time) {
+func (t *CrashTracker) evaluateBy(at time.Time) {
 	if t.evaluateAt.IsZero() || at.Before(t.evaluateAt) {
 		t.evaluateAt = at
 	}
@@ -137,7 +144,7 @@
 
 // RecordData records that a runner has sent data for an attempt that was sent earlier. If the
 // runner seemed to have crashed meanwhile, it has not: only a connection was lost.
-func (t *SegmentTracker) RecordData(runner uint64, sent, now time.Time) {
+func (t *CrashTracker) RecordData(runner uint64, sent, now time.Time) {
 	if t.crashCount.Load() == 0 {
 		return
 	}
@@ -152,7 +159,7 @@
 
 // disprove drops the crashes of a runner before it has sent data at a time. The mutex must be
 // held.
-func (t *SegmentTracker) disprove(runner uint64, at time.Time) {
+func (t *CrashTracker) disprove(runner uint64, at time.Time) {
 	if last, found := t.disproved.Get(runner); found && !at.After(last) {
 		return
 	}
@@ -164,70 +171,70 @@
 }
 
 // isDisproved reports whether a runner has sent data after a crash. The mutex must be held.
-func (t *SegmentTracker) isDisproved(c crash) bool {
+func (t *CrashTracker) isDisproved(c crash) bool {
 	at, found := t.disproved.Peek(c.runner)
 	return found && at.After(c.at)
 }
 
 // RecordAnswer records an answer that began at a time and has shown since that its runner did
 // not crash on it.
-func (t *SegmentTracker) RecordAnswer(segments []string, began, now time.Time) {
-	if len(segments) == 0 {
+func (t *CrashTracker) RecordAnswer(traits []string, began, now time.Time) {
+	if len(traits) == 0 {
 		return
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	for _, segment := range segments {
-		t.clear(segment, began, now)
+	for _, trait := range traits {
+		t.clear(trait, began, now)
 	}
 }
 
-// clear clears a segment of the crashes before a time. The mutex must be held.
-func (t *SegmentTracker) clear(segment string, began, now time.Time) {
-	if last, found := t.answered.Get(segment); found && !began.After(last) {
+// clear clears a trait of the crashes before a time. The mutex must be held.
+func (t *CrashTracker) clear(trait string, began, now time.Time) {
+	if last, found := t.answered.Get(trait); found && !began.After(last) {
 		return
 	}
-	t.answered.Add(segment, began)
-	if t.isSuspect(segment) {
-		t.clearances.Add(segment, now)
+	t.answered.Add(trait, began)
+	if t.isSuspect(trait) {
+		t.clearances.Add(trait, now)
 	}
-	t.narrowFindings(segment, began, now)
+	t.narrowFindings(trait, began, now)
 }
 
-// isSuspect reports whether a segment stands in a crash. The mutex must be held.
-func (t *SegmentTracker) isSuspect(segment string) bool {
+// isSuspect reports whether a trait stands in a crash. The mutex must be held.
+func (t *CrashTracker) isSuspect(trait string) bool {
 	for _, c := range t.crashes {
-		if _, found := c.sentWith([]string{segment}); found {
+		if _, found := c.sentWith([]string{trait}); found {
 			return true
 		}
 	}
 	return false
 }
 
-// isCleared reports whether an answer with a segment began after a time. The mutex must be
+// isCleared reports whether an answer with a trait began after a time. The mutex must be
 // held.
-func (t *SegmentTracker) isCleared(segment string, at time.Time) bool {
-	last, found := t.answered.Peek(segment)
+func (t *CrashTracker) isCleared(trait string, at time.Time) bool {
+	last, found := t.answered.Peek(trait)
 	return found && last.After(at)
 }
 
 // Admission says whether a request may be sent to a runner.
 type Admission struct {
-	// Refused is true if the segments of the request crash runners.
+	// Refused is true if the traits of the request crash runners.
 	Refused bool
 	// IsTrial is true if the request is sent all the same, to see whether they still do.
 	IsTrial bool
-	// Finding is what was found about its segments, if one of the others is true.
+	// Finding is what was found about its traits, if one of the others is true.
 	Finding Finding
 }
 
-// Admit decides whether a request with the segments may be sent to a runner. decides reports
+// Admit decides whether a request with the traits may be sent to a runner. decides reports
 // whether this daemon is the one that makes the trials of a finding, given its key.
-func (t *SegmentTracker) Admit(segments []string, decides func(key string) bool, now time.Time) Admission {
+func (t *CrashTracker) Admit(traits []string, decides func(key string) bool, now time.Time) Admission {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.update(now)
-	matching := t.matching(segments)
+	matching := t.matching(traits)
 	if len(matching) == 0 {
 		return Admission{}
 	}
@@ -241,36 +248,36 @@
 }
 
 // matching returns the findings that apply to a request. The mutex must be held.
-func (t *SegmentTracker) matching(segments []string) []Finding {
+func (t *CrashTracker) matching(traits []string) []Finding {
 	var matching []Finding
 	for _, f := range t.findings {
-		if f.appliesTo(segments) {
+		if f.appliesTo(traits) {
 			matching = append(matching, f)
 		}
 	}
 	return matching
 }
 
-// IsSuspected reports whether a request with the segments must not be sent to another runner
+// IsSuspected reports whether a request with the traits must not be sent to another runner
 // after a failure: they are refused, or have crashed almost as many runners in a row.
-func (t *SegmentTracker) IsSuspected(segments []string, now time.Time) bool {
-	if len(segments) == 0 {
+func (t *CrashTracker) IsSuspected(traits []string, now time.Time) bool {
+	if len(traits) == 0 {
 		return false
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.update(now)
-	if len(t.matching(segments)) > 0 {
+	if len(t.matching(traits)) > 0 {
 		return true
 	}
 	crashes := t.sortedCrashes()
-	return slices.ContainsFunc(segments, func(segment string) bool {
-		return t.crashesInRow(segment, crashes) >= t.options.Threshold-1
+	return slices.ContainsFunc(traits, func(trait string) bool {
+		return t.crashesInRow(trait, crashes) >= t.options.Threshold-1
 	})
 }
 
 // Findings returns the findings in force, sorted by key.
-func (t *SegmentTracker) Findings(now time.Time) []Finding {
+func (t *CrashTracker) Findings(now time.Time) []Finding {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.update(now)
--- a/suspect/segments_test.go
+++ b/suspect/crashtracker_test.go
@@ -14,7 +14,7 @@
 // daemons are the trackers of daemons that exchange reports.
 type daemons struct {
 	c        *qt.C
-	trackers []*suspect.SegmentTracker
+	trackers []*suspect.CrashTracker
 	now      time.Time
 	// runner is the last one that crashed.
 	runner uint64
@@ -23,7 +23,7 @@
 func newDaemons(t *testing.T, count int) *daemons {
 	d := &daemons{c: qt.New(t), now: start}
 	for range count {
-		d.trackers = append(d.trackers, suspect.NewSegmentTracker(suspect.DefaultSegmentOptions()))
+		d.trackers = append(d.trackers, suspect.NewCrashTracker(suspect.DefaultCrashOptions()))
 	}
 	return d
 }
@@ -60,7 +60,7 @@
 // breakOff breaks off the requests of a daemon at a runner.
 func (d *daemons) breakOff(runner uint64, daemon int, requests ...[]string) {
 	for _, segments := range requests {
-		d.trackers[daemon].RecordCrash(runner, suspect.Attempt{Segments: segments, Sent: d.now.Add(-50 * time.Millisecond)}, d.now)
+		d.trackers[daemon].RecordCrash(runner, suspect.Attempt{Traits: segments, Sent: d.now.Add(-50 * time.Millisecond)}, d.now)
 	}
 }
 
@@ -248,7 +248,7 @@
 		d.settle()
 	}
 	d.pass(time.Minute)
-	started := suspect.NewSegmentTracker(suspect.DefaultSegmentOptions())
+	started := suspect.NewCrashTracker(suspect.DefaultCrashOptions())
 	started.Merge(d.trackers[0].Report(true, d.now), d.now, d.now)
 	d.c.Check(started.Admit([]string{"first", "bad"}, never, d.now).Refused, qt.IsTrue)
 }
@@ -324,11 +324,11 @@
 }
 
 func TestFindingsExpire(t *testing.T) {
-	options := suspect.DefaultSegmentOptions()
+	options := suspect.DefaultCrashOptions()
 	var changes []suspect.FindingChangeKind
 	options.OnChange = func(change suspect.FindingChange) { changes = append(changes, change.Kind) }
 	d := newDaemons(t, 1)
-	d.trackers[0] = suspect.NewSegmentTracker(options)
+	d.trackers[0] = suspect.NewCrashTracker(options)
 	for range 3 {
 		d.crash(0, []string{"bad"})
 		d.settle()
@@ -337,7 +337,7 @@
 	d.c.Check(d.isRefused(0, "bad"), qt.IsTrue)
 	d.pass(time.Minute)
 	d.c.Check(d.isRefused(0, "bad"), qt.IsFalse)
-	d.c.Check(changes, qt.DeepEquals, []suspect.FindingChangeKind{suspect.SegmentsFound, suspect.SegmentsCleared})
+	d.c.Check(changes, qt.DeepEquals, []suspect.FindingChangeKind{suspect.CauseFound, suspect.CauseCleared})
 }
 
 // Guards against memory and reports that grow with the crashes, and against a finding that is
@@ -368,7 +368,7 @@
 
 func TestReportsAreMergedInAnyOrder(t *testing.T) {
 	d := newDaemons(t, 4)
-	var reports []suspect.SegmentReport
+	var reports []suspect.CrashReport
 	for i := range 3 {
 		d.crash(i, []string{"first", "bad"}, []string{"first", fmt.Sprint("sound-", i)})
 		d.pass(time.Second)
@@ -378,7 +378,7 @@
 		reports = append(reports, tracker.Report(false, d.now))
 	}
 	merge := func() []suspect.Finding {
-		tracker := suspect.NewSegmentTracker(suspect.DefaultSegmentOptions())
+		tracker := suspect.NewCrashTracker(suspect.DefaultCrashOptions())
 		for _, report := range reports {
 			tracker.Merge(report, d.now, d.now)
 		}
@@ -387,7 +387,7 @@
 	forward := merge()
 	slices.Reverse(reports)
 	d.c.Assert(forward, qt.HasLen, 1)
-	d.c.Check(forward[0].Segments, qt.DeepEquals, []string{"bad"})
+	d.c.Check(forward[0].Traits, qt.DeepEquals, []string{"bad"})
 	d.c.Check(merge(), qt.DeepEquals, forward)
 }
 
@@ -401,7 +401,7 @@
 		for i := range 4 {
 			d.pass(30 * time.Millisecond)
 			d.crash(i%2, sound(7*wave+i), sound(7*wave+i+3), sound(7*wave+i+5))
-			d.trackers[i%2].RecordCrash(d.runner, suspect.Attempt{Segments: []string{"first", "bad"}, Sent: sent}, d.now)
+			d.trackers[i%2].RecordCrash(d.runner, suspect.Attempt{Traits: []string{"first", "bad"}, Sent: sent}, d.now)
 		}
 		d.settle()
 		for number := range 10 {
--- a/suspect/evaluate.go
+++ b/suspect/evaluate.go
@@ -11,7 +11,7 @@
 
 // update drops what has expired and evaluates the crashes that have settled since the last
 // time. The mutex must be held.
-func (t *SegmentTracker) update(now time.Time) {
+func (t *CrashTracker) update(now time.Time) {
 	if t.evaluateAt.IsZero() || now.Before(t.evaluateAt) {
 		return
 	}
@@ -30,7 +30,7 @@
 const expiryChecks = 20
 
 // expire drops what has expired, and the suspects that were cleared. The mutex must be held.
-func (t *SegmentTracker) expire(now time.Time) {
+func (t *CrashTracker) expire(now time.Time) {
 	for runner, c := range t.crashes {
 		c.attempts = t.unclearedAttempts(c)
 		if len(c.attempts) == 0 || now.Sub(c.at) >= t.options.Lifetime {
@@ -47,16 +47,16 @@
 	}
 }
 
-// unclearedAttempts returns the attempts of a crash without the segments that were cleared of it.
+// unclearedAttempts returns the attempts of a crash without the traits that were cleared of it.
 // The mutex must be held.
-func (t *SegmentTracker) unclearedAttempts(c crash) []Attempt {
+func (t *CrashTracker) unclearedAttempts(c crash) []Attempt {
 	left := crash{at: c.at}
 	for _, a := range c.attempts {
-		isCleared := func(segment string) bool { return t.isCleared(segment, c.at) }
-		if slices.ContainsFunc(a.Segments, isCleared) {
-			a.Segments = slices.DeleteFunc(slices.Clone(a.Segments), isCleared)
+		isCleared := func(trait string) bool { return t.isCleared(trait, c.at) }
+		if slices.ContainsFunc(a.Traits, isCleared) {
+			a.Traits = slices.DeleteFunc(slices.Clone(a.Traits), isCleared)
 		}
-		if len(a.Segments) > 0 {
+		if len(a.Traits) > 0 {
 			left = left.merge(crash{at: c.at, attempts: []Attempt{a}}, t.options.MaxAttempts)
 		}
 	}
@@ -64,17 +64,17 @@
 }
 
 // sortedCrashes returns the crashes in the order of their times. The mutex must be held.
-func (t *SegmentTracker) sortedCrashes() []crash {
+func (t *CrashTracker) sortedCrashes() []crash {
 	return slices.SortedFunc(maps.Values(t.crashes), crash.compareTime)
 }
 
-// crashesInRow counts the crashes in a row that a segment was not cleared of. The mutex must be
+// crashesInRow counts the crashes in a row that a trait was not cleared of. The mutex must be
 // held.
-func (t *SegmentTracker) crashesInRow(segment string, crashes []crash) int {
+func (t *CrashTracker) crashesInRow(trait string, crashes []crash) int {
 	var r row
 	for _, c := range crashes {
-		sent, found := c.sentWith([]string{segment})
-		if found && !t.isCleared(segment, c.at) {
+		sent, found := c.sentWith([]string{trait})
+		if found && !t.isCleared(trait, c.at) {
 			r = r.add(sent, c.at)
 		}
 	}
@@ -82,7 +82,7 @@
 }
 
 // evaluate looks for new findings in the crashes that have settled. The mutex must be held.
-func (t *SegmentTracker) evaluate(now time.Time) {
+func (t *CrashTracker) evaluate(now time.Time) {
 	crashes := slices.DeleteFunc(t.sortedCrashes(), func(c crash) bool { return now.Sub(c.at) < t.options.Settling })
 	for _, f := range findCauses(crashes, t.options.Threshold) {
 		t.found(f)
@@ -90,24 +90,24 @@
 }
 
 // found adds a finding and reports it if it is new. The mutex must be held.
-func (t *SegmentTracker) found(f Finding) {
+func (t *CrashTracker) found(f Finding) {
 	if t.addFinding(f) {
-		t.report(SegmentsFound, f)
+		t.report(CauseFound, f)
 	}
 }
 
 // addFinding adds a finding, or what is known of it elsewhere, and returns whether it is new.
-// Of two findings of which one contains the other, that with fewer segments applies to more
+// Of two findings of which one contains the other, that with fewer traits applies to more
 // requests and is kept. The mutex must be held.
-func (t *SegmentTracker) addFinding(added Finding) bool {
+func (t *CrashTracker) addFinding(added Finding) bool {
 	for key, known := range t.findings {
 		switch {
 		case key == added.Key():
 			t.findings[key] = known.merge(added)
 			return false
-		case containsAll(added.Segments, known.Segments):
+		case containsAll(added.Traits, known.Traits):
 			return false
-		case containsAll(known.Segments, added.Segments):
+		case containsAll(known.Traits, added.Traits):
 			added = added.merge(known)
 			delete(t.findings, key)
 		}
@@ -120,37 +120,37 @@
 	return true
 }
 
-// narrowFindings takes a segment that was cleared out of the findings whose crashes are all
+// narrowFindings takes a trait that was cleared out of the findings whose crashes are all
 // older than its answer. The mutex must be held.
-func (t *SegmentTracker) narrowFindings(segment string, began, now time.Time) {
+func (t *CrashTracker) narrowFindings(trait string, began, now time.Time) {
 	for _, f := range t.sortedFindings() {
-		if !slices.Contains(f.Segments, segment) || !began.After(f.Since) {
+		if !slices.Contains(f.Traits, trait) || !began.After(f.Since) {
 			continue
 		}
-		t.clearances.Add(segment, now)
-		if len(f.Segments) == 1 {
+		t.clearances.Add(trait, now)
+		if len(f.Traits) == 1 {
 			t.removeFinding(f.Key(), f)
 			continue
 		}
 		delete(t.findings, f.Key())
-		narrowed := f.without(segment)
+		narrowed := f.without(trait)
 		if t.addFinding(narrowed) {
-			t.report(SegmentsNarrowed, narrowed)
+			t.report(CauseNarrowed, narrowed)
 		}
 	}
 }
 
 // removeFinding ends a finding. The mutex must be held.
-func (t *SegmentTracker) removeFinding(key string, f Finding) {
+func (t *CrashTracker) removeFinding(key string, f Finding) {
 	delete(t.findings, key)
-	t.report(SegmentsCleared, f)
+	t.report(CauseCleared, f)
 }
 
-func (t *SegmentTracker) sortedFindings() []Finding {
-	return slices.SortedFunc(maps.Values(t.findings), func(x, y Finding) int { return slices.Compare(x.Segments, y.Segments) })
+func (t *CrashTracker) sortedFindings() []Finding {
+	return slices.SortedFunc(maps.Values(t.findings), func(x, y Finding) int { return slices.Compare(x.Traits, y.Traits) })
 }
 
-func (t *SegmentTracker) report(kind FindingChangeKind, f Finding) {
+func (t *CrashTracker) report(kind FindingChangeKind, f Finding) {
 	if t.options.OnChange != nil {
 		t.options.OnChange(FindingChange{Kind: kind, Finding: f})
 	}
--- a/suspect/finding.go
+++ b/suspect/finding.go
@@ -6,17 +6,17 @@
 	"time"
 )
 
-// Finding says that requests with certain segments crash the runners that answer them. It is
+// Finding says that requests with certain traits crash the runners that answer them. It is
 // immutable.
 type Finding struct {
-	// Segments are sorted IDs, at least one. A request must have all of them.
-	Segments []string
+	// Traits are sorted IDs, at least one. A request must have all of them.
+	Traits []string
 	// Since and Last are the times of the first and the last crash.
 	Since, Last time.Time
 	// Crashes is the number of crashes in a row.
 	Crashes int
 	// Trials is the number of requests that were sent to runners since, to see whether the
-	// segments still crash them.
+	// traits still crash them.
 	Trials int
 }
 
@@ -25,13 +25,13 @@
 
 // The kinds of changes.
 const (
-	// SegmentsFound means that requests with the segments are refused from now on.
-	SegmentsFound FindingChangeKind = "SegmentsFound"
-	// SegmentsNarrowed means that one of the segments was cleared, and that requests with the
+	// CauseFound means that requests with the traits are refused from now on.
+	CauseFound FindingChangeKind = "CauseFound"
+	// CauseNarrowed means that one of the traits was cleared, and that requests with the
 	// others are refused.
-	SegmentsNarrowed FindingChangeKind = "SegmentsNarrowed"
-	// SegmentsCleared means that requests with the segments are not refused any more.
-	SegmentsCleared FindingChangeKind = "SegmentsCleared"
+	CauseNarrowed FindingChangeKind = "CauseNarrowed"
+	// CauseCleared means that requests with the traits are not refused any more.
+	CauseCleared FindingChangeKind = "CauseCleared"
 )
 
 // FindingChange is a change of a finding.
@@ -40,18 +40,18 @@
 	Finding Finding
 }
 
-// segmentSeparator separates the IDs of segments in a key. IDs don't contain it.
-const segmentSeparator = ","
+// traitSeparator separates the IDs of traits in a key. IDs don't contain it.
+const traitSeparator = ","
 
-// Key identifies the segments of the finding.
-func (f Finding) Key() string { return strings.Join(f.Segments, segmentSeparator) }
+// Key identifies the traits of the finding.
+func (f Finding) Key() string { return strings.Join(f.Traits, traitSeparator) }
 
-// appliesTo reports whether a request with the segments is refused.
-func (f Finding) appliesTo(segments []string) bool { return containsAll(segments, f.Segments) }
+// appliesTo reports whether a request with the traits is refused.
+func (f Finding) appliesTo(traits []string) bool { return containsAll(traits, f.Traits) }
 
 // containsAll reports whether all of the parts are contained.
-func containsAll(segments, parts []string) bool {
-	return !slices.ContainsFunc(parts, func(part string) bool { return !slices.Contains(segments, part) })
+func containsAll(traits, parts []string) bool {
+	return !slices.ContainsFunc(parts, func(part string) bool { return !slices.Contains(traits, part) })
 }
 
 // isTrialDue reports whether the next request may be sent to a runner.
@@ -67,9 +67,9 @@
 	return f
 }
 
-// without returns the finding without a segment that was cleared.
-func (f Finding) without(segment string) Finding {
-	f.Segments = slices.DeleteFunc(slices.Clone(f.Segments), func(s string) bool { return s == segment })
+// without returns the finding without a trait that was cleared.
+func (f Finding) without(trait string) Finding {
+	f.Traits = slices.DeleteFunc(slices.Clone(f.Traits), func(s string) bool { return s == trait })
 	return f
 }
 
--- a/suspect/report.go
+++ b/suspect/report.go
@@ -5,14 +5,14 @@
 	"time"
 )
 
-// SegmentReport is what a daemon tells others of segments that crash runners. Times are ages,
+// CrashReport is what a daemon tells others of traits that crash runners. Times are ages,
 // since the clocks of the daemons differ. It and the structs in it are encoded as arrays: the
 // order and the types of their fields are the wire format.
-type SegmentReport struct {
+type CrashReport struct {
 	Crashes []ReportedCrash
 	// LifeSigns holds runners that seemed to have crashed and have sent data since.
 	LifeSigns []ReportedLifeSign
-	// Answers holds segments of crashes that were answered since.
+	// Answers holds traits of crashes that were answered since.
 	Answers  []ReportedAnswer
 	Findings []ReportedFinding
 }
@@ -26,8 +26,8 @@
 
 // ReportedAttempt is an attempt that began at an age.
 type ReportedAttempt struct {
-	Segments []string
-	Age      time.Duration
+	Traits []string
+	Age    time.Duration
 }
 
 // ReportedLifeSign is data that a runner has sent at an age.
@@ -36,15 +36,15 @@
 	Age    time.Duration
 }
 
-// ReportedAnswer is an answer, to a request with a segment, that began at an age.
+// ReportedAnswer is an answer, to a request with a trait, that began at an age.
 type ReportedAnswer struct {
-	Segment string
-	Age     time.Duration
+	Trait string
+	Age   time.Duration
 }
 
 // ReportedFinding is a Finding whose first and last crash have ages.
 type ReportedFinding struct {
-	Segments            []string
+	Traits              []string
 	SinceAge, LastAge   time.Duration
 	Crashes, TrialsMade int
 }
@@ -58,18 +58,18 @@
 
 // Report returns what this daemon has observed lately, and the findings. With toNew it returns
 // all it knows, for a daemon that has just started.
-func (t *SegmentTracker) Report(toNew bool, now time.Time) SegmentReport {
+func (t *CrashTracker) Report(toNew bool, now time.Time) CrashReport {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.update(now)
-	return SegmentReport{
+	return CrashReport{
 		Crashes: t.reportedCrashes(toNew, now), LifeSigns: t.reportedLifeSigns(now),
 		Answers: t.reportedAnswers(toNew, now), Findings: t.reportedFindings(now),
 	}
 }
 
 // reportedCrashes returns the newest crashes first. The mutex must be held.
-func (t *SegmentTracker) reportedCrashes(toNew bool, now time.Time) []ReportedCrash {
+func (t *CrashTracker) reportedCrashes(toNew bool, now time.Time) []ReportedCrash {
 	var reported []ReportedCrash
 	left := maxSharedAttempts
 	crashes := t.sortedCrashes()
@@ -81,7 +81,7 @@
 		r := ReportedCrash{Runner: c.runner, Age: now.Sub(c.at)}
 		for _, a := range c.attempts {
 			if left > 0 && (a.isOwn || toNew) {
-				r.Attempts = append(r.Attempts, ReportedAttempt{Segments: a.Segments, Age: now.Sub(a.Sent)})
+				r.Attempts = append(r.Attempts, ReportedAttempt{Traits: a.Traits, Age: now.Sub(a.Sent)})
 				left--
 			}
 		}
@@ -92,7 +92,7 @@
 	return reported
 }
 
-func (t *SegmentTracker) reportedLifeSigns(now time.Time) []ReportedLifeSign {
+func (t *CrashTracker) reportedLifeSigns(now time.Time) []ReportedLifeSign {
 	var signs []ReportedLifeSign
 	for _, runner := range t.disproved.Keys() {
 		if at, found := t.disproved.Peek(runner); found && now.Sub(at) <= sharedAge {
@@ -102,34 +102,34 @@
 	return signs
 }
 
-func (t *SegmentTracker) reportedAnswers(toNew bool, now time.Time) []ReportedAnswer {
+func (t *CrashTracker) reportedAnswers(toNew bool, now time.Time) []ReportedAnswer {
 	var answers []ReportedAnswer
-	for _, segment := range t.clearances.Keys() {
-		clearedAt, _ := t.clearances.Peek(segment)
-		began, found := t.answered.Peek(segment)
+	for _, trait := range t.clearances.Keys() {
+		clearedAt, _ := t.clearances.Peek(trait)
+		began, found := t.answered.Peek(trait)
 		if found && (toNew || now.Sub(clearedAt) <= sharedAge) {
-			answers = append(answers, ReportedAnswer{Segment: segment, Age: now.Sub(began)})
+			answers = append(answers, ReportedAnswer{Trait: trait, Age: now.Sub(began)})
 		}
 	}
 	return answers
 }
 
-func (t *SegmentTracker) reportedFindings(now time.Time) []ReportedFinding {
+func (t *CrashTracker) reportedFindings(now time.Time) []ReportedFinding {
 	var reported []ReportedFinding
 	for _, f := range t.sortedFindings() {
 		reported = append(reported, ReportedFinding{
-			Segments: f.Segments, SinceAge: now.Sub(f.Since), LastAge: now.Sub(f.Last), Crashes: f.Crashes, TrialsMade: f.Trials,
+			Traits: f.Traits, SinceAge: now.Sub(f.Since), LastAge: now.Sub(f.Last), Crashes: f.Crashes, TrialsMade: f.Trials,
 		})
 	}
 	return reported
 }
 
 // Merge applies the report of another daemon that was made at a reading of this daemon's clock.
-func (t *SegmentTracker) Merge(report SegmentReport, made, now time.Time) {
+func (t *CrashTracker) Merge(report CrashReport, made, now time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	for _, answer := range report.Answers {
-		t.clear(answer.Segment, made.Add(-answer.Age), now)
+		t.clear(answer.Trait, made.Add(-answer.Age), now)
 	}
 	for _, sign := range report.LifeSigns {
 		t.disprove(sign.Runner, made.Add(-sign.Age))
@@ -146,30 +146,30 @@
 func (r ReportedCrash) crash(made time.Time) crash {
 	c := crash{runner: r.Runner, at: made.Add(-r.Age)}
 	for _, a := range r.Attempts {
-		c.attempts = append(c.attempts, Attempt{Segments: a.Segments, Sent: made.Add(-a.Age)})
+		c.attempts = append(c.attempts, Attempt{Traits: a.Traits, Sent: made.Add(-a.Age)})
 	}
 	return c
 }
 
 func (r ReportedFinding) finding(made time.Time) Finding {
 	return Finding{
-		Segments: r.Segments, Since: made.Add(-r.SinceAge), Last: made.Add(-r.LastAge), Crashes: r.Crashes, Trials: r.TrialsMade,
+		Traits: r.Traits, Since: made.Add(-r.SinceAge), Last: made.Add(-r.LastAge), Crashes: r.Crashes, Trials: r.TrialsMade,
 	}
 }
 
-// mergeFinding adds a finding of another daemon without the segments that this one knows to be
+// mergeFinding adds a finding of another daemon without the traits that this one knows to be
 // sound, and lets the other one know of those. The mutex must be held.
-func (t *SegmentTracker) mergeFinding(f Finding, now time.Time) {
+func (t *CrashTracker) mergeFinding(f Finding, now time.Time) {
 	if now.Sub(f.Last) >= t.options.Lifetime {
 		return
 	}
-	for _, segment := range f.Segments {
-		if t.isCleared(segment, f.Since) {
-			t.clearances.Add(segment, now)
-			f = f.without(segment)
+	for _, trait := range f.Traits {
+		if t.isCleared(trait, f.Since) {
+			t.clearances.Add(trait, now)
+			f = f.without(trait)
 		}
 	}
-	if len(f.Segments) > 0 {
+	if len(f.Traits) > 0 {
 		t.found(f)
 	}
 }
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -1,5 +1,7 @@
-// Package suspect detects requests that crash the backend servers which run them, by
-// a fingerprint of their content. It performs no I/O.
+// Package suspect detects requests that crash the backend servers which run them. A
+// Tracker counts the crashes of each request by a fingerprint of its content. A
+// CrashTracker looks for what the requests at crashed servers have in common. The package
+// performs no I/O.
 package suspect
 
 import (
