Let requests that crash runners come in the soak

Callers whose prompts share a segment that crashes runners come beside the other faults, with -crashing.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -34,6 +34,7 @@
 	flag.StringVar(&r.dir, "dir", os.TempDir(), "folder for settings and logs")
 	flag.DurationVar(&o.FaultPeriod, "faulty", o.FaultPeriod, "how long faults come in a run")
 	flag.BoolVar(&o.PlannedOnly, "planned", false, "planned work only: stops, reloads and configurations")
+	flag.BoolVar(&o.CrashingSegment, "crashing", false, "callers whose prompts share a segment that crashes runners")
 	flag.IntVar(&o.Daemons, "daemons", o.Daemons, "number of daemons")
 	flag.IntVar(&o.Runners, "runners", o.Runners, "number of runners")
 	flag.IntVar(&o.CallersPerDaemon, "callers", o.CallersPerDaemon, "number of callers of each daemon")
