Count a crash once for all requests of a content in the own interface too

The own interface had the same fault: one crash of a backend server that ran two requests of the same content counted as two, and both were refused as crashing backend servers.

Cause: a crash was identified by the request. An attempt that was started before the last recorded crash of its backend server was broken off by that one, and counts no more. TestCrashCountsOnceForRequestsOfOneContent in dispatch failed before (Unknown in place of Answered). What concerns crashes has a file of its own.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -7,7 +7,6 @@
 
 	"github.com/cranberrywalk/cranberrywalk/backend"
 	"github.com/cranberrywalk/cranberrywalk/request"
-	"github.com/cranberrywalk/cranberrywalk/suspect"
 )
 
 // attempt sends the request to one backend server. It returns nil if the response
@@ -23,7 +22,7 @@
 		a = f.newAttempt(target)
 	}
 	defer a.cancel(nil)
-	f.startAttempt(target, a.cancel)
+	f.startAttempt(target, a)
 	observed, err := f.exchange(a)
 	f.settleHedge(err)
 	f.reportAttempt(target, a.started, observed, err)
@@ -50,31 +49,7 @@
 		return
 	}
 	_ = f.apply(request.AttemptFailed)
-	f.checkForCrash(target, err)
-}
-
-// checkForCrash records a possible crash of the backend server if the failure of
-// the attempt looks like one.
-func (f *inFlightRequest) checkForCrash(target Target, failure error) {
-	var fault *backend.FaultError
-	if errors.As(failure, &fault) && fault.IsCrash() && !f.isLeaving(target.Name) && f.ctx.Err() == nil {
-		f.recordCrash(target)
-	}
-}
-
-// recordCrash records that the request may have crashed a backend server.
-func (f *inFlightRequest) recordCrash(target Target) {
-	f.setLastCrash(target)
-	if f.isSharedCrash(target, f.Clock.Now()) {
-		f.Count("RequestCrashesShared", 1)
-		return
-	}
-	crashID := suspect.CrashID(f.request.ID, target.Name, f.machine.Attempt())
-	entry := f.Suspects.RecordCrash(f.fingerprint, crashID, f.Clock.Now())
-	f.Count("RequestCrashes", 1)
-	if f.OnSuspect != nil && len(entry.Crashes) > 0 {
-		f.OnSuspect(entry)
-	}
+	f.checkForCrash(target, f.attemptStarted, err)
 }
 
 // exchange sends the request and relays the response.
--- a/dispatch/backend_fake_test.go
+++ b/dispatch/backend_fake_test.go
@@ -35,7 +35,7 @@
 
 // behaviour defines how a fake backend server handles requests. The fault
 // "crossed" is a response with the ID of another request; "opaque" is a stream
-// with content other than text.
+// with content other than text; "slow closed" closes the connection on release.
 type behaviour struct {
 	fault string
 	// late injects the fault after the response head and the first tokens.
@@ -144,6 +144,9 @@
 			}
 		case "slow":
 			f.waitForRelease()
+		case "slow closed":
+			f.waitForRelease()
+			return false
 		case "crossed":
 			id = "other"
 		case "busy":
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	lru "github.com/hashicorp/golang-lru/v2"
+
 	"github.com/cranberrywalk/cranberrywalk/answer"
 	"github.com/cranberrywalk/cranberrywalk/backend"
 	"github.com/cranberrywalk/cranberrywalk/claim"
@@ -164,6 +166,8 @@
 	mu sync.Mutex
 	// inFlight holds the requests that have not ended.
 	inFlight map[*inFlightRequest]struct{}
+	// crashes holds when crashes were last recorded; guarded by mu.
+	crashes *lru.Cache[crashKey, time.Time]
 	// draining is never reset.
 	draining bool
 	// drained is closed when draining is true and inFlight is empty.
@@ -177,6 +181,7 @@
 		Dependencies: dependencies,
 		options:      options,
 		inFlight:     make(map[*inFlightRequest]struct{}),
+		crashes:      newCrashCache(),
 		drained:      make(chan struct{}),
 	}
 }
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -28,8 +28,9 @@
 
 // failedHedge is a hedge whose backend server did not run the request to an answer.
 type failedHedge struct {
-	target Target
-	cause  error
+	target  Target
+	started time.Time
+	cause   error
 }
 
 // onSilence returns the function that is called while the backend server of an attempt
@@ -178,7 +179,7 @@
 		return
 	}
 	h.cancel(nil)
-	f.failedHedges = append(f.failedHedges, failedHedge{target: h.target, cause: err})
+	f.failedHedges = append(f.failedHedges, failedHedge{target: h.target, started: h.started, cause: err})
 }
 
 // takeData reports whether data of the current attempt may be used, and cancels its
@@ -212,7 +213,7 @@
 	f.mu.Unlock()
 	for _, hedge := range failed {
 		f.excluded = append(f.excluded, hedge.target.Name)
-		f.checkForCrash(hedge.target, hedge.cause)
+		f.checkForCrash(hedge.target, hedge.started, hedge.cause)
 	}
 }
 
--- a/dispatch/inflight.go
+++ b/dispatch/inflight.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -49,6 +50,8 @@
 	mu sync.Mutex
 	// target is the backend server of the current attempt.
 	target Target
+	// attemptStarted is when the current attempt was started.
+	attemptStarted time.Time
 	// cancelAttempt cancels the current attempt; it is nil between attempts.
 	cancelAttempt context.CancelCauseFunc
 	// movable is true when another backend server can continue the current
--- a/dispatch/isolate_test.go
+++ b/dispatch/isolate_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -46,3 +47,20 @@
 	c.Assert((<-results).Outcome, qt.Equals, request.Answered)
 	c.Assert((<-results).Outcome, qt.Equals, request.Answered)
 }
+
+// Guards against requests that are refused since one crash broke off several of the same content.
+func TestCrashCountsOnceForRequestsOfOneContent(t *testing.T) {
+	c := qt.New(t)
+	b := newTestbed(t, behaviour{fault: "slow closed"}, behaviour{})
+	results := make(chan dispatch.Result, 2)
+	for _, id := range []string{"first", "second"} {
+		r := chat(b.clock.Now())
+		r.ID = id
+		go func() { results <- b.Do(context.Background(), r, &fakeWriter{}) }()
+		<-b.backends[0].hung
+	}
+	b.clock.Advance(time.Second)
+	close(b.backends[0].release)
+	c.Assert((<-results).Outcome, qt.Equals, request.Answered)
+	c.Assert((<-results).Outcome, qt.Equals, request.Answered)
+}
--- a/dispatch/move.go
+++ b/dispatch/move.go
@@ -109,13 +109,14 @@
 }
 
 // startAttempt registers the current attempt, so that MoveStreams can find it.
-func (f *inFlightRequest) startAttempt(target Target, cancel context.CancelCauseFunc) {
+func (f *inFlightRequest) startAttempt(target Target, a *backendAttempt) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.attemptNumber++
 	f.stream.startAttempt()
 	f.target = target
-	f.cancelAttempt = cancel
+	f.attemptStarted = a.started
+	f.cancelAttempt = a.cancel
 	f.movable = f.expectsStream() && f.stream.body.continuable()
 }
 
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -90,7 +90,7 @@
 	if failure == nil {
 		f.Suspects.RecordAnswer(f.fingerprint, f.Clock.Now())
 	} else {
-		f.checkForCrash(f.target, failure)
+		f.checkForCrash(f.target, f.attemptStarted, failure)
 	}
 	if !f.request.Stream {
 		header.Set("Content-Type", "application/json")
