Take refused connections for no sign of a cut zone

Cause: a refused connection counted as silence of the zone, though the VM has answered. Change: a refusal counts against the zone only if nothing is heard of its daemons either. TestZoneOfCrashedRunnersIsNotCut fails if a refusal counts as silence (1 candidate in place of 2).

--- a/balance/ticket.go
+++ b/balance/ticket.go
@@ -16,13 +16,16 @@
 	Rejected
 	// Unreachable means that no connection could be established.
 	Unreachable
+	// Refused means that the runner's VM refused the connection, as it does after a crash of
+	// the runner.
+	Refused
 	// Replaced means that another runner answers at the address.
 	Replaced
 	// Silent means that the runner did not answer before the timeout.
 	Silent
 )
 
-var resultNames = [...]string{"Cancelled", "Succeeded", "Failed", "Rejected", "Unreachable", "Replaced", "Silent"}
+var resultNames = [...]string{"Cancelled", "Succeeded", "Failed", "Rejected", "Unreachable", "Refused", "Replaced", "Silent"}
 
 // String returns the result's name.
 func (r Result) String() string { return resultNames[r] }
@@ -97,7 +100,7 @@
 		t.runner.backoff = 0
 	case Failed, Rejected, Silent:
 		t.runner.recordResult(true, now, b.options.FailureTimeConstant)
-	case Unreachable:
+	case Unreachable, Refused:
 		t.runner.recordResult(true, now, b.options.FailureTimeConstant)
 		if t.runner.backoff == 0 {
 			b.notify(RunnerDown, t.runner)
@@ -114,6 +117,8 @@
 	switch result {
 	case Succeeded, Rejected, Replaced:
 		b.recordZoneAnswer(r)
+	case Refused:
+		b.zoneOf(r.entry.Zone).recordRefusal(r.entry.ID)
 	case Unreachable, Silent:
 		if b.zoneOf(r.entry.Zone).recordSilence(r.entry.ID, now, b.options.ZoneRetryInterval) {
 			b.notify(ZoneCut, r)
--- a/balance/zone.go
+++ b/balance/zone.go
@@ -35,6 +35,10 @@
 	return false
 }
 
+// recordRefusal records that a runner's VM refused a connection. As long as daemons of the zone
+// are heard, the runner has crashed; otherwise the path to the zone may be cut.
+func (z *zone) recordRefusal(runner string) { z.silentRunners[runner] = struct{}{} }
+
 // recordAnswer records that a runner answered. It reports whether the zone was
 // unreachable until now.
 func (z *zone) recordAnswer() bool {
--- a/balance/zone_test.go
+++ b/balance/zone_test.go
@@ -144,3 +144,29 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(choice.Runner.Zone, qt.Equals, "a")
 }
+
+// Guards against a zone that is avoided since some of its runners have crashed and refuse
+// connections.
+func TestZoneOfCrashedRunnersIsNotCut(t *testing.T) {
+	c := qt.New(t)
+	b := newBalancer()
+	try := func(only string, result balance.Result) {
+		_, ticket, err := b.Choose(balance.Request{Service: "desk", Only: only}, start)
+		c.Assert(err, qt.IsNil)
+		ticket.End(result, start)
+	}
+	for range 3 {
+		try("b0", balance.Refused)
+		try("b1", balance.Refused)
+	}
+	b.SetRunners([]inventory.Runner{
+		{ID: "b2", Service: "desk", Zone: "b", Slots: 6}, {ID: "c0", Service: "desk", Zone: "c", Slots: 6},
+	}, func(string) int { return 100000 })
+	choice, _, err := b.Choose(balance.Request{Service: "desk"}, start)
+	c.Assert(err, qt.IsNil)
+	c.Check(choice.Candidates, qt.Equals, 2)
+	b.SetSilentZones([]string{"b"})
+	choice, _, err = b.Choose(balance.Request{Service: "desk"}, start)
+	c.Assert(err, qt.IsNil)
+	c.Check(choice.Candidates, qt.Equals, 1, qt.Commentf("with its daemons silent too, the zone is cut"))
+}
--- a/gateway/failure.go
+++ b/gateway/failure.go
@@ -74,6 +74,8 @@
 		return balance.Silent
 	case x.ctx.Err() != nil, errors.As(failure, &full), isCallerWriteFailure(failure), isStale(failure):
 		return balance.Cancelled
+	case errors.As(failure, &unwritten) && upstream.IsRefused(unwritten.Cause):
+		return balance.Refused
 	case errors.As(failure, &unwritten):
 		return balance.Unreachable
 	case errors.As(failure, &timeout) && timeout.Timeout():
--- a/upstream/stale.go
+++ b/upstream/stale.go
@@ -51,6 +51,9 @@
 	return false
 }
 
+// IsRefused reports whether an error means that the peer refused the connection.
+func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // recordFailure learns from the failure of an exchange. It marks the error if the
 // connection was probably stale.
 func (p *Pool) recordFailure(c *connection, request Request, err error) {
