Tell a crash that is noticed late from one that refutes it

A daemon that was paused notices the crash of a runner seconds after the others. Its report took the place of theirs, and the suspects of the crash were forgotten: requests that crash runners could go on crashing them.

Cause: a failure long after a crash of the same runner was taken for a sign that the runner was still in use. Now the requests decide it: only one that was sent long after the crash shows that. TestCrashThatIsNoticedLateIsTheSame failed before.

--- a/suspect/crash.go
+++ b/suspect/crash.go
@@ -64,6 +64,15 @@
 	return a
 }
 
+// lastSent returns when the last attempt was sent.
+func (c crash) lastSent() time.Time {
+	var last time.Time
+	for _, a := range c.attempts {
+		last = maxTime(last, a.Sent)
+	}
+	return last
+}
+
 // traits returns the distinct traits of the attempts.
 func (c crash) traits() map[string]bool {
 	traits := make(map[string]bool)
--- a/suspect/crashtracker.go
+++ b/suspect/crashtracker.go
@@ -24,7 +24,7 @@
 	// LifeSignDelay is how long after a crash data of its runner may still arrive, and
 	// LifeSignWindow is how long after it no new runner takes the place of a crashed one.
 	LifeSignDelay, LifeSignWindow time.Duration
-	// RemovalTime is how long after a crash the runner may still be used, in vain.
+	// RemovalTime is how long after a crash requests may still be sent to the runner, in vain.
 	RemovalTime time.Duration
 	// TrialDelays are the times from the last crash to each request with refused traits
 	// that is sent to a runner all the same, to see whether they still crash it.
@@ -116,16 +116,21 @@
 	case !found:
 		t.evictCrash()
 		t.crashes[added.runner] = added
-	case added.at.Sub(known.at) > t.options.RemovalTime:
-		// A crashed runner would not be used any more: it had only lost a connection before.
+	case t.refutes(added, known):
 		t.crashes[added.runner] = added
-	case known.at.Sub(added.at) <= t.options.RemovalTime:
+	case !t.refutes(known, added):
 		t.crashes[added.runner] = known.merge(added, t.options.MaxAttempts)
 	}
 	t.crashCount.Store(int64(len(t.crashes)))
 	t.evaluateBy(added.at.Add(t.options.Settling))
 }
 
+// refutes reports whether the runner had only lost a connection at an earlier crash: it was still
+// in use long after it. A daemon that was paused may notice a crash as late.
+func (t *CrashTracker) refutes(later, earlier crash) bool {
+	return later.lastSent().After(earlier.at.Add(t.options.RemovalTime))
+}
+
 // evictCrash makes room for a crash. The mutex must be held.
 func (t *CrashTracker) evictCrash() {
 	if len(t.crashes) < t.options.MaxCrashes {
--- a/suspect/crashtracker_test.go
+++ b/suspect/crashtracker_test.go
@@ -214,6 +214,36 @@
 	d.c.Check(d.isRefused(1, "first", "sound"), qt.IsFalse)
 }
 
+// Guards against the suspects of a crash that are forgotten since a daemon that was paused
+// notices the crash late.
+func TestCrashThatIsNoticedLateIsTheSame(t *testing.T) {
+	d := newDaemons(t, 2)
+	for range 3 {
+		sent := d.now
+		d.pass(50 * time.Millisecond)
+		d.crash(0, []string{"bad"})
+		d.settle()
+		d.pass(20 * time.Second)
+		d.trackers[1].RecordCrash(d.runner, suspect.Attempt{Traits: []string{"sound"}, Sent: sent}, d.now)
+		d.settle()
+	}
+	d.c.Check(d.isRefused(0, "bad"), qt.IsTrue)
+	d.c.Check(d.isRefused(1, "bad"), qt.IsTrue)
+}
+
+// Guards against a crash that is overlooked since its runner had lost a connection long before.
+func TestLostConnectionLongBeforeACrash(t *testing.T) {
+	d := newDaemons(t, 2)
+	for range 3 {
+		d.crash(1, []string{"other"})
+		d.pass(20 * time.Second)
+		d.breakOff(d.runner, 0, []string{"bad"})
+		d.settle()
+	}
+	d.c.Check(d.isRefused(0, "bad"), qt.IsTrue)
+	d.c.Check(d.isRefused(1, "bad"), qt.IsTrue)
+}
+
 // Guards against old answers that clear a segment which has begun to crash runners since.
 func TestAnswerFromBeforeTheCrashesProvesNothing(t *testing.T) {
 	d := newDaemons(t, 1)
