--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -169,7 +169,7 @@
 	a.ticket.End(result, now)
 	x.Meters.CountAttempt(a.choice.Runner.ID, result.String())
 	x.apply(request.AnswerWhole)
-	if result == balance.Succeeded {
+	if status < http.StatusMultipleChoices {
 		x.recordProof(a, now)
 	}
 	x.recordEnd(status, "Answered", nil)
--- a/gateway/crashingcontent_test.go
+++ b/gateway/crashingcontent_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/cranberrywalk/cranberrywalk/inventory"
 	"github.com/cranberrywalk/cranberrywalk/platform/standin"
+	"github.com/cranberrywalk/cranberrywalk/suspect"
 )
 
 // Guards against a request that crashes each runner it is sent to and is sent again and again.
@@ -55,3 +56,21 @@
 		}
 	}
 }
+
+// Guards against a request that crashes runners and is cleared since one runner turned it away
+// with an error of its own.
+func TestErrorOfRunnerClearsNoRequest(t *testing.T) {
+	for _, status := range []int{http.StatusBadRequest, http.StatusNotFound, http.StatusInternalServerError} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			r := newRig(t, always(standin.Behaviour{Status: status, Body: "an error"}))
+			now := time.Now()
+			r.send("/stream/a", with(standin.HeaderTokenCount, "900,50"), with(standin.HeaderPrompt, "aaaa:300,bad1:300,own:100"))
+			for crash := range 3 {
+				at := now.Add(time.Duration(crash-10) * 10 * time.Millisecond)
+				r.segments.RecordCrash(uint64(crash), suspect.Attempt{Traits: []string{crashingSegment}, Sent: at.Add(-time.Millisecond)}, at)
+			}
+			admission := r.segments.Admit([]string{crashingSegment}, func(string) bool { return false }, now.Add(time.Second))
+			r.c.Check(admission.Refused, qt.IsTrue)
+		})
+	}
+}
