--- a/suspect/crashtracker.go
+++ b/suspect/crashtracker.go
@@ -58,10 +58,9 @@
 // content. CrashTracker is safe for concurrent use.
 //
 // A crash breaks off all requests at its runner. Those whose answer had not begun are its
-// suspects, and so are the traits of their prompts. A trait is cleared of all crashes before
-// an answer to a request with it begins. What is left after some crashes in a row crashes runners.
-// Traits that only ever come together are found together, and only requests with all of
-// them are refused.
+// suspects, and so are their traits. An answer to a request clears its traits of all crashes
+// before the answer began. What is left after some crashes in a row crashes runners. Traits that
+// only ever come together are found together, and only requests with all of them are refused.
 type CrashTracker struct {
 	options CrashOptions
 	// crashCount is the number of crashes, so that nothing is locked while there are none.
