--- a/gateway/crashingsegment_test.go
+++ b/gateway/crashingsegment_test.go
@@ -41,7 +41,10 @@
 	// crashes holds when runners crashed, and arrivals when requests with the segment
 	// reached runners.
 	crashes, arrivals []time.Time
-	started           int
+	// started counts the runners.
+	started int
+	// replacements waits for the runners that take the place of crashed ones.
+	replacements sync.WaitGroup
 }
 
 const (
@@ -59,6 +62,7 @@
 	for range fleetSize {
 		f.boot()
 	}
+	f.c.Cleanup(f.replacements.Wait)
 	return f
 }
 
@@ -88,23 +92,31 @@
 	f.mutex.Lock()
 	f.arrivals = append(f.arrivals, time.Now())
 	f.mutex.Unlock()
-	time.AfterFunc(timeToCrash, func() { f.recordCrash(id) })
+	f.replacements.Go(func() { f.replaceCrashed(id) })
 	return standin.Behaviour{Gap: timeToCrash, Crash: true}
 }
 
-// recordCrash records that a runner crashes now. A new one takes its place later.
-func (f *crashingFleet) recordCrash(id string) {
+// replaceCrashed waits for the crash of a runner. A new one takes its place later.
+func (f *crashingFleet) replaceCrashed(id string) {
+	time.Sleep(timeToCrash)
+	if !f.recordCrash(id) {
+		return
+	}
+	time.Sleep(bootTime)
+	f.remove(id)
+	f.boot()
+}
+
+// recordCrash records that a runner crashes now. It returns false if that is known.
+func (f *crashingFleet) recordCrash(id string) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if f.crashed[id] {
-		return
+		return false
 	}
 	f.crashed[id] = true
 	f.crashes = append(f.crashes, time.Now())
-	time.AfterFunc(bootTime, func() {
-		f.remove(id)
-		f.boot()
-	})
+	return true
 }
 
 func (f *crashingFleet) remove(id string) {
