Tell in the log and in a gauge which limits runners name

The logs of the incident could not tell whether a daemon knows that a runner names a limit: no line names one, its changes or its end, nor who heard it. The field is decoded now, also where it holds no limit, and RunnerLimited, RunnerLimitChanged, RunnerLimitEnded and RunnerLimitInvalid say so once each. An answer ends or raises a limit only if its request was sent after the limit was last named. The limits have no effect on the choice of runners yet.

A field without a usable number (empty, text, zero, negative, infinite, not a number, above a million, or two fields) changes nothing, is counted and gives one line in ten seconds.

--- a/architecture_test.go
+++ b/architecture_test.go
@@ -19,7 +19,7 @@
 // corePackages must not perform I/O.
 var corePackages = []string{
 	"balance", "buffer", "call", "catalog", "claim", "clocksync", "dutylease", "grant", "idlelimit", "inventory", "latest", "lease", "limit", "peer/gossip",
-	"placement", "plan", "prefix", "quota", "request", "retry", "roster", "route", "scaling", "store", "suspect",
+	"placement", "plan", "prefix", "quota", "request", "retry", "roster", "route", "runnerlimit", "scaling", "store", "suspect",
 	"timeline", "usage",
 }
 
@@ -27,7 +27,7 @@
 // translates between protocols and makes no decisions.
 var policyPackages = []string{
 	"balance", "clocksync", "dispatch", "duties", "entry", "feed", "gateway", "idlelimit", "lease", "limit", "order", "placement", "quota",
-	"retry", "roster", "route", "scaling", "suspect", "upstream", "usage",
+	"retry", "roster", "route", "runnerlimit", "scaling", "suspect", "upstream", "usage",
 }
 
 // platformNames are names of the platform's protocol, which only the adapter may
@@ -37,7 +37,7 @@
 	"X-Response-Signature", "X-Not-Executed", "X-Server-Load", "X-Duty-Holder", "X-Fencing-Token",
 	"route_table", "traffic_split", "engine_name", "kv_capacity_tokens", "uncached_tokens", "api_keys",
 	"keyed.op", "keyed.servers", "log-read", "log-append", "log-newest", "window_id", "desired_count", "preemptible",
-	"Store-Era", "Server-Leaving",
+	"Store-Era", "Server-Leaving", "Server-Limit",
 }
 
 // forbidden are the packages, together with their subpackages, that perform I/O.
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -114,5 +114,5 @@
 		// placeholder that is never chosen or reported.
 		r = newRunner(inventory.Runner{ID: entry.ID}, s)
 	}
-	return b.begin(r, Request{}, 0), nil
+	return b.begin(r, Request{}, 0, now), nil
 }
--- a/balance/choice.go
+++ b/balance/choice.go
@@ -74,7 +74,7 @@
 			best.NextCost = cost
 		}
 	}
-	return best, b.begin(chosen, request, best.Uncached), nil
+	return best, b.begin(chosen, request, best.Uncached, now), nil
 }
 
 // isZoneUnreachable reports whether the runner is in another zone that appears to
--- a/balance/health.go
+++ b/balance/health.go
@@ -19,6 +19,15 @@
 	// RunnerPaused means that a runner has turned a request away and wants no others
 	// for a time.
 	RunnerPaused HealthChangeKind = "RunnerPaused"
+	// RunnerLimited means that a runner has named how many requests it takes, and
+	// RunnerLimitChanged that it has named another number. RunnerLimitEnded means that it
+	// names none any more.
+	RunnerLimited      HealthChangeKind = "RunnerLimited"
+	RunnerLimitChanged HealthChangeKind = "RunnerLimitChanged"
+	RunnerLimitEnded   HealthChangeKind = "RunnerLimitEnded"
+	// RunnerLimitInvalid means that a runner has named something that is no limit. The limit
+	// in force stays as it was.
+	RunnerLimitInvalid HealthChangeKind = "RunnerLimitInvalid"
 	// ZoneCut means that a zone appears to be unreachable from this daemon.
 	ZoneCut HealthChangeKind = "ZoneCut"
 	// ZoneBack means that a runner of an unreachable zone has answered.
@@ -33,6 +42,12 @@
 	Zone   string
 	// Pause is how long the runner wants no requests; zero unless Kind is RunnerPaused.
 	Pause time.Duration
+	// Limit is the number of requests a second that the runner takes, and HeardBy the daemon
+	// that was told so; zero unless the change is one of the limit.
+	Limit   float64
+	HeardBy string
+	// Text is what the runner named; empty unless Kind is RunnerLimitInvalid.
+	Text string
 }
 
 // notify reports a health change of a runner or its zone.
--- a/balance/options.go
+++ b/balance/options.go
@@ -1,12 +1,18 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/runnerlimit"
+)
 
 // Options are the settings of a Balancer. The unit of costs is the prefill of one
 // token for model engines and one running request for plain services.
 type Options struct {
 	// Zone is the daemon's own availability zone.
 	Zone string
+	// Daemon identifies the daemon among those that share the limits of runners.
+	Daemon runnerlimit.Daemon
 	// UncachedTokenCost is the cost of each prompt token that the runner would
 	// have to prefill for this request. It exceeds 1 because other requests wait
 	// for the prefill and its computing time is paid for.
@@ -42,7 +48,7 @@
 // DefaultOptions returns the defaults for a daemon in a zone.
 func DefaultOptions(zone string) Options {
 	return Options{
-		Zone: zone, UncachedTokenCost: 5, RunningRequestCost: 60, CrossZoneCostEngine: 2000, CrossZoneCostPlain: 0.5,
+		Zone: zone, Daemon: runnerlimit.Daemon{Zone: zone}, UncachedTokenCost: 5, RunningRequestCost: 60, CrossZoneCostEngine: 2000, CrossZoneCostPlain: 0.5,
 		FailureCostPlain: 20, FailureCostEngine: 60000, FailureTimeConstant: 3 * time.Second,
 		InitialBackoff: 500 * time.Millisecond, MaxBackoff: 4 * time.Second, ZoneRetryInterval: time.Second,
 		PeerLoadTTL: 3 * time.Second, CacheFraction: 0.5,
--- a/balance/signals.go
+++ b/balance/signals.go
@@ -7,6 +7,7 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"github.com/cranberrywalk/cranberrywalk/inventory"
+	"github.com/cranberrywalk/cranberrywalk/runnerlimit"
 )
 
 // signals is what one incarnation of a runner has said of itself in answers. It is
@@ -18,6 +19,10 @@
 	// pausedUntil is the latest end of the times for which it wants no requests. It
 	// never decreases.
 	pausedUntil time.Time
+	// limit is what it has said of how many requests it takes.
+	limit runnerlimit.Limit
+	// invalidLimitAt is when an invalid limit was last reported; zero before the first.
+	invalidLimitAt time.Time
 }
 
 // pauseLeft returns how much longer the incarnation wants no requests, or zero.
--- a/balance/ticket.go
+++ b/balance/ticket.go
@@ -36,18 +36,20 @@
 	runner        *runner
 	request       Request
 	prefillTokens int
-	ended         bool
+	// begunAt is when the request was counted, at the latest when it was sent.
+	begunAt time.Time
+	ended   bool
 }
 
 // begin counts a request at a runner. The mutex must be held.
-func (b *Balancer) begin(r *runner, request Request, uncached int) *Ticket {
+func (b *Balancer) begin(r *runner, request Request, uncached int, now time.Time) *Ticket {
 	r.running++
 	if r.entry.Service != "" {
 		b.starts[r.entry.Service]++
 	}
 	r.prefillTokens += uncached
 	r.cache.add(request.Prompt)
-	return &Ticket{balancer: b, runner: r, request: request, prefillTokens: uncached}
+	return &Ticket{balancer: b, runner: r, request: request, prefillTokens: uncached, begunAt: now}
 }
 
 // RecordActivity records that data was received from the runner.
--- a/call/call.go
+++ b/call/call.go
@@ -119,4 +119,17 @@
 	// RetryAfter is how long a runner that turned the call away wants no other call,
 	// or zero.
 	RetryAfter time.Duration
+	// Limit is what the answer says of how many calls its runner takes.
+	Limit LimitNotice
+}
+
+// LimitNotice is the part of an answer in which a runner may name a limit.
+type LimitNotice struct {
+	// PerSecond is the number of calls a second that the runner takes from all daemons
+	// together, or zero if it names no limit.
+	PerSecond float64
+	// IsInvalid is true if the runner names something that is no limit, which is Text. The
+	// notice then says nothing.
+	IsInvalid bool
+	Text      string
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -100,7 +100,6 @@
 			Name: settings.Name, Address: settings.PeerAddress, Zone: settings.Zone, Incarnation: ulid.Make().String(),
 			Capacity: settings.CPUMillicores,
 		},
-		balancer:    balance.New(balanceOptions(common, settings.Zone), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		budget:      newBudget(common),
 		quotas:      quota.New(quota.DefaultOptions()),
 		segments:    suspect.NewCrashTracker(crashOptions(common, "Segments")),
@@ -109,6 +108,7 @@
 		syncedClock: clocksync.New(clockOffsetLifetime, now),
 		metrics:     metric.New(common.Metrics),
 	}
+	e.balancer = balance.New(balanceOptions(common, e.self), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	e.upstream = upstream.New(common, upstreamOptions(e.budget))
 	e.store = store.NewObservedStore(platform.NewStore(settings.StoreAddress, newClient(e.budget)), common.Clock, e.countStoreCall)
 	e.group = membership.New(common, membership.DefaultOptions(e.self, settings.Seeds), peerHandler{e})
--- a/entry/run.go
+++ b/entry/run.go
@@ -46,6 +46,9 @@
 	e.metrics.RegisterGauge("buffered_answer_bytes", "Bytes of answers that are held in long buffers.", func() float64 {
 		return float64(e.budget.HeldBytes())
 	})
+	e.metrics.RegisterGauge("limited_runners", "Runners that have named how many requests a second they take.", func() float64 {
+		return float64(e.balancer.LimitedRunners())
+	})
 	e.metricsServer = &http.Server{Handler: e.metrics.Handler(), ReadHeaderTimeout: maxHeaderTime}
 	e.readinessServer = &http.Server{Handler: http.HandlerFunc(e.serveReadiness), ReadHeaderTimeout: maxHeaderTime}
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -9,7 +9,6 @@
 
 	"github.com/cranberrywalk/cranberrywalk/balance"
 	"github.com/cranberrywalk/cranberrywalk/call"
-	"github.com/cranberrywalk/cranberrywalk/inventory"
 	"github.com/cranberrywalk/cranberrywalk/metric"
 	"github.com/cranberrywalk/cranberrywalk/request"
 	"github.com/cranberrywalk/cranberrywalk/upstream"
@@ -122,7 +121,7 @@
 	a.headReceived = true
 	x.recordData(a, x.Clock.Now())
 	head := x.Codec.DecodeAnswer(answer.Status, answer.Header)
-	x.applySignals(a.choice.Runner, head)
+	x.applySignals(a, head)
 	runner := a.choice.Runner.ID
 	if head.NotRun {
 		return &RejectedError{Runner: runner, Status: answer.Status, Replaced: head.Misdirected}
@@ -140,7 +139,9 @@
 }
 
 // applySignals applies what the head of a response says of its runner.
-func (x *exchange) applySignals(runner inventory.Runner, head call.AnswerMetadata) {
+func (x *exchange) applySignals(a *attempt, head call.AnswerMetadata) {
+	runner := a.choice.Runner
+	x.observeLimit(a, head)
 	if head.RetryAfter > 0 {
 		x.Balancer.Pause(runner, head.RetryAfter, x.Clock.Now())
 	}
@@ -149,6 +150,18 @@
 	}
 }
 
+// observeLimit records what a response says of its runner's limit. One to an earlier request, or
+// of another runner, says nothing of what this runner takes now.
+func (x *exchange) observeLimit(a *attempt, head call.AnswerMetadata) {
+	if head.Misdirected || head.ID != "" && head.ID != x.call.ID {
+		return
+	}
+	if head.Limit.IsInvalid {
+		x.Count("Limits.Invalid", 1)
+	}
+	a.ticket.ObserveLimit(head.Limit, x.Clock.Now())
+}
+
 // countUsage counts the request once for the customer's usage.
 func (x *exchange) countUsage() {
 	if x.runStarted.Swap(true) {
