--- a/entry/rig_test.go
+++ b/entry/rig_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -167,9 +168,10 @@
 
 // reply is the response that a caller received.
 type reply struct {
-	status int
-	body   string
-	broken bool
+	status     int
+	body       string
+	broken     bool
+	retryAfter float64
 }
 
 var (
@@ -224,7 +226,12 @@
 	}
 	defer response.Body.Close()
 	content, err := io.ReadAll(response.Body)
-	return reply{status: response.StatusCode, body: string(content), broken: err != nil}
+	got := reply{status: response.StatusCode, body: string(content), broken: err != nil}
+	if value := response.Header.Get("Retry-After"); value != "" {
+		got.retryAfter, err = strconv.ParseFloat(value, 64)
+		s.c.Check(err, qt.IsNil)
+	}
+	return got
 }
 
 func answerScript(standin.ReceivedRequest) standin.Behaviour {
