Use a daemon's share of a limit from the moment it hears of it

Callers of a service whose runners all have limits were refused at a daemon that had room: the share began with the first request after the news, which was always refused.

Tests that failed: TestEachRequestCountsForALimit and TestUnsentRequestDoesNotCountForALimit. Beside them stand tests of limits that are raised, lowered, withdrawn or no numbers, of requests that are refused at once without quota, of daemons that stop, and of what digests carry.

--- a/balance/limits.go
+++ b/balance/limits.go
@@ -29,17 +29,19 @@
 		b.reportInvalidLimit(t.runner, notice.Text, now)
 		return
 	}
-	b.observeLimit(t.runner.entry.ID, t.runner.signals, runnerlimit.Statement{
+	b.observeLimit(t.runner.entry, t.runner.signals, runnerlimit.Statement{
 		PerSecond: notice.PerSecond, Sent: t.begunAt, Received: now, HeardBy: b.daemons.Self().Name,
 	}, now)
 }
 
 // observeLimit applies a statement about a runner. The mutex must be held.
-func (b *Balancer) observeLimit(id string, s *signals, statement runnerlimit.Statement, now time.Time) {
+func (b *Balancer) observeLimit(runner inventory.Runner, s *signals, statement runnerlimit.Statement, now time.Time) {
 	before := s.limit.Statement().PerSecond
 	if !s.limit.Observe(statement, b.daemons.Self().Name, now) {
 		return
 	}
+	// The share counts from now on, not from the next request.
+	b.refreshLimit(s, runner, now)
 	kind := RunnerLimitChanged
 	switch {
 	case before == 0:
@@ -47,7 +49,7 @@
 	case statement.PerSecond == 0:
 		kind = RunnerLimitEnded
 	}
-	b.report(HealthChange{Kind: kind, Runner: id, Limit: statement.PerSecond, HeardBy: statement.HeardBy})
+	b.report(HealthChange{Kind: kind, Runner: runner.ID, Limit: statement.PerSecond, HeardBy: statement.HeardBy})
 }
 
 const (
@@ -94,7 +96,11 @@
 // applyLimitNews applies what a peer told at a time. The mutex must be held.
 func (b *Balancer) applyLimitNews(news []LimitNews, toldAt time.Time) {
 	for _, told := range news {
-		b.observeLimit(told.Runner.ID, b.signalsOf(told.Runner), runnerlimit.Statement{
+		runner := inventory.Runner{ID: told.Runner.ID}
+		if r := b.runners[told.Runner.ID]; r != nil && r.entry.Incarnation() == told.Runner {
+			runner = r.entry
+		}
+		b.observeLimit(runner, b.signalsOf(told.Runner), runnerlimit.Statement{
 			PerSecond: told.PerSecond, HeardBy: told.HeardBy,
 			Sent: toldAt.Add(-told.SentAge), Received: toldAt.Add(-told.ReceivedAge),
 		}, toldAt)
--- a/entry/runnerlimit_rig_test.go
+++ b/entry/runnerlimit_rig_test.go
@@ -129,6 +129,15 @@
 	return b
 }
 
+// total returns the number of requests.
+func (b *burst) total() int {
+	total := 0
+	for _, count := range b.statuses {
+		total += count
+	}
+	return total
+}
+
 func (b *burst) record(s *testSystem, request *http.Request) {
 	began := time.Now()
 	got := s.do(request)
