Let limited runners count for what they serve

A runner that names a limit serves that, not its slots, but the queue of a plain service counted on its slots, and the orders of new runners on a whole runner: callers of a service whose runners are all in need waited in queues that nobody works off, until new runners came for other reasons.

The queue counts runners without a limit only. The demand says how many whole runners limits have taken away, by the duration of requests and their number that a runner serves well; each is replaced once, at most as many as the load needs.

New tests hold it; on the code before there is no such count.

--- a/balance/limitshare_test.go
+++ b/balance/limitshare_test.go
@@ -196,6 +196,19 @@
 	p.c.Check(err, qt.IsNotNil)
 }
 
+// TestLimitedRunnerOffersNoSlots guards against queues that count on the slots of a runner that
+// takes hardly any requests.
+func TestLimitedRunnerOffersNoSlots(t *testing.T) {
+	p := newPair(t)
+	p.take(balance.Request{Only: "i-1"}, later(0))
+	p.answer(named, later(0), later(0))
+	p.take(balance.Request{Only: "i-2"}, later(0))
+	load := p.balancer.Load("desk", later(0))
+	p.c.Check(load, qt.DeepEquals, balance.ServiceLoad{
+		Requests: 2, LimitedRequests: 1, Runners: 2, Slots: 6, Limits: []float64{2}, Started: 3,
+	})
+}
+
 // BenchmarkChooseAmongLimitedRunners measures a choice in a large group whose runners all have
 // limits.
 func BenchmarkChooseAmongLimitedRunners(b *testing.B) {
--- a/balance/load.go
+++ b/balance/load.go
@@ -19,10 +19,14 @@
 
 // ServiceLoad is the load of a service over all daemons.
 type ServiceLoad struct {
-	// Requests counts the requests in progress at its available runners.
-	Requests int
-	// Runners counts the available runners, and Slots the sum of their slots.
+	// Requests counts the requests in progress at its available runners, and LimitedRequests
+	// those of them at runners with a limit.
+	Requests, LimitedRequests int
+	// Runners counts the available runners, and Slots the sum of the slots of those without a
+	// limit.
 	Runners, Slots int
+	// Limits holds the limits of those that have one, in requests a second.
+	Limits []float64
 	// Started is the number of requests that were sent to its runners by the daemons
 	// that are heard. It falls when one of them restarts or is no longer heard.
 	Started uint64
@@ -39,8 +43,13 @@
 		}
 		requests, _ := b.total(r, now)
 		load.Requests += requests
-		load.Slots += r.entry.Slots
 		load.Runners++
+		if l := &r.signals.limit; l.IsInForce() {
+			load.LimitedRequests += requests
+			load.Limits = append(load.Limits, l.Statement().PerSecond)
+			continue
+		}
+		load.Slots += r.entry.Slots
 	}
 	return load
 }
--- a/entry/demand.go
+++ b/entry/demand.go
@@ -55,7 +55,7 @@
 		}
 		tracker := m.tracker(service, countZones(service, runners), now)
 		before := tracker.Runners()
-		tracker.Observe(scaling.Sample{Requests: load.Requests, Started: load.Started, Ready: load.Runners}, now)
+		tracker.Observe(scaling.Sample{Requests: load.Requests, Started: load.Started, Ready: load.Runners, Limits: load.Limits}, now)
 		if tracker.Runners() != before {
 			m.Log.V(1).Info("DemandChanged", "Service", service.Name, "Runners", tracker.Runners(), "Before", before,
 				"Requests", load.Requests, "Ready", load.Runners)
@@ -98,6 +98,18 @@
 	return m.tracker(service, zones, now).Runners()
 }
 
+// runnersLost returns the number of runners of a service that have named limits and so serve
+// nothing, in whole runners.
+func (m *demandMonitor) runnersLost(service string) int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	tracker := m.trackers[service]
+	if tracker == nil {
+		return 0
+	}
+	return tracker.Lost()
+}
+
 // The time after the start of the process by which all runners have written their
 // records.
 const (
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -154,7 +154,8 @@
 		return nil
 	}
 	load := x.Balancer.Load(x.service, now)
-	if load.Runners > 0 && float64(load.Requests) >= x.options.MaxPlainRequestsPerSlot*float64(load.Slots) {
+	requests := load.Requests - load.LimitedRequests
+	if load.Slots > 0 && float64(requests) >= x.options.MaxPlainRequestsPerSlot*float64(load.Slots) {
 		return unavailable("ServiceFull", retryAfterFull, nil)
 	}
 	return nil
--- a/scaling/demand.go
+++ b/scaling/demand.go
@@ -50,6 +50,8 @@
 	Started uint64
 	// Ready counts the runners that are ready.
 	Ready int
+	// Limits holds the limits of those of them that have named one, in requests a second.
+	Limits []float64
 }
 
 // DemandTracker derives the target number of runners of one service from its load, which
@@ -75,14 +77,9 @@
 	duration float64
 	mean     float64
 	runners  int
-	// recent holds the numbers needed within the stabilization window, oldest first.
-	recent []need
-}
-
-// need is the number of runners needed at one moment.
-type need struct {
-	at      time.Time
-	runners int
+	// recent holds the numbers needed within the stabilization window, oldest first, and
+	// recentLosses those of the runners that limits took away.
+	recent, recentLosses window
 }
 
 // NewDemandTracker returns a DemandTracker without load history. runners is the
@@ -102,6 +99,7 @@
 	}
 	t.updated = now
 	t.updateRate(sample.Started, elapsed)
+	t.recentLosses.add(t.lost(sample.Limits), now, t.options.StabilizationWindow)
 	load, known := t.load(sample, elapsed)
 	if !known {
 		return
@@ -153,36 +151,33 @@
 
 // adjust moves the target towards the wanted number.
 func (t *DemandTracker) adjust(wanted int, now time.Time) {
-	t.remember(wanted, now)
+	t.recent.add(wanted, now, t.options.StabilizationWindow)
 	switch {
 	case wanted > t.runners && now.Sub(t.lastRaised) >= t.options.ScaleUpInterval:
 		t.runners, t.lastRaised, t.scaleDownWaitStart = t.runners+min(wanted-t.runners, t.step(scaleUpDivisor)), now, now
 	case wanted >= t.runners:
 		t.scaleDownWaitStart = now
 	case now.Sub(t.created) >= t.options.StartupHold && now.Sub(t.scaleDownWaitStart) >= t.options.ScaleDownInterval:
-		lowest := min(t.recentPeak(wanted, now), t.runners)
+		lowest := min(t.recent.peak(), t.runners)
 		t.runners, t.scaleDownWaitStart = max(lowest, t.runners-t.step(scaleDownDivisor)), now
 	}
 }
 
-// recentPeak returns the highest number needed within the stabilization window.
-func (t *DemandTracker) recentPeak(wanted int, now time.Time) int {
-	peak := wanted
-	for _, n := range t.recent {
-		if now.Sub(n.at) < t.options.StabilizationWindow {
-			peak = max(peak, n.runners)
+// lost returns how many runners the limits take away: one that may get only a part of the
+// requests that it could serve counts for that part.
+func (t *DemandTracker) lost(limits []float64) int {
+	lost := 0.0
+	for _, perSecond := range limits {
+		if t.duration > 0 {
+			lost += max(1-perSecond*t.duration/t.options.RequestsPerRunner, 0)
 		}
 	}
-	return peak
+	return int(math.Round(lost))
 }
 
-// remember adds a number needed to those of the stabilization window.
-func (t *DemandTracker) remember(wanted int, now time.Time) {
-	for len(t.recent) > 0 && now.Sub(t.recent[0].at) >= t.options.StabilizationWindow {
-		t.recent = t.recent[1:]
-	}
-	t.recent = append(t.recent, need{at: now, runners: wanted})
-}
+// Lost returns the number of runners that limits took away within the stabilization window.
+// Their replacements stay until it is over, since limits come and go.
+func (t *DemandTracker) Lost() int { return t.recentLosses.peak() }
 
 // The target changes in one step by at most itself divided by one of these.
 const (
--- a/scaling/planner.go
+++ b/scaling/planner.go
@@ -56,8 +56,9 @@
 type Inputs struct {
 	Service catalog.Service
 	Zones   []Zone
-	// Runners is the number that the load needs.
-	Runners int
+	// Runners is the number that the load needs, and Lost the number of runners that are
+	// there and serve nothing since they have named limits.
+	Runners, Lost int
 	// KeepOnDemand leaves the on-demand runners unchanged, because not all of
 	// them are known yet.
 	KeepOnDemand bool
@@ -66,6 +67,10 @@
 	IsIdle bool
 }
 
+// replacements returns how many runners are ordered in place of lost ones. They are at most as
+// many as the load needs, though more may be lost.
+func (i Inputs) replacements() int { return min(i.Lost, i.Runners) }
+
 // orderKey identifies the subject of an order.
 type orderKey struct {
 	service, zone string
@@ -154,7 +159,7 @@
 	zones := p.openZones(inputs, now)
 	counts := make(map[string]int, len(inputs.Zones))
 	limits := inputs.Service.Scaling
-	wanted := p.WithSpares(inputs.Runners, len(inputs.Zones), *limits)
+	wanted := p.WithSpares(inputs.Runners, len(inputs.Zones), *limits) + inputs.replacements()
 	for _, zone := range inputs.Zones {
 		if p.isBlocked(inputs.Service.Name, zone.Name, now) {
 			counts[zone.Name] = zone.Reclaimable
@@ -211,7 +216,7 @@
 		provisioned += p.provisioned(inputs, zone)
 		isScarce = isScarce || p.isBlocked(inputs.Service.Name, zone.Name, now)
 	}
-	missing := max(inputs.Runners-ready, 0)
+	missing := max(inputs.Runners+inputs.replacements()-ready, 0)
 	if isScarce {
 		// The largest zone may be reclaimed, and its runners could not be
 		// replaced by reclaimable ones.
--- a/scaling/planner_test.go
+++ b/scaling/planner_test.go
@@ -45,7 +45,12 @@
 
 // round runs the planner once and carries out its orders immediately.
 func (c *cloud) round(p *scaling.Planner, runners int, now time.Time) {
-	for _, order := range p.Plan(c.inputs(runners), now) {
+	c.carryOut(p, p.Plan(c.inputs(runners), now), now)
+}
+
+// carryOut carries out orders immediately.
+func (c *cloud) carryOut(p *scaling.Planner, orders []dutylease.ScaleOrder, now time.Time) {
+	for _, order := range orders {
 		c.orders = append(c.orders, order)
 		zone := c.zones[order.Zone]
 		present := &zone.OnDemand
