Let runners name limits in the soak

The soak had no runner that names how many requests it takes, and so could not find that nobody read it. With -limits, runners name, raise, lower and withdraw limits beside all other faults, some at once, and the check counts what daemons send that have passed a limit on.

--- a/Makefile
+++ b/Makefile
@@ -50,10 +50,12 @@
 	go test ./buffer ./claim ./dutylease ./grant ./latest ./lease ./peer/gossip ./plan ./request ./roster ./timeline -rapid.checks=$(CHECKS) -rapid.seed=$(SEED) -timeout 60m
 
 # Injects random faults into processes of the daemon, with fresh seeds: planned work
-# only, then all kinds of faults, then requests that crash runners beside them.
+# only, then all kinds of faults, then requests that crash runners beside them, then
+# runners that name limits.
 faultsoak: build
 	./$(BIN)/soak -seeds $(SEEDS) -planned; status=$$?; ./$(BIN)/soak -seeds $(SEEDS) || status=1; \
-	./$(BIN)/soak -seeds $(SEEDS) -crashing && exit $$status
+	./$(BIN)/soak -seeds $(SEEDS) -crashing || status=1; \
+	./$(BIN)/soak -seeds $(SEEDS) -limits && exit $$status
 
 # Prints how the cost of control grows, from processes on loopback.
 capacity: build
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -35,6 +35,7 @@
 	flag.DurationVar(&o.FaultPeriod, "faulty", o.FaultPeriod, "how long faults come in a run")
 	flag.BoolVar(&o.PlannedOnly, "planned", false, "planned work only: stops, reloads and configurations")
 	flag.BoolVar(&o.CrashingSegment, "crashing", false, "callers whose prompts share a segment that crashes runners")
+	flag.BoolVar(&o.Limits, "limits", false, "runners that name how many requests a second they take")
 	flag.IntVar(&o.Daemons, "daemons", o.Daemons, "number of daemons")
 	flag.IntVar(&o.Runners, "runners", o.Runners, "number of runners")
 	flag.IntVar(&o.CallersPerDaemon, "callers", o.CallersPerDaemon, "number of callers of each daemon")
