Send no requests to broken runners for the sake of limits

Cause: a runner that is left out for its limit was treated as if it were not there, so that the last resort, a runner that fails or is unreachable, came first. Such a request is refused now and may come back when it is its turn. A broken runner is tried again once its failure score has decayed.

TestLimitsSendNoRequestsToBrokenRunners fails without it.

--- a/balance/choice.go
+++ b/balance/choice.go
@@ -131,7 +131,8 @@
 }
 
 // candidates returns the runners that may be chosen for a request. Runners that
-// appear to be unreachable are returned only when there are no others.
+// appear to be unreachable are returned only when there are no others. If the others have
+// reached their limits, neither those nor broken ones are: the request had better come back.
 func (b *Balancer) candidates(request Request, now time.Time) candidates {
 	var found candidates
 	var down []*runner
@@ -156,7 +157,10 @@
 		}
 		found.runners = append(found.runners, r)
 	}
-	if len(found.runners) == 0 {
+	switch {
+	case found.limited > 0:
+		found.runners = b.withoutBroken(found.runners, now)
+	case len(found.runners) == 0:
 		found.runners = down
 	}
 	return found
--- a/balance/limitshare.go
+++ b/balance/limitshare.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/inventory"
@@ -78,6 +79,17 @@
 	return unlimited
 }
 
+// brokenScore is the failure score from which on a runner counts as broken. A runner that is left
+// alone falls below it after a while and is tried again.
+const brokenScore = 0.7
+
+// withoutBroken returns the runners that do not fail nearly all requests. The mutex must be held.
+func (b *Balancer) withoutBroken(runners []*runner, now time.Time) []*runner {
+	return slices.DeleteFunc(runners, func(r *runner) bool {
+		return r.decayedFailureScore(now, b.options.FailureTimeConstant) >= brokenScore
+	})
+}
+
 // askAfter is the age of what a runner has said of its limit above which it is sent a request
 // whatever its cost. Otherwise the end of the limit would not be noticed.
 const askAfter = 3 * time.Second
--- a/balance/limitshare_test.go
+++ b/balance/limitshare_test.go
@@ -196,6 +196,27 @@
 	p.c.Check(err, qt.IsNotNil)
 }
 
+// TestLimitsSendNoRequestsToBrokenRunners guards against requests that are sent to a runner which
+// fails all of them or can't be reached, since the sound ones have reached their limits. They are
+// refused instead and may come back.
+func TestLimitsSendNoRequestsToBrokenRunners(t *testing.T) {
+	for _, result := range []balance.Result{balance.Failed, balance.Silent, balance.Unreachable} {
+		t.Run(result.String(), func(t *testing.T) {
+			p := newPair(t)
+			for range 8 {
+				_, ticket := p.take(balance.Request{Only: "i-2"}, later(0))
+				ticket.End(result, later(0))
+			}
+			p.answer(named, later(0), later(0))
+			_, err := p.choose(later(0.1))
+			p.c.Check(err, qt.ErrorMatches, ".* 1 have reached their limits, for .*")
+			p.checkChoice(later(4), "i-1")
+			_, err = p.choose(later(4), "i-1")
+			p.c.Check(err, qt.IsNil, qt.Commentf("a broken runner is tried again"))
+		})
+	}
+}
+
 // TestLimitedRunnerOffersNoSlots guards against queues that count on the slots of a runner that
 // takes hardly any requests.
 func TestLimitedRunnerOffersNoSlots(t *testing.T) {
