Ask a limited runner that does not answer less often

One request in three seconds went to a runner whose limit nobody had heard of since, whatever it cost, also if that runner answered none. After a question without an answer the next one waits twelve seconds.

--- a/balance/limitshare.go
+++ b/balance/limitshare.go
@@ -94,20 +94,30 @@
 // whatever its cost. Otherwise the end of the limit would not be noticed.
 const askAfter = 3 * time.Second
 
+// askAgainAfter is the time from a question that got no answer to the next one.
+const askAgainAfter = 4 * askAfter
+
 // runnerToAsk returns a runner that has to be asked whether its limit is still in force, or nil.
 // One daemon asks. The mutex must be held.
 func (b *Balancer) runnerToAsk(runners []*runner, now time.Time) *runner {
 	for _, r := range runners {
-		s := r.signals
-		isOld := s.limit.IsInForce() && now.Sub(s.limit.Statement().Received) > askAfter
-		if isOld && s.limit.Share().Rank == 0 && now.Sub(s.askedAt) > askAfter {
-			s.askedAt = now
+		if l := &r.signals.limit; l.IsInForce() && l.Share().Rank == 0 && r.signals.isQuestionDue(now) {
+			r.signals.askedAt = now
 			return r
 		}
 	}
 	return nil
 }
 
+// isQuestionDue reports whether the last word on the limit is old, and the last question too.
+func (s *signals) isQuestionDue(now time.Time) bool {
+	heard := s.limit.Statement().Received
+	if s.askedAt.After(heard) {
+		return now.Sub(s.askedAt) > askAgainAfter
+	}
+	return now.Sub(heard) > askAfter
+}
+
 const (
 	// minTurn and maxTurn bound the time until a request that is refused for limits may come
 	// back. A later turn than maxTurn is replaced by a random one before it.
