Explain refusals for the limits of runners

cranberrywalk explain said that it does not know the reason RunnersLimited, and left out the limits, which may have begun long before the request. It shows the last change of each now. A new test fails without it.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -182,10 +182,16 @@
 		if !processes[line.Process] || line.text("Request") != "" || line.Time.Before(from) || line.Time.After(last.Time) {
 			continue
 		}
+		if slices.Contains(limitEvents, line.Event) {
+			continue
+		}
 		if slices.Contains(contextEvents, line.Event) || line.text("Runner") != "" && runners[line.text("Runner")] {
 			context = append(context, line)
 		}
 	}
+	if concernsLimits(steps) {
+		context = append(context, limitLines(lines, processes, from, last.Time)...)
+	}
 	sortLines(context)
 	return context
 }
