Give turns only to requests that are refused

Callers that were refused for limits were told to come back later than their turn: each look for another runner beside a silent one took a turn too, four times a second for each stream. TestRefusedRequestsComeBackInTurn fails without it.

--- a/balance/choice.go
+++ b/balance/choice.go
@@ -52,17 +52,15 @@
 	// that is not why none is available.
 	PauseLeft time.Duration
 	// Limited counts the runners that get no more requests from this daemon for now since
-	// they have named a limit. TurnIn is the time until a further request may be sent to one
-	// of them; zero if there are none.
+	// they have named a limit.
 	Limited int
-	TurnIn  time.Duration
 }
 
 // Error implements error.
 func (e *NoRunnerError) Error() string {
 	text := "no runner of service " + e.Service + " is available"
 	if e.Limited > 0 {
-		text += "; " + strconv.Itoa(e.Limited) + " have reached their limits, for " + e.TurnIn.String()
+		text += "; " + strconv.Itoa(e.Limited) + " have reached their limits"
 	}
 	return text
 }
@@ -75,7 +73,10 @@
 	b.daemons.RecordDemand(request.Service, now)
 	found := b.candidates(request, now)
 	if len(found.runners) == 0 {
-		return Choice{}, nil, b.noRunner(request.Service, found, now)
+		pauseLeft := b.servicePauseLeft(request.Service, now)
+		return Choice{}, nil, &NoRunnerError{
+			Service: request.Service, Known: found.known, PauseLeft: pauseLeft, Limited: found.limited,
+		}
 	}
 	best, chosen := b.cheapest(found.runners, request, now)
 	if asked := b.runnerToAsk(found.runners, now); asked != nil {
@@ -85,17 +86,6 @@
 	return best, b.begin(chosen, request, best.Uncached, now), nil
 }
 
-// noRunner returns the error for a request that no runner may get.
-func (b *Balancer) noRunner(service string, found candidates, now time.Time) *NoRunnerError {
-	err := &NoRunnerError{
-		Service: service, Known: found.known, PauseLeft: b.servicePauseLeft(service, now), Limited: found.limited,
-	}
-	if found.limited > 0 {
-		err.TurnIn = b.nextTurn(service, now)
-	}
-	return err
-}
-
 // cheapest returns the runner with the lowest cost.
 func (b *Balancer) cheapest(runners []*runner, request Request, now time.Time) (Choice, *runner) {
 	best := Choice{Cost: math.Inf(1), NextCost: math.Inf(1)}
--- a/balance/limitshare.go
+++ b/balance/limitshare.go
@@ -125,10 +125,11 @@
 	maxTurn = 10 * time.Second
 )
 
-// nextTurn returns the time until another request may be sent to one of a service's runners,
-// which have reached their limits. Each call gets a later turn, as far apart as this daemon's part
-// of the limits allows. The mutex must be held.
-func (b *Balancer) nextTurn(service string, now time.Time) time.Duration {
+// NextTurn returns when a request that is refused for limits may come back. Each call gets a later
+// turn, as far apart as this daemon's part of the limits allows.
+func (b *Balancer) NextTurn(service string, now time.Time) time.Duration {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
 	perSecond := 0.0
 	for _, r := range b.ordered {
 		if r.entry.Service == service && r.isAvailable() {
--- a/balance/limitshare_test.go
+++ b/balance/limitshare_test.go
@@ -65,7 +65,7 @@
 	only := balance.Request{Only: "i-1"}
 	p.take(only, later(1))
 	_, _, err := p.balancer.Choose(balance.Request{Service: "desk", Only: "i-1"}, later(1))
-	p.c.Check(err, qt.ErrorMatches, ".* 1 have reached their limits, for .*")
+	p.c.Check(err, qt.ErrorMatches, ".* 1 have reached their limits")
 	_, err = p.balancer.Acquire(p.first, later(1))
 	p.c.Check(err, qt.IsNil, qt.Commentf("a run that can go nowhere else is sent ahead of its turn"))
 	_, err = p.balancer.Acquire(p.first, later(1))
@@ -92,17 +92,21 @@
 }
 
 // TestRefusedRequestsComeBackInTurn guards against refused requests that all come back at the same
-// moment.
+// moment, and against turns that nobody is told of, since a request only looked for another runner.
 func TestRefusedRequestsComeBackInTurn(t *testing.T) {
 	p := newPair(t)
 	p.limitBoth()
+	for range 10 {
+		_, _, err := p.balancer.Choose(balance.Request{Service: "desk", AvailableOnly: true}, later(0.1))
+		p.c.Check(err, qt.IsNotNil)
+	}
 	var waits []time.Duration
 	for range 4 {
 		_, _, err := p.balancer.Choose(balance.Request{Service: "desk"}, later(0.1))
 		var none *balance.NoRunnerError
 		p.c.Assert(errors.As(err, &none), qt.IsTrue)
 		p.c.Check(none.Limited, qt.Equals, 2)
-		waits = append(waits, none.TurnIn)
+		waits = append(waits, p.balancer.NextTurn("desk", later(0.1)))
 	}
 	turn := 250 * time.Millisecond
 	p.c.Check(waits, qt.DeepEquals, []time.Duration{turn, 2 * turn, 3 * turn, 4 * turn})
@@ -210,7 +214,7 @@
 			}
 			p.answer(named, later(0), later(0))
 			_, err := p.choose(later(0.1))
-			p.c.Check(err, qt.ErrorMatches, ".* 1 have reached their limits, for .*")
+			p.c.Check(err, qt.ErrorMatches, ".* 1 have reached their limits")
 			p.checkChoice(later(4), "i-1")
 			_, err = p.choose(later(4), "i-1")
 			p.c.Check(err, qt.IsNil, qt.Commentf("a broken runner is tried again"))
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -74,8 +74,8 @@
 func (x *exchange) retryAfter(failure error) time.Duration {
 	var none *balance.NoRunnerError
 	if errors.As(failure, &none) {
-		if none.TurnIn > 0 {
-			return none.TurnIn
+		if none.Limited > 0 {
+			return x.Balancer.NextTurn(x.service, x.Clock.Now())
 		}
 		return retryAfterPause(none.PauseLeft, retryAfterNoRunner)
 	}
