Let no unreachable runner with a limit hide others

Callers were refused for limits although another runner could have been tried, if the one that had reached its limit was unreachable as well. Such a runner does not count as one that will take a request later. TestUnreachableLimitedRunnerHidesNoOther fails without it.

--- a/balance/choice.go
+++ b/balance/choice.go
@@ -115,8 +115,8 @@
 // candidates are the runners that may be chosen for a request.
 type candidates struct {
 	runners []*runner
-	// known counts the runners of the service, and limited those that are left out for
-	// their limits alone.
+	// known counts the runners of the service, and limited those that could be reached and
+	// are left out for their limits alone.
 	known, limited int
 }
 
@@ -137,15 +137,16 @@
 		if !b.isAllowed(r, request, now) {
 			continue
 		}
-		if !b.isWithinLimit(r, request, now) {
-			found.limited++
-			continue
-		}
-		if now.Before(r.downUntil) || b.isZoneUnreachable(r, now) {
+		isDown := now.Before(r.downUntil) || b.isZoneUnreachable(r, now)
+		switch isWithinLimit := b.isWithinLimit(r, request, now); {
+		case isDown && isWithinLimit:
 			down = append(down, r)
-			continue
+		case isDown:
+		case isWithinLimit:
+			found.runners = append(found.runners, r)
+		default:
+			found.limited++
 		}
-		found.runners = append(found.runners, r)
 	}
 	switch {
 	case found.limited > 0:
--- a/balance/limitshare_test.go
+++ b/balance/limitshare_test.go
@@ -222,6 +222,18 @@
 	}
 }
 
+// TestUnreachableLimitedRunnerHidesNoOther guards against requests that are refused since a runner
+// has reached its limit which could not be reached anyway, though another one may be tried.
+func TestUnreachableLimitedRunnerHidesNoOther(t *testing.T) {
+	p := newPair(t)
+	p.answer(named, later(0), later(0))
+	for _, id := range []string{"i-1", "i-2"} {
+		_, ticket := p.take(balance.Request{Only: id, Continues: true}, later(0))
+		ticket.End(balance.Unreachable, later(0))
+	}
+	p.checkChoice(later(0.1), "i-2")
+}
+
 // TestLimitedRunnerOffersNoSlots guards against queues that count on the slots of a runner that
 // takes hardly any requests.
 func TestLimitedRunnerOffersNoSlots(t *testing.T) {
