Deliver the failure of a runner if no other one may be asked

Callers got 502 from the daemon in place of the 500 that a runner had answered, when a retry was granted and all other runners had reached their limits (or there was none): the answer was dropped before the next runner was chosen. Now it is dropped once there is one, and the retry is given back.

TestFailureOfARunnerIsDeliveredIfTheOthersAreLimited failed: 502 without the runner's body.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -30,34 +30,44 @@
 // servePlain serves a request whose response is forwarded only once it is complete,
 // so that a truncated response can be retried or replaced by an error.
 func (x *exchange) servePlain() {
-	for {
-		a, err := x.choose()
-		if err != nil {
-			x.giveUp(err, reasonOf(err))
-			return
-		}
-		answer, err := x.attemptPlain(a)
-		if err == nil && !isRunnerFault(answer.status) {
-			x.forwardAnswer(a, answer)
-			return
-		}
-		failure := err
-		if failure == nil {
-			failure = &StatusError{Runner: x.choice.Runner.ID, Status: answer.status}
-		}
-		x.recordFailure(a, failure)
-		again, reason := x.mayRetry(failure)
-		if again {
-			answer.drop()
-			continue
-		}
+	a, err := x.choose()
+	if err != nil {
+		x.giveUp(err, reasonOf(err))
+		return
+	}
+	for a != nil {
+		a = x.servePlainAttempt(a)
+	}
+}
+
+// servePlainAttempt makes an attempt. It returns the next one, or nil if the caller has got a
+// response.
+func (x *exchange) servePlainAttempt(a *attempt) *attempt {
+	answer, failure := x.attemptPlain(a)
+	hasAnswer := failure == nil
+	if hasAnswer && !isRunnerFault(answer.status) {
+		x.forwardAnswer(a, answer)
+		return nil
+	}
+	if hasAnswer {
+		failure = &StatusError{Runner: x.choice.Runner.ID, Status: answer.status}
+	}
+	x.recordFailure(a, failure)
+	again, reason := x.mayRetry(failure)
+	if again {
+		next, err := x.choose()
 		if err == nil {
-			x.forwardFailure(answer, reason)
-			return
+			answer.drop()
+			return next
 		}
-		x.giveUp(failure, reason)
-		return
+		failure, reason = err, reasonOf(err)
+	}
+	if hasAnswer {
+		x.forwardFailure(answer, reason)
+		return nil
 	}
+	x.giveUp(failure, reason)
+	return nil
 }
 
 // isRunnerFault reports whether a status indicates a failure of the runner.
@@ -132,6 +142,7 @@
 // forwardFailure sends the caller a runner's response that reports a failure.
 func (x *exchange) forwardFailure(answer bufferedAnswer, reason string) {
 	x.apply(request.GivenUp)
+	x.returnRetry()
 	x.write(answer)
 	x.recordEnd(answer.status, "RunnerFailed", &NoRetryError{Reason: reason})
 }
