Send at once in the test of a daemon that has just started

The test passed also without the news of other daemons: one answer was enough to know the limit, and one request was allowed.

--- a/entry/runnerlimit_test.go
+++ b/entry/runnerlimit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -63,9 +64,12 @@
 	started := s.start(len(s.daemons))
 	s.eventually("ready", 5*time.Second, func() bool { return s.isReady(started) })
 	before := limited.receivedSince(time.Time{})
+	var sent sync.WaitGroup
 	for range 20 {
-		s.c.Check(s.send(started, deskRoute+nextAttempt(), s.keys[0]).status, qt.Equals, 200)
+		// At the same time, so that no answer tells of the limit before they are sent.
+		sent.Go(func() { s.c.Check(s.send(started, deskRoute+nextAttempt(), s.keys[0]).status, qt.Equals, 200) })
 	}
+	sent.Wait()
 	s.c.Check(limited.receivedSince(time.Time{})-before <= 1, qt.IsTrue,
 		qt.Commentf("got %d of 20 requests at once", limited.receivedSince(time.Time{})-before))
 }
