--- a/runnerlimit/daemons.go
+++ b/runnerlimit/daemons.go
@@ -43,7 +43,8 @@
 
 // Report is what a daemon tells about itself.
 type Report struct {
-	Daemon   Daemon
+	Daemon Daemon
+	// Stopping is true once the daemon takes no part any more.
 	Stopping bool
 	Demands  []Demand
 }
@@ -79,8 +80,10 @@
 	return demand{count: count, since: d.since, last: now}
 }
 
+// peer is what another daemon has told.
 type peer struct {
-	daemon     Daemon
+	daemon Daemon
+	// lastReport is when the daemon made its newest report.
 	lastReport time.Time
 	// interval is a moving average of the time between two reports.
 	interval time.Duration
@@ -117,8 +120,8 @@
 // intervalWeight is the weight of the newest value in the mean time between reports.
 const intervalWeight = 0.3
 
-// Hear applies the report that another daemon made at a time.
-func (d *Daemons) Hear(report Report, now time.Time) {
+// Hear applies the report that another daemon made at a time of this daemon's clock.
+func (d *Daemons) Hear(report Report, madeAt time.Time) {
 	name := report.Daemon.Name
 	if report.Stopping {
 		delete(d.peers, name)
@@ -126,19 +129,19 @@
 	}
 	p := d.peers[name]
 	if p == nil || p.daemon != report.Daemon {
-		p = &peer{daemon: report.Daemon, lastReport: now, demands: make(map[string]demand)}
+		p = &peer{daemon: report.Daemon, lastReport: madeAt, demands: make(map[string]demand)}
 		d.peers[name] = p
 	}
-	if passed := now.Sub(p.lastReport); passed > 0 {
+	if passed := madeAt.Sub(p.lastReport); passed > 0 {
 		if p.interval == 0 {
 			p.interval = passed
 		}
 		p.interval += time.Duration(intervalWeight * float64(passed-p.interval))
-		p.lastReport = now
+		p.lastReport = madeAt
 	}
 	for _, told := range report.Demands {
 		if known := p.demands[told.Service]; told.Count != known.count {
-			p.demands[told.Service] = known.record(told.Count, d.options.DemandWindow, now)
+			p.demands[told.Service] = known.record(told.Count, d.options.DemandWindow, madeAt)
 		}
 	}
 }
