--- a/balance/limits.go
+++ b/balance/limits.go
@@ -78,7 +78,8 @@
 	var news []LimitNews
 	for _, r := range b.ordered {
 		l := &r.signals.limit
-		if !(toNew && l.IsInForce()) && !l.IsNews(b.daemons.Self().Name, now) {
+		isTold := toNew && l.IsInForce() || l.IsNews(b.daemons.Self().Name, now)
+		if !isTold {
 			continue
 		}
 		s := l.Statement()
