--- a/balance/choice.go
+++ b/balance/choice.go
@@ -79,8 +79,8 @@
 		}
 	}
 	best, chosen := b.cheapest(found.runners, request, now)
-	if asked := b.runnerToAsk(found.runners, now); asked != nil {
-		best.Runner, best.Uncached, chosen = asked.entry, asked.uncached(request, false), asked
+	if probed := b.runnerToProbe(found.runners, now); probed != nil {
+		best.Runner, best.Uncached, chosen = probed.entry, probed.uncached(request, false), probed
 	}
 	best.Candidates, best.Limited, best.Limit = len(found.runners), found.limited, b.limitState(chosen, now)
 	return best, b.begin(chosen, request, best.Uncached, now), nil
--- a/balance/limitshare.go
+++ b/balance/limitshare.go
@@ -90,32 +90,32 @@
 	})
 }
 
-// askAfter is the age of what a runner has said of its limit above which it is sent a request
-// whatever its cost. Otherwise the end of the limit would not be noticed.
-const askAfter = 3 * time.Second
+// probeAfter is the age of what a runner has said of its limit above which it is sent a request
+// whatever its cost, as a probe. Otherwise the end of the limit would not be noticed.
+const probeAfter = 3 * time.Second
 
-// askAgainAfter is the time from a question that got no answer to the next one.
-const askAgainAfter = 4 * askAfter
+// probeRetryAfter is the time from a probe without an answer to the next one.
+const probeRetryAfter = 4 * probeAfter
 
-// runnerToAsk returns a runner that has to be asked whether its limit is still in force, or nil.
-// One daemon asks. The mutex must be held.
-func (b *Balancer) runnerToAsk(runners []*runner, now time.Time) *runner {
+// runnerToProbe returns a runner that has to be probed for the end of its limit, or nil. One of the
+// daemons that share the limit does so. The mutex must be held.
+func (b *Balancer) runnerToProbe(runners []*runner, now time.Time) *runner {
 	for _, r := range runners {
-		if l := &r.signals.limit; l.IsInForce() && l.Share().Rank == 0 && r.signals.isQuestionDue(now) {
-			r.signals.askedAt = now
+		if l := &r.signals.limit; l.IsInForce() && l.Share().Rank == 0 && r.signals.isProbeDue(now) {
+			r.signals.probedAt = now
 			return r
 		}
 	}
 	return nil
 }
 
-// isQuestionDue reports whether the last word on the limit is old, and the last question too.
-func (s *signals) isQuestionDue(now time.Time) bool {
+// isProbeDue reports whether the last statement on the limit is old, and the last probe too.
+func (s *signals) isProbeDue(now time.Time) bool {
 	heard := s.limit.Statement().Received
-	if s.askedAt.After(heard) {
-		return now.Sub(s.askedAt) > askAgainAfter
+	if s.probedAt.After(heard) {
+		return now.Sub(s.probedAt) > probeRetryAfter
 	}
-	return now.Sub(heard) > askAfter
+	return now.Sub(heard) > probeAfter
 }
 
 const (
--- a/balance/limitshare_test.go
+++ b/balance/limitshare_test.go
@@ -128,7 +128,7 @@
 	}
 }
 
-// TestEndOfALimitIsAskedFor guards against a limit that never ends since a runner that costs more
+// TestEndOfALimitIsProbed guards against a limit that never ends since a runner that costs more
 // than others gets no request that could show its end, and against many requests to one that does
 // not answer.
 func TestEndOfALimitIsAskedFor(t *testing.T) {
@@ -137,15 +137,15 @@
 	p.c.Assert(err, qt.IsNil)
 	ticket.ObserveLimit(named, later(0))
 	ticket.End(balance.Succeeded, later(0))
-	var asked []float64
+	var probed []float64
 	for seconds := 0.5; seconds < 20; seconds += 0.5 {
 		choice, ticket := p.take(balance.Request{}, later(seconds))
 		ticket.End(balance.Succeeded, later(seconds))
 		if choice.Runner.ID == "i-2" {
-			asked = append(asked, seconds)
+			probed = append(probed, seconds)
 		}
 	}
-	p.c.Check(asked, qt.DeepEquals, []float64{3.5, 16})
+	p.c.Check(probed, qt.DeepEquals, []float64{3.5, 16})
 }
 
 // TestLimitsTravelByAge guards against a daemon that knows only the limits that it was told
--- a/balance/signals.go
+++ b/balance/signals.go
@@ -23,9 +23,8 @@
 	limit runnerlimit.Limit
 	// invalidLimitAt is when an invalid limit was last reported; zero before the first.
 	invalidLimitAt time.Time
-	// askedAt is when this daemon last sent a request to learn whether the limit is still in
-	// force.
-	askedAt time.Time
+	// probedAt is when this daemon last probed whether the limit is still in force.
+	probedAt time.Time
 }
 
 // pauseLeft returns how much longer the incarnation wants no requests, or zero.
--- a/runnerlimit/daemons.go
+++ b/runnerlimit/daemons.go
@@ -175,20 +175,20 @@
 // participants returns the daemons that take part in the limits of a service's runners: those
 // that are heard and have requests for it, or all that are heard if none has.
 func (d *Daemons) participants(service string, now time.Time) participants {
-	var heard, wanting []*peer
+	var heard, demanding []*peer
 	for _, p := range d.peers {
 		if d.isSilent(p, now) {
 			continue
 		}
 		heard = append(heard, p)
 		if d.isRecent(p.demands[service], now) {
-			wanting = append(wanting, p)
+			demanding = append(demanding, p)
 		}
 	}
 	own := d.demands[service]
-	selfWants := !d.stopping && d.isRecent(own, now) && now.Sub(own.since) >= d.announceTime()
-	group := participants{peers: wanting, hasSelf: selfWants}
-	if len(wanting) == 0 && !selfWants {
+	selfHasDemand := !d.stopping && d.isRecent(own, now) && now.Sub(own.since) >= d.announceTime()
+	group := participants{peers: demanding, hasSelf: selfHasDemand}
+	if len(demanding) == 0 && !selfHasDemand {
 		group.peers, group.hasSelf = heard, !d.stopping
 	}
 	group.size = len(group.peers)
--- a/scaling/window.go
+++ b/scaling/window.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// window holds the numbers of runners that were needed in the last time, oldest first.
+// window holds numbers of runners at the moments of a recent time span, oldest first.
 type window []need
 
-// need is the number of runners needed at one moment.
+// need is a number of runners at one moment.
 type need struct {
 	at      time.Time
 	runners int
