Log the software version of runners and the stream that a request resumes

The logs of the incident could not tell its hypotheses apart: no line named the software version of a runner, nor which stream a request resumes. Nothing is decided by them yet.

--- a/call/call.go
+++ b/call/call.go
@@ -43,6 +43,9 @@
 	// LastEvent is the ID of the last event that the caller received, if the call
 	// resumes a stream, or zero.
 	LastEvent int
+	// Resumes is the ID of the attempt by the caller that brought the first event of the stream
+	// that the call resumes, or empty if it names none.
+	Resumes string
 }
 
 // SharedSegments returns the segments of a prompt that other prompts may share, which are all
--- a/entry/runners.go
+++ b/entry/runners.go
@@ -107,7 +107,7 @@
 				"Reclaimable", change.Runner.Reclaimable, "Milliseconds", change.Runner.LeavesIn.Milliseconds())
 		default:
 			t.Log.Info("RunnerReady", "Runner", change.Runner.ID, "Zone", change.Runner.Zone,
-				"Service", change.Runner.Service, "Reclaimable", change.Runner.Reclaimable)
+				"Service", change.Runner.Service, "Version", change.Runner.Version, "Reclaimable", change.Runner.Reclaimable)
 		}
 	}
 }
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -142,7 +142,10 @@
 	x.RetryBudgets.CountRequest(x.service, now)
 	x.Log.V(1).Info("RequestAccepted", "Request", x.call.ID, "Customer", x.customer.Name, "Route", x.route.Name,
 		"Service", x.service, "Tokens", x.call.Tokens(), "Milliseconds", x.timeLeft(now).Milliseconds(),
-		"ConfigurationVersion", x.catalog.Version())
+		"ConfigurationVersion", x.catalog.Version(), "LastEvent", x.call.LastEvent, "Resumes", x.call.Resumes)
+	if x.call.LastEvent > 0 {
+		x.Count("Streams.ResumedByCallers", 1)
+	}
 	return nil
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -144,7 +144,7 @@
 // choiceFields returns the log fields that explain the choice of a runner.
 func choiceFields(c balance.Choice) []any {
 	fields := []any{
-		"Runner", c.Runner.ID, "Zone", c.Runner.Zone, "Cost", finite(c.Cost),
+		"Runner", c.Runner.ID, "Version", c.Runner.Version, "Zone", c.Runner.Zone, "Cost", finite(c.Cost),
 		"NextCost", finite(c.NextCost), "Candidates", c.Candidates, "Uncached", c.Uncached,
 	}
 	if c.Limited > 0 {
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -209,7 +209,7 @@
 // recordNotMoved counts and logs a stream that was not moved.
 func (x *exchange) recordNotMoved(m *streamMove, cause error) {
 	x.Count("Streams.NotMoved", 1)
-	x.Log.Info("StreamStays", "Request", x.call.ID, "Runner", m.source.Runner.ID, "Reason", cause.Error())
+	x.Log.Info("StreamStays", "Request", x.call.ID, "Runner", m.source.Runner.ID, "Version", m.source.Runner.Version, "Reason", cause.Error())
 }
 
 // releaseMove gives back the runner of a move that the request no longer needs. The move
--- a/gateway/moverun.go
+++ b/gateway/moverun.go
@@ -128,7 +128,7 @@
 	}
 	m.run, m.target = &run, target
 	x.Count("Streams.Moved", 1)
-	x.Log.Info("StreamMoved", "Request", x.call.ID, "From", source.ID, "To", target.choice.Runner.ID, "Copied", copied)
+	x.Log.Info("StreamMoved", "Request", x.call.ID, "From", source.ID, "FromVersion", source.Version, "To", target.choice.Runner.ID, "ToVersion", target.choice.Runner.Version, "Copied", copied)
 	return nil
 }
 
--- a/inventory/runner.go
+++ b/inventory/runner.go
@@ -26,10 +26,12 @@
 	// StartedAt is the start time. It distinguishes incarnations with the same ID.
 	StartedAt time.Time
 	Service   string
-	Address   string
-	Zone      string
-	Slots     int
-	State     State
+	// Version is the version of the runner's software.
+	Version string
+	Address string
+	Zone    string
+	Slots   int
+	State   State
 	// Reclaimable runners may be reclaimed, all reclaimable runners of a zone at once.
 	Reclaimable bool
 	// LeavesIn is the time from the record to the end of the runner, or zero if the
