--- a/entry/rig_test.go
+++ b/entry/rig_test.go
@@ -78,11 +78,17 @@
 
 // addRunner starts a runner and writes its record to the store.
 func (s *testSystem) addRunner(script func(standin.ReceivedRequest) standin.Behaviour) *standin.Runner {
+	runner := s.startRunner(script)
+	s.putRunner(runner, false)
+	return runner
+}
+
+// startRunner starts a runner without a record.
+func (s *testSystem) startRunner(script func(standin.ReceivedRequest) standin.Behaviour) *standin.Runner {
 	runner, err := standin.NewRunner(fmt.Sprintf("i-%d", len(s.runners)), script)
 	s.c.Assert(err, qt.IsNil)
 	s.c.Cleanup(runner.Close)
 	s.runners = append(s.runners, runner)
-	s.putRunner(runner, false)
 	return runner
 }
 
