Continue streams at the software version that sent their first event

What callers saw: streams that went on within one answer at runners of another software version, after a reset, a silence or a move of their KV cache. Cause: nothing that chooses a runner knew its version. balance.Request now names the version, which is set with the first forwarded event, so that first choices, retries, replacements, returns to a silent runner and moves are all bound by it; a move is bound by the version of its source also before. A record without a version names no runner.

--- a/balance/choice.go
+++ b/balance/choice.go
@@ -13,6 +13,9 @@
 // Request describes a request as far as the choice of a runner depends on it.
 type Request struct {
 	Service string
+	// Version is the software version of the runners that may be chosen, or empty if any may.
+	// A stream whose caller has an event goes on at the version that sent it.
+	Version string
 	Prompt  []call.PromptSegment
 	// PromptTokens is zero for plain services.
 	PromptTokens int
@@ -46,7 +49,10 @@
 // NoRunnerError reports that no runner of a service is available.
 type NoRunnerError struct {
 	Service string
-	// Known counts the runners of the service, including those that are leaving.
+	// Version is the software version that was asked for, or empty.
+	Version string
+	// Known counts the runners of the service that have that version, including those that are
+	// leaving.
 	Known int
 	// PauseLeft is the time until the first runner wants requests again, or zero if
 	// that is not why none is available.
@@ -58,7 +64,11 @@
 
 // Error implements error.
 func (e *NoRunnerError) Error() string {
-	text := "no runner of service " + e.Service + " is available"
+	text := "no runner of service " + e.Service
+	if e.Version != "" {
+		text += " with version " + e.Version
+	}
+	text += " is available"
 	if e.Limited > 0 {
 		text += "; " + strconv.Itoa(e.Limited) + " have reached their limits"
 	}
@@ -73,9 +83,9 @@
 	b.daemons.RecordDemand(request.Service, now)
 	found := b.candidates(request, now)
 	if len(found.runners) == 0 {
-		pauseLeft := b.servicePauseLeft(request.Service, now)
+		pauseLeft := b.servicePauseLeft(request.Service, request.Version, now)
 		return Choice{}, nil, &NoRunnerError{
-			Service: request.Service, Known: found.known, PauseLeft: pauseLeft, Limited: found.limited,
+			Service: request.Service, Version: request.Version, Known: found.known, PauseLeft: pauseLeft, Limited: found.limited,
 		}
 	}
 	best, chosen := b.cheapest(found.runners, request, now)
@@ -115,7 +125,7 @@
 // candidates are the runners that may be chosen for a request.
 type candidates struct {
 	runners []*runner
-	// known counts the runners of the service, and limited those that could be reached and
+	// known counts the runners of the service and version, and limited those that could be reached and
 	// are left out for their limits alone.
 	known, limited int
 }
@@ -127,7 +137,7 @@
 	var found candidates
 	var down []*runner
 	for _, r := range b.ordered {
-		if r.entry.Service != request.Service {
+		if r.entry.Service != request.Service || !r.hasVersion(request.Version) {
 			continue
 		}
 		found.known++
--- a/balance/runner.go
+++ b/balance/runner.go
@@ -41,6 +41,11 @@
 	return r.entry.State == inventory.Ready && !r.isReplaced && !r.signals.isLeaving
 }
 
+// hasVersion reports whether the software has the version; every runner has an empty one.
+func (r *runner) hasVersion(version string) bool {
+	return version == "" || r.entry.Version == version
+}
+
 // failureWeight is the weight of the newest result in the failure score.
 const failureWeight = 0.2
 
--- a/balance/signals.go
+++ b/balance/signals.go
@@ -131,14 +131,15 @@
 func (b *Balancer) ServicePauseLeft(service string, now time.Time) time.Duration {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.servicePauseLeft(service, now)
+	return b.servicePauseLeft(service, "", now)
 }
 
-// servicePauseLeft implements ServicePauseLeft. The mutex must be held.
-func (b *Balancer) servicePauseLeft(service string, now time.Time) time.Duration {
+// servicePauseLeft returns the same for the runners of one software version, or of all if version
+// is empty. The mutex must be held.
+func (b *Balancer) servicePauseLeft(service, version string, now time.Time) time.Duration {
 	shortest := time.Duration(math.MaxInt64)
 	for _, r := range b.ordered {
-		if r.entry.Service == service && r.isAvailable() {
+		if r.entry.Service == service && r.hasVersion(version) && r.isAvailable() {
 			shortest = min(shortest, r.signals.pauseLeft(now))
 		}
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -69,6 +69,9 @@
 	excluded []string
 	// lastEvent is the ID of the last event that was forwarded to the caller.
 	lastEvent int
+	// version is the software version of the runners that have sent the caller events, or empty
+	// before the first one. The stream goes on at no other.
+	version string
 	// currentRunner is the runner that serves the stream, or empty between
 	// attempts.
 	currentRunner string
@@ -107,7 +110,7 @@
 
 // balanceRequest describes the request for the choice of a runner. The mutex must be held.
 func (x *exchange) balanceRequest() balance.Request {
-	r := balance.Request{Service: x.service, Excluded: slices.Clone(x.excluded), Continues: x.lastEvent > x.call.LastEvent}
+	r := balance.Request{Service: x.service, Version: x.version, Excluded: slices.Clone(x.excluded), Continues: x.lastEvent > x.call.LastEvent}
 	if x.engine() != nil {
 		r.Prompt, r.PromptTokens = x.call.Prompt, max(x.call.PromptTokens, 1)
 	}
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -116,7 +116,7 @@
 	log.Info("RequestEnded", append([]any{
 		"Request", x.call.ID, "Outcome", outcome, "Reason", reason, "Status", status, "Kind", kind,
 		"Route", x.route.Name, "Customer", x.customer.Name, "Service", x.service, "Attempts", x.machine.Attempt(),
-		"LastEvent", x.lastEvent, "Milliseconds", duration.Milliseconds(),
+		"LastEvent", x.lastEvent, "StreamVersion", x.version, "Milliseconds", duration.Milliseconds(),
 		"FirstEventMilliseconds", x.firstEvent.Milliseconds(), "ConfigurationVersion", version, "Cause", text,
 		"RunnersAgeMilliseconds", x.RunnersAge().Milliseconds(),
 	}, choiceFields(x.choice)...)...)
@@ -131,6 +131,8 @@
 		return "RunLost"
 	case errors.As(failure, &none) && none.Limited > 0:
 		return "RunnersLimited"
+	case errors.As(failure, &none) && none.Version != "":
+		return "NoRunnerOfVersion"
 	}
 	return "NoRunner"
 }
--- a/gateway/idle.go
+++ b/gateway/idle.go
@@ -119,6 +119,7 @@
 	}
 	x.releasePending()
 	x.recordProgress(w.attempt, now)
+	x.version = w.attempt.choice.Runner.Version
 	if e.hasID {
 		x.lastEvent = e.id
 	}
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -163,6 +163,8 @@
 	x.pendingMove = &streamMove{done: make(chan struct{}), source: x.choice}
 	r := x.balanceRequest()
 	r.Excluded = append(r.Excluded, runner)
+	// The KV cache of one version can't be read by another one.
+	r.Version = x.choice.Runner.Version
 	return x.pendingMove, r, true
 }
 
