Record in the store which version began a stream, and resume it there

What callers saw: streams that they resumed, at any daemon and also after all daemons were killed, went on at runners of another software version, answered 200 and whole. What a caller may come back to must outlive the process that promised it.

streamversion holds a rule for each service, in the store, that names the version of streams without a record; only streams of other versions are recorded, before their callers get the first event. The rule changes once the old version has gone and no stream without a record can be resumed. versionlog writes records in batches under keys that the store retains, so that a compaction of its history loses none, and reads them when a caller resumes a stream that this daemon did not begin. Who doesn't know the version refuses: a store that can't be read or was restored, no ID, no record and no rule. While records can't be written, new streams begin at the version that needs none. A route with several services sends a resumed stream to the service that began it: its choice was random by process before.

--- a/balance/choice.go
+++ b/balance/choice.go
@@ -16,7 +16,10 @@
 	// Version is the software version of the runners that may be chosen, or empty if any may.
 	// A stream whose caller has an event goes on at the version that sent it.
 	Version string
-	Prompt  []call.PromptSegment
+	// PreferredVersion is chosen if one of its runners is available, and any other one otherwise.
+	// It may be empty.
+	PreferredVersion string
+	Prompt           []call.PromptSegment
 	// PromptTokens is zero for plain services.
 	PromptTokens int
 	// Excluded holds the IDs of runners that must not be chosen, such as those
@@ -130,10 +133,23 @@
 	known, limited int
 }
 
-// candidates returns the runners that may be chosen for a request. Runners that
+// candidates returns the runners that may be chosen for a request, of the preferred version if
+// there are any.
+func (b *Balancer) candidates(request Request, now time.Time) candidates {
+	if request.Version == "" && request.PreferredVersion != "" {
+		preferred := request
+		preferred.Version = request.PreferredVersion
+		if found := b.candidatesOfVersion(preferred, now); len(found.runners) > 0 {
+			return found
+		}
+	}
+	return b.candidatesOfVersion(request, now)
+}
+
+// candidatesOfVersion returns the runners of the version that the request names. Runners that
 // appear to be unreachable are returned only when there are no others. If the others have
 // reached their limits, neither those nor broken ones are: the request had better come back.
-func (b *Balancer) candidates(request Request, now time.Time) candidates {
+func (b *Balancer) candidatesOfVersion(request Request, now time.Time) candidates {
 	var found candidates
 	var down []*runner
 	for _, r := range b.ordered {
--- a/balance/runner.go
+++ b/balance/runner.go
@@ -46,6 +46,18 @@
 	return version == "" || r.entry.Version == version
 }
 
+// HasRunner reports whether a runner of a service that has a software version may get new requests.
+func (b *Balancer) HasRunner(service, version string) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for _, r := range b.ordered {
+		if r.entry.Service == service && r.hasVersion(version) && r.isAvailable() {
+			return true
+		}
+	}
+	return false
+}
+
 // failureWeight is the weight of the newest result in the failure score.
 const failureWeight = 0.2
 
--- a/duties/handover.go
+++ b/duties/handover.go
@@ -51,7 +51,7 @@
 // ends. A handover that is written twice is merged once.
 func (d *Duties) putHandover(ctx context.Context, content []byte) error {
 	for {
-		_, err := d.Store.Put(ctx, d.options.CountsTopic, d.options.Process, content)
+		_, err := d.Store.Put(ctx, d.options.CountsTopic, latest.Record{Key: d.options.Process, Value: content})
 		if err == nil || clock.Sleep(ctx, d.Clock, handoverRetryDelay) != nil {
 			return err
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -29,10 +29,12 @@
 	"github.com/cranberrywalk/cranberrywalk/retry"
 	"github.com/cranberrywalk/cranberrywalk/scaling"
 	"github.com/cranberrywalk/cranberrywalk/store"
+	"github.com/cranberrywalk/cranberrywalk/streamversion"
 	"github.com/cranberrywalk/cranberrywalk/suspect"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 	"github.com/cranberrywalk/cranberrywalk/upstream"
 	"github.com/cranberrywalk/cranberrywalk/usage"
+	"github.com/cranberrywalk/cranberrywalk/versionlog"
 )
 
 // Entry is the daemon of one entry VM.
@@ -55,6 +57,7 @@
 	group           *membership.Group
 	duties          *duties.Duties
 	runners         *runnerTracker
+	versions        *versionlog.Log
 	demand          *demandMonitor
 	feeds           []*feed.Feed
 	feedsByTopic    map[string]*feed.Feed
@@ -112,6 +115,7 @@
 	e.upstream = upstream.New(common, upstreamOptions(e.budget))
 	e.store = store.NewObservedStore(platform.NewStore(settings.StoreAddress, newClient(e.budget)), common.Clock, e.countStoreCall)
 	e.group = membership.New(common, membership.DefaultOptions(e.self, settings.Seeds), peerHandler{e})
+	e.versions = versionlog.New(common, versionlog.Dependencies{Store: e.store, Group: e.group}, versionOptions(settings, e.self))
 	e.addGateway()
 	e.addFeeds()
 	e.demand = newDemandMonitor(e)
@@ -155,12 +159,20 @@
 	return settings.Bounds.UsageWindow
 }
 
+func versionOptions(settings platform.Settings, self membership.Member) versionlog.Options {
+	watch := streamversion.DefaultWatchOptions()
+	watch.IsFirstStart = settings.IsFirstStart
+	options := versionlog.DefaultOptions(instanceID(self), watch)
+	options.WritesPerSecond = settings.StoreWritesPerSecond
+	return options
+}
+
 func (e *Entry) addGateway() {
 	bounds := e.settings.Bounds
 	e.gateway = gateway.New(e.Common, gateway.Dependencies{
 		Codec: platform.Codec{}, Balancer: e.balancer, Upstream: e.upstream, Quotas: e.quotas,
 		Segments: e.segments, Contents: e.contents, Usage: e.usage, SyncedClock: e.syncedClock, Group: e.group,
-		Mover: platform.NewMover(newMoverClient(e.budget)), Meters: e.metrics, RunnersAge: e.runnersAge,
+		StreamVersions: e.versions, Mover: platform.NewMover(newMoverClient(e.budget)), Meters: e.metrics, RunnersAge: e.runnersAge,
 		RetryBudgets: gateway.NewRetryBudgets(retry.WindowOptions{
 			Length: bounds.RetryWindow, Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, SafetyFactor: retryBudgetShare,
 		}),
--- a/entry/rig_test.go
+++ b/entry/rig_test.go
@@ -105,7 +105,7 @@
 	settings := platform.Settings{
 		Name: fmt.Sprintf("entry-%d", number), Zone: "zone-1", StoreAddress: address, CloudAPIAddress: s.cloud.Address(),
 		CallersAddress: freeAddress(s.c), ReadinessAddress: freeAddress(s.c), PeerAddress: freeAddress(s.c),
-		MetricsAddress: freeAddress(s.c), HasUsageDuty: true,
+		MetricsAddress: freeAddress(s.c), HasUsageDuty: true, IsFirstStart: true,
 		Bounds: platform.Bounds{
 			LeaseTime: time.Second, UsageWindow: 2 * time.Second, StopGrace: 2 * time.Second,
 			RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
--- a/entry/run.go
+++ b/entry/run.go
@@ -11,6 +11,7 @@
 
 	"github.com/cranberrywalk/cranberrywalk/callerserver"
 	"github.com/cranberrywalk/cranberrywalk/clock"
+	"github.com/cranberrywalk/cranberrywalk/latest"
 	"github.com/cranberrywalk/cranberrywalk/platform"
 )
 
@@ -126,6 +127,7 @@
 	tasks.Go(func() { e.watchZones(background) })
 	tasks.Go(func() { e.expireRunners(background) })
 	tasks.Go(func() { e.demand.run(background) })
+	tasks.Go(func() { e.versions.Run(background) })
 	tasks.Go(func() { e.fetchConfigurations(background) })
 	tasks.Go(func() { e.duties.Run(dutiesCtx) })
 	for _, f := range e.feeds {
@@ -209,7 +211,7 @@
 	}
 	for {
 		putCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		epoch, err := e.store.Put(putCtx, membersTopic, e.self.Name, value)
+		epoch, err := e.store.Put(putCtx, membersTopic, latest.Record{Key: e.self.Name, Value: value})
 		cancel()
 		if err == nil {
 			e.setAnnouncedEpoch(epoch)
--- a/entry/runners.go
+++ b/entry/runners.go
@@ -6,6 +6,7 @@
 
 	"github.com/cranberrywalk/cranberrywalk/feed"
 	"github.com/cranberrywalk/cranberrywalk/inventory"
+	"github.com/cranberrywalk/cranberrywalk/platform"
 )
 
 // runnerTracker keeps the inventory of runners and passes changes to the balancer.
@@ -38,6 +39,9 @@
 	runners := t.inventory.Runners()
 	t.mutex.Unlock()
 	t.loaded.Store(true)
+	if batch.Restored {
+		t.versions.ObserveRestore(t.feedsByTopic[platform.RunnersTopic].End().Epoch)
+	}
 	t.applyChanges(changes, runners)
 	t.markGatewayReady()
 }
@@ -70,6 +74,7 @@
 		return
 	}
 	t.logChanges(changes)
+	t.versions.SetRunners(runners)
 	t.balancer.SetRunners(runners, t.cacheTokens)
 	for _, change := range changes {
 		if change.Removed || change.Runner.State == inventory.Leaving {
--- a/explain/cause.go
+++ b/explain/cause.go
@@ -16,6 +16,7 @@
 	"ServiceFull":       "The queues of all runners of the service were full; the request was not run.",
 	"QuotaExceeded":     "The customer's quota, counted over all daemons, was used up; the request was not run.",
 	"NoRunner":          "No runner of the service accepted requests, or all that did had already failed this one.",
+	"VersionUnknown":    "The caller had events of a stream, and the version that began it was not known; the request was not run.",
 	"NoRunnerOfVersion": "The caller had events of one software version, and no runner of that version accepted requests.",
 	"RunnersLimited":    "All runners of the service that could be reached have named how many requests they take, and this daemon had used up its share; the request was not run.",
 	"RunLost":           "The runner was leaving; its run was stopped, and neither the new runner nor the old one could continue it.",
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -164,6 +164,7 @@
 // contextEvents are the events that concern every request of a process.
 var contextEvents = []string{
 	"ConfigurationTaken", "StoreLost", "StoreBack", "StoreRestored", "Stopping", "Started", "ZoneCut", "ZoneBack", "LinesDropped",
+	"VersionsChanged", "StreamRuleChanged", "StreamRecordsFail", "StreamRecordsWritten", "StreamRecordsRestored",
 }
 
 func relatedLines(steps, lines []Line) []Line {
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -3,16 +3,18 @@
 import (
 	"context"
 	"errors"
-	"hash/maphash"
 	"io"
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/cranberrywalk/cranberrywalk/call"
 	"github.com/cranberrywalk/cranberrywalk/callerserver"
 	"github.com/cranberrywalk/cranberrywalk/catalog"
 	"github.com/cranberrywalk/cranberrywalk/quota"
 	"github.com/cranberrywalk/cranberrywalk/request"
+	"github.com/cranberrywalk/cranberrywalk/streamversion"
 )
 
 // admit decides whether a request may be forwarded. The exchange is never nil.
@@ -58,17 +60,14 @@
 		return newRefusal(http.StatusUnauthorized, "UnknownKey", nil)
 	}
 	x.customer = customer
-	x.service = route.Pick(unitHash(x.call.ID))
+	// A resumed stream goes to the service that began it, at any daemon.
+	x.service = route.Pick(unitHash(x.firstCallID()))
+	x.stream = streamversion.StreamOf(x.service, x.customer.Name, x.firstCallID())
 	return nil
 }
 
-// unitHashSeed is the same for all requests of the process.
-var unitHashSeed = maphash.MakeSeed()
-
-// unitHash maps an ID to a number in [0, 1).
-func unitHash(id string) float64 {
-	return float64(maphash.String(unitHashSeed, id)>>11) / (1 << 53)
-}
+// unitHash maps an ID to a number in [0, 1), which is the same at all daemons.
+func unitHash(id string) float64 { return float64(xxhash.Sum64String(id)>>11) / (1 << 53) }
 
 // checkHeader refuses header fields that are larger than allowed.
 func (x *exchange) checkHeader() *Refusal {
@@ -132,6 +131,9 @@
 	if refusal := x.checkQueue(now); refusal != nil {
 		return refusal
 	}
+	if refusal := x.findVersion(); refusal != nil {
+		return refusal
+	}
 	x.cost = x.customer.Quota.Cost(x.call.Tokens())
 	var exceeded *quota.ExceededError
 	if err := x.Quotas.Take(x.customer.Name, x.cost, now); errors.As(err, &exceeded) {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -89,6 +89,7 @@
 	a.lastData = x.Clock.Now()
 	x.mutex.Unlock()
 	x.apply(request.AttemptBegan)
+	x.recordEarly(a)
 	x.Log.V(1).Info("RunnerChosen", append([]any{
 		"Request", x.call.ID, "Attempt", a.number, "RunnersAgeMilliseconds", x.RunnersAge().Milliseconds(),
 	}, choiceFields(a.choice)...)...)
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -84,6 +84,14 @@
 	return fmt.Sprintf("got event %d, want %d", e.Got, e.Want)
 }
 
+// RecordTimeoutError reports that the store did not take the record of a stream's version in time.
+type RecordTimeoutError struct{ Version string }
+
+// Error implements error.
+func (e *RecordTimeoutError) Error() string {
+	return "the version " + e.Version + " of the stream could not be recorded in time"
+}
+
 // EventTooLargeError reports that an event of a stream exceeds the size limit.
 type EventTooLargeError struct{ Bytes int }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/cranberrywalk/cranberrywalk/call"
 	"github.com/cranberrywalk/cranberrywalk/catalog"
 	"github.com/cranberrywalk/cranberrywalk/request"
+	"github.com/cranberrywalk/cranberrywalk/streamversion"
 )
 
 // exchange is one request from its arrival to the end of its response. It belongs
@@ -38,6 +39,10 @@
 	// traits are what the trackers of crashes know the request by.
 	traits  []trackedTraits
 	machine request.Machine
+	// stream identifies the stream that the request begins or resumes.
+	stream streamversion.Stream
+	// record is the last record of the stream's version that this exchange has begun.
+	record versionRecord
 
 	// firstEvent is the time to the first event of a stream.
 	firstEvent time.Duration
@@ -111,6 +116,9 @@
 // balanceRequest describes the request for the choice of a runner. The mutex must be held.
 func (x *exchange) balanceRequest() balance.Request {
 	r := balance.Request{Service: x.service, Version: x.version, Excluded: slices.Clone(x.excluded), Continues: x.lastEvent > x.call.LastEvent}
+	if x.beginsStream() && x.version == "" {
+		r.PreferredVersion = x.StreamVersions.VersionToBegin(x.service)
+	}
 	if x.engine() != nil {
 		r.Prompt, r.PromptTokens = x.call.Prompt, max(x.call.PromptTokens, 1)
 	}
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -77,11 +77,23 @@
 		if none.Limited > 0 {
 			return x.Balancer.NextTurn(x.service, x.Clock.Now())
 		}
+		if none.Version != "" && none.Known == 0 {
+			return x.retryAfterVersionGone()
+		}
 		return retryAfterPause(none.PauseLeft, retryAfterNoRunner)
 	}
 	return retryAfterPause(x.Balancer.ServicePauseLeft(x.service, x.Clock.Now()), retryAfterFull)
 }
 
+// retryAfterVersionGone returns the time until a new runner may have the version.
+func (x *exchange) retryAfterVersionGone() time.Duration {
+	service, _ := x.catalog.Service(x.service)
+	if service.Scaling == nil || service.Scaling.BootTime <= 0 {
+		return retryAfterVersionGone
+	}
+	return service.Scaling.BootTime
+}
+
 // refuse writes an error response that the daemon generates itself.
 func (x *exchange) refuse(refusal *Refusal) {
 	header := x.writer.Header()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/cranberrywalk/cranberrywalk/metric"
 	"github.com/cranberrywalk/cranberrywalk/quota"
 	"github.com/cranberrywalk/cranberrywalk/request"
+	"github.com/cranberrywalk/cranberrywalk/streamversion"
 	"github.com/cranberrywalk/cranberrywalk/suspect"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 	"github.com/cranberrywalk/cranberrywalk/upstream"
@@ -66,6 +67,24 @@
 	Decides(key string) bool
 }
 
+// StreamVersions knows which software version began each stream, at all daemons.
+type StreamVersions interface {
+	// VersionToBegin returns the version at which a new stream of a service should begin, or empty
+	// if any may begin it.
+	VersionToBegin(service string) string
+	// DefaultVersion returns the version whose streams need no record, or empty if there is none.
+	DefaultVersion(service string) string
+	// NeedsRecord reports whether a stream that a version begins has to be recorded before its
+	// caller gets an event.
+	NeedsRecord(service, version string) bool
+	// Record records which version begins a stream. The channel is closed once that is done.
+	Record(record streamversion.Record) (recorded <-chan struct{})
+	// Remember keeps the version of a stream that this daemon serves.
+	Remember(stream streamversion.Stream, version string)
+	// Find returns the version that began a stream. It fails with a *streamversion.UnknownError.
+	Find(ctx context.Context, query streamversion.Query) (streamversion.Found, error)
+}
+
 // Options sets the limits and timeouts for requests.
 type Options struct {
 	// MaxUnwrittenAttempts bounds the attempts of a request that wrote nothing to a
@@ -93,6 +112,8 @@
 	// MaxPlainRequestsPerSlot bounds the running and queued requests of a plain
 	// service, per slot of its runners.
 	MaxPlainRequestsPerSlot float64
+	// RecordTimeout is how long the first event of a stream waits for the record of its version.
+	RecordTimeout time.Duration
 	// ConnectionShare is the fraction of a runner's connections that the daemons
 	// divide among themselves.
 	ConnectionShare float64
@@ -103,7 +124,8 @@
 	return Options{
 		MaxUnwrittenAttempts: 6, StartWait: 250 * time.Millisecond, DefaultTimeout: 30 * time.Second, StreamIdleTimeout: 1500 * time.Millisecond,
 		FirstEventShare: 0.4, MoveDelay: 400 * time.Millisecond, CopyTimeout: time.Second,
-		MoveTimeout: 500 * time.Millisecond, MaxPlainRequestsPerSlot: 4, ConnectionShare: 0.9,
+		MoveTimeout: 500 * time.Millisecond, MaxPlainRequestsPerSlot: 4, RecordTimeout: 600 * time.Millisecond,
+		ConnectionShare: 0.9,
 	}
 }
 
@@ -120,6 +142,7 @@
 	SyncedClock        *clocksync.Clock
 	RetryBudgets       *RetryBudgets
 	Group              Group
+	StreamVersions     StreamVersions
 	Mover              Mover
 	Meters             *metric.Set
 	// RunnersAge returns the time since the list of runners was last read.
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -22,6 +22,11 @@
 	retryAfterStart = 500 * time.Millisecond
 	// retryAfterNoRunner is for a service without a runner that accepts requests.
 	retryAfterNoRunner = 500 * time.Millisecond
+	// retryAfterVersionUnknown is for a stream of which the version that began it is not known yet.
+	retryAfterVersionUnknown = 250 * time.Millisecond
+	// retryAfterVersionGone is for a stream whose version has no runner, if it is not known how
+	// long a new one takes to start.
+	retryAfterVersionGone = 2 * time.Second
 	// retryAfterFull is for a service whose runners are all full.
 	retryAfterFull = 250 * time.Millisecond
 	// minRetryAfterPause and maxRetryAfterPause bound the value for a service whose
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -27,6 +28,7 @@
 	"github.com/cranberrywalk/cranberrywalk/platform/standin"
 	"github.com/cranberrywalk/cranberrywalk/quota"
 	"github.com/cranberrywalk/cranberrywalk/retry"
+	"github.com/cranberrywalk/cranberrywalk/streamversion"
 	"github.com/cranberrywalk/cranberrywalk/suspect"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 	"github.com/cranberrywalk/cranberrywalk/upstream"
@@ -44,6 +46,7 @@
 	// segments and contents track what crashes runners.
 	segments, contents *suspect.CrashTracker
 	mover              *fakeMover
+	versions           *fakeVersions
 }
 
 // singleDaemon is a group of one daemon.
@@ -53,6 +56,59 @@
 
 func (singleDaemon) Decides(string) bool { return true }
 
+// fakeVersions is a fake of the record of streams' versions.
+type fakeVersions struct {
+	// toBegin is the version at which streams should begin, needsRecord those that need a record,
+	// and found the version of resumed streams. unknown is the failure of each search, if it is
+	// not nil.
+	toBegin, found string
+	needsRecord    []string
+	unknown        error
+	// holds is true if no record is ever written.
+	holds   bool
+	mutex   sync.Mutex
+	records []streamversion.Record
+	queries []streamversion.Query
+}
+
+func (f *fakeVersions) setToBegin(version string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.toBegin = version
+}
+
+func (f *fakeVersions) VersionToBegin(string) string {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.toBegin
+}
+
+func (f *fakeVersions) DefaultVersion(service string) string { return f.VersionToBegin(service) }
+
+func (f *fakeVersions) NeedsRecord(_, version string) bool {
+	return slices.Contains(f.needsRecord, version)
+}
+
+func (f *fakeVersions) Record(record streamversion.Record) <-chan struct{} {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.records = append(f.records, record)
+	recorded := make(chan struct{})
+	if !f.holds {
+		close(recorded)
+	}
+	return recorded
+}
+
+func (*fakeVersions) Remember(streamversion.Stream, string) {}
+
+func (f *fakeVersions) Find(_ context.Context, query streamversion.Query) (streamversion.Found, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.queries = append(f.queries, query)
+	return streamversion.Found{Version: f.found, Source: streamversion.FromRule}, f.unknown
+}
+
 const (
 	testHost = "desk.example"
 	testKey  = "key-of-library"
@@ -93,7 +149,7 @@
 	common := telemetry.NewCommon()
 	common.Log = logr.Discard()
 	now := common.Clock.Now()
-	r := &rig{c: c, quotas: quota.New(quota.DefaultOptions()), usage: usage.New(time.Hour, 4), mover: &fakeMover{}}
+	r := &rig{c: c, quotas: quota.New(quota.DefaultOptions()), usage: usage.New(time.Hour, 4), mover: &fakeMover{}, versions: &fakeVersions{}}
 	r.segments = suspect.NewCrashTracker(suspect.DefaultCrashOptions())
 	r.contents = suspect.NewCrashTracker(suspect.DefaultCrashOptions().WithSettling(0))
 	balancer := balance.New(balance.DefaultOptions("zone-1"), rand.New(rand.NewPCG(1, 2)))
@@ -113,14 +169,15 @@
 	gatewayOptions := gateway.DefaultOptions()
 	gatewayOptions.StreamIdleTimeout = 300 * time.Millisecond
 	gatewayOptions.FirstEventShare = 0.2
+	gatewayOptions.RecordTimeout = 200 * time.Millisecond
 	gatewayOptions.MoveDelay = 10 * time.Millisecond
 	r.gateway = gateway.New(common, gateway.Dependencies{
 		Codec: platform.Codec{}, Balancer: balancer, Upstream: upstream.New(common, upstream.DefaultOptions()),
 		Quotas: r.quotas, Segments: r.segments, Contents: r.contents, Usage: r.usage, SyncedClock: clocksync.New(time.Minute, now),
 		RetryBudgets: gateway.NewRetryBudgets(retry.WindowOptions{Length: 10 * time.Second, Ratio: 0.2, Slack: 20, SafetyFactor: 1}),
-		Group:        singleDaemon{},
-		Mover:        r.mover,
-		Meters:       metric.New(common.Metrics), RunnersAge: func() time.Duration { return 0 },
+		Group:        singleDaemon{}, StreamVersions: r.versions,
+		Mover:  r.mover,
+		Meters: metric.New(common.Metrics), RunnersAge: func() time.Duration { return 0 },
 	}, gatewayOptions)
 	r.set(spec())
 	r.server = httptest.NewServer(r.gateway)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -124,6 +124,9 @@
 		if err := checkOrder(e, x.lastEvent); err != nil {
 			return &upstream.InvalidAnswerError{Address: a.choice.Runner.Address, Cause: err}
 		}
+		if err := x.awaitRecord(a); err != nil {
+			return err
+		}
 		if !watchdog.recordEvent(e, x.Clock.Now()) {
 			return &AttemptTimeoutError{Runner: a.choice.Runner.ID}
 		}
@@ -132,6 +135,7 @@
 			x.apply(request.AnswerBegan)
 			x.recordFirstEvent()
 		}
+		x.rememberVersion(a)
 		x.writeHead(o.answer)
 		if _, err := x.writer.Write(e.content); err != nil {
 			return &CallerWriteError{Cause: err}
--- /dev/null
+++ b/gateway/version.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"context"
+
+	"github.com/cranberrywalk/cranberrywalk/catalog"
+	"github.com/cranberrywalk/cranberrywalk/streamversion"
+)
+
+// versionRecord is a record of which version begins the stream of an exchange. It is zero before
+// the first one.
+type versionRecord struct {
+	streamversion.Record
+	// recorded is closed once the store holds the record.
+	recorded <-chan struct{}
+}
+
+// resumesStream reports whether the caller has events of the stream from an earlier attempt.
+func (x *exchange) resumesStream() bool {
+	return x.route.Kind == catalog.Stream && x.call.LastEvent > 0
+}
+
+// beginsStream reports whether the request begins a stream that its caller may resume.
+func (x *exchange) beginsStream() bool {
+	return x.route.Kind == catalog.Stream && x.route.Resumable && x.call.LastEvent == 0
+}
+
+// firstCallID returns the ID of the attempt by the caller that brought the first event of the
+// stream, as far as the caller names it.
+func (x *exchange) firstCallID() string {
+	if x.call.LastEvent > 0 && x.call.Resumes != "" {
+		return x.call.Resumes
+	}
+	return x.call.ID
+}
+
+// findVersion binds a resumed stream to the version that began it. It refuses the request if that
+// is not known.
+func (x *exchange) findVersion() *Refusal {
+	if !x.resumesStream() {
+		return nil
+	}
+	query := streamversion.Query{Service: x.service, Stream: x.stream, HasID: x.call.Resumes != ""}
+	found, err := x.StreamVersions.Find(x.ctx, query)
+	if err != nil {
+		return unavailable("VersionUnknown", retryAfterVersionUnknown, err)
+	}
+	x.version = found.Version
+	if query.HasID {
+		x.StreamVersions.Remember(x.stream, found.Version)
+	}
+	x.Log.V(1).Info("VersionFound", "Request", x.call.ID, "Resumes", x.call.Resumes, "Version", found.Version, "Source", string(found.Source))
+	return nil
+}
+
+// recordEarly records the version of the first attempt while its runner prepares the first event.
+func (x *exchange) recordEarly(a *attempt) {
+	version := a.choice.Runner.Version
+	if a.number == 1 && x.beginsStream() && x.StreamVersions.NeedsRecord(x.service, version) {
+		x.beginRecord(version)
+	}
+}
+
+func (x *exchange) beginRecord(version string) {
+	record := streamversion.Record{Stream: x.stream, Number: x.record.Number + 1, Version: version}
+	x.record = versionRecord{Record: record, recorded: x.StreamVersions.Record(record)}
+}
+
+// awaitRecord waits before the first event until the version of the stream is recorded, if it has
+// to be. The attempt fails if that takes too long and another version needs no record; otherwise
+// the stream goes on without one.
+func (x *exchange) awaitRecord(a *attempt) error {
+	if !x.beginsStream() || x.version != "" {
+		return nil
+	}
+	version := a.choice.Runner.Version
+	isSuperseded := x.record.Number > 0 && x.record.Version != version
+	if isSuperseded || x.record.Number == 0 && x.StreamVersions.NeedsRecord(x.service, version) {
+		x.beginRecord(version)
+	}
+	if x.record.Number == 0 || x.isRecorded() {
+		return nil
+	}
+	x.restartSilence(a)
+	timer := x.Clock.NewTimer(x.options.RecordTimeout)
+	defer timer.Stop()
+	select {
+	case <-x.record.recorded:
+		return nil
+	case <-a.ctx.Done():
+		return context.Cause(a.ctx)
+	case <-timer.Chan():
+	}
+	other := x.StreamVersions.DefaultVersion(x.service)
+	if other != "" && other != version && x.Balancer.HasRunner(x.service, other) {
+		x.Count("Streams.RecordTimeouts", 1)
+		return &RecordTimeoutError{Version: version}
+	}
+	x.Count("Streams.Unrecorded", 1)
+	x.Log.Info("StreamUnrecorded", "Request", x.call.ID, "Version", version)
+	return nil
+}
+
+// restartSilence counts the silence of a runner from now on: it has sent an event.
+func (x *exchange) restartSilence(a *attempt) {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	a.lastData = x.Clock.Now()
+}
+
+func (x *exchange) isRecorded() bool {
+	select {
+	case <-x.record.recorded:
+		return true
+	default:
+		return false
+	}
+}
+
+// rememberVersion keeps the version of a stream whose first event is forwarded, so that this daemon
+// can resume it without the store.
+func (x *exchange) rememberVersion(a *attempt) {
+	if x.beginsStream() && !x.headWritten {
+		x.StreamVersions.Remember(x.stream, a.choice.Runner.Version)
+	}
+}
--- a/gateway/version_test.go
+++ b/gateway/version_test.go
@@ -1,13 +1,17 @@
 package gateway_test
 
 import (
+	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/cranberrywalk/cranberrywalk/catalog"
 	"github.com/cranberrywalk/cranberrywalk/inventory"
 	"github.com/cranberrywalk/cranberrywalk/platform/standin"
+	"github.com/cranberrywalk/cranberrywalk/streamversion"
 )
 
 // setVersions gives the runners software versions, in their order.
@@ -91,3 +95,151 @@
 	r.c.Check(got.status, qt.Equals, 200)
 	r.c.Check(got.body, qt.Equals, standin.Events(5))
 }
+
+// resumes returns the changes of a request that resumes a stream after an event.
+func resumes(id, lastEvent string) []change {
+	return []change{with(standin.HeaderResumes, id), with(standin.HeaderLastEvent, lastEvent)}
+}
+
+// TestResumedStreamGoesToItsVersion guards against a stream that its caller resumes and that goes on
+// at a runner of another version than the one that began it.
+func TestResumedStreamGoesToItsVersion(t *testing.T) {
+	whole := always(standin.Behaviour{Events: 5})
+	for _, scenario := range []struct {
+		name, found string
+		// arrivals are the requests at the runners, which have the versions v1 and v1.1.
+		arrivals []int
+		status   int
+	}{
+		{"the preferred runner has it", "v1", []int{1, 0}, http.StatusOK},
+		{"another runner has it", "v1.1", []int{0, 1}, http.StatusOK},
+		{"no runner has it", "v2", []int{0, 0}, http.StatusServiceUnavailable},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			r := newRig(t, whole, whole)
+			r.setVersions("v1", "v1.1")
+			r.versions.found = scenario.found
+			got := r.send("/resumable/a", resumes("attempt-0", "2")...)
+			r.c.Check(got.status, qt.Equals, scenario.status)
+			r.c.Check(r.arrivals(), qt.DeepEquals, scenario.arrivals)
+			r.c.Check(r.versions.queries, qt.DeepEquals, []streamversion.Query{
+				{Service: "desk", Stream: streamversion.StreamOf("desk", "library", "attempt-0"), HasID: true},
+			})
+			r.c.Check(r.versions.records, qt.HasLen, 0, qt.Commentf("the record of its first attempt holds"))
+			if scenario.status != http.StatusOK {
+				r.c.Check(got.header.Get("Retry-After"), qt.Equals, "2.000")
+			}
+		})
+	}
+}
+
+// TestStreamOfUnknownVersionIsRefused guards against a guess, and against a refused request that
+// uses up the customer's quota or a retry.
+func TestStreamOfUnknownVersionIsRefused(t *testing.T) {
+	r := newRig(t, always(standin.Behaviour{Events: 5}))
+	limited := spec()
+	limited.Customers[0].Quota = catalog.Quota{Rate: 0.001, Burst: 1}
+	r.set(limited)
+	r.versions.unknown = &streamversion.UnknownError{Reason: streamversion.NoRecord}
+	for range 3 {
+		got := r.send("/resumable/a", with(standin.HeaderLastEvent, "2"))
+		r.c.Check(got.status, qt.Equals, http.StatusServiceUnavailable)
+		r.c.Check(got.header.Get("Retry-After"), qt.Equals, "0.250")
+	}
+	r.c.Check(r.versions.queries[0].HasID, qt.IsFalse)
+	r.c.Check(r.arrivals(), qt.DeepEquals, []int{0})
+	r.versions.unknown = nil
+	r.c.Check(r.send("/resumable/a", resumes("attempt-0", "2")...).status, qt.Equals, http.StatusOK)
+}
+
+// TestVersionIsRecordedBeforeTheFirstEvent guards against an event that a caller has before it is
+// certain that any daemon can find the version of its stream.
+func TestVersionIsRecordedBeforeTheFirstEvent(t *testing.T) {
+	whole := always(standin.Behaviour{Events: 5})
+	stream := streamversion.StreamOf("desk", "library", "attempt-1")
+	for _, scenario := range []struct {
+		name  string
+		first standin.Behaviour
+		// needsRecord, toBegin and holds are those of the fake.
+		needsRecord, toBegin string
+		holds                bool
+		want                 []streamversion.Record
+		arrival              []int
+	}{
+		{
+			"its version needs none", standin.Behaviour{Events: 5}, "v1.1", "", false, nil, []int{1, 0},
+		},
+		{
+			"its version needs one", standin.Behaviour{Events: 5}, "v1", "", false,
+			[]streamversion.Record{{Stream: stream, Number: 1, Version: "v1"}}, []int{1, 0},
+		},
+		{
+			"the first runner sends no event", standin.Behaviour{Reset: true}, "v1", "", false,
+			[]streamversion.Record{{Stream: stream, Number: 1, Version: "v1"}, {Stream: stream, Number: 2, Version: "v1.1"}}, []int{1, 1},
+		},
+		{
+			"records fail and another version needs none", standin.Behaviour{Events: 5},
+			"v1", "v1.1", false, nil, []int{0, 1},
+		},
+		{
+			"records begin to fail and no other version is there", standin.Behaviour{Events: 5},
+			"v1", "v2", true,
+			[]streamversion.Record{{Stream: stream, Number: 1, Version: "v1"}}, []int{1, 0},
+		},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			r := newRig(t, always(scenario.first), whole)
+			r.setVersions("v1", "v1.1")
+			r.versions.needsRecord, r.versions.toBegin, r.versions.holds = []string{scenario.needsRecord}, scenario.toBegin, scenario.holds
+			got := r.send("/resumable/a")
+			r.c.Check(got.status, qt.Equals, http.StatusOK)
+			r.c.Check(got.body, qt.Equals, standin.Events(5))
+			r.c.Check(r.arrivals(), qt.DeepEquals, scenario.arrival)
+			r.c.Check(r.versions.records, qt.DeepEquals, scenario.want)
+		})
+	}
+}
+
+// TestStreamWhoseRecordFailsBeginsElsewhere guards against an event of a version that can't be
+// recorded, while a runner of the version that needs no record is there.
+func TestStreamWhoseRecordFailsBeginsElsewhere(t *testing.T) {
+	r := newRig(t, always(standin.Behaviour{Events: 5, Gap: 20 * time.Millisecond}), always(standin.Behaviour{Events: 5}))
+	r.setVersions("v1", "v1.1")
+	r.versions.needsRecord, r.versions.holds = []string{"v1"}, true
+	time.AfterFunc(100*time.Millisecond, func() { r.versions.setToBegin("v1.1") })
+	got := r.send("/resumable/a")
+	r.c.Check(got.status, qt.Equals, http.StatusOK)
+	r.c.Check(got.body, qt.Equals, standin.Events(5))
+	r.c.Check(got.header.Get(standin.HeaderSignature), qt.Equals, r.runners[1].ID+".signed")
+}
+
+// TestOnlyResumableStreamsAreRecorded guards against records of requests that can't be resumed.
+func TestOnlyResumableStreamsAreRecorded(t *testing.T) {
+	r := newRig(t, always(standin.Behaviour{Events: 5}))
+	r.setVersions("v1")
+	r.versions.needsRecord = []string{"v1"}
+	for _, path := range []string{"/stream/a", "/again/a", "/once/a"} {
+		r.send(path)
+	}
+	r.c.Check(r.versions.records, qt.HasLen, 0)
+}
+
+// TestResumedStreamStaysAtItsService guards against a route with several services that sends a
+// resumed stream to another one than the one that began it.
+func TestResumedStreamStaysAtItsService(t *testing.T) {
+	r := newRig(t, always(standin.Behaviour{Events: 5}))
+	split := spec()
+	split.Services = append(split.Services, catalog.Service{Name: "other", MaxConnections: 50})
+	for i := range split.Routes {
+		split.Routes[i].Splits = []catalog.Split{{Service: "desk", Weight: 1}, {Service: "other", Weight: 1}}
+	}
+	r.set(split)
+	services := map[string]bool{}
+	for attempt := range 20 {
+		r.send("/resumable/a", append(resumes("attempt-0", "2"), with(standin.HeaderCallID, fmt.Sprint("attempt-", attempt)))...)
+	}
+	for _, query := range r.versions.queries {
+		services[query.Service] = true
+	}
+	r.c.Check(services, qt.HasLen, 1)
+}
--- a/store/observed.go
+++ b/store/observed.go
@@ -69,13 +69,21 @@
 }
 
 // Put implements Store.
-func (s *ObservedStore) Put(ctx context.Context, topic, key string, value []byte) (uint64, error) {
+func (s *ObservedStore) Put(ctx context.Context, topic string, records ...latest.Record) (uint64, error) {
 	began := s.clock.Now()
-	epoch, err := s.inner.Put(ctx, topic, key, value)
+	epoch, err := s.inner.Put(ctx, topic, records...)
 	s.report("Put", topic, began, err)
 	return epoch, err
 }
 
+// PutAt implements Store.
+func (s *ObservedStore) PutAt(ctx context.Context, topic string, at uint64, record latest.Record) (uint64, error) {
+	began := s.clock.Now()
+	epoch, err := s.inner.PutAt(ctx, topic, at, record)
+	s.report("PutAt", topic, began, err)
+	return epoch, err
+}
+
 // Read implements Store.
 func (s *ObservedStore) Read(ctx context.Context, topic string, from uint64, wait time.Duration) (Entries, error) {
 	began := s.clock.Now()
--- a/store/observed_test.go
+++ b/store/observed_test.go
@@ -32,10 +32,14 @@
 	return latest.Extract{End: latest.Position{Offset: 4}}, s.call()
 }
 
-func (s *slowStore) Put(context.Context, string, string, []byte) (uint64, error) {
+func (s *slowStore) Put(context.Context, string, ...latest.Record) (uint64, error) {
 	return 7, s.call()
 }
 
+func (s *slowStore) PutAt(context.Context, string, uint64, latest.Record) (uint64, error) {
+	return 8, s.call()
+}
+
 func (s *slowStore) Read(context.Context, string, uint64, time.Duration) (store.Entries, error) {
 	return store.Entries{Epoch: 5}, s.call()
 }
@@ -73,9 +77,12 @@
 			extract, err := wrapper.ReadKeyed(ctx, "t", 0, 0)
 			c.Check(err, qt.Equals, scenario.err)
 			c.Check(extract.End, qt.Equals, latest.Position{Offset: 4})
-			epoch, err := wrapper.Put(ctx, "t", "k", nil)
+			epoch, err := wrapper.Put(ctx, "t", latest.Record{Key: "k"})
 			c.Check(err, qt.Equals, scenario.err)
 			c.Check(epoch, qt.Equals, uint64(7))
+			epoch, err = wrapper.PutAt(ctx, "t", 3, latest.Record{Key: "k"})
+			c.Check(err, qt.Equals, scenario.err)
+			c.Check(epoch, qt.Equals, uint64(8))
 			entries, err := wrapper.Read(ctx, "t", 0, 0)
 			c.Check(err, qt.Equals, scenario.err)
 			c.Check(entries.Epoch, qt.Equals, uint64(5))
@@ -83,7 +90,7 @@
 			c.Check(err, qt.Equals, scenario.err)
 			c.Check(epoch, qt.Equals, uint64(6))
 
-			names := []string{"Newest", "ReadKeyed", "Put", "Read", "Append"}
+			names := []string{"Newest", "ReadKeyed", "Put", "PutAt", "Read", "Append"}
 			c.Assert(observed, qt.HasLen, len(names))
 			for i, name := range names {
 				c.Check(observed[i], qt.Equals, store.Call{Name: name, Topic: "t", Result: scenario.result, Duration: time.Second})
--- a/store/store.go
+++ b/store/store.go
@@ -22,8 +22,12 @@
 	// store does not hold the offset: the record is no longer retained, or the
 	// store was restored and ends before it.
 	ReadKeyed(ctx context.Context, topic string, from uint64, wait time.Duration) (latest.Extract, error)
-	// Put writes the record of a key, and returns the epoch in which it did.
-	Put(ctx context.Context, topic, key string, value []byte) (epoch uint64, err error)
+	// Put writes the records of keys, all or none, and returns the epoch in which it did. A
+	// tombstone drops its key. The offsets of the records are ignored.
+	Put(ctx context.Context, topic string, records ...latest.Record) (epoch uint64, err error)
+	// PutAt writes the record of a key if the topic ends at the given offset. It fails with a
+	// *ConflictError when the topic ends elsewhere.
+	PutAt(ctx context.Context, topic string, at uint64, record latest.Record) (epoch uint64, err error)
 	// Read returns the records of a topic from an offset on, like ReadKeyed.
 	Read(ctx context.Context, topic string, from uint64, wait time.Duration) (Entries, error)
 	// Append adds a record if the topic ends at the given offset, and returns the
--- /dev/null
+++ b/versionlog/reader.go
@@ -0,0 +1,210 @@
+package versionlog
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/latest"
+	"github.com/cranberrywalk/cranberrywalk/store"
+	"github.com/cranberrywalk/cranberrywalk/streamversion"
+)
+
+// reader reads the records of all processes when a stream has to be found. Searches share a
+// reading that begins after they do.
+type reader struct {
+	log *Log
+	// wake receives a value when a reading is asked for.
+	wake chan struct{}
+
+	mutex sync.Mutex
+	// next is the reading that has not begun, or nil; guarded by mutex.
+	next *reading
+	// topic holds the values of the records' topic, and table the records in them; guarded by
+	// mutex.
+	topic *latest.Topic
+	table *streamversion.Table
+	// epoch is the epoch of the store that was last seen, and epochSince when it was first seen.
+	// hasEpoch is false before the first one. All are guarded by mutex.
+	epoch      uint64
+	epochSince time.Time
+	hasEpoch   bool
+}
+
+// reading is one reading of the store.
+type reading struct {
+	// done is closed when the reading has ended, and err is then its failure, or nil.
+	done chan struct{}
+	err  error
+}
+
+func newReader(l *Log) *reader {
+	return &reader{log: l, wake: make(chan struct{}, 1), topic: latest.New(), table: streamversion.NewTable()}
+}
+
+// refresh reads what the store holds now.
+func (r *reader) refresh(ctx context.Context) error {
+	r.mutex.Lock()
+	if r.next == nil {
+		r.next = &reading{done: make(chan struct{})}
+	}
+	next := r.next
+	r.mutex.Unlock()
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+	select {
+	case <-next.done:
+		return next.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (r *reader) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.wake:
+		}
+		r.mutex.Lock()
+		current := r.next
+		r.next = nil
+		r.mutex.Unlock()
+		if current != nil {
+			current.err = r.read(ctx)
+			close(current.done)
+		}
+	}
+}
+
+// read reads the rules, if they are old, and then the records since the last time.
+func (r *reader) read(ctx context.Context) error {
+	if err := r.log.refreshRules(ctx, r.log.options.RuleMaxAge); err != nil {
+		return err
+	}
+	r.mutex.Lock()
+	from := r.topic.End()
+	r.mutex.Unlock()
+	if from == (latest.Position{}) {
+		return r.list(ctx)
+	}
+	extract, err := r.readFrom(ctx, from)
+	var gap *store.GapError
+	if errors.As(err, &gap) || err == nil && extract.End.Epoch != from.Epoch {
+		return r.list(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	r.apply(extract)
+	return nil
+}
+
+// readFrom returns all records from a position on.
+func (r *reader) readFrom(ctx context.Context, from latest.Position) (latest.Extract, error) {
+	all := latest.Extract{End: from}
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, r.log.options.Timeout)
+		extract, err := r.log.Store.ReadKeyed(callCtx, r.log.options.RecordsTopic, all.End.Offset, 0)
+		cancel()
+		if err != nil {
+			return latest.Extract{}, err
+		}
+		if extract.End.Epoch != from.Epoch || len(extract.Records) == 0 {
+			all.End.Epoch = extract.End.Epoch
+			return all, nil
+		}
+		all.Records = append(all.Records, extract.Records...)
+		all.End = extract.End
+		if sizeOf(extract.Records) < wholeReadBytes {
+			return all, nil
+		}
+	}
+}
+
+// wholeReadBytes is the size from which on a reading may have been cut off by the store.
+const wholeReadBytes = 256 << 10
+
+func sizeOf(records []latest.Record) int {
+	size := 0
+	for _, record := range records {
+		size += len(record.Value)
+	}
+	return size
+}
+
+// list reads the newest value of every key.
+func (r *reader) list(ctx context.Context) error {
+	listCtx, cancel := context.WithTimeout(ctx, r.log.options.FindTimeout)
+	defer cancel()
+	listing, err := r.log.Store.Newest(listCtx, r.log.options.RecordsTopic)
+	if err != nil {
+		return err
+	}
+	r.apply(listing)
+	return nil
+}
+
+// apply merges values into the table.
+func (r *reader) apply(extract latest.Extract) {
+	r.observeEpoch(extract.End.Epoch)
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := r.log.Clock.Now()
+	for _, record := range r.topic.Apply(extract) {
+		if record.IsTombstone() {
+			r.table.Delete(record.Key)
+			continue
+		}
+		records, err := streamversion.DecodeBatch(record.Value)
+		if err != nil {
+			r.log.Count("Streams.BatchesUnreadable", 1)
+			r.log.Log.Error(err, "StreamBatchUnreadable", "Key", record.Key)
+			continue
+		}
+		r.table.Put(record.Key, records, now)
+	}
+}
+
+// observeEpoch records the epoch of an answer of the store. After a restore, this process writes
+// its records again.
+func (r *reader) observeEpoch(epoch uint64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.hasEpoch && epoch <= r.epoch {
+		return
+	}
+	if r.hasEpoch {
+		r.log.Log.Info("StreamRecordsRestored", "Epoch", epoch)
+		r.epochSince = r.log.Clock.Now()
+		r.log.writer.observeRestore()
+	}
+	r.epoch, r.hasEpoch = epoch, true
+}
+
+// isSettled reports whether the records of all processes that live can be expected to be in the
+// store again after its last restore.
+func (r *reader) isSettled(now time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.epochSince.IsZero() || now.Sub(r.epochSince) >= r.log.options.Watch.RestoreDelay
+}
+
+// record returns the record of a stream, and whether any stream has one.
+func (r *reader) record(stream streamversion.Stream) (found streamversion.Record, hasRecord, isEmpty bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	found, hasRecord = r.table.Find(stream)
+	return found, hasRecord, r.table.IsEmpty()
+}
+
+// oldBatches returns the keys of the batches that have not changed since a time.
+func (r *reader) oldBatches(since time.Time) []string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.table.UnchangedSince(since)
+}
