Refuse resumed streams at once while the store does not answer

By reading: each caller that resumes a stream was held up to 0.8 s while the store is silent, though it was known that the search fails. Searches fail at once for a quarter of a second after a failed reading. Test: TestSearchesDoNotWaitForASilentStore.

--- a/balance/runner.go
+++ b/balance/runner.go
@@ -46,16 +46,18 @@
 	return version == "" || r.entry.Version == version
 }
 
-// HasRunner reports whether a runner of a service that has a software version may get new requests.
-func (b *Balancer) HasRunner(service, version string) bool {
+// AvailableRunners returns the number of runners of a service that have a software version and may
+// get new requests.
+func (b *Balancer) AvailableRunners(service, version string) int {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	count := 0
 	for _, r := range b.ordered {
 		if r.entry.Service == service && r.hasVersion(version) && r.isAvailable() {
-			return true
+			count++
 		}
 	}
-	return false
+	return count
 }
 
 // failureWeight is the weight of the newest result in the failure score.
--- a/gateway/version.go
+++ b/gateway/version.go
@@ -49,7 +49,8 @@
 	if query.HasID {
 		x.StreamVersions.Remember(x.stream, found.Version)
 	}
-	x.Log.V(1).Info("VersionFound", "Request", x.call.ID, "Resumes", x.call.Resumes, "Version", found.Version, "Source", string(found.Source))
+	x.Log.V(1).Info("VersionFound", "Request", x.call.ID, "Resumes", x.call.Resumes, "Version", found.Version, "Source", string(found.Source),
+		"Runners", x.Balancer.AvailableRunners(x.service, found.Version))
 	return nil
 }
 
@@ -92,7 +93,7 @@
 	case <-timer.Chan():
 	}
 	other := x.StreamVersions.DefaultVersion(x.service)
-	if other != "" && other != version && x.Balancer.HasRunner(x.service, other) {
+	if other != "" && other != version && x.Balancer.AvailableRunners(x.service, other) > 0 {
 		x.Count("Streams.RecordTimeouts", 1)
 		return &RecordTimeoutError{Version: version}
 	}
--- a/versionlog/reader.go
+++ b/versionlog/reader.go
@@ -30,8 +30,16 @@
 	epoch      uint64
 	epochSince time.Time
 	hasEpoch   bool
+	// failure is that of the last reading, or nil, and failedAt when it ended. Both are guarded by
+	// mutex.
+	failure  error
+	failedAt time.Time
 }
 
+// failureHold is how long after a failed reading searches fail without another one, so that they
+// do not wait for a store that does not answer.
+const failureHold = 250 * time.Millisecond
+
 // reading is one reading of the store.
 type reading struct {
 	// done is closed when the reading has ended, and err is then its failure, or nil.
@@ -46,6 +54,10 @@
 // refresh reads what the store holds now.
 func (r *reader) refresh(ctx context.Context) error {
 	r.mutex.Lock()
+	if r.failure != nil && r.log.Clock.Since(r.failedAt) < failureHold {
+		defer r.mutex.Unlock()
+		return r.failure
+	}
 	if r.next == nil {
 		r.next = &reading{done: make(chan struct{})}
 	}
@@ -74,13 +86,22 @@
 		current := r.next
 		r.next = nil
 		r.mutex.Unlock()
-		if current != nil {
-			current.err = r.read(ctx)
-			close(current.done)
+		if current == nil {
+			continue
 		}
+		current.err = r.read(ctx)
+		r.recordFailure(current.err)
+		close(current.done)
 	}
 }
 
+// recordFailure records the failure of a reading, or nil.
+func (r *reader) recordFailure(failure error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.failure, r.failedAt = failure, r.log.Clock.Now()
+}
+
 // read reads the rules, if they are old, and then the records since the last time.
 func (r *reader) read(ctx context.Context) error {
 	if err := r.log.refreshRules(ctx, r.log.options.RuleMaxAge); err != nil {
--- a/versionlog/versionlog_test.go
+++ b/versionlog/versionlog_test.go
@@ -125,6 +125,24 @@
 	}
 }
 
+// TestSearchesDoNotWaitForASilentStore guards against callers that are each held until a call to the
+// store times out.
+func TestSearchesDoNotWaitForASilentStore(t *testing.T) {
+	r := newRig(t)
+	p := r.start("v1", "v1", "v1.1")
+	r.awaitDefault(p, "v1")
+	r.store.SetFault(func(standin.Call) standin.Fault { return standin.FaultSilent })
+	time.Sleep(60 * time.Millisecond)
+	r.c.Check(p.find(1), qt.Equals, "unknown: StoreUnavailable")
+	before := len(r.store.Calls())
+	for stream := range 20 {
+		r.c.Check(p.find(streamversion.Stream(stream)), qt.Equals, "unknown: StoreUnavailable")
+	}
+	r.c.Check(len(r.store.Calls())-before < 20, qt.IsTrue, qt.Commentf("%d calls for 20 searches", len(r.store.Calls())-before))
+	r.store.SetFault(nil)
+	r.eventually("streams are found again", func() bool { return p.find(1) == "v1 from Rule" })
+}
+
 // TestStreamsWithoutAnID guards against a guess while streams of two versions may exist.
 func TestStreamsWithoutAnID(t *testing.T) {
 	r := newRig(t)
