Name the reports of runners' limits by standard words

LimitNews, HeardBy, IsNews, toldFor and isSilent had to be explained. They are LimitReport, ObservedBy, ShouldReport, reportDuration and isOverdue now; the log keys HeardBy and LimitHeardBy are ObservedBy and LimitObservedBy. No logic changes.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -84,7 +84,7 @@
 	defer b.mutex.Unlock()
 	b.peers.set(peer.Name, report, madeAt)
 	b.daemons.Hear(runnerlimit.Report{Daemon: peer.Daemon, Stopping: peer.Stopping, Demands: report.Demands}, madeAt)
-	b.applyLimitNews(report.Limits, madeAt)
+	b.applyLimitReports(report.Limits, madeAt)
 	var leaving []string
 	for _, incarnation := range report.Leaving {
 		if b.markLeaving(incarnation) {
@@ -106,7 +106,7 @@
 func (b *Balancer) Report(toNew bool, now time.Time) Report {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	report := Report{Demands: b.daemons.Demands(), Limits: b.limitNews(toNew, now)}
+	report := Report{Demands: b.daemons.Demands(), Limits: b.limitReports(toNew, now)}
 	for _, r := range b.ordered {
 		if r.running > 0 {
 			report.Loads = append(report.Loads, Load{Runner: r.entry.ID, Running: r.running, PrefillTokens: r.prefillTokens})
--- a/balance/health.go
+++ b/balance/health.go
@@ -42,10 +42,10 @@
 	Zone   string
 	// Pause is how long the runner wants no requests; zero unless Kind is RunnerPaused.
 	Pause time.Duration
-	// Limit is the number of requests a second that the runner takes, and HeardBy the daemon
+	// Limit is the number of requests a second that the runner takes, and ObservedBy the daemon
 	// that was told so; zero unless the change is one of the limit.
 	Limit   float64
-	HeardBy string
+	ObservedBy string
 	// Text is what the runner named; empty unless Kind is RunnerLimitInvalid.
 	Text string
 }
--- a/balance/limits.go
+++ b/balance/limits.go
@@ -8,16 +8,16 @@
 	"github.com/cranberrywalk/cranberrywalk/runnerlimit"
 )
 
-// LimitNews tells what a runner has said about its limit. Its fields are part of the wire
+// LimitReport tells what a runner has said about its limit. Its fields are part of the wire
 // format of digests.
-type LimitNews struct {
+type LimitReport struct {
 	Runner inventory.Incarnation
 	// PerSecond is zero if the runner has named no limit after it had named one.
 	PerSecond float64
 	// SentAge and ReceivedAge are the times since the request was sent and since the head of
 	// the answer arrived.
 	SentAge, ReceivedAge time.Duration
-	HeardBy              string
+	ObservedBy           string
 }
 
 // ObserveLimit records what an answer to the request says of its runner's limit.
@@ -30,7 +30,7 @@
 		return
 	}
 	b.observeLimit(t.runner.entry, t.runner.signals, runnerlimit.Statement{
-		PerSecond: notice.PerSecond, Sent: t.begunAt, Received: now, HeardBy: b.daemons.Self().Name,
+		PerSecond: notice.PerSecond, Sent: t.begunAt, Received: now, ObservedBy: b.daemons.Self().Name,
 	}, now)
 }
 
@@ -49,7 +49,7 @@
 	case statement.PerSecond == 0:
 		kind = RunnerLimitEnded
 	}
-	b.report(HealthChange{Kind: kind, Runner: runner.ID, Limit: statement.PerSecond, HeardBy: statement.HeardBy})
+	b.report(HealthChange{Kind: kind, Runner: runner.ID, Limit: statement.PerSecond, ObservedBy: statement.ObservedBy})
 }
 
 const (
@@ -69,42 +69,42 @@
 	b.report(HealthChange{Kind: RunnerLimitInvalid, Runner: r.entry.ID, Text: text[:min(len(text), maxReportedText)]})
 }
 
-// maxLimitNews bounds the limits in one report.
-const maxLimitNews = 256
+// maxLimitReports bounds the limits in one report.
+const maxLimitReports = 256
 
-// limitNews returns the limits to tell to other daemons: to one that has just started all,
+// limitReports returns the limits to report to other daemons: to one that has just started all,
 // otherwise those that this daemon has heard lately. The mutex must be held.
-func (b *Balancer) limitNews(toNew bool, now time.Time) []LimitNews {
-	var news []LimitNews
+func (b *Balancer) limitReports(toNew bool, now time.Time) []LimitReport {
+	var reports []LimitReport
 	for _, r := range b.ordered {
 		l := &r.signals.limit
-		isTold := toNew && l.IsInForce() || l.IsNews(b.daemons.Self().Name, now)
-		if !isTold {
+		isReported := toNew && l.IsInForce() || l.ShouldReport(b.daemons.Self().Name, now)
+		if !isReported {
 			continue
 		}
 		s := l.Statement()
-		news = append(news, LimitNews{
-			Runner: r.entry.Incarnation(), PerSecond: s.PerSecond, HeardBy: s.HeardBy,
+		reports = append(reports, LimitReport{
+			Runner: r.entry.Incarnation(), PerSecond: s.PerSecond, ObservedBy: s.ObservedBy,
 			SentAge: now.Sub(s.Sent), ReceivedAge: now.Sub(s.Received),
 		})
-		if len(news) == maxLimitNews {
+		if len(reports) == maxLimitReports {
 			break
 		}
 	}
-	return news
+	return reports
 }
 
-// applyLimitNews applies what a peer told at a time. The mutex must be held.
-func (b *Balancer) applyLimitNews(news []LimitNews, toldAt time.Time) {
-	for _, told := range news {
-		runner := inventory.Runner{ID: told.Runner.ID}
-		if r := b.runners[told.Runner.ID]; r != nil && r.entry.Incarnation() == told.Runner {
+// applyLimitReports applies what a peer reported at a time. The mutex must be held.
+func (b *Balancer) applyLimitReports(reports []LimitReport, reportedAt time.Time) {
+	for _, report := range reports {
+		runner := inventory.Runner{ID: report.Runner.ID}
+		if r := b.runners[report.Runner.ID]; r != nil && r.entry.Incarnation() == report.Runner {
 			runner = r.entry
 		}
-		b.observeLimit(runner, b.signalsOf(told.Runner), runnerlimit.Statement{
-			PerSecond: told.PerSecond, HeardBy: told.HeardBy,
-			Sent: toldAt.Add(-told.SentAge), Received: toldAt.Add(-told.ReceivedAge),
-		}, toldAt)
+		b.observeLimit(runner, b.signalsOf(report.Runner), runnerlimit.Statement{
+			PerSecond: report.PerSecond, ObservedBy: report.ObservedBy,
+			Sent: reportedAt.Add(-report.SentAge), Received: reportedAt.Add(-report.ReceivedAge),
+		}, reportedAt)
 	}
 }
 
--- a/balance/limitshare.go
+++ b/balance/limitshare.go
@@ -13,9 +13,9 @@
 // LimitState is the limit of a runner as this daemon sees it. It is zero without a limit.
 type LimitState struct {
 	PerSecond float64
-	// HeardBy is the daemon that got the newest answer that named the limit, and Age the time
+	// ObservedBy is the daemon that got the newest answer that named the limit, and Age the time
 	// since then.
-	HeardBy string
+	ObservedBy string
 	Age     time.Duration
 	// Share is this daemon's part in requests a second, which it shares with the other Senders.
 	Share   float64
@@ -60,7 +60,7 @@
 	}
 	s, share := l.Statement(), l.Share()
 	return LimitState{
-		PerSecond: s.PerSecond, HeardBy: s.HeardBy, Age: now.Sub(s.Received), Share: share.PerSecond, Senders: share.Senders,
+		PerSecond: s.PerSecond, ObservedBy: s.ObservedBy, Age: now.Sub(s.Received), Share: share.PerSecond, Senders: share.Senders,
 	}
 }
 
--- a/balance/peerload.go
+++ b/balance/peerload.go
@@ -23,7 +23,7 @@
 	// while their records do not.
 	Leaving []inventory.Incarnation
 	// Limits tells which limits runners have named in answers.
-	Limits []LimitNews
+	Limits []LimitReport
 	// Demands are the requests that the daemon has had for each service.
 	Demands []runnerlimit.Demand
 }
--- a/entry/health.go
+++ b/entry/health.go
@@ -26,7 +26,7 @@
 	case balance.RunnerPaused:
 		fields = append(fields, "Milliseconds", change.Pause.Milliseconds())
 	case balance.RunnerLimited, balance.RunnerLimitChanged, balance.RunnerLimitEnded:
-		fields = append(fields, "PerSecond", change.Limit, "HeardBy", change.HeardBy)
+		fields = append(fields, "PerSecond", change.Limit, "ObservedBy", change.ObservedBy)
 	case balance.RunnerLimitInvalid:
 		fields = append(fields, "Text", change.Text)
 	}
--- a/explain/limits_test.go
+++ b/explain/limits_test.go
@@ -13,10 +13,10 @@
 func TestLimitsExplainARequest(t *testing.T) {
 	c := qt.New(t)
 	lines := read(c, "entry-1", `
-{"Time":"2026-03-21T22:10:00Z","Event":"RunnerLimited","Runner":"i-1","PerSecond":1,"HeardBy":"entry-2","Steady":1}
-{"Time":"2026-03-21T22:10:00Z","Event":"RunnerLimited","Runner":"i-2","PerSecond":1,"HeardBy":"entry-1","Steady":1}
-{"Time":"2026-03-21T22:11:00Z","Event":"RunnerLimitChanged","Runner":"i-1","PerSecond":0.5,"HeardBy":"entry-1","Steady":61}
-{"Time":"2026-03-21T22:11:00Z","Event":"RunnerLimitEnded","Runner":"i-2","PerSecond":0,"HeardBy":"entry-1","Steady":61}
+{"Time":"2026-03-21T22:10:00Z","Event":"RunnerLimited","Runner":"i-1","PerSecond":1,"ObservedBy":"entry-2","Steady":1}
+{"Time":"2026-03-21T22:10:00Z","Event":"RunnerLimited","Runner":"i-2","PerSecond":1,"ObservedBy":"entry-1","Steady":1}
+{"Time":"2026-03-21T22:11:00Z","Event":"RunnerLimitChanged","Runner":"i-1","PerSecond":0.5,"ObservedBy":"entry-1","Steady":61}
+{"Time":"2026-03-21T22:11:00Z","Event":"RunnerLimitEnded","Runner":"i-2","PerSecond":0,"ObservedBy":"entry-1","Steady":61}
 {"Time":"2026-03-21T22:14:30Z","Event":"RequestEnded","Request":"r1","Reason":"RunnersLimited","Steady":270}
 {"Time":"2026-03-21T22:14:30Z","Event":"RequestEnded","Request":"r2","Reason":"CallerLeft","Steady":270}
 `)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -162,7 +162,7 @@
 		fields = append(fields, "LimitedCandidates", c.Limited)
 	}
 	if l := c.Limit; l.PerSecond > 0 {
-		fields = append(fields, "LimitPerSecond", l.PerSecond, "LimitHeardBy", l.HeardBy,
+		fields = append(fields, "LimitPerSecond", l.PerSecond, "LimitObservedBy", l.ObservedBy,
 			"LimitAgeMilliseconds", l.Age.Milliseconds(), "LimitSharePerSecond", l.Share, "LimitSenders", l.Senders)
 	}
 	return fields
--- a/runnerlimit/daemons.go
+++ b/runnerlimit/daemons.go
@@ -146,8 +146,8 @@
 	}
 }
 
-// isSilent reports whether nothing was heard from a daemon for too long.
-func (d *Daemons) isSilent(p *peer, now time.Time) bool {
+// isOverdue reports whether no report of a daemon has come for too long.
+func (d *Daemons) isOverdue(p *peer, now time.Time) bool {
 	silentAfter := max(d.options.SilentAfter, time.Duration(d.options.SilentReports*float64(p.interval)))
 	return now.Sub(p.lastReport) > silentAfter
 }
@@ -177,7 +177,7 @@
 func (d *Daemons) participants(service string, now time.Time) participants {
 	var heard, demanding []*peer
 	for _, p := range d.peers {
-		if d.isSilent(p, now) {
+		if d.isOverdue(p, now) {
 			continue
 		}
 		heard = append(heard, p)
--- a/runnerlimit/fleet_test.go
+++ b/runnerlimit/fleet_test.go
@@ -85,7 +85,7 @@
 // name lets all daemons know the limit.
 func (f *fleet) name(perSecond float64) {
 	for _, d := range f.daemons {
-		d.limit.Observe(runnerlimit.Statement{PerSecond: perSecond, Sent: f.now, Received: f.now, HeardBy: "entry-0"}, "entry-0", f.now)
+		d.limit.Observe(runnerlimit.Statement{PerSecond: perSecond, Sent: f.now, Received: f.now, ObservedBy: "entry-0"}, "entry-0", f.now)
 	}
 }
 
@@ -255,7 +255,7 @@
 			d.stopped = true
 			f.run(500 * time.Millisecond)
 			f.start(d)
-			d.limit.Observe(runnerlimit.Statement{PerSecond: perSecond, Sent: f.now, Received: f.now, HeardBy: "entry-0"}, "entry-0", f.now)
+			d.limit.Observe(runnerlimit.Statement{PerSecond: perSecond, Sent: f.now, Received: f.now, ObservedBy: "entry-0"}, "entry-0", f.now)
 			f.run(200 * time.Millisecond)
 		}
 		for _, d := range f.daemons[:len(f.daemons)/3] {
--- a/runnerlimit/limit.go
+++ b/runnerlimit/limit.go
@@ -17,7 +17,7 @@
 // Observe applies a statement that the daemon named self has heard or was told. It reports
 // whether that changed the limit in force.
 func (l *Limit) Observe(s Statement, self string, now time.Time) bool {
-	if s.HeardBy != self && s.PerSecond == l.statement.PerSecond {
+	if s.ObservedBy != self && s.PerSecond == l.statement.PerSecond {
 		l.confirmedAt = now
 	}
 	if l.statement.Received.IsZero() && s.PerSecond == 0 || !s.supersedes(l.statement) {
@@ -42,20 +42,21 @@
 func (l *Limit) IsInForce() bool { return l.statement.PerSecond > 0 }
 
 const (
-	// toldFor is how long after it was heard a statement is told to the other daemons.
-	toldFor = 3 * time.Second
-	// confirmationPeriod is how long a limit that does not change is not told again after
-	// another daemon has told the same.
+	// reportDuration is how long after it was received a statement is reported to the other
+	// daemons.
+	reportDuration = 3 * time.Second
+	// confirmationPeriod is how long a limit that does not change is not reported again after
+	// another daemon has reported the same.
 	confirmationPeriod = time.Second
 )
 
-// IsNews reports whether the daemon named self tells the others of the statement.
-func (l *Limit) IsNews(self string, now time.Time) bool {
+// ShouldReport reports whether the daemon named self reports the statement to the others.
+func (l *Limit) ShouldReport(self string, now time.Time) bool {
 	s := l.statement
-	if s.HeardBy != self || now.Sub(s.Received) > toldFor {
+	if s.ObservedBy != self || now.Sub(s.Received) > reportDuration {
 		return false
 	}
-	return now.Sub(l.changedAt) <= toldFor || now.Sub(l.confirmedAt) > confirmationPeriod
+	return now.Sub(l.changedAt) <= reportDuration || now.Sub(l.confirmedAt) > confirmationPeriod
 }
 
 // sharePeriod is how long a computed share is used.
--- a/runnerlimit/statement.go
+++ b/runnerlimit/statement.go
@@ -13,8 +13,8 @@
 	// Sent is when the request of the answer was sent, and Received when the head of the
 	// answer arrived. The runner made the statement in between.
 	Sent, Received time.Time
-	// HeardBy is the name of the daemon that received the answer.
-	HeardBy string
+	// ObservedBy is the name of the daemon that received the answer.
+	ObservedBy string
 }
 
 // follows reports whether the runner certainly made the statement after another one.
--- a/runnerlimit/statement_test.go
+++ b/runnerlimit/statement_test.go
@@ -15,7 +15,7 @@
 // said returns a statement by the seconds at which the request was sent and the answer arrived.
 func said(perSecond, sent, received float64) runnerlimit.Statement {
 	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
-	return runnerlimit.Statement{PerSecond: perSecond, Sent: at(sent), Received: at(received), HeardBy: "entry-1"}
+	return runnerlimit.Statement{PerSecond: perSecond, Sent: at(sent), Received: at(received), ObservedBy: "entry-1"}
 }
 
 // TestWhichStatementIsInForce guards against a limit that an older answer ends or raises, since
