Resume streams of the only version while the store is away, also at a new process

By reading: a process that was up for less than a minute refused all resumed streams while the store could not be read, also where one version alone had ever served. Each process now reads the records at its start; if there are none, only versions that it sees since then can have begun a stream that needs one.

--- a/streamversion/watch.go
+++ b/streamversion/watch.go
@@ -33,7 +33,10 @@
 type Watch struct {
 	options   WatchOptions
 	startedAt time.Time
-	services  map[string]*serviceWatch
+	// noRecordsAt is when the store last held no record of any stream; zero if it was never seen
+	// to hold none.
+	noRecordsAt time.Time
+	services    map[string]*serviceWatch
 }
 
 // serviceWatch is the watch of one service.
@@ -123,15 +126,30 @@
 	return s != nil && len(s.runners) == 1
 }
 
-// HasOnlyDefault reports whether no version but the default one has had a runner within the
-// lifetime of a stream, as far as this process knows.
+// ObserveNoRecords records that the store held no record of any stream at a time.
+func (w *Watch) ObserveNoRecords(at time.Time) { w.noRecordsAt = at }
+
+// HasOnlyDefault reports whether only the default version can have begun the streams that live, as
+// far as this process knows: no other one has had a runner within the lifetime of a stream, or since
+// the store held no record.
 func (w *Watch) HasOnlyDefault(service string, now time.Time) bool {
 	s := w.services[service]
-	if s == nil || !s.isKnown || s.rule.Default == "" || now.Sub(w.startedAt) < w.options.Lifetime {
+	if s == nil || !s.isKnown || s.rule.Default == "" {
+		return false
+	}
+	since := now.Add(-w.options.Lifetime)
+	if w.noRecordsAt.After(since) {
+		since = w.noRecordsAt
+	} else if w.startedAt.After(since) {
 		return false
 	}
+	for version := range s.runners {
+		if version != s.rule.Default {
+			return false
+		}
+	}
 	for version := range s.seen {
-		if version != s.rule.Default && s.absence(version, now) < w.options.Lifetime {
+		if version != s.rule.Default && s.absence(version, now) < now.Sub(since) {
 			return false
 		}
 	}
--- a/versionlog/reader.go
+++ b/versionlog/reader.go
@@ -110,6 +110,21 @@
 	r.mutex.Lock()
 	from := r.topic.End()
 	r.mutex.Unlock()
+	began := r.log.Clock.Now()
+	extract, err := r.readSince(ctx, from)
+	if err != nil {
+		return err
+	}
+	r.apply(extract)
+	if _, _, isEmpty := r.record(0); isEmpty {
+		r.log.observeNoRecords(began)
+	}
+	return nil
+}
+
+// readSince returns the values since a position, or the newest ones of all keys if the store does
+// not hold its history from there on.
+func (r *reader) readSince(ctx context.Context, from latest.Position) (latest.Extract, error) {
 	if from == (latest.Position{}) {
 		return r.list(ctx)
 	}
@@ -118,11 +133,7 @@
 	if errors.As(err, &gap) || err == nil && extract.End.Epoch != from.Epoch {
 		return r.list(ctx)
 	}
-	if err != nil {
-		return err
-	}
-	r.apply(extract)
-	return nil
+	return extract, err
 }
 
 // readFrom returns all records from a position on.
@@ -159,15 +170,10 @@
 }
 
 // list reads the newest value of every key.
-func (r *reader) list(ctx context.Context) error {
+func (r *reader) list(ctx context.Context) (latest.Extract, error) {
 	listCtx, cancel := context.WithTimeout(ctx, r.log.options.FindTimeout)
 	defer cancel()
-	listing, err := r.log.Store.Newest(listCtx, r.log.options.RecordsTopic)
-	if err != nil {
-		return err
-	}
-	r.apply(listing)
-	return nil
+	return r.log.Store.Newest(listCtx, r.log.options.RecordsTopic)
 }
 
 // apply merges values into the table.
--- a/versionlog/rules.go
+++ b/versionlog/rules.go
@@ -11,8 +11,14 @@
 	"github.com/cranberrywalk/cranberrywalk/streamversion"
 )
 
-// keepRules reads the rules, and replaces those that have to change, until ctx ends.
+// keepRules reads the rules, and replaces those that have to change, until ctx ends. It begins with
+// a reading of the records, so that this process knows whether there are any.
 func (l *Log) keepRules(ctx context.Context) {
+	for l.reader.refresh(ctx) != nil {
+		if clock.Sleep(ctx, l.Clock, l.options.Period) != nil {
+			return
+		}
+	}
 	for {
 		l.checkRules(ctx)
 		if clock.Sleep(ctx, l.Clock, l.options.Period) != nil {
--- a/versionlog/versionlog.go
+++ b/versionlog/versionlog.go
@@ -151,6 +151,13 @@
 	return l.DefaultVersion(service)
 }
 
+// observeNoRecords records that the store held no record of any stream at a time.
+func (l *Log) observeNoRecords(at time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.watch.ObserveNoRecords(at)
+}
+
 // DefaultVersion returns the version of a service whose streams need no record, or empty if there
 // is none.
 func (l *Log) DefaultVersion(service string) string {
