Count the generations of a rule from one, at a store of any epoch

By reading: the epoch of a store that was never restored may be any number, so that a first start could count as a start after a loss of the rule, and all streams would be recorded for a minute.

--- a/streamversion/watch.go
+++ b/streamversion/watch.go
@@ -172,10 +172,10 @@
 
 func (w *Watch) next(s *serviceWatch, epoch uint64, now time.Time) (Rule, bool) {
 	switch {
-	case !s.isKnown && w.options.IsFirstStart && epoch == 0:
-		return Rule{Generation: 1}.next(s.mostCommon(), false), true
+	case !s.isKnown && w.options.IsFirstStart:
+		return Rule{}.next(s.mostCommon(), false), true
 	case !s.isKnown:
-		return Rule{Generation: 1}.next("", true), true
+		return Rule{}.next("", true), true
 	case s.rule.Epoch < epoch:
 		return w.confirm(s, now)
 	case s.rule.RecordsAll:
