Keep no batch of records that the store has not taken

By reading: each call that failed left a batch with copies of the records that wait, which a later restore of the store would have written once more. A call with nothing to write is not made, and with hundreds of daemons, whose calls are far apart, a record that waits for its turn does not count as late.

--- a/versionlog/writer.go
+++ b/versionlog/writer.go
@@ -81,7 +81,8 @@
 	if w.isFailing {
 		return false
 	}
-	return len(w.pending) == 0 || w.log.Clock.Since(w.pending[0].since) <= w.log.options.HealthyWithin
+	within := max(w.log.options.HealthyWithin, 2*w.pause())
+	return len(w.pending) == 0 || w.log.Clock.Since(w.pending[0].since) <= within
 }
 
 // observeRestore has all batches written again if the store was restored from an older copy, which
@@ -118,6 +119,9 @@
 		w.log.Log.Error(err, "StreamsNotEncoded", "Records", len(taken))
 		return 0
 	}
+	if len(records) == 0 {
+		return 0
+	}
 	callCtx, cancel := context.WithTimeout(ctx, w.log.options.Timeout)
 	epoch, err := w.log.Store.Put(callCtx, w.log.options.RecordsTopic, records...)
 	cancel()
@@ -147,7 +151,7 @@
 		w.addToBatch(taken, now)
 	}
 	changed := w.batches
-	if !rewrites {
+	if !rewrites && len(changed) > 0 {
 		changed = changed[len(changed)-1:]
 	}
 	for _, b := range changed {
@@ -196,10 +200,17 @@
 	return tombstones
 }
 
-// fail keeps the records pending. The call may still take effect, after later ones, so that its key
-// is not used again.
+// fail keeps the records pending. The call may still take effect, after later ones, so that the key
+// of its batch is not used again. The batch keeps the records that the store is known to hold.
 func (w *writer) fail(taken []pendingRecord, rewrites bool, cause error) {
 	w.isOpen = false
+	if last := len(w.batches) - 1; len(taken) > 0 {
+		written := len(w.batches[last].records) - len(taken)
+		w.batches[last].records = w.batches[last].records[:written]
+		if written == 0 {
+			w.batches = w.batches[:last]
+		}
+	}
 	w.log.Count("Streams.RecordsFailed", int64(len(taken)))
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
