--- a/entry/entry.go
+++ b/entry/entry.go
@@ -29,7 +29,6 @@
 	"github.com/cranberrywalk/cranberrywalk/retry"
 	"github.com/cranberrywalk/cranberrywalk/scaling"
 	"github.com/cranberrywalk/cranberrywalk/store"
-	"github.com/cranberrywalk/cranberrywalk/streamversion"
 	"github.com/cranberrywalk/cranberrywalk/suspect"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 	"github.com/cranberrywalk/cranberrywalk/upstream"
@@ -159,14 +158,6 @@
 	return settings.Bounds.UsageWindow
 }
 
-func versionOptions(settings platform.Settings, self membership.Member) versionlog.Options {
-	watch := streamversion.DefaultWatchOptions()
-	watch.IsFirstStart = settings.IsFirstStart
-	options := versionlog.DefaultOptions(instanceID(self), watch)
-	options.WritesPerSecond = settings.StoreWritesPerSecond
-	return options
-}
-
 func (e *Entry) addGateway() {
 	bounds := e.settings.Bounds
 	e.gateway = gateway.New(e.Common, gateway.Dependencies{
