Confirm the rule of streams after a restore only if no record can be lost

A rule is confirmed now only if no other version can have begun a stream; otherwise it names no default version for a minute.

--- a/streamversion/watch.go
+++ b/streamversion/watch.go
@@ -36,7 +36,12 @@
 	// noRecordsAt is when the store last held no record of any stream; zero if it was never seen
 	// to hold none.
 	noRecordsAt time.Time
-	services    map[string]*serviceWatch
+	// epoch is the epoch of the store that was last seen, and hasEpoch is false before the first
+	// one. restoredAt is when it last rose; zero if it has not.
+	epoch      uint64
+	hasEpoch   bool
+	restoredAt time.Time
+	services   map[string]*serviceWatch
 }
 
 // serviceWatch is the watch of one service.
@@ -100,15 +105,23 @@
 	return s
 }
 
-// SetRule records the rule of a service that the store holds in an epoch. A store that was restored
-// from a copy may hold an older rule than the one that is known.
-func (w *Watch) SetRule(service string, rule Rule, epoch uint64, now time.Time) {
+// ObserveEpoch records the epoch of the store that is read now.
+func (w *Watch) ObserveEpoch(epoch uint64, now time.Time) {
+	if w.hasEpoch && epoch > w.epoch {
+		w.restoredAt = now
+	}
+	w.epoch, w.hasEpoch = epoch, true
+}
+
+// SetRule records the rule of a service that the store holds. A store that was restored from a copy
+// may hold an older rule than the one that is known.
+func (w *Watch) SetRule(service string, rule Rule, now time.Time) {
 	s := w.service(service)
 	if s.isKnown && rule.Generation <= s.rule.Generation {
 		return
 	}
 	s.rule, s.isKnown, s.ruleSince = rule, true, now
-	s.wasConfirmed = rule.Epoch == epoch
+	s.wasConfirmed = rule.Epoch == w.epoch
 }
 
 // Rule returns the newest rule of a service that is known.
@@ -126,8 +139,13 @@
 	return s != nil && len(s.runners) == 1
 }
 
-// ObserveNoRecords records that the store held no record of any stream at a time.
-func (w *Watch) ObserveNoRecords(at time.Time) { w.noRecordsAt = at }
+// ObserveNoRecords records that the store held no record of any stream at a time. It says nothing if
+// a restore may have lost some.
+func (w *Watch) ObserveNoRecords(at time.Time) {
+	if w.restoredAt.IsZero() || at.Sub(w.restoredAt) >= w.options.Lifetime {
+		w.noRecordsAt = at
+	}
+}
 
 // HasOnlyDefault reports whether only the default version can have begun the streams that live, as
 // far as this process knows: no other one has had a runner within the lifetime of a stream, or since
@@ -160,24 +178,24 @@
 func (w *Watch) Services() []string { return slices.Sorted(maps.Keys(w.services)) }
 
 // Next returns the rule that a service needs in place of the one that is known, and false if it
-// needs no other. epoch is that of the store. The rules of the store have been read.
-func (w *Watch) Next(service string, epoch uint64, now time.Time) (Rule, bool) {
+// needs no other. The rules of the store have been read.
+func (w *Watch) Next(service string, now time.Time) (Rule, bool) {
 	s := w.services[service]
 	if s == nil || len(s.runners) == 0 {
 		return Rule{}, false
 	}
-	next, needed := w.next(s, epoch, now)
-	return next.WithEpoch(epoch), needed
+	next, needed := w.next(service, s, now)
+	return next.WithEpoch(w.epoch), needed
 }
 
-func (w *Watch) next(s *serviceWatch, epoch uint64, now time.Time) (Rule, bool) {
+func (w *Watch) next(service string, s *serviceWatch, now time.Time) (Rule, bool) {
 	switch {
-	case !s.isKnown && w.options.IsFirstStart:
+	case !s.isKnown && w.options.IsFirstStart && w.restoredAt.IsZero():
 		return Rule{}.next(s.mostCommon(), false), true
 	case !s.isKnown:
 		return Rule{}.next("", true), true
-	case s.rule.Epoch < epoch:
-		return w.confirm(s, now)
+	case s.rule.Epoch < w.epoch:
+		return w.confirm(service, s, now)
 	case s.rule.RecordsAll:
 		return w.nextDefault(s, now)
 	case s.absence(s.rule.Default, now) >= w.options.AbsenceDelay:
@@ -187,12 +205,14 @@
 }
 
 // confirm returns the rule after a restore of the store. A process that has known the rule since
-// before knows that it still holds; one that has read it afterwards does not.
-func (w *Watch) confirm(s *serviceWatch, now time.Time) (Rule, bool) {
-	if s.wasConfirmed {
+// before knows that it still holds, if no other version can have begun a stream: the records of
+// processes that have ended may be lost. One that has read the rule afterwards does not know, and
+// waits for others.
+func (w *Watch) confirm(service string, s *serviceWatch, now time.Time) (Rule, bool) {
+	if s.wasConfirmed && w.HasOnlyDefault(service, now) {
 		return s.rule.next(s.rule.Default, s.rule.RecordsAll), true
 	}
-	return s.rule.next("", true), now.Sub(s.ruleSince) >= w.options.RestoreDelay
+	return s.rule.next("", true), s.wasConfirmed || now.Sub(s.ruleSince) >= w.options.RestoreDelay
 }
 
 // nextDefault returns the rule with the next default version, once no stream without a record can
--- a/streamversion/watch_test.go
+++ b/streamversion/watch_test.go
@@ -43,10 +43,11 @@
 			o := options()
 			o.IsFirstStart = scenario.isFirstStart
 			w := streamversion.NewWatch(o, start)
-			_, needed := w.Next("desk", scenario.epoch, start)
+			w.ObserveEpoch(scenario.epoch, start)
+			_, needed := w.Next("desk", start)
 			c.Check(needed, qt.IsFalse, qt.Commentf("without runners"))
 			w.Observe(runnersOf("v1", "v1.1", "v1.1"), start)
-			next, needed := w.Next("desk", scenario.epoch, start)
+			next, needed := w.Next("desk", start)
 			c.Check(needed, qt.IsTrue)
 			c.Check(next, qt.Equals, scenario.want)
 		})
@@ -59,14 +60,14 @@
 	c := qt.New(t)
 	w := streamversion.NewWatch(options(), start)
 	rule := streamversion.Rule{Default: "v1", Generation: 7}
-	w.SetRule("desk", rule, 0, start)
+	w.SetRule("desk", rule, start)
 	expect := func(at time.Duration, want streamversion.Rule, wantNeeded bool) {
 		c.Helper()
-		next, needed := w.Next("desk", 0, start.Add(at))
+		next, needed := w.Next("desk", start.Add(at))
 		c.Check(needed, qt.Equals, wantNeeded)
 		if needed {
 			c.Check(next, qt.Equals, want)
-			w.SetRule("desk", next, 0, start.Add(at))
+			w.SetRule("desk", next, start.Add(at))
 		}
 	}
 	none := streamversion.Rule{}
@@ -87,10 +88,10 @@
 func TestReturningVersionStaysTheDefault(t *testing.T) {
 	c := qt.New(t)
 	w := streamversion.NewWatch(options(), start)
-	w.SetRule("desk", streamversion.Rule{Default: "v1", RecordsAll: true, Generation: 2}, 0, start)
+	w.SetRule("desk", streamversion.Rule{Default: "v1", RecordsAll: true, Generation: 2}, start)
 	w.Observe(runnersOf("v1.1"), start)
 	w.Observe(runnersOf("v1", "v1.1"), start.Add(59*time.Second))
-	next, needed := w.Next("desk", 0, start.Add(2*time.Minute))
+	next, needed := w.Next("desk", start.Add(2*time.Minute))
 	c.Check(needed, qt.IsTrue)
 	c.Check(next, qt.Equals, streamversion.Rule{Default: "v1", Generation: 3})
 }
@@ -101,10 +102,10 @@
 	c := qt.New(t)
 	w := streamversion.NewWatch(options(), start)
 	w.Observe(runnersOf("v1.1"), start)
-	w.SetRule("desk", streamversion.Rule{Default: "v1", RecordsAll: true, Generation: 2}, 0, start.Add(50*time.Second))
-	_, needed := w.Next("desk", 0, start.Add(100*time.Second))
+	w.SetRule("desk", streamversion.Rule{Default: "v1", RecordsAll: true, Generation: 2}, start.Add(50*time.Second))
+	_, needed := w.Next("desk", start.Add(100*time.Second))
 	c.Check(needed, qt.IsFalse)
-	_, needed = w.Next("desk", 0, start.Add(110*time.Second))
+	_, needed = w.Next("desk", start.Add(110*time.Second))
 	c.Check(needed, qt.IsTrue)
 }
 
@@ -116,21 +117,38 @@
 	t.Run("at a process that knew the newest rule", func(t *testing.T) {
 		c := qt.New(t)
 		w := streamversion.NewWatch(options(), start)
+		w.ObserveEpoch(0, start)
 		w.Observe(runnersOf("v1.1"), start)
-		w.SetRule("desk", newest, 0, start)
-		w.SetRule("desk", copied, 1, start)
-		next, needed := w.Next("desk", 1, start)
+		w.SetRule("desk", newest, start)
+		restored := start.Add(time.Minute)
+		w.ObserveEpoch(1, restored)
+		w.SetRule("desk", copied, restored)
+		next, needed := w.Next("desk", restored)
 		c.Check(needed, qt.IsTrue)
 		c.Check(next, qt.Equals, streamversion.Rule{Default: "v1.1", Generation: 10, Epoch: 1})
 	})
+	t.Run("at a process that knew the newest rule, while another version had a runner", func(t *testing.T) {
+		c := qt.New(t)
+		w := streamversion.NewWatch(options(), start)
+		w.ObserveEpoch(0, start)
+		w.Observe(runnersOf("v1.1", "v1"), start)
+		w.SetRule("desk", newest, start)
+		w.Observe(runnersOf("v1.1"), start.Add(10*time.Second))
+		restored := start.Add(time.Minute)
+		w.ObserveEpoch(1, restored)
+		next, needed := w.Next("desk", restored)
+		c.Check(needed, qt.IsTrue)
+		c.Check(next, qt.Equals, streamversion.Rule{RecordsAll: true, Generation: 10, Epoch: 1})
+	})
 	t.Run("at a process that has started since", func(t *testing.T) {
 		c := qt.New(t)
 		w := streamversion.NewWatch(options(), start)
 		w.Observe(runnersOf("v1.1"), start)
-		w.SetRule("desk", copied, 1, start)
-		_, needed := w.Next("desk", 1, start.Add(2*time.Second))
+		w.ObserveEpoch(1, start)
+		w.SetRule("desk", copied, start)
+		_, needed := w.Next("desk", start.Add(2*time.Second))
 		c.Check(needed, qt.IsFalse, qt.Commentf("others may confirm it"))
-		next, needed := w.Next("desk", 1, start.Add(3*time.Second))
+		next, needed := w.Next("desk", start.Add(3*time.Second))
 		c.Check(needed, qt.IsTrue)
 		c.Check(next, qt.Equals, streamversion.Rule{RecordsAll: true, Generation: 8, Epoch: 1})
 	})
@@ -156,7 +174,7 @@
 		t.Run(scenario.name, func(t *testing.T) {
 			c := qt.New(t)
 			w := streamversion.NewWatch(options(), start)
-			w.SetRule("desk", streamversion.Rule{Default: "v1", Generation: 1}, 0, start)
+			w.SetRule("desk", streamversion.Rule{Default: "v1", Generation: 1}, start)
 			w.Observe(runnersOf("v1"), start)
 			if scenario.other > 0 {
 				w.Observe(runnersOf("v1", "v1.1"), start.Add(scenario.other/2))
--- a/versionlog/reader.go
+++ b/versionlog/reader.go
@@ -117,7 +117,7 @@
 	}
 	r.apply(extract)
 	if _, _, isEmpty := r.record(0); isEmpty {
-		r.log.observeNoRecords(began)
+		r.log.observeNoRecords(extract.End.Epoch, began)
 	}
 	return nil
 }
--- a/versionlog/rules.go
+++ b/versionlog/rules.go
@@ -67,7 +67,7 @@
 	now := l.Clock.Now()
 	var due []string
 	for _, service := range l.watch.Services() {
-		if _, needed := l.watch.Next(service, l.rulesEnd.Epoch, now); !needed {
+		if _, needed := l.watch.Next(service, now); !needed {
 			delete(l.dueSince, service)
 			continue
 		}
@@ -89,7 +89,7 @@
 	}
 	l.mutex.Lock()
 	end := l.rulesEnd
-	next, needed := l.watch.Next(service, end.Epoch, l.Clock.Now())
+	next, needed := l.watch.Next(service, l.Clock.Now())
 	l.mutex.Unlock()
 	if !needed {
 		return
@@ -109,15 +109,21 @@
 	case err != nil:
 		l.Count("Streams.RuleWritesFailed", 1)
 	case epoch == end.Epoch:
-		l.setRule(service, next, epoch)
+		l.setRule(service, next)
 	}
 }
 
-func (l *Log) setRule(service string, rule streamversion.Rule, epoch uint64) {
+func (l *Log) observeEpoch(epoch uint64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.watch.ObserveEpoch(epoch, l.Clock.Now())
+}
+
+func (l *Log) setRule(service string, rule streamversion.Rule) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	previous, _ := l.watch.Rule(service)
-	l.watch.SetRule(service, rule, epoch, l.Clock.Now())
+	l.watch.SetRule(service, rule, l.Clock.Now())
 	if current, _ := l.watch.Rule(service); current != previous {
 		l.Log.Info("StreamRuleChanged", "Service", service, "DefaultVersion", current.Default,
 			"RecordsAll", current.RecordsAll, "Generation", current.Generation, "Epoch", current.Epoch)
@@ -140,6 +146,7 @@
 		return err
 	}
 	l.reader.observeEpoch(listing.End.Epoch)
+	l.observeEpoch(listing.End.Epoch)
 	for _, record := range listing.Records {
 		rule, err := streamversion.DecodeRule(record.Value)
 		if err != nil {
@@ -147,7 +154,7 @@
 			l.Log.Error(err, "StreamRuleUnreadable", "Service", record.Key)
 			continue
 		}
-		l.setRule(record.Key, rule, listing.End.Epoch)
+		l.setRule(record.Key, rule)
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/versionlog/versionlog.go
+++ b/versionlog/versionlog.go
@@ -151,10 +151,11 @@
 	return l.DefaultVersion(service)
 }
 
-// observeNoRecords records that the store held no record of any stream at a time.
-func (l *Log) observeNoRecords(at time.Time) {
+// observeNoRecords records that the store held no record of any stream at a time, in an epoch.
+func (l *Log) observeNoRecords(epoch uint64, at time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.watch.ObserveEpoch(epoch, at)
 	l.watch.ObserveNoRecords(at)
 }
 
--- a/versionlog/versionlog_test.go
+++ b/versionlog/versionlog_test.go
@@ -175,7 +175,7 @@
 	r.c.Check(other.find(2), qt.Equals, "unknown: StoreRestored")
 	p.ObserveRestore(r.store.Epoch())
 	r.eventually("the record is written again", func() bool { return other.find(1) == "v1.1 from Record" })
-	r.eventually("the rule is confirmed", func() bool { return other.find(2) == "v1 from Rule" })
+	r.eventually("no stream lives that may have lost its record", func() bool { return other.find(2) == "v1 from Rule" })
 
 	// Nobody is left who knows what the copy lacks.
 	p.stop()
