--- /dev/null
+++ b/balance/version_test.go
@@ -0,0 +1,64 @@
+package balance_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cranberrywalk/cranberrywalk/balance"
+	"github.com/cranberrywalk/cranberrywalk/inventory"
+)
+
+// TestChoiceKeepsToTheVersion guards against a choice of a runner of another software version than
+// the one that the request is bound to.
+func TestChoiceKeepsToTheVersion(t *testing.T) {
+	runners := []inventory.Runner{
+		{ID: "i-1", Service: "desk", Version: "v1", Zone: "a", Slots: 6},
+		{ID: "i-2", Service: "desk", Version: "v1", Zone: "a", Slots: 6},
+		{ID: "i-3", Service: "desk", Version: "v1.1", Zone: "b", Slots: 6},
+		{ID: "i-4", Service: "other", Version: "v2", Zone: "a", Slots: 6},
+	}
+	for _, scenario := range []struct {
+		name    string
+		request balance.Request
+		// want is the version of the choice, or empty if there is none, and known is then the
+		// number of runners of the version.
+		want  string
+		known int
+	}{
+		{"bound to a version in another zone", balance.Request{Version: "v1.1"}, "v1.1", 0},
+		{"bound to a version without runners", balance.Request{Version: "v2"}, "", 0},
+		{"bound to a version whose runners are excluded", balance.Request{Version: "v1", Excluded: []string{"i-1", "i-2"}}, "", 2},
+		{"prefers a version", balance.Request{PreferredVersion: "v1.1"}, "v1.1", 0},
+		{"prefers a version without runners", balance.Request{PreferredVersion: "v2"}, "v1", 0},
+		{"prefers one and is bound to another", balance.Request{Version: "v1", PreferredVersion: "v1.1"}, "v1", 0},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			c := qt.New(t)
+			b := balance.New(balance.DefaultOptions("a"), rand.New(rand.NewPCG(1, 2)))
+			b.SetRunners(runners, func(string) int { return 0 })
+			scenario.request.Service = "desk"
+			choice, ticket, err := b.Choose(scenario.request, start)
+			if scenario.want == "" {
+				c.Check(err, qt.DeepEquals, &balance.NoRunnerError{Service: "desk", Version: scenario.request.Version, Known: scenario.known})
+				return
+			}
+			c.Assert(err, qt.IsNil)
+			c.Check(choice.Runner.Version, qt.Equals, scenario.want)
+			ticket.End(balance.Succeeded, start)
+		})
+	}
+}
+
+func TestAvailableRunnersOfAVersion(t *testing.T) {
+	c := qt.New(t)
+	b := balance.New(balance.DefaultOptions("a"), rand.New(rand.NewPCG(1, 2)))
+	b.SetRunners([]inventory.Runner{
+		{ID: "i-1", Service: "desk", Version: "v1"},
+		{ID: "i-2", Service: "desk", Version: "v1", State: inventory.Leaving},
+		{ID: "i-3", Service: "other", Version: "v1"},
+	}, func(string) int { return 0 })
+	c.Check(b.AvailableRunners("desk", "v1"), qt.Equals, 1)
+	c.Check(b.AvailableRunners("desk", "v2"), qt.Equals, 0)
+}
