List the newest records of streams if they were read long ago

By reading: each call writes the records of five seconds anew, so that the history since a reading of minutes ago is many times the newest values. Also the format of two files after a renaming.

--- a/balance/health.go
+++ b/balance/health.go
@@ -44,7 +44,7 @@
 	Pause time.Duration
 	// Limit is the number of requests a second that the runner takes, and ObservedBy the daemon
 	// that was told so; zero unless the change is one of the limit.
-	Limit   float64
+	Limit      float64
 	ObservedBy string
 	// Text is what the runner named; empty unless Kind is RunnerLimitInvalid.
 	Text string
--- a/balance/limitshare.go
+++ b/balance/limitshare.go
@@ -16,7 +16,7 @@
 	// ObservedBy is the daemon that got the newest answer that named the limit, and Age the time
 	// since then.
 	ObservedBy string
-	Age     time.Duration
+	Age        time.Duration
 	// Share is this daemon's part in requests a second, which it shares with the other Senders.
 	Share   float64
 	Senders int
--- a/versionlog/reader.go
+++ b/versionlog/reader.go
@@ -30,12 +30,18 @@
 	epoch      uint64
 	epochSince time.Time
 	hasEpoch   bool
+	// readAt is when the last reading without a failure began; guarded by mutex.
+	readAt time.Time
 	// failure is that of the last reading, or nil, and failedAt when it ended. Both are guarded by
 	// mutex.
 	failure  error
 	failedAt time.Time
 }
 
+// listAfter is the time since the last reading after which the newest values are listed: each of
+// them was written many times since.
+const listAfter = 10 * time.Second
+
 // failureHold is how long after a failed reading searches fail without another one, so that they
 // do not wait for a store that does not answer.
 const failureHold = 250 * time.Millisecond
@@ -108,22 +114,25 @@
 		return err
 	}
 	r.mutex.Lock()
-	from := r.topic.End()
+	from, readAt := r.topic.End(), r.readAt
 	r.mutex.Unlock()
 	began := r.log.Clock.Now()
+	if began.Sub(readAt) > listAfter {
+		from = latest.Position{}
+	}
 	extract, err := r.readSince(ctx, from)
 	if err != nil {
 		return err
 	}
-	r.apply(extract)
+	r.apply(extract, began)
 	if _, _, isEmpty := r.record(0); isEmpty {
 		r.log.observeNoRecords(extract.End.Epoch, began)
 	}
 	return nil
 }
 
-// readSince returns the values since a position, or the newest ones of all keys if the store does
-// not hold its history from there on.
+// readSince returns the values since a position, or the newest ones of all keys if that is zero or
+// the store does not hold its history from there on.
 func (r *reader) readSince(ctx context.Context, from latest.Position) (latest.Extract, error) {
 	if from == (latest.Position{}) {
 		return r.list(ctx)
@@ -176,11 +185,12 @@
 	return r.log.Store.Newest(listCtx, r.log.options.RecordsTopic)
 }
 
-// apply merges values into the table.
-func (r *reader) apply(extract latest.Extract) {
+// apply merges values into the table that were read from a time on.
+func (r *reader) apply(extract latest.Extract, began time.Time) {
 	r.observeEpoch(extract.End.Epoch)
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	r.readAt = began
 	now := r.log.Clock.Now()
 	for _, record := range r.topic.Apply(extract) {
 		if record.IsTombstone() {
