--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -120,8 +120,8 @@
 	x.machine = request.NewMachine(request.Request{Idempotent: x.route.Repeatable()})
 }
 
-// checkLimits refuses requests that have crashed runners, would queue for too long
-// or exceed the customer's quota.
+// checkLimits refuses requests that have crashed runners, would queue for too long, resume
+// a stream of an unknown version or exceed the customer's quota.
 func (x *exchange) checkLimits() *Refusal {
 	now := x.Clock.Now()
 	x.setTraits()
--- a/streamversion/watch.go
+++ b/streamversion/watch.go
@@ -28,7 +28,7 @@
 	return WatchOptions{Lifetime: time.Minute, AbsenceDelay: time.Second, RestoreDelay: 3 * time.Second}
 }
 
-// Watch follows which versions of a service have runners and says when its rule has to change. It
+// Watch follows which versions of each service have runners and says when its rule has to change. It
 // is not safe for concurrent use.
 type Watch struct {
 	options   WatchOptions
@@ -107,7 +107,10 @@
 
 // ObserveEpoch records the epoch of the store that is read now.
 func (w *Watch) ObserveEpoch(epoch uint64, now time.Time) {
-	if w.hasEpoch && epoch > w.epoch {
+	if w.hasEpoch && epoch <= w.epoch {
+		return
+	}
+	if w.hasEpoch {
 		w.restoredAt = now
 	}
 	w.epoch, w.hasEpoch = epoch, true
--- a/versionlog/rules.go
+++ b/versionlog/rules.go
@@ -119,6 +119,14 @@
 	l.watch.ObserveEpoch(epoch, l.Clock.Now())
 }
 
+// observeNoRecords records that the store held no record of any stream at a time, in an epoch.
+func (l *Log) observeNoRecords(epoch uint64, at time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.watch.ObserveEpoch(epoch, at)
+	l.watch.ObserveNoRecords(at)
+}
+
 func (l *Log) setRule(service string, rule streamversion.Rule) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/versionlog/versionlog.go
+++ b/versionlog/versionlog.go
@@ -92,7 +92,7 @@
 	mutex sync.Mutex
 	// watch follows the versions and rules of services; guarded by mutex.
 	watch *streamversion.Watch
-	// own holds the version of the streams that this process began; guarded by mutex.
+	// own holds the version of the streams that this process served; guarded by mutex.
 	own *simplelru.LRU[streamversion.Stream, string]
 	// rulesReadAt is when the rules were last read, by a clock that runs while the VM is
 	// suspended; zero before the first time. rulesEnd is the end of their topic. Both are guarded
@@ -151,14 +151,6 @@
 	return l.DefaultVersion(service)
 }
 
-// observeNoRecords records that the store held no record of any stream at a time, in an epoch.
-func (l *Log) observeNoRecords(epoch uint64, at time.Time) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.watch.ObserveEpoch(epoch, at)
-	l.watch.ObserveNoRecords(at)
-}
-
 // DefaultVersion returns the version of a service whose streams need no record, or empty if there
 // is none.
 func (l *Log) DefaultVersion(service string) string {
