Give no caller an event before its stream is recorded

The first event waits for the record now, to the end of the request, unless another version needs none. A record that the store can't have taken is withdrawn. TestNoEventBeforeItsVersionIsRecorded fails before (the event came after RecordTimeout); the scenario of TestVersionIsRecordedBeforeTheFirstEvent that expected it is replaced by that stricter test.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -79,6 +79,8 @@
 	NeedsRecord(service, version string) bool
 	// Record records which version begins a stream. The channel is closed once that is done.
 	Record(record streamversion.Record) (recorded <-chan struct{})
+	// Withdraw withdraws a record, and reports whether the store neither holds it nor will.
+	Withdraw(record streamversion.Record) bool
 	// Remember keeps the version of a stream that this daemon serves.
 	Remember(stream streamversion.Stream, version string)
 	// Find returns the version that began a stream. It fails with a *streamversion.UnknownError.
@@ -112,7 +114,8 @@
 	// MaxPlainRequestsPerSlot bounds the running and queued requests of a plain
 	// service, per slot of its runners.
 	MaxPlainRequestsPerSlot float64
-	// RecordTimeout is how long the first event of a stream waits for the record of its version.
+	// RecordTimeout is how long the first event of a stream waits for the record of its version
+	// before another version is tried that needs none.
 	RecordTimeout time.Duration
 	// ConnectionShare is the fraction of a runner's connections that the daemons
 	// divide among themselves.
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -64,11 +64,13 @@
 	toBegin, found string
 	needsRecord    []string
 	unknown        error
-	// holds is true if no record is ever written.
-	holds   bool
-	mutex   sync.Mutex
-	records []streamversion.Record
-	queries []streamversion.Query
+	// holds is true if no record is written, and written is closed when they are at last; withdraws
+	// is true if records can be withdrawn.
+	holds, withdraws bool
+	written          chan struct{}
+	mutex            sync.Mutex
+	records          []streamversion.Record
+	queries          []streamversion.Query
 }
 
 func (f *fakeVersions) setToBegin(version string) {
@@ -93,13 +95,16 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.records = append(f.records, record)
-	recorded := make(chan struct{})
-	if !f.holds {
-		close(recorded)
+	if f.holds {
+		return f.written
 	}
+	recorded := make(chan struct{})
+	close(recorded)
 	return recorded
 }
 
+func (f *fakeVersions) Withdraw(streamversion.Record) bool { return f.withdraws }
+
 func (*fakeVersions) Remember(streamversion.Stream, string) {}
 
 func (f *fakeVersions) Find(_ context.Context, query streamversion.Query) (streamversion.Found, error) {
--- a/gateway/version.go
+++ b/gateway/version.go
@@ -68,38 +68,61 @@
 }
 
 // awaitRecord waits before the first event until the version of the stream is recorded, if it has
-// to be. The attempt fails if that takes too long and another version needs no record; otherwise
-// the stream goes on without one.
+// to be: a caller that has an event of a stream may resume it at any daemon. The attempt fails if
+// that takes long and another version needs no record.
 func (x *exchange) awaitRecord(a *attempt) error {
 	if !x.beginsStream() || x.version != "" {
 		return nil
 	}
 	version := a.choice.Runner.Version
-	isSuperseded := x.record.Number > 0 && x.record.Version != version
-	if isSuperseded || x.record.Number == 0 && x.StreamVersions.NeedsRecord(x.service, version) {
-		x.beginRecord(version)
-	}
+	x.supersedeRecord(version)
 	if x.record.Number == 0 || x.isRecorded() {
 		return nil
 	}
+	x.Count("Streams.AwaitRecord", 1)
+	for {
+		recorded, err := x.awaitRecordOnce(a)
+		if recorded || err != nil {
+			return err
+		}
+		if x.mayBeginAtDefault(version) {
+			x.Count("Streams.RecordTimeouts", 1)
+			return &RecordTimeoutError{Version: version}
+		}
+	}
+}
+
+// supersedeRecord begins the record of a version if it needs one. A record of another version, whose
+// runner has sent no event, needs one that replaces it, unless the store can't have taken it.
+func (x *exchange) supersedeRecord(version string) {
+	isOther := x.record.Number > 0 && x.record.Version != version
+	if isOther && x.StreamVersions.Withdraw(x.record.Record) {
+		x.record, isOther = versionRecord{}, false
+	}
+	if isOther || x.record.Number == 0 && x.StreamVersions.NeedsRecord(x.service, version) {
+		x.beginRecord(version)
+	}
+}
+
+// awaitRecordOnce waits for the record for RecordTimeout, and reports whether the store holds it.
+func (x *exchange) awaitRecordOnce(a *attempt) (recorded bool, err error) {
 	x.restartSilence(a)
 	timer := x.Clock.NewTimer(x.options.RecordTimeout)
 	defer timer.Stop()
 	select {
 	case <-x.record.recorded:
-		return nil
+		return true, nil
 	case <-a.ctx.Done():
-		return context.Cause(a.ctx)
+		return false, context.Cause(a.ctx)
 	case <-timer.Chan():
+		return false, nil
 	}
+}
+
+// mayBeginAtDefault reports whether the stream can begin at another version, which needs no record.
+func (x *exchange) mayBeginAtDefault(version string) bool {
 	other := x.StreamVersions.DefaultVersion(x.service)
-	if other != "" && other != version && x.Balancer.AvailableRunners(x.service, other) > 0 {
-		x.Count("Streams.RecordTimeouts", 1)
-		return &RecordTimeoutError{Version: version}
-	}
-	x.Count("Streams.Unrecorded", 1)
-	x.Log.Info("StreamUnrecorded", "Request", x.call.ID, "Version", version)
-	return nil
+	return other != "" && other != version && x.Balancer.AvailableRunners(x.service, other) > 0
 }
 
 // restartSilence counts the silence of a runner from now on: it has sent an event.
--- a/gateway/version_test.go
+++ b/gateway/version_test.go
@@ -160,9 +160,9 @@
 	for _, scenario := range []struct {
 		name  string
 		first standin.Behaviour
-		// needsRecord, toBegin and holds are those of the fake.
+		// needsRecord, toBegin and withdraws are those of the fake.
 		needsRecord, toBegin string
-		holds                bool
+		withdraws            bool
 		want                 []streamversion.Record
 		arrival              []int
 	}{
@@ -178,19 +178,18 @@
 			[]streamversion.Record{{Stream: stream, Number: 1, Version: "v1"}, {Stream: stream, Number: 2, Version: "v1.1"}}, []int{1, 1},
 		},
 		{
-			"records fail and another version needs none", standin.Behaviour{Events: 5},
-			"v1", "v1.1", false, nil, []int{0, 1},
+			"the first runner sends no event and its record is withdrawn", standin.Behaviour{Reset: true}, "v1", "", true,
+			[]streamversion.Record{{Stream: stream, Number: 1, Version: "v1"}}, []int{1, 1},
 		},
 		{
-			"records begin to fail and no other version is there", standin.Behaviour{Events: 5},
-			"v1", "v2", true,
-			[]streamversion.Record{{Stream: stream, Number: 1, Version: "v1"}}, []int{1, 0},
+			"records fail and another version needs none", standin.Behaviour{Events: 5},
+			"v1", "v1.1", false, nil, []int{0, 1},
 		},
 	} {
 		t.Run(scenario.name, func(t *testing.T) {
 			r := newRig(t, always(scenario.first), whole)
 			r.setVersions("v1", "v1.1")
-			r.versions.needsRecord, r.versions.toBegin, r.versions.holds = []string{scenario.needsRecord}, scenario.toBegin, scenario.holds
+			r.versions.needsRecord, r.versions.toBegin, r.versions.withdraws = []string{scenario.needsRecord}, scenario.toBegin, scenario.withdraws
 			got := r.send("/resumable/a")
 			r.c.Check(got.status, qt.Equals, http.StatusOK)
 			r.c.Check(got.body, qt.Equals, standin.Events(5))
@@ -200,12 +199,41 @@
 	}
 }
 
+// TestNoEventBeforeItsVersionIsRecorded guards against a stream that its caller resumes at another
+// daemon while the store does not hold its version yet, or never will since this daemon is killed.
+func TestNoEventBeforeItsVersionIsRecorded(t *testing.T) {
+	for _, scenario := range []struct {
+		name   string
+		after  time.Duration // when the store takes the record; zero if it never does
+		status int
+	}{
+		{"the store takes records late", 500 * time.Millisecond, http.StatusOK},
+		{"the store takes no records", 0, http.StatusGatewayTimeout},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			r := newRig(t, always(standin.Behaviour{Events: 5}))
+			r.setVersions("v1")
+			r.versions.needsRecord, r.versions.holds, r.versions.written = []string{"v1"}, true, make(chan struct{})
+			if scenario.after > 0 {
+				time.AfterFunc(scenario.after, func() { close(r.versions.written) })
+			}
+			began := time.Now()
+			got := r.send("/resumable/a")
+			r.c.Check(got.status, qt.Equals, scenario.status)
+			r.c.Check(time.Since(began) >= scenario.after, qt.IsTrue)
+			if scenario.status != http.StatusOK {
+				r.c.Check(got.body, qt.Equals, "")
+			}
+		})
+	}
+}
+
 // TestStreamWhoseRecordFailsBeginsElsewhere guards against an event of a version that can't be
 // recorded, while a runner of the version that needs no record is there.
 func TestStreamWhoseRecordFailsBeginsElsewhere(t *testing.T) {
 	r := newRig(t, always(standin.Behaviour{Events: 5, Gap: 20 * time.Millisecond}), always(standin.Behaviour{Events: 5}))
 	r.setVersions("v1", "v1.1")
-	r.versions.needsRecord, r.versions.holds = []string{"v1"}, true
+	r.versions.needsRecord, r.versions.holds, r.versions.withdraws = []string{"v1"}, true, true
 	time.AfterFunc(100*time.Millisecond, func() { r.versions.setToBegin("v1.1") })
 	got := r.send("/resumable/a")
 	r.c.Check(got.status, qt.Equals, http.StatusOK)
--- a/versionlog/versionlog.go
+++ b/versionlog/versionlog.go
@@ -174,6 +174,9 @@
 // Record writes which version begins a stream. The channel is closed once the store holds it.
 func (l *Log) Record(record streamversion.Record) <-chan struct{} { return l.writer.add(record) }
 
+// Withdraw withdraws a record, and reports whether the store neither holds it nor will.
+func (l *Log) Withdraw(record streamversion.Record) bool { return l.writer.withdraw(record) }
+
 // Remember keeps in memory that the caller of a stream has an event of a version.
 func (l *Log) Remember(stream streamversion.Stream, version string) {
 	l.mutex.Lock()
--- a/versionlog/versionlog_test.go
+++ b/versionlog/versionlog_test.go
@@ -97,6 +97,45 @@
 	r.eventually("new streams use both versions", func() bool { return p.VersionToBegin("desk") == "" })
 }
 
+// TestOnlyUnwrittenRecordsAreWithdrawn guards against a record that the store takes after its stream
+// has begun at another version.
+func TestOnlyUnwrittenRecordsAreWithdrawn(t *testing.T) {
+	for _, scenario := range []struct {
+		name  string
+		fault standin.Fault
+		want  bool
+	}{
+		{"refused", standin.FaultRefused, true},
+		{"no response", standin.FaultSilent, false},
+		{"executed late", standin.FaultLate, false},
+		{"written", standin.FaultNone, false},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			r := newRig(t)
+			p := r.start("v1", "v1", "v1.1")
+			r.awaitDefault(p, "v1")
+			r.store.SetFault(func(standin.Call) standin.Fault { return scenario.fault })
+			record := streamversion.Record{Stream: 1, Number: 1, Version: "v1.1"}
+			p.Record(record)
+			time.Sleep(150 * time.Millisecond)
+			// A call may be under way for a moment.
+			isWithdrawn := false
+			for range 20 {
+				isWithdrawn = isWithdrawn || p.Withdraw(record)
+				time.Sleep(time.Millisecond)
+			}
+			r.c.Check(isWithdrawn, qt.Equals, scenario.want)
+			r.store.SetFault(nil)
+			time.Sleep(standin.LateBy)
+			want := "v1.1 from Record"
+			if scenario.want {
+				want = "v1 from Rule"
+			}
+			r.eventually(want, func() bool { return r.start("v1", "v1.1").find(1) == want })
+		})
+	}
+}
+
 // TestUnreadableStoreJoinsNothing guards against a guess at the version of a stream.
 func TestUnreadableStoreJoinsNothing(t *testing.T) {
 	const unknown = "unknown: StoreUnavailable"
--- a/versionlog/writer.go
+++ b/versionlog/writer.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/clock"
 	"github.com/cranberrywalk/cranberrywalk/latest"
+	"github.com/cranberrywalk/cranberrywalk/store"
 	"github.com/cranberrywalk/cranberrywalk/streamversion"
 )
 
@@ -27,6 +30,8 @@
 	mutex sync.Mutex
 	// pending are the records that wait to be written, oldest first; guarded by mutex.
 	pending []pendingRecord
+	// inCall is the number of the first of them that a call is writing; guarded by mutex.
+	inCall int
 	// isFailing is true from a failed call to the next one that succeeds; guarded by mutex.
 	isFailing bool
 	// isRestored is true if the store has to get all batches again; guarded by mutex.
@@ -39,6 +44,9 @@
 	since  time.Time
 	// recorded is closed once the store holds the record.
 	recorded chan struct{}
+	// maybeWritten is true from the first call with the record whose end is not known to have
+	// changed nothing.
+	maybeWritten bool
 }
 
 // batch is a value that holds several records under one key. Each call writes the open batch anew,
@@ -67,6 +75,18 @@
 	return p.recorded
 }
 
+// withdraw removes a record that waits, and reports whether no call has or may have written it.
+func (w *writer) withdraw(record streamversion.Record) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	i := slices.IndexFunc(w.pending, func(p pendingRecord) bool { return p.record == record })
+	if i < w.inCall || w.pending[i].maybeWritten {
+		return false
+	}
+	w.pending = slices.Delete(w.pending, i, i+1)
+	return true
+}
+
 func (w *writer) signal() {
 	select {
 	case w.wake <- struct{}{}:
@@ -137,7 +157,8 @@
 func (w *writer) take() (taken []pendingRecord, rewrites bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	taken = w.pending[:min(len(w.pending), w.log.options.MaxBatch)]
+	w.inCall = min(len(w.pending), w.log.options.MaxBatch)
+	taken = slices.Clone(w.pending[:w.inCall])
 	rewrites = w.isRestored
 	w.isRestored = false
 	return taken, rewrites
@@ -212,8 +233,14 @@
 		}
 	}
 	w.log.Count("Streams.RecordsFailed", int64(len(taken)))
+	var unavailable *store.UnavailableError
+	wasRejected := errors.As(cause, &unavailable) && unavailable.Status != 0
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	w.inCall = 0
+	for i := range taken {
+		w.pending[i].maybeWritten = w.pending[i].maybeWritten || !wasRejected
+	}
 	if !w.isFailing {
 		w.log.Log.Info("StreamRecordsFail", "Records", len(taken), "Reason", cause.Error())
 	}
@@ -233,6 +260,7 @@
 		w.log.Log.Info("StreamRecordsWritten", "Records", len(taken), "Values", len(written))
 	}
 	w.isFailing = false
+	w.inCall = 0
 	w.pending = w.pending[len(taken):]
 	for _, p := range taken {
 		close(p.recorded)
