Try: count a call between daemons until the end of its answer is sent

The handler had returned before drpc sends the end of the answer, so that the stop might cut it off.

--- a/peer/calls.go
+++ b/peer/calls.go
@@ -22,11 +22,15 @@
 	idle chan struct{}
 }
 
-// HandleRPC implements drpc.Handler.
+// HandleRPC implements drpc.Handler. The server sends the end of an answer once more, which does
+// nothing, but only after the call has ceased to count.
 func (t *callTracker) HandleRPC(stream drpc.Stream, rpc string) error {
 	t.add(1)
 	defer t.add(-1)
-	return t.Handler.HandleRPC(stream, rpc)
+	if err := t.Handler.HandleRPC(stream, rpc); err != nil {
+		return err
+	}
+	return stream.CloseSend()
 }
 
 func (t *callTracker) add(calls int) {
