--- a/peer/calls.go
+++ b/peer/calls.go
@@ -22,15 +22,11 @@
 	idle chan struct{}
 }
 
-// HandleRPC implements drpc.Handler. The server sends the end of an answer once more, which does
-// nothing, but only after the call has ceased to count.
+// HandleRPC implements drpc.Handler.
 func (t *callTracker) HandleRPC(stream drpc.Stream, rpc string) error {
 	t.add(1)
 	defer t.add(-1)
-	if err := t.Handler.HandleRPC(stream, rpc); err != nil {
-		return err
-	}
-	return stream.CloseSend()
+	return t.Handler.HandleRPC(stream, rpc)
 }
 
 func (t *callTracker) add(calls int) {
