Log which request an answer names, and each refusal after attempts

Callers saw refusals that say a request has not run for requests that ran. The logs could not tell whether the rejection behind such a refusal named the request, nor how its attempts had ended, and the lines that would have told were dropped with hundreds of others.

LinesDropped tells how many of the lines were debug lines.

--- a/app/serveplatform.go
+++ b/app/serveplatform.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/cranberrywalk/cranberrywalk/entry"
+	"github.com/cranberrywalk/cranberrywalk/gateway"
 	"github.com/cranberrywalk/cranberrywalk/logsink"
 	"github.com/cranberrywalk/cranberrywalk/platform"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
@@ -22,7 +23,8 @@
 		return &InputError{Cause: err}
 	}
 	common := telemetry.NewCommon()
-	sink := logsink.New(logsink.DefaultOptions(), common.Clock, output)
+	options := logsink.DefaultOptions().WithReservedEvents(gateway.EventRefusedAfterAttempts, gateway.EventMismatchedAnswer)
+	sink := logsink.New(options, common.Clock, output)
 	common.Log = logr.FromSlogHandler(sink.Handler())
 	klog.SetLogger(common.Log)
 	sinkCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -33,8 +33,10 @@
 	// ctx ends when cancel is called, and with the context of the request.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
-	// headReceived is true when the runner has sent the head of a response.
+	// headReceived is true when the runner has sent the head of a response, and head is what
+	// the logs say of it.
 	headReceived bool
+	head         receivedHead
 
 	// onWritten is called when the request was written. It may be nil.
 	onWritten func()
@@ -123,6 +125,7 @@
 	a.headReceived = true
 	x.recordData(a, x.Clock.Now())
 	head := x.Codec.DecodeAnswer(answer.Status, answer.Header)
+	x.observeHead(a, answer, head)
 	x.applySignals(a, head)
 	runner := a.choice.Runner.ID
 	if head.NotRun {
--- a/gateway/failure.go
+++ b/gateway/failure.go
@@ -31,10 +31,8 @@
 		x.excluded = append(x.excluded, a.choice.Runner.ID)
 	}
 	x.Meters.CountAttempt(a.choice.Runner.ID, result.String())
-	x.Log.Info("AttemptFailed", append([]any{
-		"Request", x.call.ID, "Attempt", a.number, "Result", result.String(), "Reason", failure.Error(),
-		"LastEvent", a.lastEvent, "HasBegun", x.lastEvent > a.lastEvent, "Segments", x.segments, "RunnersAgeMilliseconds", x.RunnersAge().Milliseconds(),
-	}, choiceFields(a.choice)...)...)
+	x.ends = x.ends.with(failure)
+	x.logFailure(a, failure, result)
 	var unwritten *upstream.UnwrittenError
 	var rejected *RejectedError
 	switch {
@@ -51,6 +49,13 @@
 	}
 }
 
+func (x *exchange) logFailure(a *attempt, failure error, result balance.Result) {
+	x.Log.Info("AttemptFailed", append(append([]any{
+		"Request", x.call.ID, "Attempt", a.number, "Result", result.String(), "Reason", failure.Error(),
+		"LastEvent", a.lastEvent, "HasBegun", x.lastEvent > a.lastEvent, "Segments", x.segments, "RunnersAgeMilliseconds", x.RunnersAge().Milliseconds(),
+	}, a.head.logFields()...), choiceFields(a.choice)...)...)
+}
+
 // endTicket ends the ticket of a failed attempt. One that reached no runner, or another one than
 // that of the ticket, does not count for the runner's limit.
 func (x *exchange) endTicket(a *attempt, failure error, result balance.Result, now time.Time) {
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -102,6 +102,7 @@
 	}
 	header.Set("Content-Length", "0")
 	x.writer.WriteHeader(refusal.Status)
+	x.observeRefusal(refusal.Status, refusal.Reason)
 	x.recordEnd(refusal.Status, refusal.Reason, refusal.Cause)
 }
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -77,14 +77,7 @@
 
 // mayForward reports whether a runner's status may be forwarded to the caller. Some
 // statuses imply that the request has not run, which the runner did not confirm.
-func mayForward(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return false
-	default:
-		return true
-	}
-}
+func mayForward(status int) bool { return !saysNotRun(status) }
 
 func (x *exchange) attemptPlain(a *attempt) (bufferedAnswer, error) {
 	defer a.cancel(nil)
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -16,7 +16,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 
 	"github.com/cranberrywalk/cranberrywalk/balance"
 	"github.com/cranberrywalk/cranberrywalk/catalog"
@@ -47,6 +47,7 @@
 	segments, contents *suspect.CrashTracker
 	mover              *fakeMover
 	versions           *fakeVersions
+	log                *recordedLog
 }
 
 // singleDaemon is a group of one daemon.
@@ -152,9 +153,9 @@
 func newStartingRig(t testing.TB, scripts ...func(standin.ReceivedRequest) standin.Behaviour) *rig {
 	c := qt.New(t)
 	common := telemetry.NewCommon()
-	common.Log = logr.Discard()
 	now := common.Clock.Now()
-	r := &rig{c: c, quotas: quota.New(quota.DefaultOptions()), usage: usage.New(time.Hour, 4), mover: &fakeMover{}, versions: &fakeVersions{}}
+	r := &rig{c: c, quotas: quota.New(quota.DefaultOptions()), usage: usage.New(time.Hour, 4), mover: &fakeMover{}, versions: &fakeVersions{}, log: &recordedLog{}}
+	common.Log = funcr.New(r.log.record, funcr.Options{})
 	r.segments = suspect.NewCrashTracker(suspect.DefaultCrashOptions())
 	r.contents = suspect.NewCrashTracker(suspect.DefaultCrashOptions().WithSettling(0))
 	balancer := balance.New(balance.DefaultOptions("zone-1"), rand.New(rand.NewPCG(1, 2)))
--- a/logsink/sink.go
+++ b/logsink/sink.go
@@ -8,6 +8,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,10 +27,23 @@
 	// MaxInfoLines is the number of lines per second at slog.LevelInfo, which record
 	// failures and state changes. Higher levels are limited by Capacity only.
 	MaxInfoLines int
+	// ReservedEvents are the events whose lines have a limit of their own, whatever their
+	// level, so that no other lines displace them.
+	ReservedEvents []string
+	// MaxReservedLines is the number of lines per second of the reserved events.
+	MaxReservedLines int
 }
 
 // DefaultOptions returns the defaults.
-func DefaultOptions() Options { return Options{Capacity: 2048, MaxDebugLines: 40, MaxInfoLines: 200} }
+func DefaultOptions() Options {
+	return Options{Capacity: 2048, MaxDebugLines: 40, MaxInfoLines: 200, MaxReservedLines: 100}
+}
+
+// WithReservedEvents returns a copy with the reserved events.
+func (o Options) WithReservedEvents(events ...string) Options {
+	o.ReservedEvents = slices.Clone(events)
+	return o
+}
 
 // Sink is the queue between loggers and the output.
 type Sink struct {
@@ -42,14 +56,15 @@
 	target  io.Writer
 	output  slog.Handler
 	records *ring.Ring[queuedRecord]
-	dropped atomic.Int64
-	done    chan struct{}
+	// dropped counts all dropped lines, and droppedDebug those of them below slog.LevelInfo.
+	dropped, droppedDebug atomic.Int64
+	done                  chan struct{}
 
 	mutex sync.Mutex
-	// second is the start of the second that debugLines and infoLines count; all
-	// three are guarded by mutex.
-	second                time.Time
-	debugLines, infoLines int
+	// second is the start of the second in which the lines are counted; all fields below
+	// are guarded by mutex.
+	second                               time.Time
+	debugLines, infoLines, reservedLines int
 }
 
 // queuedRecord is a record with the handler that holds the attributes of its logger.
@@ -131,12 +146,12 @@
 
 // reportDropped writes the number of lines dropped since the last report.
 func (s *Sink) reportDropped(ctx context.Context) {
-	dropped := s.dropped.Swap(0)
+	dropped, debug := s.dropped.Swap(0), s.droppedDebug.Swap(0)
 	if dropped == 0 {
 		return
 	}
 	record := slog.NewRecord(s.clock.Now(), slog.LevelWarn, "LinesDropped", 0)
-	record.AddAttrs(slog.Int64("Lines", dropped))
+	record.AddAttrs(slog.Int64("Lines", dropped), slog.Int64("DebugLines", debug))
 	_ = s.output.Handle(ctx, record)
 }
 
@@ -145,9 +160,12 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if now := s.clock.Now(); now.Sub(s.second) >= time.Second {
-		s.second, s.debugLines, s.infoLines = now, 0, 0
+		s.second, s.debugLines, s.infoLines, s.reservedLines = now, 0, 0, 0
 	}
 	switch {
+	case slices.Contains(s.options.ReservedEvents, record.Message):
+		s.reservedLines++
+		return s.reservedLines <= s.options.MaxReservedLines
 	case record.Level < slog.LevelInfo:
 		s.debugLines++
 		return s.debugLines <= s.options.MaxDebugLines
@@ -161,12 +179,19 @@
 
 func (s *Sink) enqueue(output slog.Handler, record slog.Record) {
 	if !s.withinLimit(record) {
-		s.dropped.Add(1)
+		s.countDropped(record)
 		return
 	}
 	record.AddAttrs(slog.Float64("Steady", s.clock.Since(s.start).Seconds()))
 	if s.records.Put(queuedRecord{handler: output, record: record}) != nil {
-		s.dropped.Add(1)
+		s.countDropped(record)
+	}
+}
+
+func (s *Sink) countDropped(record slog.Record) {
+	s.dropped.Add(1)
+	if record.Level < slog.LevelInfo {
+		s.droppedDebug.Add(1)
 	}
 }
 
--- a/logsink/sink_test.go
+++ b/logsink/sink_test.go
@@ -68,6 +68,27 @@
 	c.Check(lines[len(lines)-1]["Lines"], qt.Equals, 35.0)
 }
 
+// Guards against the loss of the lines that decide what happened: a burst of other lines
+// displaces them.
+func TestReservedLinesAreNotDisplaced(t *testing.T) {
+	c := qt.New(t)
+	options := logsink.Options{Capacity: 1000, MaxDebugLines: 5, MaxInfoLines: 5, MaxReservedLines: 30}.WithReservedEvents("Decision")
+	lines := written(c, options, func(log logr.Logger) {
+		for range 40 {
+			log.V(1).Info("Debug")
+			log.Info("Info")
+			log.Info("Decision")
+		}
+	})
+	counts := map[any]int{}
+	for _, line := range lines {
+		counts[line["Event"]]++
+	}
+	c.Check(counts, qt.DeepEquals, map[any]int{"Debug": 5, "Info": 5, "Decision": 30, "LinesDropped": 1})
+	c.Check(lines[len(lines)-1]["Lines"], qt.Equals, 80.0)
+	c.Check(lines[len(lines)-1]["DebugLines"], qt.Equals, 35.0)
+}
+
 // blockedOutput is an output whose writes block until release is closed.
 type blockedOutput struct{ release chan struct{} }
 
