Take only a refusal that names the request as proof that it was not run

What callers saw: 503 for requests that a runner had run or was running, and requests that ran at two runners. Cause: whether a response says 'not run' was looked at before which request it names. A refusal that a runner writes once more on a kept connection was the proof for the next request there, and since a refused exchange gives its connection back, the real answer was left for the request after that. Change: a response that names another request, or none, says nothing of the request: its end is unknown, the connection is closed, and what the response says of its runner (a pause, a limit, leaving) is not applied either.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -120,24 +120,28 @@
 }
 
 // checkAnswerHead checks the status and the header of a response. It returns nil
-// if the response may be forwarded to the caller.
+// if the response may be forwarded to the caller. Only a response that names the request
+// says anything about it: others may be left over from an earlier request.
 func (x *exchange) checkAnswerHead(a *attempt, answer *upstream.Answer) error {
 	a.headReceived = true
 	x.recordData(a, x.Clock.Now())
 	head := x.Codec.DecodeAnswer(answer.Status, answer.Header)
 	x.observeHead(a, answer, head)
-	x.applySignals(a, head)
-	runner := a.choice.Runner.ID
-	if head.NotRun {
-		return &RejectedError{Runner: runner, Status: answer.Status, Replaced: head.Misdirected}
-	}
-	if head.ID != "" && head.ID != x.call.ID {
+	runner := a.choice.Runner
+	switch a.head.owner {
+	case ownerOther:
 		return &upstream.InvalidAnswerError{
-			Address: a.choice.Runner.Address, Cause: &MismatchedAnswerError{Want: x.call.ID, Got: head.ID},
+			Address: runner.Address, Cause: &MismatchedAnswerError{Want: x.call.ID, Got: head.ID},
 		}
+	case ownerNone:
+		return &upstream.InvalidAnswerError{Address: runner.Address, Cause: &UnsignedError{Runner: runner.ID}}
+	}
+	x.applySignals(a, head)
+	if head.NotRun {
+		return &RejectedError{Runner: runner.ID, Status: answer.Status, Replaced: head.Misdirected}
 	}
-	if !head.Signed || head.ID == "" {
-		return &upstream.InvalidAnswerError{Address: a.choice.Runner.Address, Cause: &UnsignedError{Runner: runner}}
+	if !head.Signed {
+		return &upstream.InvalidAnswerError{Address: runner.Address, Cause: &UnsignedError{Runner: runner.ID}}
 	}
 	x.countUsage()
 	return nil
@@ -155,10 +159,10 @@
 	}
 }
 
-// observeLimit records what a response says of its runner's limit. One to an earlier request, or
-// of another runner, says nothing of what this runner takes now.
+// observeLimit records what a response says of its runner's limit. One of another runner says
+// nothing of what this runner takes.
 func (x *exchange) observeLimit(a *attempt, head call.AnswerMetadata) {
-	if head.Misdirected || head.ID != "" && head.ID != x.call.ID {
+	if head.Misdirected {
 		return
 	}
 	if head.Limit.IsInvalid {
