Skip an answer to another request and read the one behind it

What callers saw: 502 for requests that may not run twice, although their runner ran and answered them: 'got the response to request ... for request ...'. Cause: a runner writes an answer to an earlier request once more, and it arrives where the next one is awaited. The attempt ended there with an unknown end. While the request waits, its deadline and the limit on silent attempts hold as before.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -119,34 +119,6 @@
 	})
 }
 
-// checkAnswerHead checks the status and the header of a response. It returns nil
-// if the response may be forwarded to the caller. Only a response that names the request
-// says anything about it: others may be left over from an earlier request.
-func (x *exchange) checkAnswerHead(a *attempt, answer *upstream.Answer) error {
-	a.headReceived = true
-	x.recordData(a, x.Clock.Now())
-	head := x.Codec.DecodeAnswer(answer.Status, answer.Header)
-	x.observeHead(a, answer, head)
-	runner := a.choice.Runner
-	switch a.head.owner {
-	case ownerOther:
-		return &upstream.InvalidAnswerError{
-			Address: runner.Address, Cause: &MismatchedAnswerError{Want: x.call.ID, Got: head.ID},
-		}
-	case ownerNone:
-		return &upstream.InvalidAnswerError{Address: runner.Address, Cause: &UnsignedError{Runner: runner.ID}}
-	}
-	x.applySignals(a, head)
-	if head.NotRun {
-		return &RejectedError{Runner: runner.ID, Status: answer.Status, Replaced: head.Misdirected}
-	}
-	if !head.Signed {
-		return &upstream.InvalidAnswerError{Address: runner.Address, Cause: &UnsignedError{Runner: runner.ID}}
-	}
-	x.countUsage()
-	return nil
-}
-
 // applySignals applies what the head of a response says of its runner.
 func (x *exchange) applySignals(a *attempt, head call.AnswerMetadata) {
 	runner := a.choice.Runner
--- a/gateway/opening.go
+++ b/gateway/opening.go
@@ -45,14 +45,10 @@
 // open makes an attempt until its runner has accepted the request or the attempt has
 // failed.
 func (x *exchange) open(a *attempt) (opening, error) {
-	answer, err := x.send(a)
+	answer, err := x.receive(a)
 	if err != nil {
 		return opening{}, err
 	}
-	if err := x.checkAnswerHead(a, answer); err != nil {
-		x.discard(answer, err)
-		return opening{}, err
-	}
 	if x.route.Kind == catalog.Stream && answer.Status == http.StatusOK {
 		return x.openStream(a, answer)
 	}
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -20,6 +20,8 @@
 	idleSince time.Time
 	// use is the current exchange, or the last one.
 	use use
+	// hasCarriedHead is true once a HEAD request was sent, whose answer has no body.
+	hasCarriedHead bool
 	// onRead is called after each read of the current exchange that returned
 	// bytes. It may be nil.
 	onRead func()
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -52,6 +52,8 @@
 	written chan error
 	// readToEnd is true once the body has been read to its end.
 	readToEnd bool
+	// hasSkipped is true once an answer to another request was skipped.
+	hasSkipped bool
 	// account counts the buffer for the body.
 	account *buffer.Account
 	// holdsBody is true from the return of the body by ReadAll to Release.
@@ -102,6 +104,7 @@
 func (p *Pool) exchange(c *connection, request Request) (*Answer, error) {
 	c.beginUse(p.common.Clock.Now())
 	c.onRead = request.OnRead
+	c.hasCarriedHead = c.hasCarriedHead || request.Method == http.MethodHead
 	written, err := c.write(encode(request), request.OnWritten)
 	if err != nil {
 		return nil, err
@@ -200,7 +203,7 @@
 // release returns the connection to the pool if it can carry another request, and closes
 // it otherwise.
 func (a *Answer) release(valid bool) {
-	if !valid || !a.readToEnd || a.response.Close || !a.isWritten() || a.connection.reader.Buffered() > 0 {
+	if !valid || !a.readToEnd || a.hasSkipped || a.response.Close || !a.isWritten() || a.connection.reader.Buffered() > 0 {
 		a.pool.drop(a.connection)
 		return
 	}
