Let a status that promises "not run" speak for all attempts

After an attempt that may have been written, a request that ends with NoBackendError, OverloadError or RetriesExhaustedError gets 502 in place of 503 or 429, with the same Retry-After. The state machine says whether an attempt may have been written, also of one that was open when the request was given up.

Weighed: 504, which says that a time has passed; leaving the status and relying on the header of the outcome, which clients and proxies of others don't read.

--- a/dispatch/inflight.go
+++ b/dispatch/inflight.go
@@ -274,7 +274,7 @@
 // giveUp ends the request with the problem.
 func (f *inFlightRequest) giveUp(problem error) Result {
 	_ = f.apply(request.GivenUp)
-	status, retryable := statusOf(problem)
+	status, retryable := statusOf(problem, f.machine.IsMaybeWritten())
 	result := Result{
 		Outcome: f.machine.Outcome(), Status: status, Problem: problem,
 		HeadWritten: f.headWritten, Backend: f.target.Name,
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -34,9 +34,21 @@
 	Relayed bool
 }
 
-// statusOf returns the HTTP status for a problem, and whether a later retry can
-// help.
-func statusOf(problem error) (int, bool) {
+// statusOf returns the HTTP status for the problem of a request, and whether a later
+// retry can help. A problem after an attempt that may have been written gets no status
+// that callers take for "not run".
+func statusOf(problem error, isMaybeWritten bool) (status int, retryable bool) {
+	status, retryable = problemStatus(problem)
+	isPromise := status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+	if isMaybeWritten && isPromise {
+		return http.StatusBadGateway, retryable
+	}
+	return status, retryable
+}
+
+// problemStatus returns the HTTP status for a problem of a request that was not written,
+// and whether a later retry can help.
+func problemStatus(problem error) (int, bool) {
 	var (
 		overload *OverloadError
 		suspect  *SuspectError
--- a/request/machine.go
+++ b/request/machine.go
@@ -96,7 +96,8 @@
 	// open is true from the start of the latest attempt until an event ends it.
 	// An open attempt counts as written.
 	open bool
-	// written is true when an attempt that has ended may have written a byte.
+	// written is true when an attempt may have written a byte and has ended, or was open
+	// when the request was given up.
 	written bool
 	// suspended is true while a suspended run can be continued.
 	suspended bool
@@ -136,10 +137,13 @@
 	return m.claimWon && m.state == Ended && m.outcome == NotRun
 }
 
+// IsMaybeWritten reports whether an attempt may have written a byte to a backend server.
+func (m Machine) IsMaybeWritten() bool { return m.written || m.open }
+
 // provenNotRun reports whether it is certain that no daemon has written the
 // request to a backend server.
 func (m Machine) provenNotRun() bool {
-	return !m.written && !m.open && (!m.keyed || m.claimWon)
+	return !m.IsMaybeWritten() && (!m.keyed || m.claimWon)
 }
 
 // Apply returns the machine after an event. If the event is not valid in the
@@ -230,10 +234,12 @@
 }
 
 func (m Machine) giveUp() Machine {
+	outcome := Unknown
 	if m.provenNotRun() {
-		return m.end(NotRun)
+		outcome = NotRun
 	}
-	return m.end(Unknown)
+	m.written = m.IsMaybeWritten()
+	return m.end(outcome)
 }
 
 func (m Machine) end(outcome Outcome) Machine {
