Test answers that break off in their heads

A report of another operator: a runner stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole. The stand-in can send raw responses.

--- /dev/null
+++ b/gateway/rawrig_test.go
@@ -0,0 +1,90 @@
+package gateway_test
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cranberrywalk/cranberrywalk/platform/standin"
+)
+
+// requestsPerRig bounds the requests to one rig, so that its retry budget lasts.
+const requestsPerRig = 8
+
+// attemptScript lets each attempt of a request behave in another way, at whichever runner.
+type attemptScript struct {
+	// attempts are the behaviours of the attempts by the target of the request; those of
+	// further attempts are that of the last one.
+	attempts map[string][]standin.Behaviour
+
+	mutex sync.Mutex
+	// made counts the attempts by target.
+	made map[string]int
+}
+
+func (s *attemptScript) behaviour(request standin.ReceivedRequest) standin.Behaviour {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	attempts := s.attempts[request.Target]
+	number := s.made[request.Target]
+	s.made[request.Target]++
+	return attempts[min(number, len(attempts)-1)]
+}
+
+// attemptsOf returns the number of attempts of the request with a target.
+func (s *attemptScript) attemptsOf(target string) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.made[target]
+}
+
+// rawBehaviours returns behaviours that send raw responses.
+func rawBehaviours(contents []string, end standin.RawEnd) []standin.Behaviour {
+	var behaviours []standin.Behaviour
+	for _, content := range contents {
+		behaviours = append(behaviours, standin.Behaviour{Raw: standin.Raw{Content: content, End: end}})
+	}
+	return behaviours
+}
+
+// sendRaws sends a request for each behaviour of a first attempt, whose further attempts meet a
+// sound runner, and returns what the callers got. A request that may not be repeated must have
+// one attempt.
+func sendRaws(t *testing.T, path string, firsts []standin.Behaviour, sound standin.Behaviour, changes ...change) []reply {
+	var scripts [][]standin.Behaviour
+	for _, first := range firsts {
+		scripts = append(scripts, []standin.Behaviour{first, sound})
+	}
+	return sendScripts(t, path, scripts, 2, changes...)
+}
+
+// sendScripts sends a request for each list of behaviours of its attempts, of which the routes
+// allow maxAttempts.
+func sendScripts(t *testing.T, path string, scripts [][]standin.Behaviour, maxAttempts int, changes ...change) []reply {
+	mayRepeat := strings.HasPrefix(path, "/again/") || strings.HasPrefix(path, "/resumable/")
+	var replies []reply
+	for batch := range slices.Chunk(scripts, requestsPerRig) {
+		script := &attemptScript{attempts: make(map[string][]standin.Behaviour), made: make(map[string]int)}
+		for i, attempts := range batch {
+			script.attempts[path+strconv.Itoa(i)] = attempts
+		}
+		r := newRig(t, script.behaviour, script.behaviour, script.behaviour)
+		changed := spec()
+		changed.Version = 2
+		for i := range changed.Routes {
+			changed.Routes[i].MaxAttempts = maxAttempts
+		}
+		r.set(changed)
+		for i := range batch {
+			target := path + strconv.Itoa(i)
+			replies = append(replies, r.send(target, changes...))
+			made := script.attemptsOf(target)
+			r.c.Assert(made == 1 || mayRepeat && made > 1, qt.IsTrue, qt.Commentf("%d attempts", made))
+		}
+	}
+	return replies
+}
