Refuse a head within which another answer begins

A runner whose head broke off within a line, and that answered once more at once on the same connection, gave its caller a 200 with the signature of the one answer and the body of the other, or with the whole text of the second head as its body; a stream that had begun went on with bytes of the error and ended as complete; the "not run" of an earlier request counted for this one.

Cause: the parser takes the reason phrase and the value of a field as they come, so that the status line of the second answer became a part of the first head. It also removes fields (Connection, Trailer), so that the result can't be checked afterwards.

Before: "HTTP/1.1 200 HTTP/1.1 500 Internal Server Error\r\nX-Attempt-Id: ...\r\n\r\nerror" reached the caller of /once/ as 200 map[Content-Length:[5] X-Response-Signature:[i-raw.signed]] "error" "HTTP/1.1 200 HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n...whole answer" passed as 200 map[] "HTTP/1.1 200 OK\r\n...whole answer"

A head is now buffered whole before it is parsed, and refused if a line holds the begin of another answer. Heads that are longer than the read buffer let it grow, up to the limit on heads. TestLongHeadIsReadWhole guards the longer buffer.

--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -103,3 +103,15 @@
 func (e *ProtocolError) Error() string {
 	return fmt.Sprintf("what begins with %q is no HTTP answer", e.Begin)
 }
+
+// SecondHeadError means that a head has broken off within a line, and that another answer begins
+// there.
+type SecondHeadError struct {
+	// Line is the line that contains the status line of the other answer.
+	Line string
+}
+
+// Error implements error.
+func (e *SecondHeadError) Error() string {
+	return fmt.Sprintf("another answer begins within the line %q of the head", e.Line)
+}
--- /dev/null
+++ b/upstream/headcheck.go
@@ -0,0 +1,47 @@
+package upstream
+
+import "bytes"
+
+// checkHead fails if a head is none that a sound runner sends, although it has an end.
+func checkHead(head []byte) error {
+	// The status line of the answer itself begins at the first byte.
+	rest := head[1:]
+	for line := range bytes.Lines(rest) {
+		if containsStatusLine(line) {
+			return &SecondHeadError{Line: string(bytes.TrimSpace(line))}
+		}
+	}
+	return nil
+}
+
+// containsStatusLine reports whether another answer begins within a line. A head that breaks off
+// within a line swallows the status line of an answer that follows at once.
+func containsStatusLine(line []byte) bool {
+	for {
+		_, rest, found := bytes.Cut(line, []byte(protocolName))
+		if !found {
+			return false
+		}
+		if isVersionAndStatus(rest) {
+			return true
+		}
+		line = rest
+	}
+}
+
+// isVersionAndStatus reports whether bytes begin with what follows protocolName in a status
+// line: the minor version, a space, and a status of three digits.
+func isVersionAndStatus(content []byte) bool {
+	const pattern = "0 000"
+	if len(content) <= len(pattern) {
+		return false
+	}
+	for i := range len(pattern) {
+		if pattern[i] == '0' && !isDigit(content[i]) || pattern[i] != '0' && content[i] != pattern[i] {
+			return false
+		}
+	}
+	return bytes.IndexByte([]byte(" \r\n"), content[len(pattern)]) >= 0
+}
+
+func isDigit(b byte) bool { return '0' <= b && b <= '9' }
--- a/upstream/header.go
+++ b/upstream/header.go
@@ -1,9 +1,6 @@
 package upstream
 
 import (
-	"bytes"
-	"errors"
-	"io"
 	"net/http"
 	"time"
 )
@@ -37,52 +34,33 @@
 // readOneHeader reads the header of an interim or final answer. It waits without a limit
 // for the first byte, since the runner may be working on the request.
 func (p *Pool) readOneHeader(c *connection, method string) (*http.Response, error) {
-	if _, err := c.peek(1); err != nil {
-		return nil, err
-	}
-	if c.isHeaderBuffered() {
-		return c.parseHeader(method)
-	}
-	timer := p.common.Clock.AfterFunc(maxHeaderTime, func() { _ = c.raw.Close() })
-	response, err := c.parseHeader(method)
-	if !timer.Stop() {
-		return nil, &HeaderTimeoutError{Timeout: maxHeaderTime}
-	}
-	return response, err
-}
-
-// isHeaderBuffered reports whether a whole header has arrived. Most headers arrive at once
-// and need no timer, which would take processor time for each answer.
-func (c *connection) isHeaderBuffered() bool {
-	// Bytes that are buffered can be peeked at without an error.
-	buffered, _ := c.reader.Peek(c.reader.Buffered())
-	return bytes.Contains(buffered, []byte("\r\n\r\n"))
-}
-
-// parseHeader fails as soon as a byte can't belong to an answer.
-func (c *connection) parseHeader(method string) (*http.Response, error) {
-	for length := 1; length <= len(protocolName); length++ {
-		begin, err := c.peek(length)
-		if err != nil {
+	if c.reader.Buffered() == 0 {
+		if err := c.bufferMore(); err != nil {
 			return nil, err
 		}
-		if begin[length-1] != protocolName[length-1] {
-			return nil, &ProtocolError{Begin: string(begin)}
-		}
 	}
-	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-	if err != nil && c.headerBytesLeft == 0 {
-		// The parser takes the line that the limit has cut for a malformed one.
-		return nil, &HeaderTooLargeError{}
+	head, err := p.awaitHead(c)
+	if err != nil {
+		return nil, err
+	}
+	// The parser takes a line that breaks off for a whole one, and removes fields.
+	if err := checkHead(head); err != nil {
+		return nil, err
 	}
-	return response, err
+	return http.ReadResponse(c.reader, &http.Request{Method: method})
 }
 
-// peek returns the next bytes without reading them.
-func (c *connection) peek(length int) ([]byte, error) {
-	begin, err := c.reader.Peek(length)
-	if errors.Is(err, io.EOF) {
-		err = io.ErrUnexpectedEOF
+// awaitHead returns the next head, which has begun, without reading it. Most heads arrive at
+// once and need no timer, which would take processor time for each answer.
+func (p *Pool) awaitHead(c *connection) ([]byte, error) {
+	head, err := c.bufferedHead()
+	if err != nil || len(head) > 0 {
+		return head, err
+	}
+	timer := p.common.Clock.AfterFunc(maxHeaderTime, func() { _ = c.raw.Close() })
+	head, err = c.awaitHead()
+	if !timer.Stop() {
+		return nil, &HeaderTimeoutError{Timeout: maxHeaderTime}
 	}
-	return begin, err
+	return head, err
 }
--- a/upstream/secondhead_internal_test.go
+++ b/upstream/secondhead_internal_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -55,3 +57,21 @@
 		c.Check(got.body, qt.Equals, "ok")
 	}
 }
+
+// TestLongHeadIsReadWhole guards against heads that are longer than the read buffer and are cut,
+// and against bytes of the body that are lost when it grows.
+func TestLongHeadIsReadWhole(t *testing.T) {
+	c := qt.New(t)
+	note := strings.Repeat("x", 20<<10)
+	body := strings.Repeat("answer", 10<<10)
+	content := "HTTP/1.1 200 OK\r\nX-Note: " + note + "\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+	for _, step := range []int{0, 1, readBufferBytes - 1, readBufferBytes, readBufferBytes + 1} {
+		got, err := fetch(http.MethodGet, &sentConn{content: content, step: step})
+		c.Assert(err, qt.IsNil)
+		c.Check(got.header.Get("X-Note") == note, qt.IsTrue)
+		c.Check(got.body == body, qt.IsTrue)
+	}
+	for _, length := range []int{readBufferBytes - 1, readBufferBytes, readBufferBytes + 1, 20 << 10} {
+		c.Check(checkInvalid(c, http.MethodGet, &sentConn{content: content[:length]}), qt.IsTrue)
+	}
+}
