Refuse a head with white space in the name of a field

An answer whose length or coding had a space before the colon ("Content-Length : 6") counted as one without a length, which ends with its connection: cut by an orderly end, it reached its caller as whole, with a short body. A chunked body reached it with the chunks' sizes.

Cause: the parser keeps such a name as it is, and finds no Content-Length.

Such a head is refused now. Values that go on in a further line, with a colon in it, are sound.

--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -115,3 +115,12 @@
 func (e *SecondHeadError) Error() string {
 	return fmt.Sprintf("another answer begins within the line %q of the head", e.Line)
 }
+
+// FieldNameError means that the name of a field in a head contains white space, so that a field
+// that frames the body may be damaged.
+type FieldNameError struct{ Name string }
+
+// Error implements error.
+func (e *FieldNameError) Error() string {
+	return fmt.Sprintf("the head of the answer has a field with the name %q", e.Name)
+}
--- a/upstream/framing_internal_test.go
+++ b/upstream/framing_internal_test.go
@@ -61,7 +61,7 @@
 // TestRepeatedLengthIsSound guards against sound answers that count as damaged.
 func TestRepeatedLengthIsSound(t *testing.T) {
 	c := qt.New(t)
-	for _, fields := range []string{"Content-Length: 6\r\nContent-Length: 6\r\n", "content-length:6\r\n", "Content-Length: \t6 \r\n"} {
+	for _, fields := range []string{"Content-Length: 6\r\nContent-Length: 6\r\n", "content-length:6\r\n", "Content-Length: \t6 \r\n", "X-Note: a\r\n b: c\r\nContent-Length: 6\r\n"} {
 		got, err := fetch(http.MethodGet, &sentConn{content: "HTTP/1.1 200 OK\r\n" + fields + "\r\nanswer"})
 		c.Check(err, qt.IsNil, qt.Commentf("%q", fields))
 		c.Check(got.body, qt.Equals, "answer")
--- a/upstream/headcheck.go
+++ b/upstream/headcheck.go
@@ -4,16 +4,34 @@
 
 // checkHead fails if a head is none that a sound runner sends, although it has an end.
 func checkHead(head []byte) error {
+	statusLine, fields, _ := bytes.Cut(head, []byte("\n"))
 	// The status line of the answer itself begins at the first byte.
-	rest := head[1:]
-	for line := range bytes.Lines(rest) {
-		if containsStatusLine(line) {
-			return &SecondHeadError{Line: string(bytes.TrimSpace(line))}
+	if containsStatusLine(statusLine[1:]) {
+		return &SecondHeadError{Line: string(statusLine)}
+	}
+	for line := range bytes.Lines(fields) {
+		if err := checkField(line); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+// checkField checks a line after the status line.
+func checkField(line []byte) error {
+	if containsStatusLine(line) {
+		return &SecondHeadError{Line: string(line)}
+	}
+	name, _, found := bytes.Cut(line, []byte(":"))
+	if found && !isContinuation(line) && bytes.ContainsAny(name, " \t") {
+		return &FieldNameError{Name: string(name)}
+	}
+	return nil
+}
+
+// isContinuation reports whether a line goes on with the field before.
+func isContinuation(line []byte) bool { return line[0] == ' ' || line[0] == '\t' }
+
 // containsStatusLine reports whether another answer begins within a line. A head that breaks off
 // within a line swallows the status line of an answer that follows at once.
 func containsStatusLine(line []byte) bool {
@@ -33,7 +51,7 @@
 // line: the minor version, a space, and a status of three digits.
 func isVersionAndStatus(content []byte) bool {
 	const pattern = "0 000"
-	if len(content) <= len(pattern) {
+	if len(content) < len(pattern) {
 		return false
 	}
 	for i := range len(pattern) {
@@ -41,7 +59,7 @@
 			return false
 		}
 	}
-	return bytes.IndexByte([]byte(" \r\n"), content[len(pattern)]) >= 0
+	return len(content) == len(pattern) || bytes.IndexByte([]byte(" \r\n"), content[len(pattern)]) >= 0
 }
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
