Refuse an answer with a status below 100

An answer with a damaged status ("HTTP/1.1 +20 OK", "HTTP/1.1 099 OK") counted as an interim one: the request waited for another answer, until its deadline, or took what came next.

Cause: the parser accepts any three bytes that are a number, and each status below 200 was skipped.

Before: TestDamagedStatusLineIsInvalid "HTTP/1.1 099 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n...whole answer" passed as 200 map[Content-Length:[12] ...] "whole answer", error <nil>

--- a/upstream/header.go
+++ b/upstream/header.go
@@ -47,7 +47,11 @@
 	if err := checkHead(head); err != nil {
 		return nil, err
 	}
-	return http.ReadResponse(c.reader, &http.Request{Method: method})
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err == nil && response.StatusCode < http.StatusContinue {
+		return nil, &ProtocolError{Begin: response.Proto + " " + response.Status}
+	}
+	return response, err
 }
 
 // awaitHead returns the next head, which has begun, without reading it. Most heads arrive at
