Refuse an HTTP/1.0 answer with a transfer coding

Its body reached the caller with the sizes of its chunks, as a whole one that ends with its connection, also when the last chunk was missing.

Cause: the parser ignores and removes the field in HTTP/1.0 answers, and the answer counts as one without a length. RFC 9112 (6.1) calls its framing faulty.

Before: TestChunksOfOldProtocolAreInvalid "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nansw\r\n..." passed as 200 map[] "4\r\nansw\r\n2;x=1\r\ner\r\n0\r\n\r\n", error <nil>

HTTP/1.0 answers with a length, or without one and without a coding, are taken as before.

--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -124,3 +124,10 @@
 func (e *FieldNameError) Error() string {
 	return fmt.Sprintf("the head of the answer has a field with the name %q", e.Name)
 }
+
+// TransferCodingError means that an answer of HTTP/1.0 has a transfer coding, which that
+// protocol does not know.
+type TransferCodingError struct{}
+
+// Error implements error.
+func (*TransferCodingError) Error() string { return "an HTTP/1.0 answer has a transfer coding" }
--- a/upstream/headcheck.go
+++ b/upstream/headcheck.go
@@ -9,14 +9,28 @@
 	if containsStatusLine(statusLine[1:]) {
 		return &SecondHeadError{Line: string(statusLine)}
 	}
+	mayBeCoded := !bytes.HasPrefix(head, []byte(oldProtocol))
 	for line := range bytes.Lines(fields) {
 		if err := checkField(line); err != nil {
 			return err
 		}
+		if !mayBeCoded && isTransferCoding(line) {
+			return &TransferCodingError{}
+		}
 	}
 	return nil
 }
 
+// oldProtocol has no transfer codings. The parser ignores the field there, so that the body
+// would be taken as it is sent.
+const oldProtocol = "HTTP/1.0"
+
+// isTransferCoding reports whether a line is the field with the transfer coding.
+func isTransferCoding(line []byte) bool {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	return bytes.EqualFold(name, []byte("Transfer-Encoding"))
+}
+
 // checkField checks a line after the status line.
 func checkField(line []byte) error {
 	if containsStatusLine(line) {
