Take no unframed success without a body for whole

A runner that crashed after its head, and before the first byte of a body without a length, gave its caller a signed 200 with Content-Length 0. Requests that may be repeated were not sent to another runner, and the crash was not counted.

Cause: an orderly end of the connection ends an unframed body at any place. Streams without an event were broken off already; other answers were not.

Such a success counts as broken off, and as a crash, like a stream without an event: a sound runner that sends no body says so by a length of zero. Answers without content (204, 205, 304, HEAD) stay whole, and so do errors and redirections, whose status tells what the caller must know. TestBodyIsReadCompletelyUpToItsLimit took an unframed 200 of 0 bytes for whole; it now checks the end of each framing, and wants this one to fail.

--- a/upstream/body.go
+++ b/upstream/body.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net/http"
 )
 
 // minBodyBuffer is the initial capacity of the buffer for a body, in bytes.
@@ -53,7 +54,7 @@
 		count, err := a.Read(body[len(body):cap(body)])
 		body = body[:len(body)+count]
 		if errors.Is(err, io.EOF) {
-			return body, nil
+			return body, a.checkEnd(len(body))
 		}
 		if err != nil {
 			return nil, err
@@ -61,6 +62,18 @@
 	}
 }
 
+// checkEnd fails if a body that has ended is not whole. The end of the connection before the
+// first byte of an unframed body is that of a runner that has crashed: a sound one that sends no
+// body says so by a length. An error has its status to tell, with or without a body.
+func (a *Answer) checkEnd(length int) error {
+	isSuccess := a.Status < http.StatusMultipleChoices
+	hasContent := a.Status != http.StatusResetContent
+	if length == 0 && isSuccess && hasContent && !a.IsDelimited() {
+		return io.ErrUnexpectedEOF
+	}
+	return nil
+}
+
 // grow returns the body in a buffer with more room. One byte more than the body needs shows
 // its end, or that it is too large.
 func (a *Answer) grow(body []byte) ([]byte, error) {
--- a/upstream/body_test.go
+++ b/upstream/body_test.go
@@ -20,9 +20,9 @@
 	const limit = 40 << 10
 	for _, size := range []int{0, 1, 4<<10 - 1, 4 << 10, 4<<10 + 1, limit - 1, limit, limit + 1, 2 * limit} {
 		body := strings.Repeat("x", size)
-		for _, answer := range []string{
-			"HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(size) + "\r\n\r\n" + body,
-			"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body,
+		for framing, answer := range map[string]string{
+			"length":   "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(size) + "\r\n\r\n" + body,
+			"unframed": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body,
 		} {
 			options := upstream.DefaultOptions()
 			options.MaxBodyBytes = limit
@@ -38,6 +38,8 @@
 			got.Release()
 			var tooLarge *upstream.AnswerTooLargeError
 			r.c.Check(errors.As(err, &tooLarge), qt.Equals, size > limit, qt.Commentf("%d bytes: %v", size, err))
+			hasBegun := size > 0 || framing == "length"
+			r.c.Check(err == nil, qt.Equals, hasBegun && size <= limit, qt.Commentf("%s, %d bytes: %v", framing, size, err))
 			r.c.Check(size > limit || string(read) == body, qt.IsTrue, qt.Commentf("%d bytes", size))
 			r.c.Check(options.Budget.HeldBytes(), qt.Equals, 0)
 		}
--- a/upstream/brokenhead_internal_test.go
+++ b/upstream/brokenhead_internal_test.go
@@ -166,11 +166,12 @@
 	}
 }
 
-// TestUnframedErrorWithoutBodyIsWhole guards against errors of runners that are replaced since
-// they have neither a length nor a body: their status says what the caller must know.
-func TestUnframedErrorWithoutBodyIsWhole(t *testing.T) {
+// TestOtherUnframedAnswerWithoutBodyIsWhole guards against errors of runners, and answers that
+// have no content, that are replaced since they have neither a length nor a body: their status
+// says what the caller must know.
+func TestOtherUnframedAnswerWithoutBodyIsWhole(t *testing.T) {
 	c := qt.New(t)
-	for _, line := range []string{"HTTP/1.1 303 See Other", "HTTP/1.1 404 Not Found", "HTTP/1.1 500 Internal Server Error", "HTTP/1.1 503 Service Unavailable"} {
+	for _, line := range []string{"HTTP/1.1 205 Reset Content", "HTTP/1.1 303 See Other", "HTTP/1.1 404 Not Found", "HTTP/1.1 500 Internal Server Error", "HTTP/1.1 503 Service Unavailable"} {
 		got, err := fetch(http.MethodPost, &sentConn{content: line + "\r\n" + identity + "\r\n"})
 		c.Check(err, qt.IsNil, qt.Commentf("%s", line))
 		c.Check(got.body, qt.Equals, "")
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -177,7 +177,7 @@
 }
 
 // Read reads the body. A body without a length ends when the runner closes the
-// connection in an orderly way.
+// connection in an orderly way, which it may have done before the body began.
 func (a *Answer) Read(buffer []byte) (int, error) {
 	count, err := a.response.Body.Read(buffer)
 	if errors.Is(err, io.EOF) {
