--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -103,3 +103,31 @@
 func (e *ProtocolError) Error() string {
 	return fmt.Sprintf("what begins with %q is no HTTP answer", e.Begin)
 }
+
+// SecondHeadError means that a head has broken off within a line, and that another answer begins
+// there.
+type SecondHeadError struct {
+	// Line is the line that contains the status line of the other answer.
+	Line string
+}
+
+// Error implements error.
+func (e *SecondHeadError) Error() string {
+	return fmt.Sprintf("another answer begins within the line %q of the head", e.Line)
+}
+
+// FieldNameError means that the name of a field in a head contains white space, so that a field
+// that frames the body may be damaged.
+type FieldNameError struct{ Name string }
+
+// Error implements error.
+func (e *FieldNameError) Error() string {
+	return fmt.Sprintf("the head of the answer has a field with the name %q", e.Name)
+}
+
+// TransferCodingError means that an answer of HTTP/1.0 has a transfer coding, which that
+// protocol does not know.
+type TransferCodingError struct{}
+
+// Error implements error.
+func (*TransferCodingError) Error() string { return "an HTTP/1.0 answer has a transfer coding" }
