Forward no line that a stream can't have

Callers saw: the text or the head of an error answer, or an HTML page, between or inside the events of a stream, with the status 200 of the first runner; at its end the stream looked complete. Cause: the reader of events looked only for data, IDs and empty lines. All other lines were forwarded with the next event, or with the end of the stream.

A line is now empty, a comment, or a field, whose name consists of the characters of a token (RFC 9110). With any other line the attempt fails with an *InvalidLineError before a byte of its event is forwarded, so that a resumable stream goes on at another runner and another one is cut. The standard for streams takes any other characters in names, too; no runner of the platform uses such names, and each status line, JSON and HTML has some. Unknown fields are forwarded unchanged as before.

--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -92,6 +92,17 @@
 	return "the version " + e.Version + " of the stream could not be recorded in time"
 }
 
+// InvalidLineError reports a line in a stream that is neither empty nor a comment nor a field.
+type InvalidLineError struct {
+	// Begin holds the first bytes of the line.
+	Begin string
+}
+
+// Error implements error.
+func (e *InvalidLineError) Error() string {
+	return fmt.Sprintf("what begins with %q is no line of a stream", e.Begin)
+}
+
 // EventTooLargeError reports that an event of a stream exceeds the size limit.
 type EventTooLargeError struct{ Bytes int }
 
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -59,8 +59,8 @@
 // next returns the next complete event. Bytes without an event, such as comments, are no
 // event of their own, since they are no sign that the runner works on the request; they are
 // returned with the event that follows, or with the end of the stream. next fails with
-// io.EOF when the stream ends between two events, and with io.ErrUnexpectedEOF when it ends
-// within one.
+// io.EOF when the stream ends between two events, with io.ErrUnexpectedEOF when it ends within
+// one, and with an *InvalidLineError when bytes are no part of a stream.
 func (r *eventReader) next() (event, error) {
 	var p eventParser
 	for {
@@ -79,8 +79,8 @@
 		case err != nil:
 			return event{}, err
 		}
-		if p.endLine() {
-			return p.event, nil
+		if isComplete, failure := p.endLine(); failure != nil || isComplete {
+			return p.event, failure
 		}
 	}
 }
@@ -108,27 +108,24 @@
 	p.content = append(p.content, part...)
 }
 
-// isField reports whether a line begins with a field of that name.
-func isField(line []byte, name string) bool {
-	rest, found := bytes.CutPrefix(line, []byte(name))
-	return found && len(rest) > 0 && bytes.IndexByte([]byte(":\r\n"), rest[0]) >= 0
-}
-
 // endLine evaluates the current line, which is complete. It returns true when the line ends
-// the event.
-func (p *eventParser) endLine() bool {
-	line := p.content[p.lineStart:]
+// the event. It fails if the line can't belong to a stream.
+func (p *eventParser) endLine() (isComplete bool, err error) {
+	line := bytes.TrimRight(p.content[p.lineStart:], "\r\n")
 	p.lineStart = len(p.content)
-	p.isOpen = len(bytes.TrimRight(line, "\r\n")) > 0
+	p.isOpen = len(line) > 0
 	if !p.isOpen {
-		return p.hasData
+		return p.hasData, nil
+	}
+	if err := checkLine(line); err != nil {
+		return false, err
 	}
 	if value, found := bytes.CutPrefix(line, []byte("id:")); found {
 		if id, err := strconv.Atoi(string(bytes.TrimSpace(value))); err == nil {
 			p.id, p.hasID = id, true
 		}
 	}
-	return false
+	return false, nil
 }
 
 // isBetweenEvents reports whether the content holds no part of an event and ends with an
