Take no answer of another media type for a stream

Callers saw: a stream that had broken off ended as if it were complete, since the next runner answered 200 with an empty body of application/json, or of no type, or with JSON. Cause: each answer with status 200 on a route for streams was read as a stream of events; its Content-Type was not looked at.

An answer with status 200 now fails its attempt with a *NotAStreamError if it names another type than text/event-stream, at each attempt: the platform's streams have this type, and an answer of another type does not end one. If it names no type, it counts as a stream only while the response that it continues named none either. (An empty answer of a stream's type at a caller that resumes can't be told from one whose last event was already sent; it is forwarded as before.)

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -30,11 +30,15 @@
 	newConnection bool
 	// lastEvent is the ID of the event after which a stream begins.
 	lastEvent int
+	// continuesTyped is true if the response that the attempt continues named its media type.
+	continuesTyped bool
 	// ctx ends when cancel is called, and with the context of the request.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	// headReceived is true when the runner has sent the head of a response.
 	headReceived bool
+	// isTyped is true if the response is a stream that names its media type.
+	isTyped bool
 
 	// onWritten is called when the request was written. It may be nil.
 	onWritten func()
@@ -67,7 +71,7 @@
 func (x *exchange) newAttempt(choice balance.Choice, ticket *balance.Ticket, resumed *call.StoppedRun) *attempt {
 	x.attempts++
 	a := &attempt{
-		number: x.attempts, choice: choice, ticket: ticket, resumed: resumed, lastEvent: x.lastEvent,
+		number: x.attempts, choice: choice, ticket: ticket, resumed: resumed, lastEvent: x.lastEvent, continuesTyped: x.isTyped,
 		incarnation: choice.Runner.Incarnation().Hash(), sentAt: x.Clock.Now(),
 	}
 	a.ctx, a.cancel = context.WithCancelCause(x.ctx)
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -76,6 +76,18 @@
 	return fmt.Sprintf("runner %s failed with status %d", e.Runner, e.Status)
 }
 
+// NotAStreamError reports that a runner sent something else than a stream with the status of one.
+type NotAStreamError struct {
+	Runner string
+	// MediaType is empty if the response names none.
+	MediaType string
+}
+
+// Error implements error.
+func (e *NotAStreamError) Error() string {
+	return fmt.Sprintf("runner %s sent %q in place of a stream", e.Runner, e.MediaType)
+}
+
 // EventOrderError reports that the ID of an event does not follow the previous one.
 type EventOrderError struct{ Want, Got int }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -77,6 +77,8 @@
 	// version is the software version of the runners that have sent the caller events, or empty
 	// before the first one. The stream goes on at no other.
 	version string
+	// isTyped is true if the caller has events of a stream whose response named its media type.
+	isTyped bool
 	// currentRunner is the runner that serves the stream, or empty between
 	// attempts.
 	currentRunner string
--- a/gateway/idle.go
+++ b/gateway/idle.go
@@ -120,6 +120,7 @@
 	x.releasePending()
 	x.recordProgress(w.attempt, now)
 	x.version = w.attempt.choice.Runner.Version
+	x.isTyped = x.isTyped || w.attempt.isTyped
 	if e.hasID {
 		x.lastEvent = e.id
 	}
--- a/gateway/opening.go
+++ b/gateway/opening.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/cranberrywalk/cranberrywalk/catalog"
 	"github.com/cranberrywalk/cranberrywalk/upstream"
@@ -82,8 +83,27 @@
 	return isRunnerFault(status) && x.route.Repeatable() || a.lastEvent > x.call.LastEvent
 }
 
+// eventStreamType is the media type of a stream of events.
+const eventStreamType = "text/event-stream"
+
+// checkMediaType rejects a response that says that it is no stream, or that does not say so as the
+// one does that it is to continue.
+func checkMediaType(a *attempt, header http.Header) error {
+	value, _, _ := strings.Cut(header.Get("Content-Type"), ";")
+	mediaType := strings.TrimSpace(value)
+	a.isTyped = strings.EqualFold(mediaType, eventStreamType)
+	if a.isTyped || mediaType == "" && !a.continuesTyped {
+		return nil
+	}
+	return &NotAStreamError{Runner: a.choice.Runner.ID, MediaType: mediaType}
+}
+
 // openStream reads the first event of a stream.
 func (x *exchange) openStream(a *attempt, answer *upstream.Answer) (opening, error) {
+	if err := checkMediaType(a, answer.Header); err != nil {
+		answer.Close(false)
+		return opening{}, err
+	}
 	o := opening{answer: answer, events: newEventReader(answer)}
 	o.first, o.end = o.events.next()
 	err := o.end
