Forward no event without a number

Callers saw: an event with an error's text in the middle of a stream, or the head of another answer inside an event, since a runner stopped within the line of the event's ID. Cause: the order of events was checked only for those whose ID is a number; an event without an ID, or with another text there, was forwarded wherever it came. It also could not be resumed after: the next runner would send it again, or not at all.

An event without a number now fails its attempt with a *MissingEventIDError before it is forwarded. The protocol gives all events of a stream increasing IDs, and a stream is resumed by them.

--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -96,6 +96,14 @@
 	return fmt.Sprintf("got event %d, want %d", e.Got, e.Want)
 }
 
+// MissingEventIDError reports that an event has no ID, or none that is a number.
+type MissingEventIDError struct{ Want int }
+
+// Error implements error.
+func (e *MissingEventIDError) Error() string {
+	return fmt.Sprintf("got an event without a number, want %d", e.Want)
+}
+
 // RecordTimeoutError reports that the store did not take the record of a stream's version in time.
 type RecordTimeoutError struct{ Version string }
 
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -12,7 +12,7 @@
 	// content is the event as received, with the empty line that ends it. Comments and
 	// other lines without an event that precede it are part of it.
 	content []byte
-	// id is the event's ID, if hasID.
+	// id is the event's ID, if hasID. Without a number, an event has none.
 	id    int
 	hasID bool
 	// isRest is true for lines without an event at the end of the stream.
@@ -121,9 +121,8 @@
 		return false, err
 	}
 	if value, found := bytes.CutPrefix(line, []byte("id:")); found {
-		if id, err := strconv.Atoi(string(bytes.TrimSpace(value))); err == nil {
-			p.id, p.hasID = id, true
-		}
+		id, err := strconv.Atoi(string(bytes.TrimSpace(value)))
+		p.id, p.hasID = id, err == nil
 	}
 	return false, nil
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -155,12 +155,18 @@
 	x.Meters.ObservePhase(x.route.Kind.String(), metric.FirstEvent, x.firstEvent)
 }
 
-// checkOrder rejects an event that does not follow the previous one.
+// checkOrder rejects an event that does not follow the previous one, or that does not say so.
 func checkOrder(e event, last int) error {
-	if e.hasID && e.id != last+1 {
+	switch {
+	case e.isRest:
+		return nil
+	case !e.hasID:
+		return &MissingEventIDError{Want: last + 1}
+	case e.id != last+1:
 		return &EventOrderError{Want: last + 1, Got: e.id}
+	default:
+		return nil
 	}
-	return nil
 }
 
 // writeHead writes the status and the header of the first runner's response, once.
