--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -30,6 +30,8 @@
 	newConnection bool
 	// lastEvent is the ID of the event after which a stream begins.
 	lastEvent int
+	// continuesTyped is true if the response that the attempt continues named its media type.
+	continuesTyped bool
 	// ctx ends when cancel is called, and with the context of the request.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -37,6 +39,8 @@
 	// the logs say of it.
 	headReceived bool
 	head         receivedHead
+	// isTyped is true if the response is a stream that names its media type.
+	isTyped bool
 
 	// onWritten is called when the request was written. It may be nil.
 	onWritten func()
@@ -69,13 +73,16 @@
 func (x *exchange) newAttempt(choice balance.Choice, ticket *balance.Ticket, resumed *call.StoppedRun) *attempt {
 	x.attempts++
 	a := &attempt{
-		number: x.attempts, choice: choice, ticket: ticket, resumed: resumed, lastEvent: x.lastEvent,
+		number: x.attempts, choice: choice, ticket: ticket, resumed: resumed, lastEvent: x.lastEvent, continuesTyped: x.isTyped,
 		incarnation: choice.Runner.Incarnation().Hash(), sentAt: x.Clock.Now(),
 	}
 	a.ctx, a.cancel = context.WithCancelCause(x.ctx)
 	return a
 }
 
+// isReplacement reports whether the attempt was made beside a silent one.
+func (a *attempt) isReplacement() bool { return a.opened != nil }
+
 // stopAcceptance stops the timer that accepts the attempt.
 func (a *attempt) stopAcceptance() {
 	if a.acceptance != nil {
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -76,6 +76,18 @@
 	return fmt.Sprintf("runner %s failed with status %d", e.Runner, e.Status)
 }
 
+// NotAStreamError reports that a runner sent something else than a stream with the status of one.
+type NotAStreamError struct {
+	Runner string
+	// MediaType is empty if the response names none.
+	MediaType string
+}
+
+// Error implements error.
+func (e *NotAStreamError) Error() string {
+	return fmt.Sprintf("runner %s sent %q in place of a stream", e.Runner, e.MediaType)
+}
+
 // EventOrderError reports that the ID of an event does not follow the previous one.
 type EventOrderError struct{ Want, Got int }
 
@@ -84,6 +96,14 @@
 	return fmt.Sprintf("got event %d, want %d", e.Got, e.Want)
 }
 
+// MissingEventIDError reports that an event has no ID, or none that is a number.
+type MissingEventIDError struct{ Want int }
+
+// Error implements error.
+func (e *MissingEventIDError) Error() string {
+	return fmt.Sprintf("got an event without a number, want %d", e.Want)
+}
+
 // RecordTimeoutError reports that the store did not take the record of a stream's version in time.
 type RecordTimeoutError struct{ Version string }
 
@@ -92,6 +112,17 @@
 	return "the version " + e.Version + " of the stream could not be recorded in time"
 }
 
+// InvalidLineError reports a line in a stream that is neither empty nor a comment nor a field.
+type InvalidLineError struct {
+	// Begin holds the first bytes of the line.
+	Begin string
+}
+
+// Error implements error.
+func (e *InvalidLineError) Error() string {
+	return fmt.Sprintf("what begins with %q is no line of a stream", e.Begin)
+}
+
 // EventTooLargeError reports that an event of a stream exceeds the size limit.
 type EventTooLargeError struct{ Bytes int }
 
--- a/gateway/receive.go
+++ b/gateway/receive.go
@@ -11,14 +11,15 @@
 const maxMismatchedResponses = 8
 
 // receive makes an attempt until the head of the response to the request has arrived. A runner
-// may write a response to an earlier request once more before it.
+// may write a response to an earlier request once more before it. A replacement does not wait for
+// the response behind such a one, since the runner that it replaces may yet go on.
 func (x *exchange) receive(a *attempt) (*upstream.Answer, error) {
 	answer, err := x.send(a)
 	if err != nil {
 		return nil, err
 	}
 	err = x.checkAnswerHead(a, answer)
-	for skipped := 0; isMismatched(err) && skipped < maxMismatchedResponses; skipped++ {
+	for skipped := 0; !a.isReplacement() && isMismatched(err) && skipped < maxMismatchedResponses; skipped++ {
 		if failure := answer.Next(); failure != nil {
 			answer.Close(false)
 			return nil, x.readFailure(a, failure)
