Take fields without an event for no whole stream

Callers saw: a stream that had broken off ended as if it were complete, with a word or a field of an error as its last line ("overloaded", "error: overloaded", "event: error"). Cause: a response without an event was a whole stream, as long as its lines were well formed.

Such a response is now a whole stream only if it is empty or holds comments. Fields without data or an ID are no event, so that they show no more than that their runner sent something else than events; the attempt fails with a *FieldsWithoutEventError. After an event of the same response, such fields are forwarded as before, as are those before an event.

--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -135,6 +135,12 @@
 // Error implements error.
 func (e *NoEventError) Error() string { return fmt.Sprintf("no event in over %d bytes", e.Bytes) }
 
+// FieldsWithoutEventError reports that a stream had fields, but ended without an event.
+type FieldsWithoutEventError struct{}
+
+// Error implements error.
+func (*FieldsWithoutEventError) Error() string { return "the stream ended with fields, but no event" }
+
 // RunLostError reports that no runner can continue a stopped run.
 type RunLostError struct{ Runner string }
 
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -15,8 +15,9 @@
 	// id is the event's ID, if hasID. Without a number, an event has none.
 	id    int
 	hasID bool
-	// isRest is true for lines without an event at the end of the stream.
-	isRest bool
+	// isRest is true for lines without an event at the end of the stream. hasFields is true if
+	// some lines are neither empty nor comments.
+	isRest, hasFields bool
 }
 
 // eventSource is a stream whose buffered bytes are counted.
@@ -120,6 +121,7 @@
 	if err := checkLine(line); err != nil {
 		return false, err
 	}
+	p.hasFields = p.hasFields || line[0] != ':'
 	if value, found := bytes.CutPrefix(line, []byte("id:")); found {
 		id, err := strconv.Atoi(string(bytes.TrimSpace(value)))
 		p.id, p.hasID = id, err == nil
--- a/gateway/opening.go
+++ b/gateway/opening.go
@@ -112,6 +112,8 @@
 	case hasEnded && !answer.IsDelimited():
 		// The runner may have crashed as well as ended a stream without events.
 		err = x.readFailure(a, io.ErrUnexpectedEOF)
+	case hasEnded && o.first.hasFields:
+		err = x.readFailure(a, &FieldsWithoutEventError{})
 	case hasEnded:
 		return o, nil
 	case err != nil:
