Fail a stream whose lines end in two ways

Callers saw: the head of an error answer as part of an event's data, since a runner stopped within a value and then wrote an answer to the same stream ("data: tokHTTP/1.1 500 Internal Server Error"); the fields of the head are well-formed fields of an event, and its empty line ended the event. The same within a comment or the field of a version.

All lines of one response now have to end alike, with LF or with CR LF; otherwise the attempt fails with a *LineEndError before the event is forwarded. The standard for streams lets a sender mix them; a program that writes events does not, and heads end with CR LF. A head with LF, or one inside a value of a stream with CR LF, can't be told from data.

--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -123,6 +123,12 @@
 	return fmt.Sprintf("what begins with %q is no line of a stream", e.Begin)
 }
 
+// LineEndError reports that a line of a stream ends in another way than those before.
+type LineEndError struct{}
+
+// Error implements error.
+func (*LineEndError) Error() string { return "the lines of the stream end with LF and with CR LF" }
+
 // EventTooLargeError reports that an event of a stream exceeds the size limit.
 type EventTooLargeError struct{ Bytes int }
 
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -32,6 +32,8 @@
 type eventReader struct {
 	source eventSource
 	reader *bufio.Reader
+	// lineEnd is how the lines of the stream end.
+	lineEnd lineEnd
 }
 
 const (
@@ -61,7 +63,7 @@
 // event of their own, since they are no sign that the runner works on the request; they are
 // returned with the event that follows, or with the end of the stream. next fails with
 // io.EOF when the stream ends between two events, with io.ErrUnexpectedEOF when it ends within
-// one, and with an *InvalidLineError when bytes are no part of a stream.
+// one, and with an *InvalidLineError or a *LineEndError when bytes are no part of a stream.
 func (r *eventReader) next() (event, error) {
 	var p eventParser
 	for {
@@ -80,6 +82,9 @@
 		case err != nil:
 			return event{}, err
 		}
+		if failure := r.lineEnd.check(p.content); failure != nil {
+			return event{}, failure
+		}
 		if isComplete, failure := p.endLine(); failure != nil || isComplete {
 			return p.event, failure
 		}
--- a/gateway/eventline.go
+++ b/gateway/eventline.go
@@ -38,3 +38,28 @@
 	}
 	return set
 }
+
+// lineEnd is how the lines of a stream end. A runner ends all of them alike, so that another end
+// shows bytes of another answer within a line, such as the status line of a head.
+type lineEnd int
+
+const (
+	lineEndUnknown lineEnd = iota
+	lineEndLF
+	lineEndCRLF
+)
+
+// check fails if a complete line ends in another way than those before.
+func (e *lineEnd) check(line []byte) error {
+	end := lineEndLF
+	if bytes.HasSuffix(line, []byte("\r\n")) {
+		end = lineEndCRLF
+	}
+	if *e == lineEndUnknown {
+		*e = end
+	}
+	if *e != end {
+		return &LineEndError{}
+	}
+	return nil
+}
