--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -123,6 +123,12 @@
 	return fmt.Sprintf("what begins with %q is no line of a stream", e.Begin)
 }
 
+// LineEndError reports that a line of a stream ends in another way than those before.
+type LineEndError struct{}
+
+// Error implements error.
+func (*LineEndError) Error() string { return "the lines of the stream end with LF and with CR LF" }
+
 // EventTooLargeError reports that an event of a stream exceeds the size limit.
 type EventTooLargeError struct{ Bytes int }
 
@@ -135,6 +141,12 @@
 // Error implements error.
 func (e *NoEventError) Error() string { return fmt.Sprintf("no event in over %d bytes", e.Bytes) }
 
+// FieldsWithoutEventError reports that a stream had fields, but ended without an event.
+type FieldsWithoutEventError struct{}
+
+// Error implements error.
+func (*FieldsWithoutEventError) Error() string { return "the stream ended with fields, but no event" }
+
 // RunLostError reports that no runner can continue a stopped run.
 type RunLostError struct{ Runner string }
 
