--- a/gateway/movecopy_test.go
+++ b/gateway/movecopy_test.go
@@ -156,7 +156,7 @@
 	r.mover.stop = r.runners[0].ResetConnections
 	go r.moveFirstRunner()
 	r.c.Check(r.send("/single/a").body, qt.Equals, standin.Events(40))
-	r.c.Check(r.arrivals(), qt.DeepEquals, []int{1, 1})
+	r.c.Check(r.arrivals(), qt.DeepEquals, []int{1, 1}, qt.Commentf("%s", r.describeArrivals()))
 	copies := r.mover.copyTimes()
 	r.c.Assert(copies, qt.HasLen, 2)
 	r.c.Check(copies[1].Sub(copies[0]) >= pause, qt.IsTrue)
--- a/gateway/riglog_test.go
+++ b/gateway/riglog_test.go
@@ -1,8 +1,11 @@
 package gateway_test
 
 import (
+	"fmt"
 	"strings"
 	"sync"
+
+	"github.com/cranberrywalk/cranberrywalk/platform/standin"
 )
 
 // recordedLog holds the log lines of a gateway.
@@ -31,3 +34,16 @@
 	}
 	return lines
 }
+
+// describeArrivals describes the requests that reached each runner. A request of another process
+// may reach a runner whose port was in use there before.
+func (r *rig) describeArrivals() string {
+	var text strings.Builder
+	for _, runner := range r.runners {
+		for _, received := range runner.ReceivedRequests() {
+			fmt.Fprintf(&text, "%s: %s %s of %s for %s, ran %v\n", runner.ID, received.Method, received.Target,
+				received.Header.Get(standin.HeaderCallID), received.Header.Get(standin.HeaderExpectedRunner), received.Ran)
+		}
+	}
+	return text.String()
+}
