--- a/gateway/brokenhead_test.go
+++ b/gateway/brokenhead_test.go
@@ -45,7 +45,7 @@
 		{name: "after 103", head: "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + ok + "Content-Length: 16\r\n\r\n", content: "the whole answer"},
 		{name: "no content", head: "HTTP/1.1 204 No Content\r\n" + rawIdentity + "\r\n"},
 		{name: "error", head: "HTTP/1.1 500 Internal Server Error\r\n" + rawIdentity + "Content-Length: 5\r\n\r\n", content: "error"},
-		{name: "rejection", head: "HTTP/1.1 503 Service Unavailable\r\n" + standin.HeaderCallID + ": attempt-1\r\nX-Not-Executed: 1\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"},
+		{name: "rejection", head: "HTTP/1.1 503 Service Unavailable\r\n" + standin.HeaderCallID + ": attempt-1\r\n" + standin.HeaderNotRun + ": 1\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"},
 	}
 }
 
@@ -80,7 +80,7 @@
 	return cuts
 }
 
-var rawEnds = map[string]standin.RawEnd{"close": standin.RawClosed, "reset": standin.RawReset}
+var rawEnds = map[string]standin.VerbatimEnd{"close": standin.ThenClose, "reset": standin.ThenReset}
 
 // TestPlainAnswerThatBreaksOffIsNeverWhole guards against a head or a body that breaks off at any
 // byte and reaches the caller as a whole answer, or as a promise that the request has not run.
@@ -128,7 +128,7 @@
 		for _, path := range []string{"/once/", "/stream/", "/again/"} {
 			t.Run(path+strconv.Itoa(length), func(t *testing.T) {
 				t.Parallel()
-				raws := rawBehaviours([]string{head[:length]}, standin.RawSilent)
+				raws := rawBehaviours([]string{head[:length]}, standin.ThenSilence)
 				got := sendRaws(t, path, raws, okAnswer, with(standin.HeaderDeadline, "3000"))
 				if path == "/again/" {
 					checkSound(qt.New(t), got[0], head[:length])
--- a/gateway/brokenstreamhead_test.go
+++ b/gateway/brokenstreamhead_test.go
@@ -59,7 +59,7 @@
 		{name: "unframed stream", head: "HTTP/1.1 200 OK\r\n" + rawIdentity + "Connection: close\r\n\r\n"},
 		{name: "no content", head: "HTTP/1.1 204 No Content\r\n" + rawIdentity + "\r\n"},
 		{name: "error", head: "HTTP/1.1 500 Internal Server Error\r\n" + rawIdentity + "Content-Length: 5\r\n\r\n", content: "error"},
-		{name: "rejection", head: "HTTP/1.1 503 Service Unavailable\r\n" + standin.HeaderCallID + ": attempt-1\r\nX-Not-Executed: 1\r\nContent-Length: 4\r\n\r\n", content: "full"},
+		{name: "rejection", head: "HTTP/1.1 503 Service Unavailable\r\n" + standin.HeaderCallID + ": attempt-1\r\n" + standin.HeaderNotRun + ": 1\r\nContent-Length: 4\r\n\r\n", content: "full"},
 	}
 }
 
@@ -67,7 +67,7 @@
 // end of its connection would count as a crash: a request is sent to no third runner after two.
 func begunStream() standin.Behaviour {
 	chunks := strings.TrimSuffix(chunked(standin.Event(1)), "0\r\n\r\n")
-	return standin.Behaviour{Raw: standin.Raw{Content: streamAnswers()[0].head + chunks + "no chunk\r\n", End: standin.RawClosed}}
+	return standin.Behaviour{Verbatim: standin.Verbatim{Content: streamAnswers()[0].head + chunks + "no chunk\r\n", End: standin.ThenClose}}
 }
 
 // TestSecondRunnerThatBreaksOffInItsHead guards against a stream that has begun and ends as
--- a/gateway/rawrig_test.go
+++ b/gateway/rawrig_test.go
@@ -43,10 +43,10 @@
 }
 
 // rawBehaviours returns behaviours that send raw responses.
-func rawBehaviours(contents []string, end standin.RawEnd) []standin.Behaviour {
+func rawBehaviours(contents []string, end standin.VerbatimEnd) []standin.Behaviour {
 	var behaviours []standin.Behaviour
 	for _, content := range contents {
-		behaviours = append(behaviours, standin.Behaviour{Raw: standin.Raw{Content: content, End: end}})
+		behaviours = append(behaviours, standin.Behaviour{Verbatim: standin.Verbatim{Content: content, End: end}})
 	}
 	return behaviours
 }
--- a/gateway/secondhead_test.go
+++ b/gateway/secondhead_test.go
@@ -14,7 +14,7 @@
 	return []rawAnswer{
 		plainAnswers()[0],
 		{name: "unframed error", head: "HTTP/1.1 500 Internal Server Error\r\n" + rawIdentity + "\r\n", content: "error"},
-		{name: "late rejection", head: "HTTP/1.1 503 Service Unavailable\r\n" + standin.HeaderCallID + ": attempt-0\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"},
+		{name: "late rejection", head: "HTTP/1.1 503 Service Unavailable\r\n" + standin.HeaderCallID + ": attempt-0\r\n" + standin.HeaderNotRun + ": 1\r\nContent-Length: 0\r\n\r\n"},
 	}
 }
 
@@ -37,10 +37,10 @@
 		for _, second := range secondAnswers() {
 			t.Run(first.name+" "+second.name, func(t *testing.T) {
 				contents := first.withinHead(second)
-				for i, got := range sendRaws(t, "/once/", rawBehaviours(contents, standin.RawClosed), okAnswer) {
+				for i, got := range sendRaws(t, "/once/", rawBehaviours(contents, standin.ThenClose), okAnswer) {
 					checkBadGateway(qt.New(t), got, contents[i])
 				}
-				for i, got := range sendRaws(t, "/again/", rawBehaviours(contents, standin.RawClosed), okAnswer) {
+				for i, got := range sendRaws(t, "/again/", rawBehaviours(contents, standin.ThenClose), okAnswer) {
 					checkSound(qt.New(t), got, contents[i])
 				}
 			})
@@ -60,7 +60,7 @@
 		t.Run(second.name, func(t *testing.T) {
 			c := qt.New(t)
 			contents := first.withinHead(second)
-			raws := rawBehaviours(contents, standin.RawClosed)
+			raws := rawBehaviours(contents, standin.ThenClose)
 			var resumed [][]standin.Behaviour
 			for _, raw := range raws {
 				resumed = append(resumed, []standin.Behaviour{begunStream(), raw})
--- a/upstream/brokenhead_internal_test.go
+++ b/upstream/brokenhead_internal_test.go
@@ -29,7 +29,7 @@
 
 const (
 	// identity are header fields of each answer of the tests.
-	identity = "X-Attempt-Id: attempt-1\r\nX-Response-Signature: i-a.signed\r\n"
+	identity = "Request-Id: attempt-1\r\nSignature: i-a.signed\r\n"
 	chunks   = "4\r\nansw\r\n2;x=1\r\ner\r\n0\r\n"
 )
 
@@ -46,7 +46,7 @@
 		{name: "unframed error", method: "GET", head: "HTTP/1.1 500 Internal Server Error\r\n" + identity + "\r\n", content: "answer", body: "answer", status: 500, isUnframed: true},
 		{name: "no content", method: "GET", head: "HTTP/1.1 204 No Content\r\n" + identity + "\r\n", status: 204},
 		{name: "not modified", method: "GET", head: "HTTP/1.1 304 Not Modified\r\n" + identity + "Content-Length: 12\r\n\r\n", status: 304},
-		{name: "rejection", method: "POST", head: "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: attempt-1\r\nX-Not-Executed: 1\r\nContent-Length: 4\r\n\r\n", content: "full", body: "full", status: 503},
+		{name: "rejection", method: "POST", head: "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: attempt-1\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\n", content: "full", body: "full", status: 503},
 		{name: "HEAD", method: "HEAD", head: "HTTP/1.1 200 OK\r\n" + identity + "Content-Length: 12\r\n\r\n", status: 200},
 		{name: "HEAD unframed", method: "HEAD", head: "HTTP/1.1 200 OK\r\n" + identity + "\r\n", status: 200},
 		{name: "HTTP/1.0", method: "GET", head: "HTTP/1.0 200 OK\r\n" + identity + "Content-Length: 6\r\n\r\n", content: "answer", body: "answer", status: 200},
--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -107,13 +107,13 @@
 // SecondHeadError means that a head has broken off within a line, and that another answer begins
 // there.
 type SecondHeadError struct {
-	// Line is the line that contains the status line of the other answer.
-	Line string
+	// StatusLine holds the protocol and the status of the other answer.
+	StatusLine string
 }
 
 // Error implements error.
 func (e *SecondHeadError) Error() string {
-	return fmt.Sprintf("another answer begins within the line %q of the head", e.Line)
+	return fmt.Sprintf("another answer begins within the head of the answer: %q", e.StatusLine)
 }
 
 // FieldNameError means that the name of a field in a head contains white space, so that a field
@@ -122,7 +122,7 @@
 
 // Error implements error.
 func (e *FieldNameError) Error() string {
-	return fmt.Sprintf("the head of the answer has a field with the name %q", e.Name)
+	return fmt.Sprintf("the head of the answer has a field with the name %.40q", e.Name)
 }
 
 // TransferCodingError means that an answer of HTTP/1.0 has a transfer coding, which that
--- a/upstream/header.go
+++ b/upstream/header.go
@@ -8,6 +8,8 @@
 const (
 	// protocolName begins each answer.
 	protocolName = "HTTP/1."
+	// statusDigits is the length of a status in a status line.
+	statusDigits = 3
 	// maxInterimAnswers bounds the interim answers (1xx) before an answer.
 	maxInterimAnswers = 8
 	// maxHeaderTime bounds the time from the first byte of a header to its end. A runner
@@ -49,7 +51,7 @@
 	}
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	if err == nil && response.StatusCode < http.StatusContinue {
-		return nil, &ProtocolError{Begin: response.Proto + " " + response.Status}
+		return nil, &ProtocolError{Begin: response.Proto + " " + response.Status[:statusDigits]}
 	}
 	return response, err
 }
--- a/upstream/secondhead_internal_test.go
+++ b/upstream/secondhead_internal_test.go
@@ -14,7 +14,7 @@
 	answers := wireAnswers()
 	return append(
 		answers,
-		wireAnswer{name: "error", head: "HTTP/1.1 500 Internal Server Error\r\nX-Attempt-Id: attempt-1\r\nContent-Length: 5\r\n\r\n", content: "error"},
+		wireAnswer{name: "error", head: "HTTP/1.1 500 Internal Server Error\r\nRequest-Id: attempt-1\r\nContent-Length: 5\r\n\r\n", content: "error"},
 		wireAnswer{name: "without reason", head: "HTTP/1.1 200\r\nContent-Length: 5\r\n\r\n", content: "other"},
 		wireAnswer{name: "interim answer", head: "HTTP/1.1 100 Continue\r\n\r\n" + answers[0].head, content: answers[0].content},
 		wireAnswer{name: "interim answer only", head: "HTTP/1.1 100 Continue\r\n\r\n"},
