--- a/dispatch/backend_fake_test.go
+++ b/dispatch/backend_fake_test.go
@@ -34,7 +34,8 @@
 )
 
 // behaviour defines how a fake backend server handles requests. The fault
-// "crossed" is a response with the ID of another request; "opaque" is a stream
+// "crossed" is a response with the ID of another request, "crossed busy" a rejection with
+// it; "opaque" is a stream
 // with content other than text; "slow closed" closes the connection on release.
 type behaviour struct {
 	fault string
@@ -152,6 +153,9 @@
 		case "busy":
 			fmt.Fprintf(w, "HTTP/1.1 503 Busy\r\nX-Request-Id: %s\r\nRetry-After: 7\r\nContent-Length: 0\r\n\r\n", id)
 			return true
+		case "crossed busy":
+			_, _ = io.WriteString(w, "HTTP/1.1 503 Busy\r\nX-Request-Id: other\r\nRetry-After: 7\r\nContent-Length: 0\r\n\r\n")
+			return true
 		case "stalled rejection":
 			fmt.Fprintf(w, "HTTP/1.1 503 Busy\r\nX-Request-Id: %s\r\nContent-Length: 10\r\n\r\n", id)
 			return f.hang(reader)
--- a/dispatch/matrix_test.go
+++ b/dispatch/matrix_test.go
@@ -44,6 +44,7 @@
 	{behaviour{fault: "refused"}, request.Answered, request.Answered},
 	{behaviour{fault: "closed"}, request.Answered, request.Unknown},
 	{behaviour{fault: "crossed"}, request.Answered, request.Unknown},
+	{behaviour{fault: "crossed busy"}, request.Answered, request.Unknown},
 	{behaviour{fault: "silent"}, request.Answered, request.Unknown},
 	{behaviour{fault: "busy"}, request.Answered, request.Answered},
 	{behaviour{fault: "slow"}, request.Answered, request.Answered},
--- a/dispatch/promise_test.go
+++ b/dispatch/promise_test.go
@@ -53,8 +53,8 @@
 		{name: "no retry left", cause: &dispatch.NoBackendError{}, isBudgetSpent: true},
 	}
 	for _, faults := range [][]string{
-		{}, {"refused"}, {"refused", "refused"}, {"closed"}, {"busy"}, {"crossed"},
-		{"closed", "refused"}, {"refused", "closed"}, {"closed", "busy"}, {"crossed", "busy"}, {"busy", "refused"},
+		{}, {"refused"}, {"refused", "refused"}, {"closed"}, {"busy"}, {"crossed"}, {"crossed busy"},
+		{"closed", "refused"}, {"refused", "closed"}, {"closed", "busy"}, {"crossed busy", "busy"}, {"crossed", "busy"}, {"busy", "refused"},
 	} {
 		for _, end := range endings {
 			for _, row := range shapes {
--- a/dispatch/silence_test.go
+++ b/dispatch/silence_test.go
@@ -36,6 +36,7 @@
 	}{
 		{"others reject", []behaviour{busy}, false, true, 1},
 		{"several others reject", []behaviour{busy, busy}, false, true, 2},
+		{"other repeats a rejection", []behaviour{{fault: "crossed busy"}}, false, true, 1},
 		{"other is unreachable", []behaviour{{fault: "refused"}}, false, true, 0},
 		{"other is silent", []behaviour{{fault: "silent"}}, false, true, 1},
 		{"other fails", []behaviour{{fault: "closed"}}, false, true, 1},
