Show that a relayed "not run" may come after a run

Found by reading; no case is known.

Cause: the holder's proof holds as long as the holder has the claim, which it releases once its own caller has been told. What it told another daemon may still be on its way.

--- a/request/cluster_test.go
+++ b/request/cluster_test.go
@@ -134,7 +134,8 @@
 	}
 }
 
-// relay delivers the claim holder's outcome to another daemon.
+// relay sends the claim holder's outcome to another daemon. It may arrive after the claim was
+// released.
 func (c *cluster) relay(t *rapid.T) {
 	_, n := c.drawNode(t)
 	if n.crashed || c.holder == noHolder || c.nodes[c.holder].crashed {
@@ -142,9 +143,9 @@
 	}
 	switch c.nodes[c.holder].machine.Outcome() {
 	case request.Answered:
-		n.apply(request.Event{Kind: request.RelayAnswered})
+		n.inbox = append(n.inbox, request.Event{Kind: request.RelayAnswered})
 	case request.NotRun:
-		n.apply(request.Event{Kind: request.RelayNotRun})
+		n.inbox = append(n.inbox, request.Event{Kind: request.RelayNotRun})
 	}
 }
 
