Take a relayed "not run" for no proof

A daemon that asks the holder of a key and hears NotRun ends with Unknown, 502 and the holder's Retry-After: as DESIGN.md says, only the holder itself can prove NotRun. The caller sends again under the same key, as after any Unknown, and loses nothing but the advice to go elsewhere.

Weighed: a second claim after a relayed NotRun, which would prove it if it won. It takes an append, and loses mostly, since the holder releases only after its own caller was told; an answer of the holder only after the release, which would make the asker wait for the log.

--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 
 	"github.com/cranberrywalk/cranberrywalk/answer"
 	"github.com/cranberrywalk/cranberrywalk/claim"
@@ -72,9 +71,6 @@
 		_ = f.apply(request.RelayNotRun)
 	}
 	result := f.giveUp(&RelayError{Winner: winner})
-	if result.Outcome == request.NotRun {
-		result.Status = http.StatusServiceUnavailable
-	}
 	result.RetryAfter = max(result.RetryAfter, response.RetryAfter)
 	result.Relayed = true
 	return result
--- a/request/machine.go
+++ b/request/machine.go
@@ -48,7 +48,9 @@
 	AttemptSuspended
 	// RelayAnswered means that the claim holder returned a complete response.
 	RelayAnswered
-	// RelayNotRun means that the claim holder proved the outcome NotRun.
+	// RelayNotRun means that the claim holder proved the outcome NotRun. It ends with the
+	// outcome Unknown: when this is known, the holder may have released the claim, and
+	// another daemon may have run the request.
 	RelayNotRun
 	// GivenUp ends the request without a response.
 	GivenUp
@@ -230,7 +232,7 @@
 	if kind == RelayAnswered {
 		return m.end(Answered), true
 	}
-	return m.end(NotRun), true
+	return m.end(Unknown), true
 }
 
 func (m Machine) giveUp() Machine {
