Tell unwritten requests at the end of a stop that the daemon drains

callerError asks whether the request is proven not to have run, not for the outcome, which is pending then. TestStopOfUnwrittenRequestIsTold passes.

--- a/dispatch/inflight.go
+++ b/dispatch/inflight.go
@@ -183,7 +183,7 @@
 	if !callerserver.IsStopped(f.callerCtx) {
 		return &CallerGoneError{Cause: context.Cause(f.callerCtx)}
 	}
-	if f.machine.Outcome() == request.NotRun {
+	if f.machine.IsProvenNotRun() {
 		return &DrainingError{}
 	}
 	return &DeadlineError{}
--- a/request/machine.go
+++ b/request/machine.go
@@ -142,9 +142,9 @@
 // IsMaybeWritten reports whether an attempt may have written a byte to a backend server.
 func (m Machine) IsMaybeWritten() bool { return m.written || m.open }
 
-// provenNotRun reports whether it is certain that no daemon has written the
+// IsProvenNotRun reports whether it is certain that no daemon has written the
 // request to a backend server.
-func (m Machine) provenNotRun() bool {
+func (m Machine) IsProvenNotRun() bool {
 	return !m.IsMaybeWritten() && (!m.keyed || m.claimWon)
 }
 
@@ -237,7 +237,7 @@
 
 func (m Machine) giveUp() Machine {
 	outcome := Unknown
-	if m.provenNotRun() {
+	if m.IsProvenNotRun() {
 		outcome = NotRun
 	}
 	m.written = m.IsMaybeWritten()
