Apply nothing to a runner that another one says at its address

A runner got no requests and lost its streams since the process that has its address now said in a 421 that it leaves: that was applied to the intended runner. TestMisdirectedAnswerSaysNothingOfIntendedRunner failed before (IsLeaving of the intended runner) and passes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -126,8 +126,12 @@
 	})
 }
 
-// applySignals applies what the head of a response says of its runner.
+// applySignals applies what the head of a response says of its runner, unless that is another
+// one than the intended.
 func (x *exchange) applySignals(a *attempt, head call.AnswerMetadata) {
+	if head.Misdirected {
+		return
+	}
 	runner := a.choice.Runner
 	x.observeLimit(a, head)
 	if head.RetryAfter > 0 {
@@ -138,12 +142,8 @@
 	}
 }
 
-// observeLimit records what a response says of its runner's limit. One of another runner says
-// nothing of what this runner takes.
+// observeLimit records what a response says of its runner's limit.
 func (x *exchange) observeLimit(a *attempt, head call.AnswerMetadata) {
-	if head.Misdirected {
-		return
-	}
 	if head.Limit.IsInvalid {
 		x.Count("Limits.Invalid", 1)
 	}
--- a/gateway/repeatedanswer_test.go
+++ b/gateway/repeatedanswer_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/cranberrywalk/cranberrywalk/inventory"
 	"github.com/cranberrywalk/cranberrywalk/platform/standin"
 )
 
@@ -131,3 +132,12 @@
 	}
 	r.c.Check(r.runners[0].AcceptedConnections(), qt.Equals, 2)
 }
+
+// Guards against a runner that gets no requests since another process, which has its address now,
+// says that it leaves.
+func TestMisdirectedAnswerSaysNothingOfIntendedRunner(t *testing.T) {
+	r := newRig(t, always(standin.Behaviour{Status: http.StatusMisdirectedRequest, Leaving: true}), always(okAnswer))
+	r.c.Check(r.send("/once/a").status, qt.Equals, http.StatusOK)
+	intended := inventory.Runner{ID: "i-a", Service: "desk", Address: r.runners[0].Address(), Zone: "zone-1", Slots: 6}
+	r.c.Check(r.gateway.Balancer.IsLeaving(intended), qt.IsFalse)
+}
