--- a/explain/cause.go
+++ b/explain/cause.go
@@ -35,7 +35,7 @@
 func describeEnd(steps []Line) string {
 	end := steps[len(steps)-1]
 	if end.Event != "RequestEnded" {
-		return fmt.Sprintf("The logs end with %s: the process stopped before the request ended.", end.Event)
+		return fmt.Sprintf("The logs end with %s: the process stopped before the request ended, or the line of its end was dropped.", end.Event)
 	}
 	reason := end.text("Reason")
 	text, known := reasonTexts[reason]
