--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -27,6 +27,7 @@
 	{"zone fails without notice under load", zoneFails},
 	{"connection to a runner goes silent", connectionSilent},
 	{"request crashes its runners", requestCrashesRunners},
+	{"service repeats a refusal", serviceRepeatsRefusal},
 	{"daemon stops in mid-stream", daemonStopsStreaming},
 	{"daemon stops while it holds a claim", daemonStopsClaiming},
 	{"daemon is hung up in mid-stream", daemonHungUpStreaming},
--- a/standin/service/faults.go
+++ b/standin/service/faults.go
@@ -22,6 +22,9 @@
 	// FaultCross runs the request and responds with the ID of another
 	// request.
 	FaultCross Fault = "Cross"
+	// FaultRepeatRefusal runs the request and responds with the refusal of another
+	// request.
+	FaultRepeatRefusal Fault = "RepeatRefusal"
 	// FaultRefuse responds with 503 and does not run the request.
 	FaultRefuse Fault = "Refuse"
 )
@@ -48,14 +51,23 @@
 		standin.Abort()
 	case FaultSilent:
 		standin.Hang(r)
-	case FaultCross:
+	case FaultCross, FaultRepeatRefusal:
 		id = "foreign-" + id
 	}
 	if id != "" {
 		w.Header().Set("X-Request-Id", id)
 	}
+	if fault == FaultRepeatRefusal {
+		refuse(w)
+		return
+	}
 	if fault == FaultTruncate {
 		standin.RespondTruncated(w, response)
 	}
 	standin.Respond(w, http.StatusOK, response)
 }
+
+// refuse responds with the refusal of a request.
+func refuse(w http.ResponseWriter) {
+	http.Error(w, "the service refuses requests", http.StatusServiceUnavailable)
+}
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -78,7 +78,7 @@
 	}
 	fault := s.nextFault()
 	if fault == FaultRefuse {
-		http.Error(w, "the service refuses requests", http.StatusServiceUnavailable)
+		refuse(w)
 		return
 	}
 	run := s.runs.Record(r, s.clock.Now())
--- a/standin/service/service_test.go
+++ b/standin/service/service_test.go
@@ -48,6 +48,7 @@
 		{"response lost", service.FaultLoseResponse, 0, "", true, 1},
 		{"response truncated", service.FaultTruncate, http.StatusOK, "r1", true, 1},
 		{"response with a foreign ID", service.FaultCross, http.StatusOK, "foreign-r1", false, 1},
+		{"refusal of another request", service.FaultRepeatRefusal, http.StatusServiceUnavailable, "foreign-r1", false, 1},
 		{"refused", service.FaultRefuse, http.StatusServiceUnavailable, "", false, 0},
 	} {
 		t.Run(scenario.name, func(t *testing.T) {
