--- a/gateway/rawrig_test.go
+++ b/gateway/rawrig_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"net/http"
 	"slices"
 	"strconv"
 	"strings"
@@ -12,8 +13,8 @@
 	"github.com/cranberrywalk/cranberrywalk/platform/standin"
 )
 
-// requestsPerRig bounds the requests to one rig, so that its retry budget lasts.
-const requestsPerRig = 8
+// retriesPerRig bounds the retries of one rig. It is below the slack of its retry budget.
+const retriesPerRig = 16
 
 // attemptScript lets each attempt of a request behave in another way, at whichever runner.
 type attemptScript struct {
@@ -29,7 +30,11 @@
 func (s *attemptScript) behaviour(request standin.ReceivedRequest) standin.Behaviour {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	attempts := s.attempts[request.Target]
+	attempts, found := s.attempts[request.Target]
+	if !found {
+		// The port may have belonged to a runner of other tests, which still send to it.
+		return standin.Behaviour{Status: http.StatusMisdirectedRequest}
+	}
 	number := s.made[request.Target]
 	s.made[request.Target]++
 	return attempts[min(number, len(attempts)-1)]
@@ -66,13 +71,17 @@
 // allow maxAttempts.
 func sendScripts(t *testing.T, path string, scripts [][]standin.Behaviour, maxAttempts int, changes ...change) []reply {
 	mayRepeat := strings.HasPrefix(path, "/again/") || strings.HasPrefix(path, "/resumable/")
+	requestsPerRig := max(len(scripts), 1)
+	if mayRepeat {
+		requestsPerRig = retriesPerRig / (maxAttempts - 1)
+	}
 	var replies []reply
 	for batch := range slices.Chunk(scripts, requestsPerRig) {
 		script := &attemptScript{attempts: make(map[string][]standin.Behaviour), made: make(map[string]int)}
 		for i, attempts := range batch {
 			script.attempts[path+strconv.Itoa(i)] = attempts
 		}
-		r := newRig(t, script.behaviour, script.behaviour, script.behaviour)
+		r := newRig(t, slices.Repeat([]func(standin.ReceivedRequest) standin.Behaviour{script.behaviour}, maxAttempts)...)
 		changed := spec()
 		changed.Version = 2
 		for i := range changed.Routes {
