Take a status other than 200 for no continuation

Cause: exchange relayed each status other than 200, whether or not a stream had begun.

Such a status fails the attempt with a ContinuationStatusError.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -64,6 +64,10 @@
 		response.Discard()
 		return observed, &BusyError{Backend: a.target.Name, Status: observed.Status, RetryAfter: parseRetryAfter(response.Header())}
 	}
+	if observed.Status != http.StatusOK && f.stream.begun() {
+		response.Discard()
+		return observed, &ContinuationStatusError{Backend: a.target.Name, Status: observed.Status}
+	}
 	switch {
 	case observed.Status != http.StatusOK || !f.expectsStream():
 		return f.relayNonStream(response, observed)
--- a/dispatch/errors.go
+++ b/dispatch/errors.go
@@ -132,6 +132,18 @@
 	return fmt.Sprintf("%s answered with status %d", e.Backend, e.Status)
 }
 
+// ContinuationStatusError reports that a backend server that was asked to continue a
+// stream answered with another status than 200.
+type ContinuationStatusError struct {
+	Backend string
+	Status  int
+}
+
+// Error implements error.
+func (e *ContinuationStatusError) Error() string {
+	return fmt.Sprintf("%s answered with status %d and did not continue the stream", e.Backend, e.Status)
+}
+
 // RetriesExhaustedError reports that the retry budget, the maximum number of
 // attempts or the time left for a retry is used up.
 type RetriesExhaustedError struct {
--- a/dispatch/streamstate.go
+++ b/dispatch/streamstate.go
@@ -25,6 +25,8 @@
 	// created is the creation time in the first chunk; all chunks must have the
 	// same.
 	created json.RawMessage
+	// relayed is true when a chunk was relayed, or collected for a non-streaming response.
+	relayed bool
 	// roleSent is true when a chunk with a choice, which may carry the role, was
 	// relayed.
 	roleSent bool
@@ -75,6 +77,12 @@
 	return s.finishReason != "" || (s.tokens > 0 && s.remainingTokens() == 0 && !s.unresumable)
 }
 
+// begun reports whether the answer of another engine can only continue the stream: the
+// caller has received a part, or the other engine gets the text so far.
+func (s *streamState) begun() bool {
+	return s.tokens > 0 || s.relayed && s.request.Stream
+}
+
 // progressed reports whether the current attempt has produced tokens.
 func (s *streamState) progressed() bool { return s.tokens > s.priorTokens }
 
@@ -119,6 +127,7 @@
 	if s.isHidden(chunk, text != "" || finishReason != "" || nonText) {
 		return nil
 	}
+	s.relayed = true
 	if len(chunk.Choices) > 0 {
 		s.roleSent = true
 		s.lastChunk = payload
