Take JSON for no continuation of a collected stream

What callers without a stream saw: the JSON that a second backend server sent in place of the rest of a stream, as the whole answer, although at best it holds the text after the break. Cause: exchange rejected JSON only for callers with a stream; for the others it took it for an engine that does not stream, which holds only for an attempt from the start.

TestBadContinuationIsReplaced/collected_chat/JSON (got the answer of runner-2, want that of runner-3) and TestBadContinuationIsNotTheEnd/collected_chat/JSON pass.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -73,7 +73,7 @@
 		return f.relayNonStream(response, observed)
 	case response.IsStream():
 		return f.relayStream(response, observed, a.started)
-	case f.request.Stream:
+	case f.request.Stream || f.stream.begun():
 		return observed, response.Reject()
 	}
 	return f.relayNonStream(response, observed)
