Take [DONE] without a finish reason for no end of a stream

What callers saw: a part of a stream with [DONE], outcome Answered, when a backend server ended it early; 3 of 6 tokens when the second one sent only [DONE]. Cause: relayStream took the event for the end without asking whether the stream is complete.

A stream is complete after a finish reason, or after the last token that the request allows; usage says nothing, since engines may send it with each chunk. An end before that is a Malformed fault whose cause is an IncompleteStreamError.

--- a/dispatch/errorinstream_test.go
+++ b/dispatch/errorinstream_test.go
@@ -209,6 +209,28 @@
 	}
 }
 
+// TestEarlyEndsAreLimited guards against attempts without a limit while each backend server ends
+// the stream after a token, as one that never sends a finish reason does.
+func TestEarlyEndsAreLimited(t *testing.T) {
+	c := qt.New(t)
+	b := newTestbed(c)
+	b.addServer(c, func(w http.ResponseWriter, r *http.Request, tokens int) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, event(r.Header.Get(backend.RequestIDHeader), tokenOf(r, tokens), "")+endEvent)
+	})
+	r := chat(b.clock.Now())
+	r.MaxTokens = 0
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	w := &fakeWriter{}
+
+	result := b.Do(ctx, r, w)
+
+	c.Check(result.Outcome, qt.Equals, request.Unknown)
+	c.Check(b.chooser.began, qt.Equals, dispatch.DefaultOptions().MaxAttempts)
+	checkInvariants(c, b, r, w)
+}
+
 // TestSoundEndsOfStreams guards against a sound stream that is taken for an incomplete one: the
 // finish reason may come with the last token or without text, and usage may be absent.
 func TestSoundEndsOfStreams(t *testing.T) {
--- a/dispatch/errors.go
+++ b/dispatch/errors.go
@@ -144,6 +144,19 @@
 	return fmt.Sprintf("%s answered with status %d and did not continue the stream", e.Backend, e.Status)
 }
 
+// IncompleteStreamError reports that a backend server has ended a stream without a finish
+// reason, before the last token that the request allows.
+type IncompleteStreamError struct {
+	Backend string
+	// Tokens is the number of tokens of the stream, including those of earlier attempts.
+	Tokens int
+}
+
+// Error implements error.
+func (e *IncompleteStreamError) Error() string {
+	return fmt.Sprintf("%s ended the stream after %d tokens without a finish reason", e.Backend, e.Tokens)
+}
+
 // RetriesExhaustedError reports that the retry budget, the maximum number of
 // attempts or the time left for a retry is used up.
 type RetriesExhaustedError struct {
--- a/dispatch/inflight.go
+++ b/dispatch/inflight.go
@@ -218,11 +218,7 @@
 	if !f.machine.MayAttempt() || !f.stream.resumable() {
 		return &BrokenStreamError{Backend: target.Name, Cause: failure}
 	}
-	// Continuing a stream that has received tokens in the last attempt can't
-	// multiply the load, and ending the stream would break off the response that
-	// the caller is already receiving. The continuation is not charged to the
-	// retry budget, so the failure of a whole zone does not use it up.
-	if f.currentAcceptedHedge() == nil && !f.isLeaving(target.Name) && !f.stream.progressed() {
+	if f.currentAcceptedHedge() == nil && !f.isLeaving(target.Name) && !f.isFreeContinuation(failure) {
 		if err := f.chargeRetry(failure); err != nil {
 			return err
 		}
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"errors"
 	"net/http"
 	"time"
 
@@ -22,6 +23,9 @@
 		if err != nil {
 			return observed, err
 		}
+		if chunk.Last && !f.stream.complete() {
+			return observed, f.rejectEnd()
+		}
 		if chunk.Last {
 			return observed, f.endStream(header, nil, nil)
 		}
@@ -47,6 +51,15 @@
 	}
 }
 
+// rejectEnd returns the fault of a backend server that has ended an incomplete stream.
+func (f *inFlightRequest) rejectEnd() error {
+	f.Count("BackendFaults."+string(backend.Malformed), 1)
+	return &backend.FaultError{
+		Backend: f.target.Name, Kind: backend.Malformed, MaybeWritten: true,
+		Cause: &IncompleteStreamError{Backend: f.target.Name, Tokens: f.stream.tokens},
+	}
+}
+
 // addChunk adds a chunk to the state of the stream and returns the payload to relay to the
 // caller, or nil. It fails if a hedge has delivered data before.
 func (f *inFlightRequest) addChunk(chunk backend.Chunk) ([]byte, error) {
@@ -58,6 +71,16 @@
 	return f.stream.addChunk(chunk), nil
 }
 
+// isFreeContinuation reports whether the next attempt is not charged to the retry budget.
+// Continuing a stream that has received tokens in the last attempt can't multiply the load,
+// and ending the stream would break off the response that the caller is already receiving,
+// so the failure of a whole zone does not use up the budget. A backend server that ends
+// streams early would get attempts without a limit, so these are charged.
+func (f *inFlightRequest) isFreeContinuation(failure error) bool {
+	var incomplete *IncompleteStreamError
+	return f.stream.progressed() && !errors.As(failure, &incomplete)
+}
+
 // writeEvent writes an event to the caller.
 func (f *inFlightRequest) writeEvent(header http.Header, payload []byte) {
 	if !f.headWritten {
