Give up no silent server of a stream for a hedge that can't go on

The checks of an attempt's answer are now those of a hedge's, too (checkContinuation), and a stream whose first event is [DONE] has no data (AwaitData, EmptyStreamError).

--- a/backend/answer.go
+++ b/backend/answer.go
@@ -167,7 +167,8 @@
 }
 
 // AwaitData waits for the first event of a stream, or for the complete body of another
-// answer. Next or ReadAll return it afterwards.
+// answer. Next or ReadAll return it afterwards. A stream without an event before its end has
+// no data, and fails. Every error is a *FaultError.
 func (a *Answer) AwaitData() error {
 	if !a.call.Stream || a.Status() != http.StatusOK || !a.IsStream() {
 		body, err := a.ReadAll()
@@ -178,6 +179,10 @@
 	if err != nil {
 		return err
 	}
+	if chunk.Last {
+		a.client.Count("BackendFaults."+string(Malformed), 1)
+		return &FaultError{Backend: a.call.Backend, Kind: Malformed, MaybeWritten: true, Reused: a.answer.Reused, Cause: &EmptyStreamError{}}
+	}
 	a.silence.stop()
 	a.first = &chunk
 	return nil
--- a/backend/fault.go
+++ b/backend/fault.go
@@ -115,6 +115,12 @@
 	return fmt.Sprintf("content type %q is not a stream of events", e.ContentType)
 }
 
+// EmptyStreamError means that a stream ended before its first event with a chunk.
+type EmptyStreamError struct{}
+
+// Error implements error.
+func (*EmptyStreamError) Error() string { return "the stream has no event but its end" }
+
 // DrainTimeoutError means that the rest of an answer did not arrive in time.
 type DrainTimeoutError struct{}
 
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -64,21 +64,30 @@
 		response.Discard()
 		return observed, &BusyError{Backend: a.target.Name, Status: observed.Status, RetryAfter: parseRetryAfter(response.Header())}
 	}
-	if observed.Status != http.StatusOK && f.stream.begun() {
-		response.Discard()
-		return observed, &ContinuationStatusError{Backend: a.target.Name, Status: observed.Status}
+	if err := f.checkContinuation(response, a.target, f.stream.begun()); err != nil {
+		return observed, err
 	}
-	switch {
-	case observed.Status != http.StatusOK || !f.expectsStream():
-		return f.relayNonStream(response, observed)
-	case response.IsStream():
+	if observed.Status == http.StatusOK && f.expectsStream() && response.IsStream() {
 		return f.relayStream(response, observed, a.started)
-	case f.request.Stream || f.stream.begun():
-		return observed, response.Reject()
 	}
 	return f.relayNonStream(response, observed)
 }
 
+// checkContinuation ends an answer that is not a stream where only a stream can be relayed, and
+// returns the failure. begun is true if the stream had begun when the attempt was made.
+func (f *inFlightRequest) checkContinuation(response *backend.Answer, target Target, begun bool) error {
+	switch {
+	case response.Status() != http.StatusOK && begun:
+		response.Discard()
+		return &ContinuationStatusError{Backend: target.Name, Status: response.Status()}
+	case response.Status() != http.StatusOK, !f.expectsStream(), response.IsStream():
+		return nil
+	case f.request.Stream || begun:
+		return response.Reject()
+	}
+	return nil
+}
+
 // send returns the answer of an attempt. A hedge has been sent already.
 func (f *inFlightRequest) send(a *backendAttempt) (*backend.Answer, error) {
 	if a.answer != nil {
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -20,6 +20,8 @@
 	cancel  context.CancelCauseFunc
 	// call is set for a hedge.
 	call backend.Call
+	// continues is true for a hedge of a stream that has begun.
+	continues bool
 	// answer is set when the backend server of a hedge has sent the header of an answer.
 	answer *backend.Answer
 	// done is closed when a hedge is accepted or has failed.
@@ -84,7 +86,7 @@
 	if !f.mayHedge() {
 		return nil
 	}
-	h := &backendAttempt{done: make(chan struct{})}
+	h := &backendAttempt{done: make(chan struct{}), continues: f.stream.begun()}
 	h.ctx, h.cancel = context.WithCancelCause(f.ctx)
 	h.call = f.newCall(Target{}, attempt+1)
 	f.hedge = h
@@ -129,7 +131,8 @@
 }
 
 // sendHedge sends the request and waits for the first data. A status that reports a
-// failure counts as a rejection, since the current attempt may still succeed.
+// failure, or an answer that does not continue the stream, counts as a rejection, since
+// the current attempt may still succeed.
 func (f *inFlightRequest) sendHedge(h *backendAttempt) (Observation, error) {
 	response, err := f.Client.Send(h.ctx, h.call)
 	if err != nil {
@@ -140,6 +143,9 @@
 		response.Discard()
 		return observed, &BusyError{Backend: h.target.Name, Status: observed.Status, RetryAfter: parseRetryAfter(response.Header())}
 	}
+	if err := f.checkContinuation(response, h.target, h.continues); err != nil {
+		return observed, err
+	}
 	h.answer = response
 	return observed, response.AwaitData()
 }
