Send the finish reason that an engine leaves out at the token limit

What callers saw: no finish reason, or an empty one. The stream now gets the same last chunk as after a break at this place.

TestFullStreamGetsFinishReason passes; its 3 cases failed before.

--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -27,7 +27,7 @@
 			return observed, f.rejectEnd()
 		}
 		if chunk.Last {
-			return observed, f.endStream(header, nil, nil)
+			return observed, f.endStream(header, f.stream.finalChunk(), nil)
 		}
 		observed = observed.withUsage(chunk.Usage)
 		before := f.stream.tokens
@@ -101,11 +101,10 @@
 }
 
 // endStream writes the end of the stream, or the collected response. finalChunk
-// replaces the last chunk if it was lost when the backend server failed after the
-// last token.
+// replaces the last chunk if the backend server did not send it after the last token.
 //
-// Such a failure counts as a crash although the response is complete: the request
-// may crash every server that runs it at this point.
+// A failure of the backend server after the last token counts as a crash although the
+// response is complete: the request may crash every server that runs it at this point.
 func (f *inFlightRequest) endStream(header http.Header, finalChunk []byte, failure error) error {
 	if err := f.apply(request.AnswerWhole); err != nil {
 		return err
