Take a finish reason of one choice for no end of the others

What callers saw: a part of a stream of several choices as the whole, when a backend server broke off or ended it after the finish reason of one choice. Cause: complete asked for one finish reason.

The text is complete at a break if each choice that the request asks for (n for each prompt) has its finish reason, and at [DONE] if each one that was relayed has: an engine may send fewer.

--- a/dispatch/backend_fake_test.go
+++ b/dispatch/backend_fake_test.go
@@ -245,6 +245,9 @@
 	if call.Prompt != "" {
 		return len(strings.Fields(call.Prompt)) - 1
 	}
+	if len(call.Messages) == 0 {
+		return 0 // The prompt is a list, which can't be continued.
+	}
 	last := call.Messages[len(call.Messages)-1]
 	if last.Role != "assistant" {
 		return 0
--- a/dispatch/body.go
+++ b/dispatch/body.go
@@ -59,6 +59,28 @@
 	return json.Unmarshal(b.fields["messages"], &messages) == nil
 }
 
+// choices returns the number of choices that the call asks for: n for each prompt.
+func (b modelBody) choices() int {
+	var n int
+	if json.Unmarshal(b.fields["n"], &n) != nil || n < 1 {
+		n = 1
+	}
+	return n * b.prompts()
+}
+
+// prompts returns the number of prompts. A list of numbers is one prompt of tokens.
+func (b modelBody) prompts() int {
+	var list []json.RawMessage
+	if b.request.Kind != request.Completion || json.Unmarshal(b.fields["prompt"], &list) != nil || len(list) == 0 {
+		return 1
+	}
+	var token int
+	if json.Unmarshal(list[0], &token) == nil {
+		return 1
+	}
+	return len(list)
+}
+
 // initialBody returns the body of an attempt that generates the response from the
 // start. If collect is true, it requests a stream although the caller did not.
 func (b modelBody) initialBody(collect bool) []byte {
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -23,7 +23,7 @@
 		if err != nil {
 			return observed, err
 		}
-		if chunk.Last && !f.stream.complete() {
+		if chunk.Last && !f.stream.endable() {
 			return observed, f.rejectEnd()
 		}
 		if chunk.Last {
--- a/dispatch/streamend_test.go
+++ b/dispatch/streamend_test.go
@@ -57,6 +57,7 @@
 		{"ended after one", both + choice(1, finish), true, request.Unknown},
 		{"broken off after both", both + choice(0, finish) + choice(1, finish), false, request.Answered},
 		{"ended after both", both + choice(1, finish) + choice(0, finish), true, request.Answered},
+		{"ended after the only one", choice(0, token) + choice(0, finish), true, request.Answered},
 		{"repeated finish reason", both + choice(0, finish) + choice(0, finish), false, request.Unknown},
 	} {
 		t.Run(scenario.name, func(t *testing.T) {
@@ -86,3 +87,35 @@
 		})
 	}
 }
+
+// TestPromptsOfCompletionAreCounted guards against a completion of several prompts that counts as
+// whole after the text for one of them, and one of a prompt of tokens that never does.
+func TestPromptsOfCompletionAreCounted(t *testing.T) {
+	for _, scenario := range []struct {
+		prompt  string
+		outcome request.Outcome
+	}{
+		{`"hello "`, request.Answered},
+		{`[7,8]`, request.Answered},
+		{`["hello "]`, request.Answered},
+		{`["hello ","hello "]`, request.Unknown},
+		{`[[7,8],[9]]`, request.Unknown},
+	} {
+		t.Run(scenario.prompt, func(t *testing.T) {
+			c := qt.New(t)
+			b := newTestbed(c)
+			b.addServer(c, func(w http.ResponseWriter, _ *http.Request, _ int) {
+				w.Header().Set("Content-Type", "text/event-stream")
+				_, _ = io.WriteString(w, event("r1", `"text":"w0 ","finish_reason":"stop"`, ""))
+				_ = http.NewResponseController(w).Flush()
+				panic(http.ErrAbortHandler)
+			})
+			r := completion(b.clock.Now())
+			r = r.WithBody([]byte(strings.Replace(string(r.Body), `"hello "`, scenario.prompt, 1)))
+
+			result := b.Do(context.Background(), r, &fakeWriter{})
+
+			c.Check(result.Outcome, qt.Equals, scenario.outcome, qt.Commentf("problem: %v", result.Problem))
+		})
+	}
+}
--- a/dispatch/streamstate.go
+++ b/dispatch/streamstate.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 
 	"github.com/cranberrywalk/cranberrywalk/backend"
 	"github.com/cranberrywalk/cranberrywalk/request"
@@ -32,6 +34,9 @@
 	roleSent bool
 	// finishReason is the finish reason that was relayed, or empty.
 	finishReason string
+	// choices holds the indexes of the choices that were relayed, and whether the finish
+	// reason of each was.
+	choices map[int]bool
 	// usage is the usage of the complete response, or nil.
 	usage json.RawMessage
 	// lastChunk is the last relayed chunk that has a choice.
@@ -72,9 +77,18 @@
 	return s.tokens == 0 || s.body.continuable()
 }
 
-// complete reports whether the caller has received the complete text.
+// complete reports whether the caller has received the complete text of all choices.
 func (s *streamState) complete() bool {
-	return s.finishReason != "" || (s.tokens > 0 && s.remainingTokens() == 0 && !s.unresumable)
+	return len(s.choices) >= s.body.choices() && s.endable()
+}
+
+// endable reports whether the text is complete if the engine ends the stream now. An engine
+// may send fewer choices than the request asks for.
+func (s *streamState) endable() bool {
+	if s.finishReason != "" {
+		return !slices.Contains(slices.Collect(maps.Values(s.choices)), false)
+	}
+	return s.tokens > 0 && s.remainingTokens() == 0 && !s.unresumable
 }
 
 // begun reports whether the answer of another engine can only continue the stream: the
@@ -133,16 +147,30 @@
 		s.lastChunk = payload
 	}
 	s.finishReason = max(s.finishReason, finishReason)
+	s.addChoices(chunk.Choices)
 	s.addText(text, nonText)
 	return payload
 }
 
-// finishReasonOf returns the finish reason in a chunk, or an empty string.
+// addChoices adds the choices of a chunk.
+func (s *streamState) addChoices(choices []backend.Choice) {
+	if s.choices == nil {
+		s.choices = make(map[int]bool)
+	}
+	for _, choice := range choices {
+		isFinished := choice.FinishReason != nil && *choice.FinishReason != ""
+		s.choices[choice.Index] = s.choices[choice.Index] || isFinished
+	}
+}
+
+// finishReasonOf returns the first finish reason in a chunk, or an empty string.
 func finishReasonOf(chunk backend.Chunk) string {
-	if len(chunk.Choices) == 0 || chunk.Choices[0].FinishReason == nil {
-		return ""
+	for _, choice := range chunk.Choices {
+		if choice.FinishReason != nil && *choice.FinishReason != "" {
+			return *choice.FinishReason
+		}
 	}
-	return *chunk.Choices[0].FinishReason
+	return ""
 }
 
 // isHidden reports whether a chunk is not relayed to the caller: a repeated chunk
