Use one kind of client for moves and for the platform's services

The test that guards against a move on a stale connection goes through the mover now, and checks that each request got a connection.

--- a/entry/clients_internal_test.go
+++ b/entry/clients_internal_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"net/http"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/cranberrywalk/cranberrywalk/buffer"
+	"github.com/cranberrywalk/cranberrywalk/platform"
 	"github.com/cranberrywalk/cranberrywalk/platform/standin"
 )
 
@@ -20,11 +22,13 @@
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(runner.Close)
 	runner.DropIdleAfter(200 * time.Millisecond)
-	client := newMoverClient(buffer.New(buffer.DefaultOptions()))
+	mover := platform.NewMover(newClient(buffer.New(buffer.DefaultOptions())))
 	for range 2 {
-		response, err := client.Post("http://"+runner.Address()+"/-/kv-move", "application/json", http.NoBody)
-		c.Assert(err, qt.IsNil)
-		c.Assert(response.Body.Close(), qt.IsNil)
+		_, err := mover.CopyRun(t.Context(), runner.Address(), "attempt-1", "127.0.0.1:1")
+		var refused *platform.MoveError
+		c.Assert(errors.As(err, &refused), qt.IsTrue)
+		c.Assert(refused.Status, qt.Equals, http.StatusNotFound)
 		time.Sleep(300 * time.Millisecond)
 	}
+	c.Check(runner.AcceptedConnections(), qt.Equals, 2)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -163,7 +163,7 @@
 	e.gateway = gateway.New(e.Common, gateway.Dependencies{
 		Codec: platform.Codec{}, Balancer: e.balancer, Upstream: e.upstream, Quotas: e.quotas,
 		Segments: e.segments, Contents: e.contents, Usage: e.usage, SyncedClock: e.syncedClock, Group: e.group,
-		StreamVersions: e.versions, Mover: platform.NewMover(newMoverClient(e.budget)), Meters: e.metrics, RunnersAge: e.runnersAge,
+		StreamVersions: e.versions, Mover: platform.NewMover(newClient(e.budget)), Meters: e.metrics, RunnersAge: e.runnersAge,
 		RetryBudgets: gateway.NewRetryBudgets(retry.WindowOptions{
 			Length: bounds.RetryWindow, Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, SafetyFactor: retryBudgetShare,
 		}),
