Use no connection of an earlier attempt of the same request

A response on it names the request too, so that one to the earlier attempt can't be told from that to the present one. An attempt at an address where the request was tried before opens a new connection, whichever runner has the address now.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -26,7 +27,8 @@
 	sentAt time.Time
 	// resumed is the stopped run that the attempt continues, or nil.
 	resumed *call.StoppedRun
-	// newConnection is true if the attempt must not use a pooled connection.
+	// newConnection is true if the attempt must not use a pooled connection: an earlier attempt of
+	// the request may have used it, whose response names the request as well.
 	newConnection bool
 	// lastEvent is the ID of the event after which a stream begins.
 	lastEvent int
@@ -76,6 +78,8 @@
 		number: x.attempts, choice: choice, ticket: ticket, resumed: resumed, lastEvent: x.lastEvent, continuesTyped: x.isTyped,
 		incarnation: choice.Runner.Incarnation().Hash(), sentAt: x.Clock.Now(),
 	}
+	a.newConnection = slices.Contains(x.addresses, choice.Runner.Address)
+	x.addresses = append(x.addresses, choice.Runner.Address)
 	a.ctx, a.cancel = context.WithCancelCause(x.ctx)
 	return a
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -74,6 +74,8 @@
 	retryGranted time.Time
 	// excluded are the runners that the request was already sent to.
 	excluded []string
+	// addresses are those of all attempts. Another runner may have the address of an earlier one.
+	addresses []string
 	// lastEvent is the ID of the last event that was forwarded to the caller.
 	lastEvent int
 	// version is the software version of the runners that have sent the caller events, or empty
