Ask for the replacements that are left before their ends are applied

A replacement that failed in between was in neither, and the refusal said that the request has not run.

--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -208,8 +208,10 @@
 // applyUnsettled records in the state machine the replacements that have failed since the
 // last attempt ended, and that those whose end is not known may have run.
 func (x *exchange) applyUnsettled() {
+	// One that fails from here on may be recorded as both, but not as neither.
+	mayHaveRun := x.hasReplacement()
 	x.applyEndings()
-	if x.hasReplacement() {
+	if mayHaveRun {
 		x.apply(request.AttemptBegan)
 		x.apply(request.AttemptFailed)
 	}
