--- a/backend/client.go
+++ b/backend/client.go
@@ -166,7 +166,11 @@
 		// The backend server may have closed the idle connection.
 		c.Count("BackendConnectionsStale", 1)
 		call.Fresh = true
-		return c.send(ctx, call)
+		a, err = c.send(ctx, call)
+		if errors.As(err, &fault) {
+			// The first try was written.
+			fault.MaybeWritten = true
+		}
 	}
 	return a, err
 }
