Take no refusal that is signed as the answer of a run, and log the last answer

A response that says 'not run' and bears the signature of a run contradicts itself; TestContradictoryRefusalIsNoProof/signed_as_run failed before. RefusedAfterAttempts tells the addresses of all attempts and the answer to the last; reserved lines have a queue of their own, since lines above Info have no limit and filled the shared one (TestErrorsDoNotDisplaceReservedLines failed).

--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -52,6 +52,18 @@
 	return "response of runner " + e.Runner + " has no signature or no request ID"
 }
 
+// ContradictoryAnswerError reports that a response says that the request was not run, and has the
+// signature of a run.
+type ContradictoryAnswerError struct {
+	Runner string
+	Status int
+}
+
+// Error implements error.
+func (e *ContradictoryAnswerError) Error() string {
+	return fmt.Sprintf("runner %s rejected the request with status %d and signed the response as that of a run", e.Runner, e.Status)
+}
+
 // RejectedError reports that a runner rejected a request without running it.
 type RejectedError struct {
 	Runner string
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -67,8 +67,10 @@
 	// writtenAttempts counts the ended attempts that wrote something to a runner, and
 	// unwrittenAttempts the others.
 	writtenAttempts, unwrittenAttempts int
-	// ends counts the ended attempts for the logs and metrics.
-	ends attemptEnds
+	// ends counts the ended attempts for the logs and metrics, and lastHead is the head of the
+	// answer to the last of them.
+	ends     attemptEnds
+	lastHead receivedHead
 	// retryGranted is when the retry budget granted the next attempt; zero once that has
 	// begun.
 	retryGranted time.Time
--- a/gateway/failure.go
+++ b/gateway/failure.go
@@ -31,7 +31,7 @@
 		x.excluded = append(x.excluded, a.choice.Runner.ID)
 	}
 	x.Meters.CountAttempt(a.choice.Runner.ID, result.String())
-	x.ends = x.ends.with(failure)
+	x.ends, x.lastHead = x.ends.with(failure), a.head
 	x.logFailure(a, failure, result)
 	var unwritten *upstream.UnwrittenError
 	var rejected *RejectedError
--- a/gateway/observation.go
+++ b/gateway/observation.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"slices"
 
 	"github.com/cranberrywalk/cranberrywalk/call"
 	"github.com/cranberrywalk/cranberrywalk/request"
@@ -64,8 +65,9 @@
 
 // receivedHead is what the logs say of the head of an answer.
 type receivedHead struct {
-	status int
-	owner  owner
+	status   int
+	owner    owner
+	isSigned bool
 	// isReused is true if the connection had carried an earlier request.
 	isReused bool
 }
@@ -75,13 +77,16 @@
 	if h.status == 0 {
 		return nil
 	}
-	return []any{"AnswerStatus", h.status, "AnswerNames", string(h.owner), "ConnectionReused", h.isReused}
+	return []any{"AnswerStatus", h.status, "AnswerNames", string(h.owner), "AnswerSigned", h.isSigned, "ConnectionReused", h.isReused}
 }
 
+// maxLoggedIDBytes bounds the ID of another request in a log line.
+const maxLoggedIDBytes = 64
+
 // observeHead remembers the head of an answer for the logs, and records one that does not name
 // the request.
 func (x *exchange) observeHead(a *attempt, answer *upstream.Answer, head call.AnswerMetadata) {
-	a.head = receivedHead{status: answer.Status, owner: ownerOf(x.call, head), isReused: answer.Reused}
+	a.head = receivedHead{status: answer.Status, owner: ownerOf(x.call, head), isSigned: head.Signed, isReused: answer.Reused}
 	if a.head.owner == ownerRequest {
 		return
 	}
@@ -90,7 +95,7 @@
 		x.Count("Rejections.Naming"+string(a.head.owner), 1)
 	}
 	x.Log.Info(EventMismatchedAnswer, append([]any{
-		"Request", x.call.ID, "Attempt", a.number, "Named", head.ID, "NotRun", head.NotRun, "Runner", a.choice.Runner.ID,
+		"Request", x.call.ID, "Attempt", a.number, "Named", head.ID[:min(len(head.ID), maxLoggedIDBytes)], "NotRun", head.NotRun, "Runner", a.choice.Runner.ID,
 	}, a.head.logFields()...)...)
 }
 
@@ -111,7 +116,7 @@
 		return
 	}
 	x.mutex.Lock()
-	ends := x.ends
+	ends, head, addresses := x.ends, x.lastHead, slices.Clone(x.addresses)
 	x.mutex.Unlock()
 	if ends.unknown > 0 {
 		x.Count("Refusals.AfterUnknownAttempts", 1)
@@ -121,7 +126,10 @@
 	if x.route.Repeatable() && x.machine.Outcome() == request.NotRun {
 		return
 	}
-	x.Log.Info(EventRefusedAfterAttempts, "Request", x.call.ID, "Status", status, "Reason", reason,
+	x.Log.Info(EventRefusedAfterAttempts, append([]any{
+		"Request", x.call.ID, "Status", status, "Reason", reason,
 		"Outcome", x.machine.Outcome().String(), "Kind", x.route.Kind.String(), "Runner", x.choice.Runner.ID,
-		"Unwritten", ends.unwritten, "Rejected", ends.rejected, "Unknown", ends.unknown)
+		"Unwritten", ends.unwritten, "Rejected", ends.rejected, "Unknown", ends.unknown,
+		"Addresses", addresses, "Milliseconds", x.Clock.Since(x.accepted).Milliseconds(),
+	}, head.logFields()...)...)
 }
--- a/gateway/receive.go
+++ b/gateway/receive.go
@@ -57,6 +57,9 @@
 	}
 	a.headReceived = true
 	x.applySignals(a, head)
+	if head.NotRun && head.Signed {
+		return &upstream.InvalidAnswerError{Address: runner.Address, Cause: &ContradictoryAnswerError{Runner: runner.ID, Status: answer.Status}}
+	}
 	if head.NotRun {
 		return &RejectedError{Runner: runner.ID, Status: answer.Status, Replaced: head.Misdirected}
 	}
--- a/logsink/sink.go
+++ b/logsink/sink.go
@@ -53,9 +53,10 @@
 	// writer buffers the lines of one flush interval.
 	writer *bufio.Writer
 	// target is the underlying output of writer.
-	target  io.Writer
-	output  slog.Handler
-	records *ring.Ring[queuedRecord]
+	target io.Writer
+	output slog.Handler
+	// records and reserved are the queues of ordinary records and of the reserved events.
+	records, reserved *ring.Ring[queuedRecord]
 	// dropped counts all dropped lines, and droppedDebug those of them below slog.LevelInfo.
 	dropped, droppedDebug atomic.Int64
 	done                  chan struct{}
@@ -83,7 +84,8 @@
 		output: slog.NewJSONHandler(writer, &slog.HandlerOptions{
 			Level: slog.LevelDebug - 4, ReplaceAttr: pascalCase,
 		}),
-		records: ring.New[queuedRecord]("log records", options.Capacity),
+		records:  ring.New[queuedRecord]("log records", options.Capacity),
+		reserved: ring.New[queuedRecord]("reserved log records", options.Capacity),
 	}
 }
 
@@ -132,8 +134,10 @@
 	lastReport := s.clock.Now()
 	for {
 		ended := clock.Sleep(ctx, s.clock, flushInterval) != nil
-		for _, queued := range s.records.Drain(s.options.Capacity) {
-			_ = queued.handler.Handle(ctx, queued.record)
+		for _, queue := range []*ring.Ring[queuedRecord]{s.reserved, s.records} {
+			for _, queued := range queue.Drain(s.options.Capacity) {
+				_ = queued.handler.Handle(ctx, queued.record)
+			}
 		}
 		if ended || s.clock.Since(lastReport) >= time.Second {
 			lastReport = s.clock.Now()
@@ -166,7 +170,7 @@
 		clear(s.reservedLines)
 	}
 	switch {
-	case slices.Contains(s.options.ReservedEvents, record.Message):
+	case s.isReserved(record):
 		s.reservedLines[record.Message]++
 		return s.reservedLines[record.Message] <= s.options.MaxReservedLines
 	case record.Level < slog.LevelInfo:
@@ -186,11 +190,19 @@
 		return
 	}
 	record.AddAttrs(slog.Float64("Steady", s.clock.Since(s.start).Seconds()))
-	if s.records.Put(queuedRecord{handler: output, record: record}) != nil {
+	queue := s.records
+	if s.isReserved(record) {
+		queue = s.reserved
+	}
+	if queue.Put(queuedRecord{handler: output, record: record}) != nil {
 		s.countDropped(record)
 	}
 }
 
+func (s *Sink) isReserved(record slog.Record) bool {
+	return slices.Contains(s.options.ReservedEvents, record.Message)
+}
+
 func (s *Sink) countDropped(record slog.Record) {
 	s.dropped.Add(1)
 	if record.Level < slog.LevelInfo {
