--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -40,7 +40,7 @@
 
 // Error implements error.
 func (e *MismatchedAnswerError) Error() string {
-	return "got the response to request " + e.Got + " for request " + e.Want
+	return fmt.Sprintf("got the response to request %.*s for request %s", maxLoggedIDBytes, e.Got, e.Want)
 }
 
 // UnsignedError reports that a response lacks its runner's signature or the ID of
--- a/gateway/observation.go
+++ b/gateway/observation.go
@@ -12,8 +12,8 @@
 
 // The events whose log lines tell whether a refusal was right. Few requests have one.
 const (
-	// EventRefusedAfterAttempts is the refusal of a request that was given to the pool of
-	// connections before.
+	// EventRefusedAfterAttempts is the refusal, as not run, of a request of which attempts were
+	// made.
 	EventRefusedAfterAttempts = "RefusedAfterAttempts"
 	// EventMismatchedAnswer is an answer that names no request or another one than that which
 	// awaits it.
@@ -80,7 +80,7 @@
 	return []any{"AnswerStatus", h.status, "AnswerNames", string(h.owner), "AnswerSigned", h.isSigned, "ConnectionReused", h.isReused}
 }
 
-// maxLoggedIDBytes bounds the ID of another request in a log line.
+// maxLoggedIDBytes bounds the ID of another request in a log line, which its runner chooses.
 const maxLoggedIDBytes = 64
 
 // observeHead remembers the head of an answer for the logs, and records one that does not name
--- a/gateway/receive.go
+++ b/gateway/receive.go
@@ -11,15 +11,14 @@
 const maxMismatchedResponses = 8
 
 // receive makes an attempt until the head of the response to the request has arrived. A runner
-// may write a response to an earlier request once more before it. A replacement does not wait for
-// the response behind such a one, since the runner that it replaces may yet go on.
+// may write a response to an earlier request once more before it, which is skipped.
 func (x *exchange) receive(a *attempt) (*upstream.Answer, error) {
 	answer, err := x.send(a)
 	if err != nil {
 		return nil, err
 	}
 	err = x.checkAnswerHead(a, answer)
-	for skipped := 0; !a.isReplacement() && isMismatched(err) && skipped < maxMismatchedResponses; skipped++ {
+	for skipped := 0; a.mayAwaitNext(err) && skipped < maxMismatchedResponses; skipped++ {
 		if failure := answer.Next(); failure != nil {
 			answer.Close(false)
 			return nil, x.readFailure(a, failure)
@@ -33,10 +32,11 @@
 	return answer, nil
 }
 
-// isMismatched reports whether a response names another request.
-func isMismatched(err error) bool {
+// mayAwaitNext reports whether a response names another request, and the one behind it is awaited.
+// A replacement does not wait for that: the runner that it replaces may yet go on.
+func (a *attempt) mayAwaitNext(err error) bool {
 	var mismatched *MismatchedAnswerError
-	return errors.As(err, &mismatched)
+	return !a.isReplacement() && errors.As(err, &mismatched)
 }
 
 // checkAnswerHead checks the status and the header of a response. It returns nil
