--- a/gateway/sameaddress_test.go
+++ b/gateway/sameaddress_test.go
@@ -37,7 +37,7 @@
 				got := r.send(path, with(standin.HeaderDeadline, "500"))
 				received := r.runners[0].ReceivedRequests()
 				r.c.Assert(len(received) >= 2, qt.IsTrue)
-				r.c.Assert(received[0].Header.Get("X-Expect-Instance"), qt.Equals, "i-earlier")
+				r.c.Assert(received[0].Header.Get(standin.HeaderExpectedRunner), qt.Equals, "i-earlier")
 				r.c.Check(r.timesRun("attempt-1"), qt.Equals, 1)
 				r.c.Check(isPromise(got.status), qt.IsFalse, qt.Commentf("status %d", got.status))
 			})
--- a/gateway/soundanswers_test.go
+++ b/gateway/soundanswers_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -47,7 +48,7 @@
 
 // Guards against the loss of sound answers, which have run, to the checks of heads.
 func TestUnusualSoundHeadsAreForwarded(t *testing.T) {
-	sound := "X-Attempt-Id: attempt-1\r\nX-Response-Signature: s\r\n"
+	sound := standin.HeaderCallID + ": attempt-1\r\n" + standin.HeaderSignature + ": s\r\n"
 	for name, head := range map[string]string{
 		"protocol in a field":       "HTTP/1.1 200 OK\r\n" + sound + "Via: HTTP/1.1 proxy\r\nContent-Length: 2\r\n",
 		"no reason phrase":          "HTTP/1.1 200\r\n" + sound + "Content-Length: 2\r\n",
@@ -55,8 +56,8 @@
 		"old protocol":              "HTTP/1.0 200 OK\r\n" + sound + "Content-Length: 2\r\n",
 		"continued field":           "HTTP/1.1 200 OK\r\n" + sound + "X-Note: a\r\n b: c\r\nContent-Length: 2\r\n",
 		"empty value":               "HTTP/1.1 200 OK\r\n" + sound + "X-Note:\r\nContent-Length: 2\r\n",
-		"names in lower case":       "HTTP/1.1 200 OK\r\nx-attempt-id: attempt-1\r\nx-response-signature: s\r\ncontent-length: 2\r\n",
-		"lines with LF":             "HTTP/1.1 200 OK\nX-Attempt-Id: attempt-1\nX-Response-Signature: s\nContent-Length: 2\n",
+		"names in lower case":       "HTTP/1.1 200 OK\r\n" + strings.ToLower(sound) + "content-length: 2\r\n",
+		"lines with LF":             "HTTP/1.1 200 OK\n" + strings.ReplaceAll(sound, "\r\n", "\n") + "Content-Length: 2\n",
 		"after interim answers":     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\n" + sound + "Content-Length: 2\r\n",
 		"no length":                 "HTTP/1.1 200 OK\r\n" + sound + "Connection: close\r\n",
 		"colon in the value":        "HTTP/1.1 200 OK\r\n" + sound + "X-Note: a b: c d: e\r\nContent-Length: 2\r\n",
@@ -75,7 +76,7 @@
 // Guards against answers that look like a broken one with another inside, and that are forwarded
 // all the same. A sound runner of the platform sends none of them.
 func TestAnswersLikeBrokenOnesAreNotWhole(t *testing.T) {
-	head := "HTTP/1.1 200 OK\r\nX-Attempt-Id: attempt-1\r\nX-Response-Signature: s\r\n"
+	head := "HTTP/1.1 200 OK\r\n" + standin.HeaderCallID + ": attempt-1\r\n" + standin.HeaderSignature + ": s\r\n"
 	stream := head + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
 	for name, scenario := range map[string]struct{ path, content string }{
 		"byte order mark":               {"/stream/a", stream + "\xef\xbb\xbfid: 1\ndata: x\n\n"},
@@ -96,8 +97,8 @@
 // Guards against refusals for a head that names two requests or contradicts itself.
 func TestContradictoryRefusalIsNoProof(t *testing.T) {
 	for name, fields := range map[string]string{
-		"names two requests": "X-Attempt-Id: attempt-1\r\nX-Attempt-Id: attempt-0\r\nX-Not-Executed: 1\r\n",
-		"signed as run":      "X-Attempt-Id: attempt-1\r\nX-Response-Signature: s\r\nX-Not-Executed: 1\r\n",
+		"names two requests": standin.HeaderCallID + ": attempt-1\r\n" + standin.HeaderCallID + ": attempt-0\r\n" + standin.HeaderNotRun + ": 1\r\n",
+		"signed as run":      standin.HeaderCallID + ": attempt-1\r\n" + standin.HeaderSignature + ": s\r\n" + standin.HeaderNotRun + ": 1\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			content := fmt.Sprintf("HTTP/1.1 503 Busy\r\n%sContent-Length: 0\r\n\r\n", fields)
