--- a/review/drive/main.go
+++ b/review/drive/main.go
@@ -20,7 +20,9 @@
 // scenario plays a case. It returns whether the rule was broken.
 type scenario func(r *rig, hasTrouble bool) (isBroken bool, err error)
 
-var scenarios = map[string]scenario{}
+var scenarios = map[string]scenario{
+	"restore": playRestore,
+}
 
 func main() { os.Exit(run()) }
 
