--- a/review/drive/main.go
+++ b/review/drive/main.go
@@ -22,6 +22,7 @@
 
 var scenarios = map[string]scenario{
 	"restore": playRestore,
+	"memory":  playMemory,
 }
 
 func main() { os.Exit(run()) }
