--- a/review/drive/main.go
+++ b/review/drive/main.go
@@ -21,8 +21,9 @@
 type scenario func(r *rig, hasTrouble bool) (isBroken bool, err error)
 
 var scenarios = map[string]scenario{
-	"restore": playRestore,
-	"memory":  playMemory,
+	"latecrash": playLateCrash,
+	"restore":   playRestore,
+	"memory":    playMemory,
 }
 
 func main() { os.Exit(run()) }
