--- a/review/drive/main.go
+++ b/review/drive/main.go
@@ -21,9 +21,10 @@
 type scenario func(r *rig, hasTrouble bool) (isBroken bool, err error)
 
 var scenarios = map[string]scenario{
-	"latecrash": playLateCrash,
-	"restore":   playRestore,
-	"memory":    playMemory,
+	"lateheartbeat": playLateHeartbeat,
+	"latecrash":     playLateCrash,
+	"restore":       playRestore,
+	"memory":        playMemory,
 }
 
 func main() { os.Exit(run()) }
