--- a/review/drive/latecrash.go
+++ b/review/drive/latecrash.go
@@ -62,8 +62,7 @@
 		if hasTrouble {
 			n.crashAfter = crashDelay
 		}
-		n.onRun = func(id string, request *http.Request, body []byte) {
-			r.record.add("%s begins to run %s, which resumes after event %q", n.id, id, request.Header.Get("Last-Event-Id"))
+		n.onRun = func(id string, body []byte) {
 			if string(body) != poison {
 				return
 			}
--- a/review/drive/runner.go
+++ b/review/drive/runner.go
@@ -27,7 +27,7 @@
 	// runner; zero if such requests are sound.
 	crashAfter time.Duration
 	// onRun is called when a request begins to run. It may be nil.
-	onRun func(id string, r *http.Request, body []byte)
+	onRun func(id string, body []byte)
 
 	mutex sync.Mutex
 	// connections holds the open connections; guarded by mutex, as all fields below.
@@ -182,8 +182,9 @@
 	n.mutex.Lock()
 	n.arrivals = append(n.arrivals, arrival{id: id, at: time.Now()})
 	n.mutex.Unlock()
+	n.rig.record.add("%s begins to run %s after event %q", n.id, id, r.Header.Get(standin.HeaderLastEvent))
 	if n.onRun != nil {
-		n.onRun(id, r, body)
+		n.onRun(id, body)
 	}
 	if string(body) == poison && n.crashAfter > 0 {
 		time.AfterFunc(n.crashAfter, n.close)
