Log when the counts of a usage window are decided

A window that the platform accepts twice with different counts can have three causes: the counts changed after the decision, the decision was lost with the log of duties and another one was made, or an entry of an earlier epoch was applied. UsageDecided names the window, its counts, the position of the entry and how long the process had been running.

--- a/duties/usage.go
+++ b/duties/usage.go
@@ -51,7 +51,12 @@
 	if _, holding := d.holding(); !holding || len(undecided) == 0 {
 		return
 	}
-	d.append(ctx, dutylease.Record{Holder: d.options.Process, Reports: undecided})
+	end := d.End()
+	isAppended := d.append(ctx, dutylease.Record{Holder: d.options.Process, Reports: undecided})
+	for _, report := range undecided {
+		d.Log.Info("UsageDecided", "Window", report.Window, "Counts", report.Counts, "Entry", end, "Confirmed", isAppended,
+			"Running", d.Clock.Since(d.started).String())
+	}
 }
 
 // dueReports returns reports with the present counts of the windows from first to last
