Report no window whose report may have been lost with the log of duties

Cause: a process took a window for undecided when neither its log nor its peers knew a report. After a restore that proves nothing. The trace is in: the same window decided in epoch 0 with 108 requests, and in epoch 1 with 5 by a process that had run for 2.0 s. A process that runs on but was out of reach of the holder does the same.

Change: the records of an epoch name the first window that was not due when the epoch began (FirstWindow). Earlier windows are reported only if their report is known. A holder that nobody can have replaced knows all of them. Why it works: a window that was decided in an earlier epoch was due then, so it lies before FirstWindow, at every process of the epoch and also after a restart.

Before: TestReportLostWithTheLogIsNotDecidedAnew and TestReportOfUnreachableHolderIsNotDecidedAnew got 4 where 7 was reported; TestWindowIsReportedOnceAcrossRestartsAndRestores failed after 83 plays ("a reports 31 requests for window 0, which was reported with 26").

--- a/duties/duties.go
+++ b/duties/duties.go
@@ -102,6 +102,9 @@
 	logMutex sync.Mutex
 
 	mutex sync.Mutex
+	// epochEnteredAt is when this process learned that the log was restored, by its own
+	// clock; guarded by mutex.
+	epochEnteredAt time.Time
 	// lease is this process's view of the lease, guarded by mutex.
 	lease *dutylease.LeaseState
 }
@@ -231,7 +234,7 @@
 	d.wasHolding, d.loggedToken = holding, fencingToken
 	if holding {
 		d.Scaler.Reset()
-		d.Log.Info("DutiesTaken", "Fence", fencingToken)
+		d.Log.Info("DutiesTaken", "Fence", fencingToken, "FirstWindow", d.firstWindow())
 		return
 	}
 	d.Log.Info("DutiesLost", "Fence", fencingToken)
--- a/duties/log.go
+++ b/duties/log.go
@@ -59,8 +59,11 @@
 func (d *Duties) enterEpoch(epoch uint64) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.Log.Info("DutyLogRestored", "Epoch", epoch, "End", d.lease.End())
+	d.epochEnteredAt = d.Clock.Now()
+	end := d.lease.End()
 	d.lease.EnterEpoch(epoch, d.now())
+	_, knowsReports := d.lease.FirstWindow()
+	d.Log.Info("DutyLogRestored", "Epoch", epoch, "End", end, "KnowsReports", knowsReports)
 }
 
 func (d *Duties) apply(offset uint64, entry []byte) {
@@ -88,7 +91,7 @@
 // record is known to have taken effect. logMutex must be held.
 func (d *Duties) append(ctx context.Context, record dutylease.Record) bool {
 	end := d.End()
-	record.Epoch = end.Epoch
+	record.Epoch, record.FirstWindow = end.Epoch, d.firstWindow()
 	content, err := record.Encode()
 	if err != nil {
 		d.Log.Error(err, "DutyRecordNotEncoded")
--- a/duties/usage.go
+++ b/duties/usage.go
@@ -59,11 +59,24 @@
 	}
 }
 
+// firstWindow returns the first window that can't have been decided before the log of
+// duties was restored.
+func (d *Duties) firstWindow() int64 {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if first, isKnown := d.lease.FirstWindow(); isKnown {
+		return first
+	}
+	// Windows are decided UsageDelay after their end. Half of it is for the difference
+	// between the clocks of two daemons.
+	return d.Usage.Window(d.SyncedClock.At(d.epochEnteredAt).Add(-d.options.UsageDelay / 2))
+}
+
 // dueReports returns reports with the present counts of the windows from first to last
-// that are not decided and for whose counts there is no more waiting.
+// that were decided in no epoch of the log and for whose counts there is no more waiting.
 func (d *Duties) dueReports(first, last int64) []dutylease.Report {
 	var undecided []dutylease.Report
-	for window := first; window <= last; window++ {
+	for window := max(first, d.firstWindow()); window <= last; window++ {
 		if _, _, decided := d.decidedReport(window); decided || d.reported[window] || d.awaitsCounts(window) {
 			continue
 		}
--- a/dutylease/holder.go
+++ b/dutylease/holder.go
@@ -60,6 +60,12 @@
 	// unlogged holds the windows of reports that the log is not known to hold, since
 	// it was restored or since another daemon passed them on.
 	unlogged map[int64]bool
+	// firstWindow is the FirstWindow of the epoch's records. It is zero in a log that was
+	// never restored.
+	firstWindow int64
+	// lacksFirstWindow is true from a restore after which decided reports may be unknown
+	// until a record of the new epoch has been applied.
+	lacksFirstWindow bool
 }
 
 // NewLeaseState returns the state of a process that has read nothing yet.
@@ -90,6 +96,7 @@
 // then, not even a process that has just started and finds the log empty. The reports
 // decided so far stay decided.
 func (s *LeaseState) EnterEpoch(epoch uint64, now time.Time) {
+	s.lacksFirstWindow = s.lacksFirstWindow || s.mayHaveMissedEntries(now)
 	s.end, s.heldInEpoch = latest.Position{Epoch: epoch}, false
 	s.holder, s.endChangedAt, s.epochChangedAt = unknownHolder, now, now
 	for window := range s.reports {
@@ -102,6 +109,7 @@
 	switch {
 	case record.Epoch == s.end.Epoch:
 		s.heldInEpoch = true
+		s.firstWindow, s.lacksFirstWindow = record.FirstWindow, false
 		s.applyHolder(record)
 		s.applyReports(record, now)
 	case !s.heldInEpoch:
--- a/dutylease/record.go
+++ b/dutylease/record.go
@@ -22,6 +22,9 @@
 	// Epoch is the epoch of the log that the writer had read. An append that takes
 	// effect in another epoch is void.
 	Epoch uint64
+	// FirstWindow is the first window whose report can't have been decided in an
+	// earlier epoch. All records of an epoch have the same.
+	FirstWindow int64 `msgpack:",omitempty"`
 }
 
 // RecordError says that an entry of the log can't be decoded.
