Log the start and the sequence number of runners' records

A leaving runner that becomes ready again can have said so itself, can have started anew, or its record can be an older one that the store executed late, or that came out of order from a peer. RunnerReady and RunnerLeaving name the start and the sequence number of the record.

--- a/entry/runners.go
+++ b/entry/runners.go
@@ -109,10 +109,12 @@
 			t.Log.Info("RunnerGone", "Runner", change.Runner.ID, "Zone", change.Runner.Zone)
 		case change.Runner.State == inventory.Leaving:
 			t.Log.Info("RunnerLeaving", "Runner", change.Runner.ID, "Zone", change.Runner.Zone,
-				"Reclaimable", change.Runner.Reclaimable, "Milliseconds", change.Runner.LeavesIn.Milliseconds())
+				"Reclaimable", change.Runner.Reclaimable, "Milliseconds", change.Runner.LeavesIn.Milliseconds(),
+				"StartedAt", change.Runner.StartedAt, "Sequence", change.Runner.Sequence)
 		default:
 			t.Log.Info("RunnerReady", "Runner", change.Runner.ID, "Zone", change.Runner.Zone,
-				"Service", change.Runner.Service, "Version", change.Runner.Version, "Reclaimable", change.Runner.Reclaimable)
+				"Service", change.Runner.Service, "Version", change.Runner.Version, "Reclaimable", change.Runner.Reclaimable,
+				"StartedAt", change.Runner.StartedAt, "Sequence", change.Runner.Sequence)
 		}
 	}
 }
