Ignore records of runners that the store executes late

Cause: inventory compared start and sequence of a record with what it knew only for four heartbeats after a restore; otherwise the highest offset counted.

Change: an older record is ignored at all times, also after the removal of the runner, and logged as RunnerRecordOutdated. A record of an earlier start may be a restart after the clock was set back; it is applied if nothing newer follows within four heartbeats. Why it works: within one start the sequence orders what the runner said, whatever the order in which the store executed it.

RestoreGrace is now OutdatedGrace, since it bounds both; the test of records without a start time is renamed with it and asserts the same.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -174,10 +174,10 @@
 	// expiryGrace is how long runners are kept whose records expired during an
 	// outage of the store.
 	expiryGrace = 2200 * time.Millisecond
-	// restoreGraceHeartbeats is the number of runners' heartbeats after a restore of
-	// the store by which the record of each runner is its own again: the store drops
-	// a record after three of them.
-	restoreGraceHeartbeats = 4
+	// outdatedGraceHeartbeats is the number of runners' heartbeats by which the record of
+	// each runner is its own again after a restore or a late write: the store drops a
+	// record after three of them.
+	outdatedGraceHeartbeats = 4
 	// defaultRunnerHeartbeat is used when the platform tells none.
 	defaultRunnerHeartbeat = 1200 * time.Millisecond
 	// removedRunnerRetention exceeds the age of the copies from which the platform
@@ -191,7 +191,7 @@
 		heartbeat = defaultRunnerHeartbeat
 	}
 	return inventory.Options{
-		ExpiryGrace: expiryGrace, RestoreGrace: restoreGraceHeartbeats * heartbeat, RemovedRetention: removedRunnerRetention,
+		ExpiryGrace: expiryGrace, OutdatedGrace: outdatedGraceHeartbeats * heartbeat, RemovedRetention: removedRunnerRetention,
 	}
 }
 
--- a/entry/leaving_test.go
+++ b/entry/leaving_test.go
@@ -54,5 +54,35 @@
 	s.c.Check(leaving.ReceivedRequests(), qt.HasLen, 1)
 }
 
+// TestLateHeartbeatDoesNotReviveLeavingRunner guards against requests to a runner that has
+// said that it leaves, after the store has executed one of its earlier heartbeats late.
+func TestLateHeartbeatDoesNotReviveLeavingRunner(t *testing.T) {
+	t.Parallel()
+	s := newTestSystem(t, 1)
+	leaving, staying := s.addRunner(answerScript), s.addRunner(answerScript)
+	started := time.Now()
+	heartbeat := func(sequence uint64, isLeaving bool) {
+		s.c.Assert(s.store.PutRunner(standin.RunnerRecord{
+			ID: leaving.ID, Service: "desk", Address: leaving.Address(), Zone: "zone-1",
+			Leaving: isLeaving, StartedAt: started, Sequence: sequence,
+		}), qt.IsNil)
+	}
+	heartbeat(1, false)
+	s.awaitReady()
+	heartbeat(5, true)
+	time.Sleep(applyTime)
+	before := len(leaving.ReceivedRequests())
+
+	heartbeat(3, false)
+
+	time.Sleep(applyTime)
+	const requests = 20
+	for range requests {
+		s.c.Check(s.send(s.daemons[0], deskRoute+"a", "key-1").status, qt.Equals, 200)
+	}
+	s.c.Check(leaving.ReceivedRequests(), qt.HasLen, before)
+	s.c.Check(len(staying.ReceivedRequests()) >= requests, qt.IsTrue)
+}
+
 // exchangeTime is enough for a digest of each daemon to reach the others.
 const exchangeTime = time.Second
--- a/entry/runners.go
+++ b/entry/runners.go
@@ -77,6 +77,9 @@
 	t.versions.SetRunners(runners)
 	t.balancer.SetRunners(runners, t.cacheTokens)
 	for _, change := range changes {
+		if change.Outdated {
+			continue
+		}
 		if change.Removed || change.Runner.State == inventory.Leaving {
 			t.gateway.MoveStreams(change.Runner.ID)
 		}
@@ -105,6 +108,10 @@
 		case change.DecodeError != nil:
 			t.Count("Runners.Unreadable", 1)
 			t.Log.Info("RunnerUnreadable", "Reason", change.DecodeError.Error())
+		case change.Outdated:
+			t.Count("Runners.OutdatedRecords", 1)
+			t.Log.Info("RunnerRecordOutdated", "Runner", change.Runner.ID, "Leaving", change.Runner.State == inventory.Leaving,
+				"StartedAt", change.Runner.StartedAt, "Sequence", change.Runner.Sequence)
 		case change.Removed:
 			t.Log.Info("RunnerGone", "Runner", change.Runner.ID, "Zone", change.Runner.Zone)
 		case change.Runner.State == inventory.Leaving:
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -14,10 +14,11 @@
 	// went missing while the store was unavailable or was restored. A live runner has
 	// written a new record by then.
 	ExpiryGrace time.Duration
-	// RestoreGrace is how long after a restore of the store records are ignored that
-	// are older than what was known before. By then the store has removed the
-	// records of runners that no longer write.
-	RestoreGrace time.Duration
+	// OutdatedGrace is how long records are ignored that are older than what was known
+	// before, after a restore of the store or from the first record of an earlier start
+	// of a runner. By then the store has removed the records of runners that no longer
+	// write.
+	OutdatedGrace time.Duration
 	// RemovedRetention is how long the last record of a removed runner is
 	// remembered. It exceeds the age of a copy from which the store is restored.
 	RemovedRetention time.Duration
@@ -53,11 +54,11 @@
 	expireAt map[string]time.Time
 	// removed holds the last records of removed runners.
 	removed map[string]removedRunner
-	// restoredUntil is the end of the RestoreGrace.
+	// restoredUntil is the end of the OutdatedGrace after a restore.
 	restoredUntil time.Time
-	// outdated holds the records that are ignored during the RestoreGrace. Those
+	// outdated holds the records that are ignored during the OutdatedGrace. Those
 	// that the store still holds at its end are applied.
-	outdated map[string]Runner
+	outdated map[string]outdatedRecord
 }
 
 // removedRunner is the last state of a runner that was removed.
@@ -71,7 +72,7 @@
 	return &Inventory{
 		options: options, decode: decode,
 		runners: make(map[string]Runner), expireAt: make(map[string]time.Time),
-		removed: make(map[string]removedRunner), outdated: make(map[string]Runner),
+		removed: make(map[string]removedRunner), outdated: make(map[string]outdatedRecord),
 	}
 }
 
@@ -80,6 +81,9 @@
 	Runner Runner
 	// Removed is true if the runner was removed.
 	Removed bool
+	// Outdated is true if the record is older than what is known of the runner, so that
+	// nothing changes.
+	Outdated bool
 	// DecodeError is the error from decoding the record, or nil.
 	DecodeError error
 }
@@ -87,7 +91,7 @@
 // Apply applies the records of one read and returns the changes.
 func (i *Inventory) Apply(records []latest.Record, now time.Time, interruption Interruption) []Change {
 	if interruption == Restore {
-		i.restoredUntil = now.Add(i.options.RestoreGrace)
+		i.restoredUntil = now.Add(i.options.OutdatedGrace)
 	}
 	var changes []Change
 	for _, record := range records {
@@ -99,6 +103,7 @@
 }
 
 func (i *Inventory) apply(record latest.Record, now time.Time, interruption Interruption) (Change, bool) {
+	held := i.outdated[record.Key]
 	delete(i.outdated, record.Key)
 	if record.IsTombstone() {
 		if known, found := i.runners[record.Key]; found && known.State == Ready && interruption != NoInterruption {
@@ -113,27 +118,13 @@
 		change.DecodeError = err
 		return change, true
 	}
-	if now.Before(i.restoredUntil) && i.isOutdated(runner, interruption) {
-		i.outdated[record.Key] = runner
-		return Change{}, false
+	if i.isOutdated(runner, now, interruption) {
+		i.hold(runner, held, now)
+		return Change{Runner: runner, Outdated: true}, true
 	}
 	return i.put(runner)
 }
 
-// isOutdated reports whether a record that was read after a restore is older than what
-// is known of the runner. A removed runner may have written the last record known of it
-// once more, but not within the restored copy.
-func (i *Inventory) isOutdated(runner Runner, interruption Interruption) bool {
-	if known, found := i.runners[runner.ID]; found {
-		return runner.isOlderThan(known)
-	}
-	gone, found := i.removed[runner.ID]
-	if !found {
-		return false
-	}
-	return runner.isOlderThan(gone.runner) || interruption == Restore && !gone.runner.isOlderThan(runner)
-}
-
 func (i *Inventory) put(runner Runner) (Change, bool) {
 	previous, known := i.runners[runner.ID]
 	delete(i.expireAt, runner.ID)
@@ -154,7 +145,7 @@
 }
 
 // Expire removes the runners that have not written a new record within ExpiryGrace,
-// and ends the RestoreGrace.
+// and applies the records whose OutdatedGrace has ended.
 func (i *Inventory) Expire(now time.Time) []Change {
 	var changes []Change
 	for id, end := range i.expireAt {
@@ -170,16 +161,7 @@
 			delete(i.removed, id)
 		}
 	}
-	if now.Before(i.restoredUntil) {
-		return changes
-	}
-	for id, runner := range i.outdated {
-		delete(i.outdated, id)
-		if change, changed := i.put(runner); changed {
-			changes = append(changes, change)
-		}
-	}
-	return changes
+	return append(changes, i.applyHeld(now)...)
 }
 
 // Runners returns all runners, sorted by ID.
--- a/inventory/inventory_test.go
+++ b/inventory/inventory_test.go
@@ -36,11 +36,11 @@
 
 var start = time.Unix(1000, 0)
 
-const restoreGrace = 5 * time.Second
+const outdatedGrace = 5 * time.Second
 
 func newInventory() *inventory.Inventory {
 	return inventory.New(inventory.Options{
-		ExpiryGrace: 2 * time.Second, RestoreGrace: restoreGrace, RemovedRetention: time.Minute,
+		ExpiryGrace: 2 * time.Second, OutdatedGrace: outdatedGrace, RemovedRetention: time.Minute,
 	}, decode)
 }
 
@@ -132,7 +132,7 @@
 		listed string
 		// written is the value written after the restore; "-" stands for none.
 		written string
-		// during and after are the states in the RestoreGrace, once written has been
+		// during and after are the states in the OutdatedGrace, once written has been
 		// read, and after it.
 		during, after []string
 	}{
@@ -158,19 +158,19 @@
 			}
 			i.Expire(later)
 			c.Check(states(i), qt.DeepEquals, scenario.during)
-			i.Expire(start.Add(restoreGrace))
+			i.Expire(start.Add(outdatedGrace))
 			c.Check(states(i), qt.DeepEquals, scenario.after)
 		})
 	}
 }
 
-// TestOlderRecordAfterRestoreGrace covers a runner that restarts without a start time,
+// TestOlderRecordWithoutStartTime covers a runner that restarts without a start time,
 // so that its sequence numbers begin anew.
-func TestOlderRecordAfterRestoreGrace(t *testing.T) {
+func TestOlderRecordWithoutStartTime(t *testing.T) {
 	c := qt.New(t)
 	i := newInventory()
 	i.Apply(put("a", "r18", 0), start, inventory.NoInterruption)
 	i.Apply(nil, start, inventory.Restore)
-	c.Check(i.Apply(put("a", "r21", 1), start.Add(restoreGrace), inventory.NoInterruption), qt.HasLen, 1)
+	c.Check(i.Apply(put("a", "r21", 1), start.Add(outdatedGrace), inventory.NoInterruption), qt.HasLen, 1)
 	c.Check(i.Runners()[0].Address, qt.Equals, "2")
 }
