Refuse requests that come late in a planned stop and may outlast it

Reported by another operator: requests that came late in the grace period of a planned stop were taken, passed on and cut at its end (LOST).

Cause: a daemon that stops still serves what arrives on its open connections (a request that crosses the closing, one behind a stream that began before, one whose body is complete only now), and passed it on with its whole timeout, up to 15 s, although all requests are ended 7.2 s after SIGTERM.

Change: once callers are not routed here any more, a request whose deadline lies beyond the end of the stop gets 503 and a Retry-After of 50 ms before it is sent to a runner. Others are served as before. Why it works: what is passed on ends by its own deadline before the stop ends it. The own interface does the same (DrainBy).

Before: TestStopTakesNoRequestThatMayOutlastIt in entry: a request that runs once reached its runner and got 504, a stream got 200 and was cut. After: green; a request that ends in time is served.

--- a/daemon/run.go
+++ b/daemon/run.go
@@ -100,6 +100,7 @@
 	// connections are refused.
 	d.callers.BeginStop()
 	_ = clock.Sleep(context.Background(), d.Clock, d.settings.Daemon.LeaveDelay)
+	d.dispatcher.DrainBy(d.Clock.Now().Add(d.settings.Daemon.DrainTimeout))
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Daemon.DrainTimeout)
 	defer cancel()
 	if err := d.callers.Drain(ctx); err != nil {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -170,6 +170,8 @@
 	crashes *lru.Cache[crashKey, time.Time]
 	// draining is never reset.
 	draining bool
+	// drainEnd is when a planned stop ends the requests in flight; zero before DrainBy.
+	drainEnd time.Time
 	// drained is closed when draining is true and inFlight is empty.
 	drained chan struct{}
 }
--- a/dispatch/drain.go
+++ b/dispatch/drain.go
@@ -1,6 +1,11 @@
 package dispatch
 
-import "context"
+import (
+	"context"
+	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/request"
+)
 
 // InFlight returns the number of requests that have not ended.
 func (d *Dispatcher) InFlight() int {
@@ -9,6 +14,14 @@
 	return len(d.inFlight)
 }
 
+// DrainBy rejects from now on those new requests that may not have ended at a time. Requests
+// that arrive late in a planned stop are then not cut at its end.
+func (d *Dispatcher) DrainBy(end time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.drainEnd = end
+}
+
 // Drain rejects new requests from now on. Done is closed when the requests in
 // flight have ended.
 func (d *Dispatcher) Drain() {
@@ -35,17 +48,27 @@
 	}
 }
 
-// register adds a request. It fails with a *DrainingError once Drain was called.
+// register adds a request. It fails with a *DrainingError once Drain was called, or if the
+// request may outlast the end that DrainBy has set.
 func (d *Dispatcher) register(f *inFlightRequest) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.draining {
+	if d.draining || d.mayOutlastDrain(f.request) {
 		return &DrainingError{}
 	}
 	d.inFlight[f] = struct{}{}
 	return nil
 }
 
+// mayOutlastDrain reports whether a request may not have ended at the end that DrainBy has
+// set. The caller holds d.mu.
+func (d *Dispatcher) mayOutlastDrain(r request.Request) bool {
+	if d.drainEnd.IsZero() {
+		return false
+	}
+	return r.Deadline.IsZero() || r.Deadline.After(d.drainEnd)
+}
+
 func (d *Dispatcher) unregister(f *inFlightRequest) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/entry/run.go
+++ b/entry/run.go
@@ -166,6 +166,7 @@
 func (e *Entry) stop(stopDuties context.CancelFunc) {
 	e.Log.Info("Stopping", "Daemon", e.self.Name)
 	drainTime := e.drainTime()
+	drainEnd := e.Clock.Now().Add(drainTime)
 	drainCtx, cancel := context.WithTimeout(context.Background(), drainTime)
 	defer cancel()
 	e.stopping.Store(true)
@@ -173,6 +174,7 @@
 	e.callers.BeginStop()
 	stopDuties()
 	_ = clock.Sleep(drainCtx, e.Clock, min(readinessLag, drainTime/2))
+	e.gateway.Drain(drainEnd)
 	if err := e.callers.Drain(drainCtx); err != nil {
 		e.Log.Info("RequestsCut", "Reason", err.Error())
 	}
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -41,9 +41,11 @@
 		return x, refusal
 	}
 	x.setDeadline()
-	if refusal := x.checkLimits(); refusal != nil {
-		x.close()
-		return x, refusal
+	for _, check := range []func() *Refusal{x.checkStop, x.checkLimits} {
+		if refusal := check(); refusal != nil {
+			x.close()
+			return x, refusal
+		}
 	}
 	return x, nil
 }
@@ -98,7 +100,7 @@
 	case errors.As(err, &tooLarge):
 		return newRefusal(http.StatusRequestEntityTooLarge, "LongBody", err)
 	case callerserver.IsStopped(x.request.Context()):
-		return unavailable("Stopping", retryAfterStart, err)
+		return unavailable("Stopping", retryAfterStop, err)
 	case err != nil:
 		return newRefusal(http.StatusBadRequest, "BrokenBody", err)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -162,6 +162,8 @@
 	// ready is closed by MarkReady.
 	ready     chan struct{}
 	readyOnce sync.Once
+	// stopEnd is when a planned stop ends the requests under way, or nil before Drain.
+	stopEnd atomic.Pointer[time.Time]
 
 	mutex sync.Mutex
 	// streams holds the open streams by runner; guarded by mutex.
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -20,6 +20,8 @@
 const (
 	// retryAfterStart is for a daemon that has no configuration yet.
 	retryAfterStart = 500 * time.Millisecond
+	// retryAfterStop is for a daemon that is about to stop. Others serve the request at once.
+	retryAfterStop = 50 * time.Millisecond
 	// retryAfterNoRunner is for a service without a runner that accepts requests.
 	retryAfterNoRunner = 500 * time.Millisecond
 	// retryAfterVersionUnknown is for a stream of which the version that began it is not known yet.
