Ask every other daemon before a stream's version is found without the store

Cause: a daemon that does not reach the store took the default version for a resumed stream if it had seen no other one and no zone counted as silent, which takes a second. No news counted as proof. Searches that read the store are not concerned: each waits for a reading that begins after it.

Change: such a search asks every other daemon anew (Group.ExchangeWithAll), and each must reply that it has seen the default version only (Digest.Versions). The daemon that began the stream has seen its version, so one reply tells it or is missing; then the stream is refused, as the design asks. The sharing of calls is one type for readings and polls (sharedCalls).

TestUnreadableStoreJoinsNothing has the same cases; "cut off" is a missing reply in place of a silent zone.

--- a/entry/peerhandler.go
+++ b/entry/peerhandler.go
@@ -35,6 +35,7 @@
 		CountsAreFinal:       countsAreFinal,
 		Segments:             h.segments.Report(toNew, now),
 		Contents:             h.contents.Report(toNew, now),
+		Versions:             h.versions.Report(),
 	}
 	if toNew {
 		digest.PeerCounts = h.usage.PeerCounts(from)
@@ -62,6 +63,7 @@
 	h.contents.Merge(digest.Contents, now.Add(-delay), now)
 	h.duties.ObservePeerProcess(sender.Name, instanceID(sender))
 	h.duties.ObserveReports(digest.Reports)
+	h.versions.ObservePeer(sender.Name, digest.Versions)
 	for _, end := range digest.Ends {
 		switch end.Topic {
 		case dutiesTopic:
--- a/membership/digest.go
+++ b/membership/digest.go
@@ -14,6 +14,7 @@
 	"github.com/cranberrywalk/cranberrywalk/feed"
 	"github.com/cranberrywalk/cranberrywalk/latest"
 	"github.com/cranberrywalk/cranberrywalk/quota"
+	"github.com/cranberrywalk/cranberrywalk/streamversion"
 	"github.com/cranberrywalk/cranberrywalk/suspect"
 	"github.com/cranberrywalk/cranberrywalk/usage"
 )
@@ -62,6 +63,8 @@
 	// Segments tells of segments of prompts that crash runners, and Contents of requests
 	// that crash them each time they are sent.
 	Segments, Contents suspect.CrashReport
+	// Versions tells of the software versions that the sender has seen.
+	Versions streamversion.Report
 }
 
 // TopicEnd is the state of a daemon's copy of a topic.
--- a/membership/group.go
+++ b/membership/group.go
@@ -88,6 +88,8 @@
 // peer is the state of another daemon.
 type peer struct {
 	member Member
+	// addedAt is when the daemon became known.
+	addedAt time.Time
 	// digestMadeAt is when the daemon made the newest digest that has arrived.
 	digestMadeAt time.Time
 	// digestID identifies that digest, and digestContent is its encoding; nil
@@ -162,7 +164,7 @@
 func (g *Group) add(member Member) *peer {
 	p := g.peers[member.Name]
 	if p == nil {
-		p = &peer{}
+		p = &peer{addedAt: g.common.Clock.Now()}
 		g.peers[member.Name] = p
 	}
 	p.member = member
--- a/versionlog/find.go
+++ b/versionlog/find.go
@@ -24,7 +24,7 @@
 	findCtx, cancel := context.WithTimeout(ctx, l.options.FindTimeout)
 	defer cancel()
 	if err := l.reader.refresh(findCtx); err != nil {
-		return l.findWithoutStore(query, err)
+		return l.findWithoutStore(ctx, query, err)
 	}
 	record, hasRecord, isEmpty := l.reader.record(query.Stream)
 	if query.HasID && hasRecord {
@@ -63,15 +63,37 @@
 }
 
 // findWithoutStore finds a stream while the store can't be read. That is possible only if no other
-// version can have begun it: this process has seen none for as long as a stream lives, and it hears
-// the other daemons, which would have told it of one.
-func (l *Log) findWithoutStore(query streamversion.Query, cause error) (streamversion.Found, error) {
-	isCutOff := len(l.Group.SilentZones()) > 0
+// version can have begun it: neither this process nor any other daemon has seen one for as long as a
+// stream lives. The others are asked anew for each search, since this daemon may not know yet what
+// they have seen: it may be cut off, or have stood still.
+func (l *Log) findWithoutStore(ctx context.Context, query streamversion.Query, cause error) (streamversion.Found, error) {
+	unknown := &streamversion.UnknownError{Reason: streamversion.StoreUnavailable, Cause: cause}
+	if !l.hasOnlyDefault(query.Service) {
+		return streamversion.Found{}, unknown
+	}
+	ctx, cancel := context.WithTimeout(ctx, l.options.FindTimeout)
+	defer cancel()
+	began := l.Clock.Now()
+	err := l.polls.await(ctx)
+	if err == nil {
+		err = l.checkPeers(query.Service, began)
+	}
+	if err != nil {
+		l.Count("Streams.PollsFailed", 1)
+		l.Log.V(1).Info("VersionNotConfirmed", "Service", query.Service, "Reason", err.Error())
+		return streamversion.Found{}, unknown
+	}
+	if !l.hasOnlyDefault(query.Service) {
+		return streamversion.Found{}, unknown
+	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if isCutOff || !l.watch.HasOnlyDefault(query.Service, l.Clock.Now()) {
-		return streamversion.Found{}, &streamversion.UnknownError{Reason: streamversion.StoreUnavailable, Cause: cause}
-	}
 	rule, _ := l.watch.Rule(query.Service)
 	return streamversion.Found{Version: rule.Default, Source: streamversion.FromRule}, nil
 }
+
+func (l *Log) hasOnlyDefault(service string) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.watch.HasOnlyDefault(service, l.Clock.Now())
+}
--- a/versionlog/reader.go
+++ b/versionlog/reader.go
@@ -14,13 +14,10 @@
 // reader reads the records of all processes when a stream has to be found. Searches share a
 // reading that begins after they do.
 type reader struct {
-	log *Log
-	// wake receives a value when a reading is asked for.
-	wake chan struct{}
+	log      *Log
+	readings *sharedCalls
 
 	mutex sync.Mutex
-	// next is the reading that has not begun, or nil; guarded by mutex.
-	next *reading
 	// topic holds the values of the records' topic, and table the records in them; guarded by
 	// mutex.
 	topic *latest.Topic
@@ -32,81 +29,20 @@
 	hasEpoch   bool
 	// readAt is when the last reading without a failure began; guarded by mutex.
 	readAt time.Time
-	// failure is that of the last reading, or nil, and failedAt when it ended. Both are guarded by
-	// mutex.
-	failure  error
-	failedAt time.Time
 }
 
 // listAfter is the time since the last reading after which the newest values are listed: each of
 // them was written many times since.
 const listAfter = 10 * time.Second
 
-// failureHold is how long after a failed reading searches fail without another one, so that they
-// do not wait for a store that does not answer.
-const failureHold = 250 * time.Millisecond
-
-// reading is one reading of the store.
-type reading struct {
-	// done is closed when the reading has ended, and err is then its failure, or nil.
-	done chan struct{}
-	err  error
-}
-
 func newReader(l *Log) *reader {
-	return &reader{log: l, wake: make(chan struct{}, 1), topic: latest.New(), table: streamversion.NewTable()}
+	return &reader{log: l, readings: newSharedCalls(l.Clock), topic: latest.New(), table: streamversion.NewTable()}
 }
 
 // refresh reads what the store holds now.
-func (r *reader) refresh(ctx context.Context) error {
-	r.mutex.Lock()
-	if r.failure != nil && r.log.Clock.Since(r.failedAt) < failureHold {
-		defer r.mutex.Unlock()
-		return r.failure
-	}
-	if r.next == nil {
-		r.next = &reading{done: make(chan struct{})}
-	}
-	next := r.next
-	r.mutex.Unlock()
-	select {
-	case r.wake <- struct{}{}:
-	default:
-	}
-	select {
-	case <-next.done:
-		return next.err
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
+func (r *reader) refresh(ctx context.Context) error { return r.readings.await(ctx) }
 
-func (r *reader) run(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-r.wake:
-		}
-		r.mutex.Lock()
-		current := r.next
-		r.next = nil
-		r.mutex.Unlock()
-		if current == nil {
-			continue
-		}
-		current.err = r.read(ctx)
-		r.recordFailure(current.err)
-		close(current.done)
-	}
-}
-
-// recordFailure records the failure of a reading, or nil.
-func (r *reader) recordFailure(failure error) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.failure, r.failedAt = failure, r.log.Clock.Now()
-}
+func (r *reader) run(ctx context.Context) { r.readings.run(ctx, 0, r.read) }
 
 // read reads the rules, if they are old, and then the records since the last time.
 func (r *reader) read(ctx context.Context) error {
--- a/versionlog/rig_test.go
+++ b/versionlog/rig_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -30,14 +32,26 @@
 	store *standin.Store
 	// began counts the processes.
 	began int
-	// silentZones are the zones of which no process hears anything.
-	silentZones []string
+
+	mutex sync.Mutex
+	// processes holds the processes that run, and those that are silent; guarded by mutex.
+	processes []*process
 }
 
 // process is one process with its log.
 type process struct {
 	*versionlog.Log
+	name string
 	stop func()
+	// isSilent is true if no other process hears it, nor it any other one; guarded by the mutex of
+	// the rig.
+	isSilent bool
+}
+
+// group is the group of all processes as one of them sees it.
+type group struct {
+	rig  *rig
+	self *process
 }
 
 func newRig(t *testing.T) *rig {
@@ -48,13 +62,49 @@
 }
 
 // Size implements versionlog.Group.
-func (r *rig) Size() int { return 3 }
+func (g *group) Size() int { return 3 }
 
 // Decides implements versionlog.Group.
-func (r *rig) Decides(string) bool { return true }
+func (g *group) Decides(string) bool { return true }
+
+// ExchangeWithAll implements versionlog.Group.
+func (g *group) ExchangeWithAll(context.Context, time.Duration) bool {
+	g.rig.mutex.Lock()
+	others := slices.Clone(g.rig.processes)
+	isComplete := !slices.ContainsFunc(others, func(p *process) bool { return p.isSilent })
+	g.rig.mutex.Unlock()
+	for _, other := range others {
+		if other != g.self && isComplete {
+			g.self.ObservePeer(other.name, other.Report())
+		}
+	}
+	return isComplete
+}
 
-// SilentZones implements versionlog.Group.
-func (r *rig) SilentZones() []string { return r.silentZones }
+// cutOff cuts a process off from the others, or ends that. They don't know it yet.
+func (r *rig) cutOff(p *process, isSilent bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	p.isSilent = isSilent
+}
+
+// end ends a process as planned: the others know that.
+func (r *rig) end(p *process) {
+	p.stop()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.processes = slices.DeleteFunc(r.processes, func(other *process) bool { return other == p })
+}
+
+// takeStoreFrom lets all calls of a process to the store fail.
+func (r *rig) takeStoreFrom(p *process) {
+	r.store.SetFault(func(call standin.Call) standin.Fault {
+		if call.Caller == p.name {
+			return standin.FaultRefused
+		}
+		return standin.FaultNone
+	})
+}
 
 // lifetime is that of a stream in these tests.
 const lifetime = 600 * time.Millisecond
@@ -70,23 +120,27 @@
 // start starts a process that sees a runner of each version. The first one begins the system.
 func (r *rig) start(versions ...string) *process {
 	r.began++
-	address, err := r.store.Listen(fmt.Sprintf("entry-%d", r.began))
+	p := &process{name: fmt.Sprintf("entry-%d", r.began)}
+	address, err := r.store.Listen(p.name)
 	r.c.Assert(err, qt.IsNil)
 	common := telemetry.NewCommon()
 	common.Log = logr.Discard()
-	o := optionsOf(fmt.Sprintf("entry-%d", r.began))
+	o := optionsOf(p.name)
 	o.Watch.IsFirstStart = r.began == 1
 	client := &http.Client{Transport: &http.Transport{}}
-	l := versionlog.New(common, versionlog.Dependencies{Store: platform.NewStore(address, client), Group: r}, o)
+	p.Log = versionlog.New(common, versionlog.Dependencies{Store: platform.NewStore(address, client), Group: &group{rig: r, self: p}}, o)
 	ctx, cancel := context.WithCancel(context.Background())
-	go l.Run(ctx)
-	p := &process{Log: l, stop: func() {
+	go p.Run(ctx)
+	p.stop = func() {
 		cancel()
-		<-l.Done()
+		<-p.Done()
 		client.CloseIdleConnections()
-	}}
+	}
 	r.c.Cleanup(p.stop)
 	p.SetRunners(runnersOf(versions...))
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.processes = append(r.processes, p)
 	return p
 }
 
--- a/versionlog/versionlog.go
+++ b/versionlog/versionlog.go
@@ -66,8 +66,9 @@
 	// Decides reports whether this daemon is the one of the group that decides on the matter with
 	// the key.
 	Decides(key string) bool
-	// SilentZones returns the zones in which no known daemon is heard.
-	SilentZones() []string
+	// ExchangeWithAll exchanges reports with the other daemons. It returns whether all of those
+	// have replied that were heard within a time, or became known within it.
+	ExchangeWithAll(ctx context.Context, heardWithin time.Duration) bool
 }
 
 // Dependencies are the dependencies of a Log.
@@ -86,6 +87,7 @@
 	options Options
 	writer  *writer
 	reader  *reader
+	polls   *sharedCalls
 	// done is closed when Run has returned.
 	done chan struct{}
 
@@ -101,6 +103,8 @@
 	rulesEnd    latest.Position
 	// dueSince is since when the rule of a service has to change; guarded by mutex.
 	dueSince map[string]time.Time
+	// peerReports holds the newest report of each other daemon; guarded by mutex.
+	peerReports map[string]peerReport
 }
 
 // New returns a log that reads and writes nothing before Run.
@@ -113,6 +117,7 @@
 	l := &Log{
 		Common: common, Dependencies: dependencies, options: options, done: make(chan struct{}), own: own,
 		watch: streamversion.NewWatch(options.Watch, common.Clock.Now()), dueSince: make(map[string]time.Time),
+		polls: newSharedCalls(common.Clock), peerReports: make(map[string]peerReport),
 	}
 	l.writer = newWriter(l)
 	l.reader = newReader(l)
@@ -128,6 +133,7 @@
 	var tasks sync.WaitGroup
 	tasks.Go(func() { l.writer.run(ctx) })
 	tasks.Go(func() { l.reader.run(ctx) })
+	tasks.Go(func() { l.polls.run(ctx, pollPause, l.poll) })
 	tasks.Go(func() { l.keepRules(ctx) })
 	tasks.Go(func() { l.removeOldBatches(ctx) })
 	tasks.Wait()
--- a/versionlog/versionlog_test.go
+++ b/versionlog/versionlog_test.go
@@ -140,28 +140,28 @@
 func TestUnreadableStoreJoinsNothing(t *testing.T) {
 	const unknown = "unknown: StoreUnavailable"
 	for _, scenario := range []struct {
-		name        string
-		versions    []string
-		hasRecord   bool
-		silentZones []string
-		want        string
+		name      string
+		versions  []string
+		hasRecord bool
+		isCutOff  bool
+		want      string
 	}{
-		{"one version and no record", []string{"v1"}, false, nil, "v1 from Rule"},
-		{"one version and the record of another one", []string{"v1"}, true, nil, unknown},
-		{"two versions", []string{"v1", "v1", "v1.1"}, false, nil, unknown},
-		{"cut off from the other daemons", []string{"v1"}, false, []string{"zone-2"}, unknown},
+		{"one version and no record", []string{"v1"}, false, false, "v1 from Rule"},
+		{"one version and the record of another one", []string{"v1"}, true, false, unknown},
+		{"two versions", []string{"v1", "v1", "v1.1"}, false, false, unknown},
+		{"cut off from the other daemons", []string{"v1"}, false, true, unknown},
 	} {
 		t.Run(scenario.name, func(t *testing.T) {
 			r := newRig(t)
-			r.silentZones = scenario.silentZones
 			first := r.start("v1")
 			r.awaitDefault(first, "v1")
 			if scenario.hasRecord {
 				r.record(first, 7, "v1.1")
 			}
-			first.stop()
+			r.end(first)
 			p := r.start(scenario.versions...)
 			r.awaitDefault(p, "v1")
+			r.cutOff(p, scenario.isCutOff)
 			r.store.SetFault(func(standin.Call) standin.Fault { return standin.FaultRefused })
 			time.Sleep(60 * time.Millisecond)
 			r.c.Check(p.find(1), qt.Equals, scenario.want)
