Log attempts at runners that are known to leave

An attempt can go there knowingly, since its run was stopped there; since the runner began to leave between its choice and the sending; or since the daemon does not know yet, or believes an older record. SentToLeavingRunner shows the first two with the time since the choice; what remains is not known at the daemon.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -118,6 +118,7 @@
 		maxConnections = max(int(share), 1)
 	}
 	started := x.Clock.Now()
+	x.recordLeaving(a, started)
 	if a.number == 1 {
 		x.Meters.ObservePhase(x.route.Kind.String(), metric.Queue, started.Sub(x.accepted))
 	}
@@ -130,6 +131,17 @@
 	})
 }
 
+// recordLeaving counts and logs an attempt at a runner that is known to leave.
+func (x *exchange) recordLeaving(a *attempt, now time.Time) {
+	runner := a.choice.Runner
+	if !x.Balancer.IsLeaving(runner) {
+		return
+	}
+	x.Count("Attempts.AtLeavingRunners", 1)
+	x.Log.Info("SentToLeavingRunner", "Request", x.call.ID, "Attempt", a.number, "Runner", runner.ID, "Resumes", a.resumed != nil,
+		"Milliseconds", now.Sub(x.accepted).Milliseconds(), "ChosenMilliseconds", now.Sub(a.sentAt).Milliseconds())
+}
+
 // applySignals applies what the head of a response says of its runner, unless that is another
 // one than the intended.
 func (x *exchange) applySignals(a *attempt, head call.AnswerMetadata) {
