Send no stream back to a runner that left too long ago, if another can take it up

Cause: a stream that was moved away from a leaving runner returned there whenever the new runner rejected it or said nothing, however long after the notice.

Change: it returns only within drain_ms less the greatest age of the list of runners; later it goes on elsewhere after its last event. A stream that can't be resumed returns as before, since its run would be lost.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -167,7 +167,20 @@
 		RetryBudgets: gateway.NewRetryBudgets(retry.WindowOptions{
 			Length: bounds.RetryWindow, Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, SafetyFactor: retryBudgetShare,
 		}),
-	}, gateway.DefaultOptions())
+	}, gatewayOptions(bounds))
+}
+
+// maxRunnersAge is the age that the list of runners has at most while the store can be read.
+const maxRunnersAge = staleAfter + feedPeriod
+
+// gatewayOptions returns the options of the gateway. A daemon learns that a runner leaves up to
+// maxRunnersAge after the runner has said so.
+func gatewayOptions(bounds platform.Bounds) gateway.Options {
+	options := gateway.DefaultOptions()
+	if bounds.DrainTime > 0 {
+		options.ReturnTime = max(bounds.DrainTime-maxRunnersAge, 0)
+	}
+	return options
 }
 
 const (
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -54,10 +54,10 @@
 	// choice is the balancer's choice for the current attempt.
 	choice balance.Choice
 	// continuedRun is the stopped run that the current attempt continues.
-	// stoppedAt is the choice of the runner that stopped the run; it is nil once
-	// the run has been sent back to that runner.
+	// stoppedAt is the runner that stopped the run; it is nil once the run has been sent
+	// back to that runner.
 	continuedRun *call.StoppedRun
-	stoppedAt    *balance.Choice
+	stoppedAt    *stoppedSource
 
 	// mutex guards the writes of choice, continuedRun and stoppedAt, and the fields
 	// below, which moves and replacements use concurrently.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -107,6 +107,9 @@
 	// MoveDelay is how long a stream stays at a runner that is leaving before it
 	// is moved, since many streams end within that time.
 	MoveDelay time.Duration
+	// ReturnTime is how long after a runner was found to leave a stream may return there that
+	// another runner could take up too.
+	ReturnTime time.Duration
 	// CopyTimeout bounds the copy of a run's KV cache, during which the run continues.
 	CopyTimeout time.Duration
 	// MoveTimeout bounds the request to stop a run that was copied.
@@ -126,7 +129,7 @@
 func DefaultOptions() Options {
 	return Options{
 		MaxUnwrittenAttempts: 6, StartWait: 250 * time.Millisecond, DefaultTimeout: 30 * time.Second, StreamIdleTimeout: 1500 * time.Millisecond,
-		FirstEventShare: 0.4, MoveDelay: 400 * time.Millisecond, CopyTimeout: time.Second,
+		FirstEventShare: 0.4, MoveDelay: 400 * time.Millisecond, ReturnTime: 500 * time.Millisecond, CopyTimeout: time.Second,
 		MoveTimeout: 500 * time.Millisecond, MaxPlainRequestsPerSlot: 4, RecordTimeout: 600 * time.Millisecond,
 		ConnectionShare: 0.9,
 	}
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -13,8 +13,10 @@
 type streamMove struct {
 	// done is closed when the move has succeeded or failed.
 	done chan struct{}
-	// source is the choice of the attempt that the move ends.
-	source balance.Choice
+	// source is the choice of the attempt that the move ends, and noticedAt when its runner
+	// was found to leave.
+	source    balance.Choice
+	noticedAt time.Time
 	// stopping is true from the request to stop the run on. Until then the attempt goes
 	// on as if there were no move. It is guarded by the mutex of the exchange.
 	stopping bool
@@ -81,6 +83,7 @@
 // moveFrom moves the stream away from a runner that is leaving. The stream then breaks
 // off, and the goroutine that serves the request continues it at the new runner.
 func (x *exchange) moveFrom(runner string) {
+	noticedAt := x.Clock.Now()
 	failed := ""
 	for range maxMoveTries {
 		if x.awaitMoveTime(runner) != nil {
@@ -90,6 +93,7 @@
 		if !started {
 			return
 		}
+		m.noticedAt = noticedAt
 		if failed != "" {
 			r.Excluded = append(r.Excluded, failed)
 		}
@@ -190,24 +194,6 @@
 	return x.pendingMove != nil && x.pendingMove.stopping && !x.pendingMove.hasEnded()
 }
 
-// returnToSource returns an attempt at the runner that stopped the run. It returns nil if
-// that was tried before or the runner wants no requests now.
-func (x *exchange) returnToSource() *attempt {
-	x.mutex.Lock()
-	defer x.mutex.Unlock()
-	if x.stoppedAt == nil {
-		return nil
-	}
-	source := *x.stoppedAt
-	x.stoppedAt = nil
-	ticket, err := x.Balancer.Acquire(source.Runner, x.Clock.Now())
-	if err != nil {
-		x.Log.Info("RunLost", "Request", x.call.ID, "Runner", source.Runner.ID, "Reason", err.Error())
-		return nil
-	}
-	return x.newAttempt(source, ticket, x.continuedRun)
-}
-
 // recordNotMoved counts and logs a stream that was not moved.
 func (x *exchange) recordNotMoved(m *streamMove, cause error) {
 	x.Count("Streams.NotMoved", 1)
--- a/gateway/replace.go
+++ b/gateway/replace.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/catalog"
@@ -92,15 +93,18 @@
 }
 
 // chooseReplacement chooses another runner than the current one. A stopped run returns to
-// the runner where it was stopped. The mutex must be held.
+// the runner where it was stopped, unless that left too long ago. The mutex must be held.
 func (x *exchange) chooseReplacement(now time.Time) (*attempt, error) {
 	if source := x.stoppedAt; source != nil {
-		ticket, err := x.Balancer.Acquire(source.Runner, now)
-		if err != nil {
+		ticket, err := x.acquireSource(*source, now)
+		var left *LeftError
+		switch {
+		case err == nil:
+			x.stoppedAt = nil
+			return x.newAttempt(source.choice, ticket, x.continuedRun), nil
+		case !errors.As(err, &left):
 			return nil, err
 		}
-		x.stoppedAt = nil
-		return x.newAttempt(*source, ticket, x.continuedRun), nil
 	}
 	r := x.balanceRequest()
 	r.Excluded = append(r.Excluded, x.choice.Runner.ID)
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -115,6 +115,9 @@
 	return streamversion.Found{Version: f.found, Source: streamversion.FromRule}, f.unknown
 }
 
+// rigReturnTime is how long a stream may return to a runner that leaves.
+const rigReturnTime = 200 * time.Millisecond
+
 const (
 	testHost = "desk.example"
 	testKey  = "key-of-library"
@@ -177,6 +180,7 @@
 	gatewayOptions.FirstEventShare = 0.2
 	gatewayOptions.RecordTimeout = 200 * time.Millisecond
 	gatewayOptions.MoveDelay = 10 * time.Millisecond
+	gatewayOptions.ReturnTime = rigReturnTime
 	r.gateway = gateway.New(common, gateway.Dependencies{
 		Codec: platform.Codec{}, Balancer: balancer, Upstream: upstream.New(common, upstream.DefaultOptions()),
 		Quotas: r.quotas, Segments: r.segments, Contents: r.contents, Usage: r.usage, SyncedClock: clocksync.New(time.Minute, now),
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -69,7 +69,7 @@
 	defer x.mutex.Unlock()
 	x.continuedRun, x.stoppedAt = move.run, nil
 	if a.choice.Runner.ID != move.target.choice.Runner.ID {
-		x.stoppedAt = &a.choice
+		x.stoppedAt = &stoppedSource{choice: a.choice, leavesSince: move.noticedAt}
 	}
 	return x.newAttempt(move.target.choice, move.target.ticket, move.run)
 }
