--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,7 +20,6 @@
 	"github.com/cranberrywalk/cranberrywalk/dutylease"
 	"github.com/cranberrywalk/cranberrywalk/feed"
 	"github.com/cranberrywalk/cranberrywalk/gateway"
-	"github.com/cranberrywalk/cranberrywalk/inventory"
 	"github.com/cranberrywalk/cranberrywalk/latest"
 	"github.com/cranberrywalk/cranberrywalk/membership"
 	"github.com/cranberrywalk/cranberrywalk/metric"
@@ -170,95 +169,6 @@
 	}, gatewayOptions(bounds))
 }
 
-// maxRunnersAge is the age that the list of runners has at most while the store can be read.
-const maxRunnersAge = staleAfter + feedPeriod
-
-// gatewayOptions returns the options of the gateway. A daemon learns that a runner leaves up to
-// maxRunnersAge after the runner has said so.
-func gatewayOptions(bounds platform.Bounds) gateway.Options {
-	options := gateway.DefaultOptions()
-	if bounds.DrainTime > 0 {
-		options.ReturnTime = max(bounds.DrainTime-maxRunnersAge, 0)
-	}
-	return options
-}
-
-const (
-	// expiryGrace is how long runners are kept whose records expired during an
-	// outage of the store.
-	expiryGrace = 2200 * time.Millisecond
-	// outdatedGraceHeartbeats is the number of runners' heartbeats by which the record of
-	// each runner is its own again after a restore or a late write: the store drops a
-	// record after three of them.
-	outdatedGraceHeartbeats = 4
-	// defaultRunnerHeartbeat is used when the platform tells none.
-	defaultRunnerHeartbeat = 1200 * time.Millisecond
-	// removedRunnerRetention exceeds the age of the copies from which the platform
-	// restores its store.
-	removedRunnerRetention = time.Minute
-)
-
-func inventoryOptions(settings platform.Settings) inventory.Options {
-	heartbeat := settings.RunnerHeartbeat
-	if heartbeat <= 0 {
-		heartbeat = defaultRunnerHeartbeat
-	}
-	return inventory.Options{
-		ExpiryGrace: expiryGrace, OutdatedGrace: outdatedGraceHeartbeats * heartbeat, RemovedRetention: removedRunnerRetention,
-	}
-}
-
-func (e *Entry) addFeeds() {
-	e.runners = newRunnerTracker(e, inventory.New(inventoryOptions(e.settings), platform.DecodeRunner))
-	e.feedsByTopic = make(map[string]*feed.Feed)
-	e.addFeed(feed.Options{
-		Topic: platform.ConfigurationTopic, Period: feedPeriod, Wait: configurationWait,
-		FollowerReadPeriod: fallbackPeriod, StaleAfter: staleAfter,
-	}, e.applyConfigurations)
-	e.addFeed(feed.Options{
-		Topic: platform.RunnersTopic, Period: feedPeriod, FollowerReadPeriod: fallbackPeriod, StaleAfter: staleAfter,
-	}, e.runners.applyBatch)
-	e.addFeed(feed.Options{
-		Topic: membersTopic, Period: membersPeriod, FollowerReadPeriod: fallbackMembersPeriod, StaleAfter: 2 * membersPeriod,
-	}, e.addMembers)
-}
-
-const (
-	// feedPeriod is the time between two reads of topics with a bound on staleness.
-	feedPeriod = 400 * time.Millisecond
-	// configurationWait is how long a read waits for a newer configuration. It also
-	// bounds the time until a dead connection is noticed.
-	configurationWait = 500 * time.Millisecond
-	// fallbackPeriod is the time between two reads of the store by a daemon that
-	// receives a topic from peers, and staleAfter the age of its copy above which
-	// it reads the store itself.
-	fallbackPeriod = 16 * time.Second
-	staleAfter     = 1100 * time.Millisecond
-	// membersPeriod is the time between two reads of the list of daemons. It is
-	// long since daemons also learn of each other by gossip.
-	membersPeriod         = 5 * time.Second
-	fallbackMembersPeriod = 20 * time.Second
-	// storeTimeout bounds a call to the store, and outageTimeout a call during an
-	// outage of the store.
-	storeTimeout  = 800 * time.Millisecond
-	outageTimeout = 500 * time.Millisecond
-	// peerTimeout bounds a read from a peer, which may be paused.
-	peerTimeout = 250 * time.Millisecond
-	// outageAfter is the time without a successful read after which missing records
-	// may only have expired during an outage.
-	outageAfter = 2 * time.Second
-)
-
-func (e *Entry) addFeed(options feed.Options, apply func(feed.Batch)) {
-	options.Timeout = storeTimeout + options.Wait
-	options.UnavailableTimeout = outageTimeout
-	options.PeerTimeout = peerTimeout
-	options.OutageAfter = outageAfter
-	f := feed.New(e.Common, options, e.store, e.group, apply)
-	e.feeds = append(e.feeds, f)
-	e.feedsByTopic[options.Topic] = f
-}
-
 const (
 	// defaultLease is used when the platform sets no lease time.
 	defaultLease = 3 * time.Second
