--- a/duties/usage.go
+++ b/duties/usage.go
@@ -73,7 +73,8 @@
 }
 
 // dueReports returns reports with the present counts of the windows from first to last
-// that were decided in no epoch of the log and for whose counts there is no more waiting.
+// that can't have been decided yet, in this epoch of the log or an earlier one, and for
+// whose counts there is no more waiting.
 func (d *Duties) dueReports(first, last int64) []dutylease.Report {
 	var undecided []dutylease.Report
 	for window := max(first, d.firstWindow()); window <= last; window++ {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -107,8 +107,8 @@
 	// MoveDelay is how long a stream stays at a runner that is leaving before it
 	// is moved, since many streams end within that time.
 	MoveDelay time.Duration
-	// ReturnTime is how long after a runner was found to leave a stream may return there that
-	// another runner could take up too.
+	// ReturnTime bounds the time from the moment at which a runner is found to leave to the
+	// return of a moved stream to it, if another runner can take the stream up.
 	ReturnTime time.Duration
 	// CopyTimeout bounds the copy of a run's KV cache, during which the run continues.
 	CopyTimeout time.Duration
--- a/gateway/source.go
+++ b/gateway/source.go
@@ -26,9 +26,9 @@
 	return fmt.Sprintf("runner %s has been leaving for %v", e.Runner, e.Since)
 }
 
-// acquireSource counts the request at the runner that stopped the run. A stream that another
-// runner can take up does not return to a runner that has been leaving for longer than
-// ReturnTime. It fails with a *LeftError, or as Balancer.Acquire does.
+// acquireSource counts the request at the runner that stopped the run. It fails with a
+// *LeftError if the runner has been leaving for longer than ReturnTime and another one can
+// take the stream up, and otherwise as Balancer.Acquire does.
 func (x *exchange) acquireSource(source stoppedSource, now time.Time) (*balance.Ticket, error) {
 	since := now.Sub(source.leavesSince)
 	if x.route.Repeatable() && since > x.options.ReturnTime {
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -14,10 +14,9 @@
 	// went missing while the store was unavailable or was restored. A live runner has
 	// written a new record by then.
 	ExpiryGrace time.Duration
-	// OutdatedGrace is how long records are ignored that are older than what was known
-	// before, after a restore of the store or from the first record of an earlier start
-	// of a runner. By then the store has removed the records of runners that no longer
-	// write.
+	// OutdatedGrace is how long an older record than the last known one is ignored: after
+	// a restore of the store, or if it is of an earlier start of its runner. By then the
+	// store has removed the records of runners that no longer write.
 	OutdatedGrace time.Duration
 	// RemovedRetention is how long the last record of a removed runner is
 	// remembered. It exceeds the age of a copy from which the store is restored.
--- a/versionlog/sharedcalls.go
+++ b/versionlog/sharedcalls.go
@@ -8,9 +8,9 @@
 	"github.com/cranberrywalk/cranberrywalk/clock"
 )
 
-// sharedCalls makes calls that several callers share. Each caller gets the result of a call that
-// begins after it has asked. For failureHold after a call that failed, it gets that failure instead,
-// so that it does not wait for somebody who does not answer.
+// sharedCalls makes calls whose results several callers share. A caller gets the result of a call
+// that begins after it has asked. Within failureHold after a failed call it gets that failure
+// instead, so that callers do not wait for a store or a daemon that does not answer.
 type sharedCalls struct {
 	clock clock.Clock
 	// wake receives a value when a call is asked for.
