Log how the end of an answer is shown, and what became of orders to stop a run

Callers got a part of a stream without a length or chunks as a complete answer. Three causes are possible, and no line or metric could tell them apart: the framing of an answer was in none, nor whether a stream ended while a request to stop its run was under way, or after one that nobody answered, nor what the runner said to it and when.

AnswerFraming is a field of the lines that tell of an answer. A stream that ends with its connection at a runner that was asked to stop its run, or that leaves, has a line of its own; complete streams are counted by their framing. What a request does is unchanged.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -90,6 +90,8 @@
 	currentRunner string
 	// pendingMove is the move of the current attempt to another runner, or nil.
 	pendingMove *streamMove
+	// runStops are the requests to stop a run that moves have sent, in order.
+	runStops []*runStop
 	// watchdog watches the current attempt, or the last one between attempts. It is nil
 	// before the first.
 	watchdog *idleWatchdog
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -17,9 +17,9 @@
 	// was found to leave.
 	source    balance.Choice
 	noticedAt time.Time
-	// stopping is true from the request to stop the run on. Until then the attempt goes
-	// on as if there were no move. It is guarded by the mutex of the exchange.
-	stopping bool
+	// stop is the request to stop the run, or nil. Until then the attempt goes on as if there
+	// were no move. It is guarded by the mutex of the exchange.
+	stop *runStop
 	// run is the stopped run, or nil if the stream was not moved. It is set
 	// before done is closed.
 	run *call.StoppedRun
@@ -122,7 +122,7 @@
 func (x *exchange) forgetMove(m *streamMove) bool {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
-	if x.pendingMove != m || m.stopping {
+	if x.pendingMove != m || m.stop != nil {
 		return false
 	}
 	x.pendingMove = nil
@@ -191,7 +191,7 @@
 // isMoving reports whether the run of the current attempt is being stopped. The mutex must
 // be held.
 func (x *exchange) isMoving() bool {
-	return x.pendingMove != nil && x.pendingMove.stopping && !x.pendingMove.hasEnded()
+	return x.pendingMove != nil && x.pendingMove.stop != nil && !x.pendingMove.hasEnded()
 }
 
 // recordNotMoved counts and logs a stream that was not moved.
@@ -215,7 +215,7 @@
 	defer x.mutex.Unlock()
 	m = x.pendingMove
 	x.pendingMove = nil
-	return m, m != nil && m.stopping
+	return m, m != nil && m.stop != nil
 }
 
 // dropMove gives back what a move holds, once it has ended.
--- a/gateway/moverun.go
+++ b/gateway/moverun.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/balance"
-	"github.com/cranberrywalk/cranberrywalk/call"
 	"github.com/cranberrywalk/cranberrywalk/inventory"
 )
 
@@ -98,59 +97,10 @@
 	case x.Balancer.PauseLeft(target.choice.Runner.ID, now) > 0:
 		return &NotMovedError{Reason: "TargetPaused"}
 	}
-	m.stopping = true
+	x.beginRunStop(m, now)
 	return nil
 }
 
-// stopRun stops the run, whose copy is complete. If no answer says whether the run was
-// stopped, the copy is kept: it continues the run if the stream breaks off.
-func (x *exchange) stopRun(m *streamMove, target *moveTarget, handle string) error {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), x.options.MoveTimeout)
-	defer cancel()
-	source := m.source.Runner
-	run, copied, err := x.Mover.StopRun(ctx, source.Address, x.call.ID, target.choice.Runner.Address)
-	x.applyPause(source, err)
-	if isRefused(err) {
-		x.releaseTarget(target)
-		x.freeCopy(handle, source, target.choice.Runner)
-		return err
-	}
-	if err != nil {
-		x.Count("Streams.StopsUnanswered", 1)
-		x.Log.Info("StopUnanswered", "Request", x.call.ID, "Runner", source.ID, "Reason", err.Error())
-		run, copied = call.StoppedRun{Source: source.Address, Handle: handle}, true
-	}
-	if !copied {
-		target, err = x.returnTarget(m, target)
-		if err != nil {
-			return err
-		}
-	}
-	m.run, m.target = &run, target
-	x.Count("Streams.Moved", 1)
-	x.Log.Info("StreamMoved", "Request", x.call.ID, "From", source.ID, "FromVersion", source.Version, "To", target.choice.Runner.ID, "ToVersion", target.choice.Runner.Version, "Copied", copied)
-	return nil
-}
-
-// isRefused reports whether a runner has answered that it did not stop a run.
-func isRefused(err error) bool {
-	var refused interface{ Refused() bool }
-	return errors.As(err, &refused) && refused.Refused()
-}
-
-// returnTarget replaces the target of a move by its source, where a run continues whose
-// rest could not be copied.
-func (x *exchange) returnTarget(m *streamMove, target *moveTarget) (*moveTarget, error) {
-	now := x.Clock.Now()
-	target.ticket.EndUnsent(balance.Cancelled, now)
-	ticket, err := x.Balancer.Acquire(m.source.Runner, now)
-	if err != nil {
-		x.RetryBudgets.ReturnRetry(x.service, target.granted)
-		return nil, err
-	}
-	return &moveTarget{choice: m.source, ticket: ticket, granted: target.granted}, nil
-}
-
 // freeCopy frees a copy that no request uses. The source frees it at both ends; if the
 // source wants no requests or can't be reached, only the target is asked.
 func (x *exchange) freeCopy(handle string, source, target inventory.Runner) {
--- a/gateway/observation.go
+++ b/gateway/observation.go
@@ -70,6 +70,7 @@
 	isSigned bool
 	// isReused is true if the connection had carried an earlier request.
 	isReused bool
+	framing  upstream.Framing
 }
 
 // logFields returns the log fields. There are none for a zero head.
@@ -77,7 +78,7 @@
 	if h.status == 0 {
 		return nil
 	}
-	return []any{"AnswerStatus", h.status, "AnswerNames", string(h.owner), "AnswerSigned", h.isSigned, "ConnectionReused", h.isReused}
+	return []any{"AnswerStatus", h.status, "AnswerNames", string(h.owner), "AnswerSigned", h.isSigned, "ConnectionReused", h.isReused, "AnswerFraming", string(h.framing)}
 }
 
 // maxLoggedIDBytes bounds the ID of another request in a log line, which its runner chooses.
@@ -86,7 +87,7 @@
 // observeHead remembers the head of an answer for the logs, and records one that does not name
 // the request.
 func (x *exchange) observeHead(a *attempt, answer *upstream.Answer, head call.AnswerMetadata) {
-	a.head = receivedHead{status: answer.Status, owner: ownerOf(x.call, head), isSigned: head.Signed, isReused: answer.Reused}
+	a.head = receivedHead{status: answer.Status, owner: ownerOf(x.call, head), isSigned: head.Signed, isReused: answer.Reused, framing: answer.Framing()}
 	if a.head.owner == ownerRequest {
 		return
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -91,7 +91,9 @@
 	if o.buffered != nil {
 		return x.forwardNonStream(a, *o.buffered)
 	}
-	if err := x.relayEvents(a, o, watchdog); err != nil {
+	err = x.relayEvents(a, o, watchdog)
+	x.observeStreamEnd(a, o.answer, err)
+	if err != nil {
 		o.answer.Close(false)
 		return err
 	}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -172,13 +172,6 @@
 // headerCapacity is the initial buffer capacity for the header of a request.
 const headerCapacity = 1 << 10
 
-// IsDelimited reports whether the end of the body can be distinguished from a lost
-// connection.
-func (a *Answer) IsDelimited() bool {
-	isHead := a.response.Request != nil && a.response.Request.Method == http.MethodHead
-	return isHead || a.response.ContentLength >= 0 || len(a.response.TransferEncoding) > 0
-}
-
 // Read reads the body. A body without a length ends when the runner closes the
 // connection in an orderly way, which it may have done before the body began.
 func (a *Answer) Read(buffer []byte) (int, error) {
