--- a/gateway/move_test.go
+++ b/gateway/move_test.go
@@ -30,6 +30,8 @@
 	refusal error
 	// hold delays the first answer of each move until it is closed, if it is not nil.
 	hold chan struct{}
+	// delay is how long each stop takes.
+	delay time.Duration
 	// stop is called for each successful stop.
 	stop func()
 	// answerLost makes a stop fail although the run was stopped.
@@ -60,6 +62,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.stops++
+	time.Sleep(m.delay)
 	if m.err != nil {
 		return call.StoppedRun{}, false, m.err
 	}
