--- a/gateway/runstop.go
+++ b/gateway/runstop.go
@@ -7,7 +7,6 @@
 
 	"github.com/cranberrywalk/cranberrywalk/balance"
 	"github.com/cranberrywalk/cranberrywalk/call"
-	"github.com/cranberrywalk/cranberrywalk/upstream"
 )
 
 // stopOutcome is what is known of a request to stop a run.
@@ -32,11 +31,13 @@
 	lastAttempt int
 	sentAt      time.Time
 	outcome     stopOutcome
+	// settled is closed when the outcome is no longer pending.
+	settled chan struct{}
 }
 
 // beginRunStop records that the run is about to be stopped. The mutex must be held.
 func (x *exchange) beginRunStop(m *streamMove, now time.Time) {
-	m.stop = &runStop{runner: m.source.Runner.ID, lastAttempt: x.attempts, sentAt: now, outcome: stopPending}
+	m.stop = &runStop{runner: m.source.Runner.ID, lastAttempt: x.attempts, sentAt: now, outcome: stopPending, settled: make(chan struct{})}
 	x.runStops = append(x.runStops, m.stop)
 }
 
@@ -44,6 +45,7 @@
 func (x *exchange) settleRunStop(s *runStop, err error) {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
+	defer close(s.settled)
 	switch {
 	case err == nil:
 		s.outcome = stopDone
@@ -87,12 +89,10 @@
 // recordMoved counts and logs a stream that was moved.
 func (x *exchange) recordMoved(m *streamMove, copied bool) {
 	source, target := m.source.Runner, m.target.choice.Runner
-	x.mutex.Lock()
-	outcome := m.stop.outcome
-	x.mutex.Unlock()
 	x.Count("Streams.Moved", 1)
-	x.Log.Info("StreamMoved", "Request", x.call.ID, "From", source.ID, "FromVersion", source.Version, "To", target.ID, "ToVersion", target.Version,
-		"Copied", copied, "Stop", string(outcome), "StopMilliseconds", x.Clock.Since(m.stop.sentAt).Milliseconds())
+	x.Log.Info("StreamMoved", append([]any{
+		"Request", x.call.ID, "From", source.ID, "FromVersion", source.Version, "To", target.ID, "ToVersion", target.Version, "Copied", copied,
+	}, x.stopFields(m.stop)...)...)
 }
 
 // isRefused reports whether a runner has answered that it did not stop a run.
@@ -113,39 +113,3 @@
 	}
 	return &moveTarget{choice: m.source, ticket: ticket, granted: target.granted}, nil
 }
-
-// lastRunStop returns the last request to stop a run that a runner got, or nil.
-func (x *exchange) lastRunStop(runner string) *runStop {
-	x.mutex.Lock()
-	defer x.mutex.Unlock()
-	for i := len(x.runStops) - 1; i >= 0; i-- {
-		if x.runStops[i].runner == runner {
-			stop := *x.runStops[i]
-			return &stop
-		}
-	}
-	return nil
-}
-
-// observeStreamEnd counts the end of a stream by its framing. It logs the end of one whose
-// framing does not show whether it is complete, if the daemon has asked the runner to stop the
-// run or knows that it leaves.
-func (x *exchange) observeStreamEnd(a *attempt, answer *upstream.Answer, failure error) {
-	if failure == nil {
-		x.Count("Streams.CompleteBy."+string(answer.Framing()), 1)
-	}
-	runner := a.choice.Runner
-	stop, leaves := x.lastRunStop(runner.ID), x.Balancer.IsLeaving(runner)
-	if answer.IsDelimited() || stop == nil && !leaves {
-		return
-	}
-	fields := []any{"Request", x.call.ID, "Attempt", a.number, "Runner", runner.ID, "RunnerLeaves", leaves, "Complete", failure == nil, "LastEvent", x.lastEvent}
-	if stop != nil {
-		fields = append(fields, "Stop", string(stop.outcome), "StopMilliseconds", x.Clock.Since(stop.sentAt).Milliseconds())
-	}
-	if failure != nil {
-		fields = append(fields, "Cause", failure.Error())
-	}
-	x.Count("Streams.EndedByConnectionAtMove", 1)
-	x.Log.Info("StreamEndedByConnection", fields...)
-}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -117,8 +117,7 @@
 	controller := http.NewResponseController(x.writer)
 	for e, err := o.first, o.end; ; e, err = o.events.next() {
 		if errors.Is(err, io.EOF) {
-			x.writeHead(o.answer)
-			return nil
+			return x.endStream(a, o.answer)
 		}
 		if err != nil {
 			return x.readFailure(a, err)
@@ -148,6 +147,15 @@
 	}
 }
 
+// endStream ends a stream after its last event.
+func (x *exchange) endStream(a *attempt, answer *upstream.Answer) error {
+	if err := x.checkStreamEnd(a, answer); err != nil {
+		return err
+	}
+	x.writeHead(answer)
+	return nil
+}
+
 // recordFirstEvent measures the time to the first event that the caller gets.
 func (x *exchange) recordFirstEvent() {
 	if x.firstEvent > 0 {
