Don't take a reset during an upload for the end of an answer

What callers saw: a runner that answered a long request at once, with neither a length nor chunks, sent a part of its body and reset the connection while the request was still being written. The caller got the part as a complete answer; a stream ended for it after the events that had arrived, and a resumable one did not go on at another runner.

Cause: a request of over 8 KiB is written in the background while its answer is read. The kernel reports the failure of a connection once. If the blocked write got the report, the read found an orderly end, and a body that ends with its connection counted as whole. The result of the write was used for nothing but the reuse of the connection.

Fix: at the end of a body that ends with its connection, Answer.Read awaits the end of the write. If that failed, the end is not proved, and Read fails with the error of the write, so that a reset still counts as a crash of the runner and a timeout as one of the network. If the kernel has taken the whole request, no error can have been lost to the write. The head of an answer and bodies with a length or chunks don't depend on it: their ends are known, and an early one stays whole.

The code that writes requests moves to write.go.

--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -54,6 +54,31 @@
 // Unwrap returns the cause.
 func (e *InvalidAnswerError) Unwrap() error { return e.Cause }
 
+// UnprovedEndError means that a body without a length or chunks has ended with its connection while
+// the request was still being written, and that the writing failed. The connection may have been
+// reset.
+type UnprovedEndError struct {
+	// Cause is the failure of the writing.
+	Cause error
+}
+
+// Error implements error.
+func (e *UnprovedEndError) Error() string {
+	return fmt.Sprintf("the body has no length, and its connection ended before the request was written: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnprovedEndError) Unwrap() error { return e.Cause }
+
+// WriteTimeoutError means that a runner did not read its request in time after its answer had
+// ended.
+type WriteTimeoutError struct{ Timeout time.Duration }
+
+// Error implements error.
+func (e *WriteTimeoutError) Error() string {
+	return fmt.Sprintf("the request was not read within %v after the answer", e.Timeout)
+}
+
 // ConnectionLimitError means that the limit on connections from this daemon to a runner is
 // reached.
 type ConnectionLimitError struct{ Limit int }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -1,12 +1,10 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 
 	"github.com/cranberrywalk/cranberrywalk/buffer"
 )
@@ -48,8 +46,8 @@
 	// detach detaches the connection from the context. It returns false if the
 	// context has already closed the connection.
 	detach func() bool
-	// written gets the result of writing the request.
-	written chan error
+	// writing is the writing of the request.
+	writing *writing
 	// readToEnd is true once the body has been read to its end.
 	readToEnd bool
 	// hasSkipped is true once an answer to another request was skipped.
@@ -96,16 +94,11 @@
 	return err
 }
 
-// maxInlineWrite is the largest request that is written completely before its answer
-// is read. A longer one is written in the background, since a runner that answers it
-// early need not read the rest.
-const maxInlineWrite = 8 << 10
-
 func (p *Pool) exchange(c *connection, request Request) (*Answer, error) {
 	c.beginUse(p.common.Clock.Now())
 	c.onRead = request.OnRead
 	c.hasCarriedHead = c.hasCarriedHead || request.Method == http.MethodHead
-	written, err := c.write(encode(request), request.OnWritten)
+	w, err := c.write(encode(request), request.OnWritten)
 	if err != nil {
 		return nil, err
 	}
@@ -115,63 +108,11 @@
 	}
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header, Reused: c.use.isReused,
-		pool: p, connection: c, response: response, written: written,
+		pool: p, connection: c, response: response, writing: w,
 		account: p.options.Budget.Open(request.Address, func() { _ = c.raw.Close() }),
 	}, nil
 }
 
-// write writes a request up to maxInlineWrite directly and a longer one in the
-// background. Once the request has been written, onWritten is called, if it is not nil, and
-// the channel gets the result.
-func (c *connection) write(content []byte, onWritten func()) (chan error, error) {
-	written := make(chan error, 1)
-	if len(content) > maxInlineWrite {
-		go func() {
-			_, err := c.raw.Write(content)
-			if err == nil && onWritten != nil {
-				onWritten()
-			}
-			written <- err
-		}()
-		return written, nil
-	}
-	count, err := c.raw.Write(content)
-	if err != nil {
-		return nil, c.writeFailure(count, err)
-	}
-	if onWritten != nil {
-		onWritten()
-	}
-	written <- nil
-	return written, nil
-}
-
-// writeFailure returns the error for a failed write. Its type depends on whether the
-// kernel accepted any byte.
-func (c *connection) writeFailure(count int, err error) error {
-	if count == 0 {
-		return &UnwrittenError{Address: c.address, Cause: err}
-	}
-	return c.invalidAnswer(err)
-}
-
-// encode serializes a request. The target is not normalized.
-func encode(request Request) []byte {
-	var content bytes.Buffer
-	content.Grow(len(request.Body) + headerCapacity)
-	content.WriteString(request.Method + " " + request.Target + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
-	_ = request.Header.Write(&content)
-	if len(request.Body) > 0 || request.Method != http.MethodGet && request.Method != http.MethodHead {
-		content.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
-	}
-	content.WriteString("\r\n")
-	content.Write(request.Body)
-	return content.Bytes()
-}
-
-// headerCapacity is the initial buffer capacity for the header of a request.
-const headerCapacity = 1 << 10
-
 // IsDelimited reports whether the end of the body can be distinguished from a lost
 // connection.
 func (a *Answer) IsDelimited() bool {
@@ -180,15 +121,33 @@
 }
 
 // Read reads the body. A body without a length ends when the runner closes the
-// connection in an orderly way, which it may have done before the body began.
+// connection in an orderly way, which it may have done before the body began. Read fails with
+// an *UnprovedEndError if it is not certain that the end was orderly.
 func (a *Answer) Read(buffer []byte) (int, error) {
 	count, err := a.response.Body.Read(buffer)
 	if errors.Is(err, io.EOF) {
+		if failure := a.checkOrderlyEnd(); failure != nil {
+			return count, failure
+		}
 		a.readToEnd = true
 	}
 	return count, err
 }
 
+// checkOrderlyEnd fails if a body that ends with its connection may have broken off. The kernel
+// reports the failure of a connection once. If the write of the request gets that report, the
+// read finds an end like an orderly one.
+func (a *Answer) checkOrderlyEnd() error {
+	if a.IsDelimited() {
+		return nil
+	}
+	closeConnection := func() { _ = a.connection.raw.Close() }
+	if err := a.writing.await(a.pool.common.Clock, closeConnection); err != nil {
+		return &UnprovedEndError{Cause: err}
+	}
+	return nil
+}
+
 // Close ends the exchange. The connection returns to the pool if the answer was read
 // completely and valid is true, which means that it was the answer to this request.
 // Otherwise the connection is closed.
@@ -203,7 +162,7 @@
 // release returns the connection to the pool if it can carry another request, and closes
 // it otherwise.
 func (a *Answer) release(valid bool) {
-	if !valid || !a.readToEnd || a.hasSkipped || a.response.Close || !a.isWritten() || a.connection.reader.Buffered() > 0 {
+	if !valid || !a.readToEnd || a.hasSkipped || a.response.Close || !a.writing.isComplete() || a.connection.reader.Buffered() > 0 {
 		a.pool.drop(a.connection)
 		return
 	}
@@ -219,13 +178,3 @@
 	a.connection.idleUntil = a.connection.idleSince.Add(idle)
 	a.pool.recycle(a.connection)
 }
-
-// isWritten reports whether the request was written completely.
-func (a *Answer) isWritten() bool {
-	select {
-	case err := <-a.written:
-		return err == nil
-	default:
-		return false
-	}
-}
