Take an answer with an impossible status for none

What callers saw: a runner's answer with a status of 600 to 999 reached the caller with that status, as an answer. A refusal with such a status counted as a proof that the request had not run, and the request was sent again. The product's own interface took such an answer for that of its backend server. A 101, for which no request asks, was skipped like an interim answer, and what followed it on the connection was forwarded.

Cause: the parser accepts any three characters that are a number. Only numbers below 100 were rejected, and all from 100 to 199 counted as interim answers.

Fix: a head is an answer only if its status is 100 to 599 and not 101. Others fail as a *ProtocolError, as those below 100 did. Interim answers are skipped as before.

--- a/upstream/header.go
+++ b/upstream/header.go
@@ -10,6 +10,8 @@
 	protocolName = "HTTP/1."
 	// statusDigits is the length of a status in a status line.
 	statusDigits = 3
+	// maxStatus is the last status of the last class (RFC 9110, section 15).
+	maxStatus = 599
 	// maxInterimAnswers bounds the interim answers (1xx) before an answer.
 	maxInterimAnswers = 8
 	// maxHeaderTime bounds the time from the first byte of a header to its end. A runner
@@ -50,12 +52,19 @@
 		return nil, err
 	}
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-	if err == nil && response.StatusCode < http.StatusContinue {
+	if err == nil && !isAnswerStatus(response.StatusCode) {
 		return nil, &ProtocolError{Begin: response.Proto + " " + response.Status[:statusDigits]}
 	}
 	return response, err
 }
 
+// isAnswerStatus reports whether an interim or final answer can have a status. No request asks for
+// another protocol, so that none is switched to. The parser accepts any three characters that are
+// a number.
+func isAnswerStatus(status int) bool {
+	return status >= http.StatusContinue && status <= maxStatus && status != http.StatusSwitchingProtocols
+}
+
 // awaitHead returns the next head, which has begun, without reading it. Most heads arrive at
 // once and need no timer, which would take processor time for each answer.
 func (p *Pool) awaitHead(c *connection) ([]byte, error) {
