Leave a change uncertain after a response with an impossible status

What was seen: a response of the log with a status such as 000, 101 or 600 to an append counted as one that has not carried out the request, so that the caller took the record for not appended.

Cause: every unknown status above 299, and every one below 200, said so. Package net/http returns any three characters that are a number.

Fix: a status that is not 200 to 599 leaves a request that may have had an effect uncertain.

--- a/hostinghttp/client.go
+++ b/hostinghttp/client.go
@@ -143,15 +143,20 @@
 	return &hosting.UnavailableError{Service: c.service, Cause: cause}
 }
 
+// minStatus and maxStatus bound the status of a response (RFC 9110, section 15). Package net/http
+// returns other numbers of three characters as well.
+const minStatus, maxStatus = 200, 599
+
 // statusError turns the status of a response into an error. A service that responds
-// with a status below 200 or above 299 has not carried out the request, except for
-// the server errors that gateways and failing handlers produce.
+// with a status above 299 has not carried out the request, except for the server errors
+// that gateways and failing handlers produce, and for statuses that no response has.
 func (c client) statusError(response reply) error {
 	cause := &StatusError{Status: response.status}
-	switch response.status {
-	case http.StatusTooManyRequests:
+	switch status := response.status; {
+	case status == http.StatusTooManyRequests:
 		return &hosting.ThrottledError{Service: c.service}
-	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusGatewayTimeout:
+	case status == http.StatusInternalServerError, status == http.StatusBadGateway, status == http.StatusGatewayTimeout,
+		status < minStatus, status > maxStatus:
 		return c.indeterminate(response, cause)
 	default:
 		return c.unavailable(cause)
