--- a/upstream/uploadreset_test.go
+++ b/upstream/uploadreset_test.go
@@ -69,10 +69,15 @@
 	respond(conn, request.Body)
 }
 
+// begin sends a long request and returns its answer.
+func (r *earlyRig) begin() (*upstream.Answer, error) {
+	request := upstream.Request{Address: r.address, Host: "runner", Method: http.MethodPost, Target: "/", Body: make([]byte, uploadBytes), NewConnection: true}
+	return r.pool.Send(context.Background(), request)
+}
+
 // upload sends a long request and reads its answer by read.
 func (r *earlyRig) upload(read func(*upstream.Answer) ([]byte, error)) (string, error) {
-	request := upstream.Request{Address: r.address, Host: "runner", Method: http.MethodPost, Target: "/", Body: make([]byte, uploadBytes), NewConnection: true}
-	answer, err := r.pool.Send(context.Background(), request)
+	answer, err := r.begin()
 	if err != nil {
 		return "", err
 	}
