Keep a stream complete whose runner could not be asked to stop its run

Cause: every request to stop a run without an answer counted as one that may be carried out. One for which no connection could be made was never sent.

Evidence: the new scenario of TestStreamThatWasStoppedIsNotComplete failed on both routes (10 events in place of 5, a second runner). Such a stop now has an outcome of its own, which ends no stream.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,8 +51,8 @@
 	CopyRun(ctx context.Context, source, callID, target string) (handle string, err error)
 	// StopRun ends a run at its runner and copies the rest of its KV cache to the
 	// target. copied is false when the run can only continue at its source. After an
-	// error whose method Refused returns true the run continues; after any other one
-	// the run may have been stopped.
+	// error whose method Refused or NeverSent returns true the run continues; after any
+	// other one the run may have been stopped.
 	StopRun(ctx context.Context, source, callID, target string) (run call.StoppedRun, copied bool, err error)
 	// FreeRun frees the memory of a handle at a runner.
 	FreeRun(ctx context.Context, runner, handle string) error
--- a/gateway/runstop.go
+++ b/gateway/runstop.go
@@ -19,6 +19,8 @@
 	stopDone stopOutcome = "Stopped"
 	// stopRefused means that the runner has answered that it did not stop the run.
 	stopRefused stopOutcome = "Refused"
+	// stopNeverSent means that the runner was not reached.
+	stopNeverSent stopOutcome = "NeverSent"
 	// stopUnknown means that no answer tells. The runner may yet stop the run.
 	stopUnknown stopOutcome = "Unknown"
 )
@@ -46,13 +48,21 @@
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	defer close(s.settled)
+	s.outcome = outcomeOf(err)
+}
+
+// outcomeOf returns what the result of a request to stop a run tells.
+func outcomeOf(err error) stopOutcome {
+	var unsent interface{ NeverSent() bool }
 	switch {
 	case err == nil:
-		s.outcome = stopDone
+		return stopDone
 	case isRefused(err):
-		s.outcome = stopRefused
+		return stopRefused
+	case errors.As(err, &unsent) && unsent.NeverSent():
+		return stopNeverSent
 	default:
-		s.outcome = stopUnknown
+		return stopUnknown
 	}
 }
 
--- a/gateway/stoppedrun_test.go
+++ b/gateway/stoppedrun_test.go
@@ -1,6 +1,8 @@
 package gateway_test
 
 import (
+	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -44,6 +46,7 @@
 // stopped the run as it was asked to and closed the connection.
 func TestStreamThatWasStoppedIsNotComplete(t *testing.T) {
 	const soon, later, afterTimeout = 250 * time.Millisecond, 400 * time.Millisecond, 900 * time.Millisecond
+	unreachable := &platform.MoveError{Cause: &net.OpError{Op: "dial", Err: context.DeadlineExceeded}}
 	for _, s := range []stopScenario{
 		{"the stop is answered before the end", soon, 0, false, nil, 10, []int{1, 1}},
 		{"the stop is answered after the end", soon, later, false, nil, 10, []int{1, 1}},
@@ -51,6 +54,7 @@
 		{"the answer to the stop is lost after the end", soon, later, true, nil, 10, []int{1, 1}},
 		{"the stop is carried out late", afterTimeout, 0, true, nil, 10, []int{1, 1}},
 		{"the run had ended by itself", soon, 0, false, &platform.MoveError{Status: 404}, 5, []int{1, 0}},
+		{"the runner could not be asked to stop the run", soon, 0, false, unreachable, 5, []int{1, 0}},
 		{"the run had ended by itself, which is known later", soon, later, false, &platform.MoveError{Status: 404}, 5, []int{1, 0}},
 	} {
 		for _, path := range []string{"/single/a", "/resumable/a"} {
--- a/gateway/streamend.go
+++ b/gateway/streamend.go
@@ -57,7 +57,7 @@
 // attempt at its runner. One of which nothing is known may also be carried out in a later attempt.
 func (s *runStop) mayHaveEnded(a *attempt) bool {
 	switch s.outcome {
-	case stopRefused:
+	case stopRefused, stopNeverSent:
 		return false
 	case stopDone:
 		return a.number <= s.lastAttempt
