Reset answers that end with their connection unless they are whole

Callers of HTTP/1.0, and of any answer without a length and without chunks, take the end of the connection for the end of the answer. They got a part as a complete answer when the daemon broke one off: the handler aborted (a stream given up), the time for a stop ended, the server was closed, or the process was killed.

Cause: net/http ends such a connection with a FIN in all these cases, and the kernel does so for a process that dies.

Why it works: before the first byte of an answer that may end with its connection, the connection gets SO_LINGER 0, so that the kernel resets it whoever closes it. That is taken back when net/http closes the connection after the handler has returned and each write has succeeded, or awaits the next request on it (it had computed a length). Close of the server does not take it back: the last bytes may not be written.

--- a/callerserver/closing.go
+++ b/callerserver/closing.go
@@ -44,7 +44,7 @@
 
 // expire is called when the timer ends.
 func (c *connection) expire() {
-	isDraining := c.server.currentStage() == draining
+	isDraining := c.server.currentStage() >= draining
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	switch {
--- a/callerserver/connection.go
+++ b/callerserver/connection.go
@@ -55,6 +55,8 @@
 	readDeadline time.Time
 	// idle is the time since the connection last became idle.
 	idle idlePeriod
+	// end is what the end of the connection says of the answer.
+	end answerEnd
 	// closedBy is empty while the connection is open.
 	closedBy Closer
 	// timer is nil until arm is first called.
@@ -69,11 +71,12 @@
 
 // awaitRequest starts the timeout for the next request.
 func (c *connection) awaitRequest() {
-	isDraining := c.server.currentStage() == draining
+	isDraining := c.server.currentStage() >= draining
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	// A timeout that passed while the last answer was written concerns that one only.
 	c.withdrawClose()
+	c.endWithoutReset()
 	if c.isReadAhead {
 		c.isReadAhead = false
 		c.receive()
@@ -216,6 +219,7 @@
 	}
 	if err != nil {
 		c.recordError(err)
+		c.end.hasFailed = true
 	}
 	return count, err
 }
@@ -223,6 +227,7 @@
 // Close implements net.Conn.
 func (c *connection) Close() error {
 	c.recordClose()
+	c.endWithoutResetIfWhole()
 	c.server.forget(c)
 	return c.Conn.Close()
 }
--- a/callerserver/rig_test.go
+++ b/callerserver/rig_test.go
@@ -104,6 +104,8 @@
 	beforeRead, afterRead gates
 	// beforeCloseWrite holds a closing that the server has decided on.
 	beforeCloseWrite gates
+	// beforeWrite holds bytes that the server is about to send.
+	beforeWrite gates
 }
 
 // The reads that net/http makes on a connection.
@@ -125,6 +127,12 @@
 	return count, err
 }
 
+// Write implements net.Conn.
+func (c *gatedConn) Write(content []byte) (int, error) {
+	c.beforeWrite.pass()
+	return c.TCPConn.Write(content)
+}
+
 // CloseWrite closes the writing side.
 func (c *gatedConn) CloseWrite() error {
 	c.beforeCloseWrite.pass()
--- a/callerserver/server.go
+++ b/callerserver/server.go
@@ -88,7 +88,7 @@
 	s.addListener(listener)
 	defer s.accepting.Done()
 	err := s.server.Serve(&trackingListener{Listener: listener, server: s})
-	if errors.Is(err, http.ErrServerClosed) || s.currentStage() == draining && errors.Is(err, net.ErrClosed) {
+	if errors.Is(err, http.ErrServerClosed) || s.currentStage() >= draining && errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
@@ -102,17 +102,23 @@
 }
 
 // Close closes the listeners and all connections at once.
-func (s *Server) Close() error { return s.server.Close() }
+func (s *Server) Close() error {
+	s.setStage(closed)
+	return s.server.Close()
+}
 
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
 	if c := connectionOf(r.Context()); c != nil {
 		c.beginRequest()
 		defer c.endRequest()
 	}
-	writer := &announcingWriter{ResponseWriter: w, server: s}
+	writer := &announcingWriter{ResponseWriter: w, server: s, request: r}
 	s.handler.ServeHTTP(writer, r)
 	// A handler that wrote nothing answers with an empty body.
 	writer.announce(http.StatusOK)
+	if c := connectionOf(r.Context()); c != nil {
+		c.completeAnswer()
+	}
 }
 
 // onState is the ConnState hook of net/http.
--- a/callerserver/stop.go
+++ b/callerserver/stop.go
@@ -22,6 +22,8 @@
 	announcing
 	// draining means that idle connections are closed and the listeners too.
 	draining
+	// closed means that all connections are closed at once.
+	closed
 )
 
 // CutError reports that connections were open at the end of the time for a stop.
--- a/callerserver/writer.go
+++ b/callerserver/writer.go
@@ -7,6 +7,8 @@
 type announcingWriter struct {
 	http.ResponseWriter
 	server *Server
+	// request is the request that is answered.
+	request *http.Request
 	// isAnnounced is true once the final header of the answer is complete.
 	isAnnounced bool
 }
@@ -50,4 +52,7 @@
 	if w.server.currentStage() != running || status == http.StatusRequestEntityTooLarge {
 		w.Header().Set("Connection", "close")
 	}
+	if c := connectionOf(w.request.Context()); c != nil && mayEndWithConnection(w.request, status, w.Header()) {
+		c.endWithReset()
+	}
 }
