Do not take the assumed length of an answer for its end

Callers of the own interface that set no limit of tokens got a stream, or a collected response, that broke off after 256 tokens or more as a whole one, with the finish reason "length" and [DONE].

Cause: a request without a limit is admitted with an assumed length of 256 tokens, which dispatch took for the limit that its engine knows. Engines are not told of it and generate more, so that reaching it proves no end. The same held for a stream that its engine ended without a finish reason, and a continuation of a call with "max_tokens": null got the rest of the assumed length as its limit.

Why it works: only a limit that the body of the call sets counts as one. Without it, only finish reasons prove the end, and a stream that breaks off is continued.

--- a/dispatch/body.go
+++ b/dispatch/body.go
@@ -81,6 +81,22 @@
 	return len(list)
 }
 
+// limitFields are the fields that limit the tokens of a response, by the kind of request.
+var limitFields = map[request.Kind][]string{
+	request.Chat:       {"max_tokens", "max_completion_tokens"},
+	request.Completion: {"max_tokens"},
+}
+
+// limitsTokens reports whether the call has a limit of tokens, which the engine knows.
+func (b modelBody) limitsTokens() bool {
+	for _, name := range limitFields[b.request.Kind] {
+		if value, found := b.fields[name]; found && string(value) != "null" {
+			return true
+		}
+	}
+	return false
+}
+
 // initialBody returns the body of an attempt that generates the response from the
 // start. If collect is true, it requests a stream although the caller did not.
 func (b modelBody) initialBody(collect bool) []byte {
@@ -131,7 +147,7 @@
 		fields.set("continue_final_message", true)
 		fields.set("add_generation_prompt", false)
 	}
-	for _, name := range []string{"max_tokens", "max_completion_tokens"} {
+	for _, name := range limitFields[b.request.Kind] {
 		if _, found := fields[name]; found && maxTokens >= 0 {
 			fields.set(name, maxTokens)
 		}
--- a/dispatch/streamstate.go
+++ b/dispatch/streamstate.go
@@ -100,9 +100,10 @@
 // progressed reports whether the current attempt has produced tokens.
 func (s *streamState) progressed() bool { return s.tokens > s.priorTokens }
 
-// remainingTokens returns how many tokens may follow, or -1 without a limit.
+// remainingTokens returns how many tokens may follow, or -1 without a limit: an engine does not
+// know the length that is assumed for a request without one.
 func (s *streamState) remainingTokens() int {
-	if s.request.MaxTokens <= 0 {
+	if s.request.MaxTokens <= 0 || !s.body.limitsTokens() {
 		return -1
 	}
 	return max(s.request.MaxTokens-s.tokens, 0)
