--- a/callerserver/wholeanswer_test.go
+++ b/callerserver/wholeanswer_test.go
@@ -209,3 +209,19 @@
 		r.c.Check(string(content), qt.Equals, part)
 	}
 }
+
+// TestPipelinedRequestDoesNotCutOldAnswer guards against an answer of HTTP/1.0 that is cut, or
+// followed by another one, since its caller has sent a second request behind the first.
+func TestPipelinedRequestDoesNotCutOldAnswer(t *testing.T) {
+	const size = 1 << 20
+	for _, second := range []string{oldGet, get} {
+		r := newRig(t, callerserver.Timeouts{}, func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write(bytes.Repeat([]byte("x"), size))
+		})
+		r.write(oldGet + second)
+		content, err := r.readToEnd()
+		r.c.Check(err, qt.IsNil)
+		_, body, _ := strings.Cut(content, "\r\n\r\n")
+		r.c.Check(body, qt.HasLen, size)
+	}
+}
