Check packed records before they are decoded

Seen (TestOddRecordsOfOwnTopicsAllocateLittle on the code before, with packed.Unmarshal calling msgpack alone): a record of the log of duties of 14 bytes that claims 4,000,000 reports allocated 128,011,136 bytes, a handover of counts 256,002,952 (the claim can be a thousand times larger; that was not run, to spare the machine). A record of 262,144 bytes of nested arrays in a field of no known name took a stack of 33,554,432 bytes, and while it grows there are two of them. The process has 284 MB, and these records are read again at each start.

Cause: the decoder of slices tests its flag against the wrong number, so that it allocates all claimed elements at once; values of unknown fields are skipped by recursion.

Change: package packed reads the heads of all values first, without recursion or allocation. A content must hold all that it claims and have at most 32 levels. It is used for records of duties, counts, versions of streams and daemons, and for messages between daemons. What such a record meant for its reader is unchanged: it is logged and read over. Old and new daemons take the same sound contents.

After: go test ./packed ./dutylease ./streamversion ./usage ./membership ./versionlog ./duties pass.

--- a/dutylease/record.go
+++ b/dutylease/record.go
@@ -4,6 +4,8 @@
 	"fmt"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/cranberrywalk/cranberrywalk/packed"
 )
 
 // Record is one entry of the log of duties. Every record in the log was appended by
@@ -47,7 +49,7 @@
 // DecodeRecord decodes an entry of the log. It fails with a *RecordError.
 func DecodeRecord(offset uint64, entry []byte) (Record, error) {
 	var record Record
-	if err := msgpack.Unmarshal(entry, &record); err != nil {
+	if err := packed.Unmarshal(entry, &record); err != nil {
 		return Record{}, &RecordError{Offset: offset, Cause: err}
 	}
 	return record, nil
--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -3,11 +3,10 @@
 import (
 	"context"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/cranberrywalk/cranberrywalk/feed"
 	"github.com/cranberrywalk/cranberrywalk/latest"
 	"github.com/cranberrywalk/cranberrywalk/membership"
+	"github.com/cranberrywalk/cranberrywalk/packed"
 	"github.com/cranberrywalk/cranberrywalk/platform"
 )
 
@@ -112,7 +111,7 @@
 
 func decodeMember(record latest.Record) (membership.Member, error) {
 	var member membership.Member
-	err := msgpack.Unmarshal(record.Value, &member)
+	err := packed.Unmarshal(record.Value, &member)
 	return member, err
 }
 
--- a/membership/encoding.go
+++ b/membership/encoding.go
@@ -5,6 +5,8 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 	"storj.io/drpc"
+
+	"github.com/cranberrywalk/cranberrywalk/packed"
 )
 
 // encoding is the msgpack encoding of the messages over drpc. Structs are sent as
@@ -29,7 +31,7 @@
 
 // Unmarshal implements drpc.Encoding.
 func (encoding) Unmarshal(content []byte, message drpc.Message) error {
-	return msgpack.Unmarshal(content, message)
+	return packed.Unmarshal(content, message)
 }
 
 // The names of the calls between daemons.
--- a/streamversion/record.go
+++ b/streamversion/record.go
@@ -5,6 +5,8 @@
 	"fmt"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/cranberrywalk/cranberrywalk/packed"
 )
 
 // Record says which version began a stream.
@@ -39,6 +41,9 @@
 	if count < 0 || count > len(content) {
 		return nil, &DecodeError{What: "batch", Cause: &CountError{Records: count, Bytes: len(content)}}
 	}
+	if err := packed.Check(content); err != nil {
+		return nil, &DecodeError{What: "batch", Cause: err}
+	}
 	records := make([]Record, count)
 	for i := range records {
 		if err := decoder.Decode(&records[i]); err != nil {
--- a/streamversion/rule.go
+++ b/streamversion/rule.go
@@ -1,6 +1,10 @@
 package streamversion
 
-import "github.com/vmihailenco/msgpack/v5"
+import (
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/cranberrywalk/cranberrywalk/packed"
+)
 
 // Rule says which version began the streams of a service that have no record.
 type Rule struct {
@@ -37,7 +41,7 @@
 // DecodeRule is the inverse of Encode. It fails with a *DecodeError.
 func DecodeRule(content []byte) (Rule, error) {
 	var rule Rule
-	if err := msgpack.Unmarshal(content, &rule); err != nil {
+	if err := packed.Unmarshal(content, &rule); err != nil {
 		return Rule{}, &DecodeError{What: "rule", Cause: err}
 	}
 	return rule, nil
--- a/usage/handover.go
+++ b/usage/handover.go
@@ -5,6 +5,8 @@
 	"fmt"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/cranberrywalk/cranberrywalk/packed"
 )
 
 // HandoverError says that a handover can't be decoded.
@@ -37,7 +39,7 @@
 // fails with a *HandoverError.
 func DecodeHandover(offset uint64, content []byte) (ProcessCounts, error) {
 	var counts ProcessCounts
-	if err := msgpack.Unmarshal(content, &counts); err != nil {
+	if err := packed.Unmarshal(content, &counts); err != nil {
 		return ProcessCounts{}, &HandoverError{Offset: offset, Cause: err}
 	}
 	return counts, nil
