--- a/architecture_test.go
+++ b/architecture_test.go
@@ -18,7 +18,7 @@
 
 // corePackages must not perform I/O.
 var corePackages = []string{
-	"balance", "buffer", "call", "catalog", "claim", "clocksync", "dutylease", "grant", "idlelimit", "inventory", "latest", "lease", "limit", "peer/gossip",
+	"balance", "buffer", "call", "catalog", "claim", "clocksync", "dutylease", "grant", "idlelimit", "inventory", "latest", "lease", "limit", "packed", "peer/gossip",
 	"placement", "plan", "prefix", "quota", "request", "retry", "roster", "route", "runnerlimit", "scaling", "store", "streamversion", "suspect",
 	"timeline", "usage",
 }
