Add a mode of the soak in which runners move their runs

bin/soak -moves: streams come chunked, with a length and until close, last 1.6 s, and runners leave about every 0.5 s, so that daemons move their streams. The last moves are answered before or after the end of the stream, lost, carried out after the daemon has given up, without room, or refused since the run ends by itself.

A run that goes on from its memory does not count as a second execution, in any mode; other modes have no such requests. A stream until close that broke off after all its events, where no answer said whether its run was stopped, does not count as lost: nothing shows that it was whole. A runner that rejects requests still takes back a run that it has stopped.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -38,6 +38,7 @@
 	flag.BoolVar(&o.Limits, "limits", false, "runners that name how many requests a second they take")
 	flag.BoolVar(&o.Versions, "versions", false, "runners of several software versions, callers that resume streams, kills of all daemons")
 	flag.BoolVar(&o.Repeats, "repeats", false, "runners that reject requests and repeat earlier responses, callers that try again")
+	flag.BoolVar(&o.Moves, "moves", false, "runners that leave often and move their runs, streams in all framings")
 	flag.IntVar(&o.Daemons, "daemons", o.Daemons, "number of daemons")
 	flag.IntVar(&o.Runners, "runners", o.Runners, "number of runners")
 	flag.IntVar(&o.CallersPerDaemon, "callers", o.CallersPerDaemon, "number of callers of each daemon")
@@ -67,8 +68,9 @@
 
 // printReport prints a line, and the faults and violations if there are violations.
 func printReport(report soak.Report) {
-	fmt.Printf("seed %d: %d faults, replies by status %v, requests by ending %v, resumed streams %d whole and %d broken, %d repeated responses, %d violations\n",
-		report.Seed, len(report.Faults), report.Requests, report.Endings, report.WholeStreams, report.BrokenStreams, report.Repeats, len(report.Violations))
+	fmt.Printf("seed %d: %d faults, replies by status %v, requests by ending %v, resumed streams %d whole and %d broken, %d repeated responses, %d runs stopped and %d resumed, %d violations\n",
+		report.Seed, len(report.Faults), report.Requests, report.Endings, report.WholeStreams, report.BrokenStreams, report.Repeats,
+		report.StoppedRuns, report.ResumedRuns, len(report.Violations))
 	if len(report.Violations) == 0 {
 		return
 	}
