Give the tests of moved runs more time before the run ends

TestAnswerToTheLastMoveCountsItsEvents failed once, in a run of ./platform/..., ./gateway and . with two packages at once: its stream of 0.2 s had ended before the last move came, which was then refused with 404. The streams of the gateway's tests last 1.6 s in place of 1.2 s. No check is changed.

--- a/gateway/unframedmove_test.go
+++ b/gateway/unframedmove_test.go
@@ -17,7 +17,7 @@
 
 const (
 	// movedEvents and movedGap make a stream last until a late stop is carried out.
-	movedEvents = 60
+	movedEvents = 80
 	movedGap    = 20 * time.Millisecond
 	// lateAnswer is between the end of a stopped stream and the answer to the stop.
 	lateAnswer = 200 * time.Millisecond
