Take no answer for complete that its runner ends at its deadline

What callers saw: a part of an answer without a length or chunks as a complete one, when the timeout of its route was shorter than their own.

Cause: a runner gets the time that is left, in whole milliseconds, and stops its work then. If it closes the connection in an orderly way, the end was read before the timer of the daemon had fired. It is the class of the stopped runs: the daemon itself has ordered the end.

The end of the connection in the last millisecond of a request, or after it, proves nothing: the deadline is awaited, and the request ends as one that was not answered in time.

--- a/gateway/opening.go
+++ b/gateway/opening.go
@@ -63,6 +63,10 @@
 	if err != nil {
 		return opening{}, err
 	}
+	if err := x.checkEnd(a, answer); err != nil {
+		buffered.drop()
+		return opening{}, err
+	}
 	return opening{buffered: &buffered}, nil
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -149,7 +149,7 @@
 
 // endStream ends a stream after its last event.
 func (x *exchange) endStream(a *attempt, answer *upstream.Answer) error {
-	if err := x.checkStreamEnd(a, answer); err != nil {
+	if err := x.checkEnd(a, answer); err != nil {
 		return err
 	}
 	x.writeHead(answer)
--- a/gateway/streamend.go
+++ b/gateway/streamend.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/upstream"
 )
@@ -19,13 +20,26 @@
 	return fmt.Sprintf("the stream ended with its connection, and runner %s was asked to stop the run (%s)", e.Runner, e.Stop)
 }
 
-// checkStreamEnd fails if a stream that has ended may be incomplete. A length or the last chunk
-// proves that it is complete. The end of the connection does only if no request to stop the run
-// can have caused it; if the runner has not answered such a request, its answer is awaited.
-func (x *exchange) checkStreamEnd(a *attempt, answer *upstream.Answer) error {
+// deadlineUnit is the unit of the time that a runner gets, which is rounded down.
+const deadlineUnit = time.Millisecond
+
+// checkEnd fails if an answer that has ended may be incomplete. A length or the last chunk proves
+// that it is complete. The end of the connection does only if the daemon can't have caused it.
+func (x *exchange) checkEnd(a *attempt, answer *upstream.Answer) error {
 	if answer.IsDelimited() {
 		return nil
 	}
+	if x.timeLeft(x.Clock.Now()) < deadlineUnit {
+		// The runner may have stopped its work since its time is over.
+		<-a.ctx.Done()
+		return x.readFailure(a, a.ctx.Err())
+	}
+	return x.checkRunStops(a)
+}
+
+// checkRunStops fails if a request to stop the run may have ended the answer of an attempt. If the
+// runner has not answered such a request, its answer is awaited.
+func (x *exchange) checkRunStops(a *attempt) error {
 	for _, stop := range x.runStopsAt(a.choice.Runner.ID) {
 		select {
 		case <-stop.settled:
