Don't stop a run whose answer is no stream of events

What callers saw: a part of an answer with another status than 200 to a request for a stream, as a complete one, when its runner left meanwhile.

Cause: such an attempt could be moved, although its answer can go on nowhere else; the body was read to the end of the connection, and nobody asked what had ended it. Found by the review of the stopped runs.

An attempt is kept at its runner once the head says that its answer is no stream.

--- a/gateway/move.go
+++ b/gateway/move.go
@@ -76,6 +76,16 @@
 	}
 }
 
+// excludeFromMoves keeps an attempt at its runner whose answer is no stream of events: it could not
+// go on elsewhere.
+func (x *exchange) excludeFromMoves(a *attempt) {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	if x.currentRunner == a.choice.Runner.ID {
+		x.currentRunner = ""
+	}
+}
+
 // maxMoveTries bounds the tries to move a stream. A try that fails before the run is
 // stopped does no harm: the run may not have begun, or the target may have had no room.
 const maxMoveTries = 4
--- a/gateway/opening.go
+++ b/gateway/opening.go
@@ -53,6 +53,7 @@
 	if x.route.Kind == catalog.Stream && answer.Status == http.StatusOK {
 		return x.openStream(a, answer)
 	}
+	x.excludeFromMoves(a)
 	if x.isDiscarded(a, answer.Status) {
 		err := &StatusError{Runner: a.choice.Runner.ID, Status: answer.Status}
 		x.discard(answer, err)
