Free the copies of a stopped run that can go on nowhere

What runners saw: copies of runs that held memory and a slot until their handles expired, after the stream of a stopped run was given up, or its stop was answered without a copy while its source wanted no requests.

Cause: the copies were freed only if a move was not carried out.

The copies of the last move are freed once its run can't go on, and when the request ends without a complete answer.

TestUnansweredStopIsNotForgottenAfterARefusedOne guards against a mutation that the tests did not notice: only the last stop of a runner counts.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -184,6 +184,7 @@
 		result = balance.Failed
 	}
 	a.ticket.End(result, now)
+	x.lastMove = nil
 	x.Meters.CountAttempt(a.choice.Runner.ID, result.String())
 	x.apply(request.AnswerWhole)
 	if status < http.StatusMultipleChoices {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -58,6 +58,9 @@
 	// back to that runner.
 	continuedRun *call.StoppedRun
 	stoppedAt    *stoppedSource
+	// lastMove is the move that has stopped continuedRun. It is nil if no run was stopped, or its
+	// copies are no longer needed.
+	lastMove *streamMove
 
 	// mutex guards the writes of choice, continuedRun and stoppedAt, and the fields
 	// below, which moves and replacements use concurrently.
@@ -103,6 +106,7 @@
 	x.releaseReplacements()
 	x.cancel()
 	x.releaseMove()
+	x.freeLastRun()
 }
 
 // apply advances the state machine of the request. An event that does not apply is
--- a/gateway/moverun.go
+++ b/gateway/moverun.go
@@ -101,6 +101,16 @@
 	return nil
 }
 
+// freeLastRun frees the copies of the run that the last move has stopped, in the background. The
+// run goes on nowhere.
+func (x *exchange) freeLastRun() {
+	m := x.lastMove
+	x.lastMove = nil
+	if m != nil {
+		go x.freeCopy(m.run.Handle, m.source.Runner, m.target.choice.Runner)
+	}
+}
+
 // freeCopy frees a copy that no request uses. The source frees it at both ends; if the
 // source wants no requests or can't be reached, only the target is asked.
 func (x *exchange) freeCopy(handle string, source, target inventory.Runner) {
--- a/gateway/runstop.go
+++ b/gateway/runstop.go
@@ -86,10 +86,12 @@
 		run, copied = call.StoppedRun{Source: source.Address, Handle: handle}, true
 	}
 	if !copied {
-		target, err = x.returnTarget(m, target)
+		returned, err := x.returnTarget(m, target)
 		if err != nil {
+			x.freeCopy(run.Handle, source, target.choice.Runner)
 			return err
 		}
+		target = returned
 	}
 	m.run, m.target = &run, target
 	x.recordMoved(m, copied)
--- a/gateway/stopoutcome_test.go
+++ b/gateway/stopoutcome_test.go
@@ -126,3 +126,24 @@
 		}
 	}
 }
+
+// Guards against a stop without an answer that is forgotten once the runner has refused a later one:
+// it may yet be carried out.
+func TestUnansweredStopIsNotForgottenAfterARefusedOne(t *testing.T) {
+	first := inTurn(closedStream(1, 5, 250*time.Millisecond), closedStream(6, 7, 500*time.Millisecond))
+	rejecting := always(standin.Behaviour{Status: 503, NotRun: true})
+	r := newRig(t, first, rejecting, rejecting)
+	r.mover.answerLost = true
+	r.mover.stop = func() { r.mover.err = &platform.MoveError{Status: http.StatusNotFound} }
+	go func() {
+		r.moveFirstRunner()
+		for len(r.runners[0].ReceivedRequests()) < 2 {
+			time.Sleep(time.Millisecond)
+		}
+		r.moveFirstRunner()
+	}()
+	got := r.send("/single/a")
+	r.c.Check(r.mover.stopCount(), qt.Equals, 2)
+	r.c.Check(got.broken, qt.IsTrue)
+	r.c.Check(got.body, qt.Equals, standin.Events(7))
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -55,6 +55,7 @@
 		return a, nil
 	}
 	x.continuedRun = nil
+	x.freeLastRun()
 	if !x.route.Repeatable() {
 		return nil, &RunLostError{Runner: x.choice.Runner.ID}
 	}
@@ -67,7 +68,7 @@
 	x.apply(request.AttemptSuspended)
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
-	x.continuedRun, x.stoppedAt = move.run, nil
+	x.continuedRun, x.stoppedAt, x.lastMove = move.run, nil, move
 	if a.choice.Runner.ID != move.target.choice.Runner.ID {
 		x.stoppedAt = &stoppedSource{choice: a.choice, leavesSince: move.noticedAt}
 	}
