--- a/feed/feed.go
+++ b/feed/feed.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -134,128 +133,6 @@
 	}
 }
 
-// round reads the store once. While the store is unavailable, it reads from other
-// daemons first. A follower reads from them instead, as long as its copy is fresh.
-func (f *Feed) round(ctx context.Context) {
-	timeout, wait := f.options.Timeout, f.options.Wait
-	switch {
-	case f.StoreUnavailable():
-		// A read that waits for a record would run into the shorter timeout
-		// when nothing is written.
-		timeout, wait = f.options.UnavailableTimeout, 0
-		f.readPeers(ctx)
-	case f.isFollower():
-		f.readPeers(ctx)
-		if f.isFresh() {
-			return
-		}
-	}
-	f.recordStoreRead()
-	err := f.readStore(ctx, timeout, wait)
-	if err == nil || ctx.Err() != nil {
-		return
-	}
-	f.common.Count("Feed.ReadsFailed", 1)
-	f.markUnavailable(err)
-}
-
-// isFollower reports whether another daemon reads the store for this one.
-func (f *Feed) isFollower() bool {
-	return f.options.FollowerReadPeriod > 0 && f.Listed() && !f.peers.ReadsForOthers()
-}
-
-// isFresh reports whether a follower need not read the store yet.
-func (f *Feed) isFresh() bool {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	now := f.common.Clock.Now()
-	return now.Sub(f.lastConfirmed) < f.options.StaleAfter && now.Sub(f.lastStoreRead) < f.options.FollowerReadPeriod
-}
-
-func (f *Feed) recordStoreRead() {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	f.lastStoreRead = f.common.Clock.Now()
-}
-
-func (f *Feed) readStore(ctx context.Context, timeout, wait time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	if !f.Listed() {
-		return f.list(ctx)
-	}
-	from := f.End()
-	extract, err := f.store.ReadKeyed(ctx, f.options.Topic, from.Offset, wait)
-	var gap *store.GapError
-	if errors.As(err, &gap) {
-		f.common.Log.Info("RecordsGone", "Topic", f.options.Topic, "From", from, "First", gap.First)
-		return f.list(ctx)
-	}
-	if err != nil {
-		return err
-	}
-	if extract.End.Epoch > from.Epoch {
-		return f.list(ctx)
-	}
-	if extract.End.Epoch < from.Epoch {
-		return &store.StaleEpochError{Epoch: extract.End.Epoch, Known: from.Epoch}
-	}
-	f.merge(extract, 0, true)
-	if from.Before(extract.End) {
-		f.broadcast(Update{Topic: f.options.Topic, From: from, Extract: extract})
-	}
-	return nil
-}
-
-// broadcast sends an update to other daemons if this one reads the store for them.
-func (f *Feed) broadcast(update Update) {
-	if f.peers.ReadsForOthers() {
-		f.peers.Broadcast(update)
-	}
-}
-
-// list reads the newest record of each key. A listing of a restored store is sent to
-// other daemons, since their copies are of an earlier epoch.
-func (f *Feed) list(ctx context.Context) error {
-	listing, err := f.store.Newest(ctx, f.options.Topic)
-	if err != nil {
-		return err
-	}
-	known := f.End()
-	if listing.End.Epoch < known.Epoch {
-		return &store.StaleEpochError{Epoch: listing.End.Epoch, Known: known.Epoch}
-	}
-	f.merge(listing, 0, true)
-	if listing.End.Epoch > known.Epoch && known != (latest.Position{}) {
-		f.broadcast(Update{Topic: f.options.Topic, Extract: listing})
-	}
-	return nil
-}
-
-// readPeers reads the missing records from the daemon that is furthest ahead. If
-// that daemon has no newer records, its copy confirms this one as of its age.
-func (f *Feed) readPeers(ctx context.Context) {
-	newest, found := f.peers.Newest(f.options.Topic)
-	if !found || newest.End.Before(f.End()) {
-		return
-	}
-	if newest.End == f.End() && f.Listed() {
-		f.confirmState(newest.Age)
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, f.options.PeerTimeout)
-	defer cancel()
-	extract, age, err := f.peers.Records(ctx, f.options.Topic, f.End())
-	if err != nil {
-		f.common.Count("Feed.PeerReadsFailed", 1)
-		return
-	}
-	if !f.End().Before(extract.End) {
-		return
-	}
-	f.merge(extract, age, false)
-}
-
 // ApplyUpdate applies an update that another daemon has just read. If records before it
 // are missing, a read is started instead.
 func (f *Feed) ApplyUpdate(update Update) {
--- a/latest/topic.go
+++ b/latest/topic.go
@@ -44,6 +44,8 @@
 	// missing was deleted; otherwise the records are those at or after an
 	// offset.
 	AllKeys bool
+	// WithoutKey counts the records that were left out since no key could be found in them.
+	WithoutKey int
 }
 
 // New returns a topic without records.
