Write the body of a request to its runner without a copy

Cause: encode put the head and the whole body of each request into a new buffer, at each attempt.

Why it works: head and body are written as two buffers in one call.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -98,7 +98,7 @@
 	c.beginUse(p.common.Clock.Now())
 	c.onRead = request.OnRead
 	c.hasCarriedHead = c.hasCarriedHead || request.Method == http.MethodHead
-	w, err := c.write(encode(request), request.OnWritten)
+	w, err := c.write(request)
 	if err != nil {
 		return nil, err
 	}
--- a/upstream/write.go
+++ b/upstream/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -57,25 +58,28 @@
 }
 
 // write writes a request up to maxInlineWrite directly and a longer one in the
-// background. Once the request has been written, onWritten is called, if it is not nil.
-func (c *connection) write(content []byte, onWritten func()) (*writing, error) {
+// background. Once the request has been written, its OnWritten is called, if it is not nil.
+// The body is not copied.
+func (c *connection) write(request Request) (*writing, error) {
 	w := &writing{ended: make(chan struct{})}
-	if len(content) > maxInlineWrite {
+	head := encodeHead(request)
+	content := net.Buffers{head, request.Body}
+	if len(head)+len(request.Body) > maxInlineWrite {
 		go func() {
-			_, err := c.raw.Write(content)
-			if err == nil && onWritten != nil {
-				onWritten()
+			_, err := content.WriteTo(c.raw)
+			if err == nil && request.OnWritten != nil {
+				request.OnWritten()
 			}
 			w.end(err)
 		}()
 		return w, nil
 	}
-	count, err := c.raw.Write(content)
+	count, err := content.WriteTo(c.raw)
 	if err != nil {
 		return nil, c.writeFailure(count, err)
 	}
-	if onWritten != nil {
-		onWritten()
+	if request.OnWritten != nil {
+		request.OnWritten()
 	}
 	w.end(nil)
 	return w, nil
@@ -83,25 +87,24 @@
 
 // writeFailure returns the error for a failed write. Its type depends on whether the
 // kernel accepted any byte.
-func (c *connection) writeFailure(count int, err error) error {
+func (c *connection) writeFailure(count int64, err error) error {
 	if count == 0 {
 		return &UnwrittenError{Address: c.address, Cause: err}
 	}
 	return c.invalidAnswer(err)
 }
 
-// encode serializes a request. The target is not normalized.
-func encode(request Request) []byte {
-	var content bytes.Buffer
-	content.Grow(len(request.Body) + headerCapacity)
-	content.WriteString(request.Method + " " + request.Target + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
-	_ = request.Header.Write(&content)
+// encodeHead serializes the head of a request. The target is not normalized.
+func encodeHead(request Request) []byte {
+	var head bytes.Buffer
+	head.Grow(headerCapacity)
+	head.WriteString(request.Method + " " + request.Target + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
+	_ = request.Header.Write(&head)
 	if len(request.Body) > 0 || request.Method != http.MethodGet && request.Method != http.MethodHead {
-		content.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
+		head.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
 	}
-	content.WriteString("\r\n")
-	content.Write(request.Body)
-	return content.Bytes()
+	head.WriteString("\r\n")
+	return head.Bytes()
 }
 
 // headerCapacity is the initial buffer capacity for the header of a request.
