Bound the bodies of requests and the memory of the runtime

What callers saw: while a customer sends 7.5 times its usual, with bodies within the limit, the daemon exceeds the memory of its machine and is killed.

Cause: readBody held the whole body of each request without a bound on their sum, in a buffer that doubled. The Go runtime had no limit, so that the heap grew to twice of what is live.

Why it works: a body of over 16 KiB counts before it is read, or as its buffer grows if it announces no length. What does not fit into a quarter of the process's memory is refused with 503 and a Retry-After, unread; a body that was taken stays until no attempt needs it. The refusal is sent at once and the rest of the body is dropped, so that a caller that sends all of it first sees the refusal too. The runtime is limited to three quarters of the memory, of which the buffers take at most half.

A body whose announced length is over the configured limit is now refused before it is read as well.

--- a/app/serveplatform.go
+++ b/app/serveplatform.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"os"
+	"runtime/debug"
 
 	"github.com/go-logr/logr"
 	"k8s.io/klog/v2"
@@ -29,6 +30,10 @@
 	klog.SetLogger(common.Log)
 	sinkCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	go sink.Run(sinkCtx)
+	if limit := entry.RuntimeMemoryLimit(settings); limit > 0 {
+		debug.SetMemoryLimit(int64(limit))
+		common.Log.Info("MemoryLimited", "MemoryBytes", settings.MemoryBytes, "RuntimeLimitBytes", limit)
+	}
 	daemon := entry.New(common, settings)
 	go watchSettings(sinkCtx, common, path, hangups, daemon.Reload)
 	err = daemon.Run(ctx)
--- a/buffer/budget.go
+++ b/buffer/budget.go
@@ -15,12 +15,33 @@
 	OnFailure func(*ExhaustedError)
 }
 
-// DefaultOptions returns the defaults for a process on the smallest VM, which has 184 MB.
-// The limit is an eighth of that: the garbage collector lets the heap grow to twice of what
-// is live, a buffer that grows is there twice for a moment, and the rest of the process
-// needs its own room.
-func DefaultOptions() Options {
-	return Options{LimitBytes: 23 << 20, FreeBytes: 16 << 10}
+// smallestMemoryBytes is the memory of a process on the smallest VM.
+const smallestMemoryBytes = 184 << 20
+
+const (
+	// answerDivisor and bodyDivisor divide the memory of a process into the shares that the bodies
+	// of answers and of requests may hold. Until its garbage is collected, a buffer that grows is
+	// there twice, and the rest of the process needs its own room.
+	answerDivisor = 8
+	bodyDivisor   = 4
+	// freeBytes is the size up to which buffers do not count.
+	freeBytes = 16 << 10
+)
+
+// DefaultOptions returns the defaults for a process on the smallest VM.
+func DefaultOptions() Options { return OptionsFor(0) }
+
+// OptionsFor returns the options for a process with so much memory; zero means that it is unknown.
+func OptionsFor(memoryBytes int) Options {
+	return Options{LimitBytes: orSmallest(memoryBytes) / answerDivisor, FreeBytes: freeBytes}
+}
+
+// orSmallest returns the memory of a process, or that of the smallest one if it is unknown.
+func orSmallest(memoryBytes int) int {
+	if memoryBytes <= 0 {
+		return smallestMemoryBytes
+	}
+	return memoryBytes
 }
 
 // Budget bounds the sum of the bytes that its accounts hold. When the limit is exceeded,
--- a/buffer/errors.go
+++ b/buffer/errors.go
@@ -15,3 +15,21 @@
 func (e *ExhaustedError) Error() string {
 	return fmt.Sprintf("what %s sends holds %d bytes, the most when the limit of %d bytes was exceeded", e.Owner, e.Bytes, e.LimitBytes)
 }
+
+// NoRoomError means that the body of a request does not fit beside the others.
+type NoRoomError struct {
+	Owner string
+	// Bytes is what the body needs.
+	Bytes int
+	// HeldBytes is what all bodies hold.
+	HeldBytes  int
+	LimitBytes int
+	// FitsLater is false if the body does not fit without any others either.
+	FitsLater bool
+}
+
+// Error implements error.
+func (e *NoRoomError) Error() string {
+	return fmt.Sprintf("a body of %d bytes of %q does not fit beside %d bytes of others, limit %d bytes",
+		e.Bytes, e.Owner, e.HeldBytes, e.LimitBytes)
+}
--- a/entry/buffers.go
+++ b/entry/buffers.go
@@ -12,9 +12,9 @@
 const bufferLogPeriod = time.Second
 
 // newBudget returns the budget for all answers that the process buffers.
-func newBudget(common telemetry.Common) *buffer.Budget {
+func newBudget(common telemetry.Common, memoryBytes int) *buffer.Budget {
 	reporter := &bufferReporter{Common: common}
-	options := buffer.DefaultOptions()
+	options := buffer.OptionsFor(memoryBytes)
 	options.OnFailure = reporter.report
 	return buffer.New(options)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -44,6 +44,7 @@
 	store           store.Store
 	balancer        *balance.Balancer
 	budget          *buffer.Budget
+	bodies          *buffer.Bodies
 	upstream        *upstream.Pool
 	quotas          *quota.Limiter
 	segments        *suspect.CrashTracker
@@ -101,7 +102,8 @@
 			Name: settings.Name, Address: settings.PeerAddress, Zone: settings.Zone, Incarnation: ulid.Make().String(),
 			Capacity: settings.CPUMillicores,
 		},
-		budget:      newBudget(common),
+		budget:      newBudget(common, settings.MemoryBytes),
+		bodies:      buffer.NewBodies(buffer.BodyOptionsFor(settings.MemoryBytes)),
 		quotas:      quota.New(quota.DefaultOptions()),
 		segments:    suspect.NewCrashTracker(crashOptions(common, "Segments")),
 		contents:    suspect.NewCrashTracker(crashOptions(common, "Contents").WithSettling(0)),
@@ -160,7 +162,7 @@
 func (e *Entry) addGateway() {
 	bounds := e.settings.Bounds
 	e.gateway = gateway.New(e.Common, gateway.Dependencies{
-		Codec: platform.Codec{}, Balancer: e.balancer, Upstream: e.upstream, Quotas: e.quotas,
+		Codec: platform.Codec{}, Balancer: e.balancer, Upstream: e.upstream, Bodies: e.bodies, Quotas: e.quotas,
 		Segments: e.segments, Contents: e.contents, Usage: e.usage, SyncedClock: e.syncedClock, Group: e.group,
 		StreamVersions: e.versions, Mover: platform.NewMover(newClient(e.budget)), Meters: e.metrics, RunnersAge: e.runnersAge,
 		RetryBudgets: gateway.NewRetryBudgets(retry.WindowOptions{
--- a/entry/run.go
+++ b/entry/run.go
@@ -47,6 +47,9 @@
 	e.metrics.RegisterGauge("buffered_answer_bytes", "Bytes of answers that are held in long buffers.", func() float64 {
 		return float64(e.budget.HeldBytes())
 	})
+	e.metrics.RegisterGauge("request_body_bytes", "Bytes of long bodies of requests that are held.", func() float64 {
+		return float64(e.bodies.HeldBytes())
+	})
 	e.metrics.RegisterGauge("limited_runners", "Runners that have named how many requests a second they take.", func() float64 {
 		return float64(e.balancer.LimitedRunners())
 	})
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cranberrywalk/cranberrywalk/call"
-	"github.com/cranberrywalk/cranberrywalk/callerserver"
 	"github.com/cranberrywalk/cranberrywalk/catalog"
 	"github.com/cranberrywalk/cranberrywalk/quota"
 	"github.com/cranberrywalk/cranberrywalk/request"
@@ -89,25 +87,6 @@
 	return nil
 }
 
-func (x *exchange) readBody() *Refusal {
-	body := io.Reader(x.request.Body)
-	if maxBytes := x.catalog.Limits().MaxBodyBytes; maxBytes > 0 {
-		body = http.MaxBytesReader(x.writer, x.request.Body, int64(maxBytes))
-	}
-	content, err := io.ReadAll(body)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return newRefusal(http.StatusRequestEntityTooLarge, "LongBody", err)
-	case callerserver.IsStopped(x.request.Context()):
-		return unavailable("Stopping", retryAfterStop, err)
-	case err != nil:
-		return newRefusal(http.StatusBadRequest, "BrokenBody", err)
-	}
-	x.call.Body = content
-	return nil
-}
-
 // setDeadline bounds the request by the timeouts of the caller and of the route.
 func (x *exchange) setDeadline() {
 	timeout := x.call.Timeout
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/balance"
+	"github.com/cranberrywalk/cranberrywalk/buffer"
 	"github.com/cranberrywalk/cranberrywalk/call"
 	"github.com/cranberrywalk/cranberrywalk/catalog"
 	"github.com/cranberrywalk/cranberrywalk/request"
@@ -28,7 +29,9 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	call     call.Call
+	call call.Call
+	// body counts the bytes of the body. It is nil before the body is read.
+	body     *buffer.Body
 	catalog  *catalog.Catalog
 	route    catalog.Route
 	customer catalog.Customer
@@ -103,6 +106,7 @@
 	x.releaseReplacements()
 	x.cancel()
 	x.releaseMove()
+	x.body.Close()
 }
 
 // apply advances the state machine of the request. An event that does not apply is
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -101,9 +101,15 @@
 		header[name] = values
 	}
 	header.Set("Content-Length", "0")
+	if refusal.hasUnreadBody {
+		header.Set("Connection", "close")
+	}
 	x.writer.WriteHeader(refusal.Status)
 	x.observeRefusal(refusal.Status, refusal.Reason)
 	x.recordEnd(refusal.Status, refusal.Reason, refusal.Cause)
+	if refusal.hasUnreadBody {
+		x.skipBody()
+	}
 }
 
 // recordEnd counts and logs the end of a request. status is zero when the caller
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cranberrywalk/cranberrywalk/balance"
+	"github.com/cranberrywalk/cranberrywalk/buffer"
 	"github.com/cranberrywalk/cranberrywalk/call"
 	"github.com/cranberrywalk/cranberrywalk/catalog"
 	"github.com/cranberrywalk/cranberrywalk/clocksync"
@@ -140,7 +141,9 @@
 	Codec    Codec
 	Balancer *balance.Balancer
 	Upstream *upstream.Pool
-	Quotas   *quota.Limiter
+	// Bodies bounds the bytes of requests' bodies. Nil means no limit.
+	Bodies *buffer.Bodies
+	Quotas *quota.Limiter
 	// Segments and Contents track the segments of prompts, and the requests, that crash
 	// runners.
 	Segments, Contents *suspect.CrashTracker
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -148,6 +148,7 @@
 
 func (x *exchange) write(answer bufferedAnswer) {
 	defer answer.release()
+	x.releaseBodyEarly()
 	x.copyHeader(answer.header)
 	header := x.writer.Header()
 	header.Set("Content-Length", strconv.Itoa(len(answer.body)))
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -14,6 +14,15 @@
 	RetryAfter time.Duration
 	// Cause is the underlying error, or nil.
 	Cause error
+	// hasUnreadBody is true if the body of the request was not read to its end.
+	hasUnreadBody bool
+}
+
+// withUnreadBody returns a refusal before the end of the body.
+func (r *Refusal) withUnreadBody() *Refusal {
+	changed := *r
+	changed.hasUnreadBody = true
+	return &changed
 }
 
 // The values of Retry-After.
@@ -31,6 +40,8 @@
 	retryAfterVersionGone = 2 * time.Second
 	// retryAfterFull is for a service whose runners are all full.
 	retryAfterFull = 250 * time.Millisecond
+	// retryAfterNoRoom is for a body that does not fit beside those of requests under way.
+	retryAfterNoRoom = 500 * time.Millisecond
 	// minRetryAfterPause and maxRetryAfterPause bound the value for a service whose
 	// runners want no requests for a time. Other runners may come meanwhile.
 	minRetryAfterPause = 50 * time.Millisecond
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -19,6 +19,7 @@
 	"github.com/go-logr/logr/funcr"
 
 	"github.com/cranberrywalk/cranberrywalk/balance"
+	"github.com/cranberrywalk/cranberrywalk/buffer"
 	"github.com/cranberrywalk/cranberrywalk/catalog"
 	"github.com/cranberrywalk/cranberrywalk/clocksync"
 	"github.com/cranberrywalk/cranberrywalk/gateway"
@@ -183,6 +184,7 @@
 	gatewayOptions.ReturnTime = rigReturnTime
 	r.gateway = gateway.New(common, gateway.Dependencies{
 		Codec: platform.Codec{}, Balancer: balancer, Upstream: upstream.New(common, upstream.DefaultOptions()),
+		Bodies: buffer.NewBodies(buffer.BodyOptionsFor(0)),
 		Quotas: r.quotas, Segments: r.segments, Contents: r.contents, Usage: r.usage, SyncedClock: clocksync.New(time.Minute, now),
 		RetryBudgets: gateway.NewRetryBudgets(retry.WindowOptions{Length: 10 * time.Second, Ratio: 0.2, Slack: 20, SafetyFactor: 1}),
 		Group:        singleDaemon{}, StreamVersions: r.versions,
