Close the connections of callers that take their answers too slowly

Cause: a complete answer was held until its caller had read it, without a bound on the time, and was never failed for the sake of others, so that the open answers of others were.

Evidence before: TestSlowCallersFailNoOtherAnswer failed in each run, 502 in place of 200 twice; TestSteadyReaderIsSeenToProgress: "a step took 4.036s" in 2 of 2 runs. Now the first passes in 6 of 6 runs, one of them with -race.

Why it works: an answer or event is written in steps of 64 KiB. A caller that makes no step for 10 s loses its connection. After 0.5 s it counts as stalled: if the limit on answers is exceeded meanwhile, the stalled answer that holds the most is given up before any answer that is still being received. The kernel holds back at most 128 KiB of unsent bytes on callers' connections: without that, a write goes on only after a third of the kernel's buffer of up to 4 MiB was read, and a caller that reads steadily looks as if it did not.

--- a/buffer/account.go
+++ b/buffer/account.go
@@ -12,6 +12,8 @@
 	// The fields below are guarded by the mutex of the budget.
 
 	bytes int
+	// cut ends the delivery of the buffer to a reader that takes nothing. It is nil otherwise.
+	cut func()
 	// closed is true when the account is no longer counted.
 	closed bool
 	// failure is set when the account was failed.
@@ -27,6 +29,10 @@
 	}
 	failed := a.resize(bytes)
 	for _, other := range failed {
+		if other.cut != nil {
+			other.cut()
+			continue
+		}
 		if other != a {
 			other.interrupt()
 		}
@@ -60,6 +66,35 @@
 	return a.err()
 }
 
+// Stall tells that the reader of a settled buffer takes nothing. Until Resume, the account may be
+// failed for the sake of others; cut is called then.
+func (a *Account) Stall(cut func()) {
+	if !a.counted {
+		return
+	}
+	a.budget.mutex.Lock()
+	defer a.budget.mutex.Unlock()
+	if a.closed {
+		return
+	}
+	a.cut = cut
+	a.budget.stalled[a] = struct{}{}
+}
+
+// Resume tells that the reader goes on.
+func (a *Account) Resume() {
+	if !a.counted {
+		return
+	}
+	a.budget.mutex.Lock()
+	defer a.budget.mutex.Unlock()
+	if a.closed {
+		return
+	}
+	a.cut = nil
+	delete(a.budget.stalled, a)
+}
+
 // Close stops counting the buffer. It returns an *ExhaustedError if the account was failed
 // before. It may be called more than once.
 func (a *Account) Close() error {
--- a/buffer/budget.go
+++ b/buffer/budget.go
@@ -45,8 +45,8 @@
 }
 
 // Budget bounds the sum of the bytes that its accounts hold. When the limit is exceeded,
-// the open account that holds the most is failed, so that a few long bodies do not take
-// the room of many shorter ones. Nobody waits for room. A Budget is safe for concurrent
+// the stalled account that holds the most is failed, and if there is none, the open one that
+// does, so that a few long bodies do not take the room of many shorter ones. Nobody waits for room. A Budget is safe for concurrent
 // use; a nil Budget has no limit.
 type Budget struct {
 	options Options
@@ -56,6 +56,8 @@
 	heldBytes int
 	// open holds the accounts that count and may be failed.
 	open map[*Account]struct{}
+	// stalled holds the settled accounts whose readers take nothing.
+	stalled map[*Account]struct{}
 }
 
 // New returns a budget without accounts.
@@ -63,7 +65,7 @@
 	if options.OnFailure == nil {
 		options.OnFailure = func(*ExhaustedError) {}
 	}
-	return &Budget{options: options, open: make(map[*Account]struct{})}
+	return &Budget{options: options, open: make(map[*Account]struct{}), stalled: make(map[*Account]struct{})}
 }
 
 // HeldBytes returns the sum of the bytes that the accounts hold.
@@ -89,9 +91,12 @@
 	b.heldBytes += bytes - a.bytes
 	a.bytes = bytes
 	var failed []*Account
-	for b.heldBytes > b.options.LimitBytes && len(b.open) > 0 {
-		largest := b.largest()
-		if largest.bytes == 0 {
+	for b.heldBytes > b.options.LimitBytes {
+		largest := largestOf(b.stalled)
+		if largest == nil {
+			largest = largestOf(b.open)
+		}
+		if largest == nil || largest.bytes == 0 {
 			break
 		}
 		b.fail(largest)
@@ -100,10 +105,11 @@
 	return failed
 }
 
-// largest returns the open account that holds the most. The mutex must be held.
-func (b *Budget) largest() *Account {
+// largestOf returns the account that holds the most, or nil if there is none. The mutex of the budget
+// must be held.
+func largestOf(accounts map[*Account]struct{}) *Account {
 	var largest *Account
-	for a := range b.open {
+	for a := range accounts {
 		if largest == nil || a.bytes > largest.bytes {
 			largest = a
 		}
@@ -123,4 +129,5 @@
 	a.bytes = 0
 	a.closed = true
 	delete(b.open, a)
+	delete(b.stalled, a)
 }
--- a/buffer/errors.go
+++ b/buffer/errors.go
@@ -3,7 +3,7 @@
 import "fmt"
 
 // ExhaustedError means that the buffer of an account held the most bytes when the limit on
-// the sum was exceeded.
+// the sum was exceeded, among those that were stalled or, without any, open.
 type ExhaustedError struct {
 	Owner string
 	// Bytes is what the account held.
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -29,6 +29,19 @@
 // Unwrap returns the cause.
 func (e *CallerWriteError) Unwrap() error { return e.Cause }
 
+// SlowCallerError reports that a caller took too long to read a part of its answer or to send a part of
+// its request.
+type SlowCallerError struct{}
+
+// Error implements error.
+func (*SlowCallerError) Error() string { return "the caller reads or sends too slowly" }
+
+// isSlowCaller reports whether a failure is a *SlowCallerError.
+func isSlowCaller(failure error) bool {
+	var slow *SlowCallerError
+	return errors.As(failure, &slow)
+}
+
 // isCallerWriteFailure reports whether a failure is a *CallerWriteError.
 func isCallerWriteFailure(failure error) bool {
 	var unwritten *CallerWriteError
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -15,15 +15,15 @@
 	status int
 	header http.Header
 	body   []byte
-	// release stops counting the body against the budget for answers. It is nil if there
-	// is no answer.
-	release func()
+	// source counts the body against the budget for answers until its Release. It is nil if there is
+	// no answer.
+	source *upstream.Answer
 }
 
 // drop releases an answer that is not forwarded.
 func (b bufferedAnswer) drop() {
-	if b.release != nil {
-		b.release()
+	if b.source != nil {
+		b.source.Release()
 	}
 }
 
@@ -98,7 +98,7 @@
 	if err != nil {
 		return bufferedAnswer{}, x.readFailure(a, err)
 	}
-	return bufferedAnswer{status: answer.Status, header: answer.Header, body: body, release: answer.Release}, nil
+	return bufferedAnswer{status: answer.Status, header: answer.Header, body: body, source: answer}, nil
 }
 
 // readFailure returns the error for a response that could not be read. Its cause is that
@@ -128,16 +128,25 @@
 
 // forwardAnswer sends a runner's response to the caller.
 func (x *exchange) forwardAnswer(a *attempt, answer bufferedAnswer) {
-	x.write(answer)
+	isDelivered := x.write(answer)
 	x.succeed(a, answer.status)
+	abortUnless(isDelivered)
 }
 
 // forwardFailure sends the caller a runner's response that reports a failure.
 func (x *exchange) forwardFailure(answer bufferedAnswer, reason string) {
 	x.apply(request.GivenUp)
 	x.returnRetry()
-	x.write(answer)
+	isDelivered := x.write(answer)
 	x.recordEnd(answer.status, "RunnerFailed", &NoRetryError{Reason: reason})
+	abortUnless(isDelivered)
+}
+
+// abortUnless closes the caller's connection if it did not take its answer.
+func abortUnless(isDelivered bool) {
+	if !isDelivered {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // NoRetryError reports why a failed request was not retried.
@@ -146,16 +155,15 @@
 // Error implements error.
 func (e *NoRetryError) Error() string { return "not retried: " + e.Reason }
 
-func (x *exchange) write(answer bufferedAnswer) {
-	defer answer.release()
+// write sends the caller an answer. It returns false if the caller took it too slowly.
+func (x *exchange) write(answer bufferedAnswer) bool {
+	defer answer.drop()
 	x.releaseBodyEarly()
 	x.copyHeader(answer.header)
 	header := x.writer.Header()
 	header.Set("Content-Length", strconv.Itoa(len(answer.body)))
 	x.writer.WriteHeader(answer.status)
-	// The error is not needed: when the caller disconnects, the context of its
-	// request ends.
-	_, _ = x.writer.Write(answer.body)
+	return x.deliver(answer)
 }
 
 // copyHeader sets the header fields of a runner's response. A missing Content-Type
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"net/http"
 
 	"github.com/cranberrywalk/cranberrywalk/balance"
 	"github.com/cranberrywalk/cranberrywalk/metric"
@@ -114,7 +113,7 @@
 
 // relayEvents forwards the events of a runner until the stream ends.
 func (x *exchange) relayEvents(a *attempt, o opening, watchdog *idleWatchdog) error {
-	controller := http.NewResponseController(x.writer)
+	p := x.newWritePace(nil)
 	for e, err := o.first, o.end; ; e, err = o.events.next() {
 		if errors.Is(err, io.EOF) {
 			return x.endStream(a, o.answer)
@@ -138,11 +137,8 @@
 		}
 		x.rememberVersion(a)
 		x.writeHead(o.answer)
-		if _, err := x.writer.Write(e.content); err != nil {
-			return &CallerWriteError{Cause: err}
-		}
-		if err := controller.Flush(); err != nil {
-			return &CallerWriteError{Cause: err}
+		if err := x.writeEvent(p, e); err != nil {
+			return err
 		}
 	}
 }
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -83,6 +83,19 @@
 	return err == nil && failure == nil && count > 0
 }
 
+// BoundUnsent bounds the bytes that the kernel takes for a connection and has not sent yet. Without it,
+// a write that waits for a slow peer goes on only after the peer has read a third of the kernel's buffer.
+func BoundUnsent(conn any, bytes int) {
+	raw, ok := rawConn(conn)
+	if !ok {
+		return
+	}
+	// Without the bound, the connection works as well.
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, bytes)
+	})
+}
+
 // HasPending reports whether a listener has connections that are established but not
 // accepted yet.
 func HasPending(listener any) bool {
--- a/upstream/body.go
+++ b/upstream/body.go
@@ -31,6 +31,13 @@
 	}
 }
 
+// Stall tells that the caller takes nothing of the body that ReadAll has returned. Until Resume, the
+// delivery of the body may be ended for the sake of other answers by a call of cut.
+func (a *Answer) Stall(cut func()) { a.account.Stall(cut) }
+
+// Resume tells that the caller goes on.
+func (a *Answer) Resume() { a.account.Resume() }
+
 // ResizeBuffer counts the bytes that the caller buffers of a body that it reads by Read. It
 // returns a *buffer.ExhaustedError if the answer holds too many; the answer must then be
 // closed.
