Leave room for the bodies of other customers

What callers saw: with a bound on the bodies of requests, one customer that sends many long ones takes all of it, and the bodies of all other customers are refused.

Cause: the bound was on the sum only.

Why it works: one customer may hold half of what the others leave of the limit, so that there is always room for one more, if less for each. So that a customer alone keeps about the room that its usual requests need on the smallest VM, the limit is a third of the memory in place of a quarter.

--- a/buffer/budget.go
+++ b/buffer/budget.go
@@ -23,7 +23,7 @@
 	// of answers and of requests may hold. Until its garbage is collected, a buffer that grows is
 	// there twice, and the rest of the process needs its own room.
 	answerDivisor = 8
-	bodyDivisor   = 4
+	bodyDivisor   = 3
 	// freeBytes is the size up to which buffers do not count.
 	freeBytes = 16 << 10
 )
--- a/buffer/errors.go
+++ b/buffer/errors.go
@@ -21,15 +21,16 @@
 	Owner string
 	// Bytes is what the body needs.
 	Bytes int
+	// OwnerBytes is what the bodies of the owner hold, and AllowedBytes what they may hold now.
+	OwnerBytes, AllowedBytes int
 	// HeldBytes is what all bodies hold.
-	HeldBytes  int
-	LimitBytes int
+	HeldBytes, LimitBytes int
 	// FitsLater is false if the body does not fit without any others either.
 	FitsLater bool
 }
 
 // Error implements error.
 func (e *NoRoomError) Error() string {
-	return fmt.Sprintf("a body of %d bytes of %q does not fit beside %d bytes of others, limit %d bytes",
-		e.Bytes, e.Owner, e.HeldBytes, e.LimitBytes)
+	return fmt.Sprintf("a body of %d bytes does not fit: %q holds %d bytes and may hold %d, all bodies hold %d, limit %d",
+		e.Bytes, e.Owner, e.OwnerBytes, e.AllowedBytes, e.HeldBytes, e.LimitBytes)
 }
