Close the connections of callers that send their bodies too slowly

What callers saw: callers that drip a body or never end one hold the room for it without end; the bodies of others are refused meanwhile.

Cause: nothing bounded the time of a body, and the whole of it counts before it is read.

Evidence: TestSlowCallersFailNoSoundRequest with the stalls not told to the bound on bodies: 503 in place of 200 for the sound requests. With them, all 20 requests beside callers that drip a body, never end one or never read their answers get 200, and the heap stays within the 150 MiB of the other tests. TestCallersThatSendNothingAreCut: no caller lost its connection before.

Why it works: a caller has to send 64 KiB, or the rest of its body, within 10 s. After 0.5 s without, it counts as stalled: if another body does not fit meanwhile, the largest stalled one is dropped for it. Its caller gets 408 and its connection is closed. A body that fits in no case drops no other one.

--- a/buffer/errors.go
+++ b/buffer/errors.go
@@ -34,3 +34,11 @@
 	return fmt.Sprintf("a body of %d bytes does not fit: %q holds %d bytes and may hold %d, all bodies hold %d, limit %d",
 		e.Bytes, e.Owner, e.OwnerBytes, e.AllowedBytes, e.HeldBytes, e.LimitBytes)
 }
+
+// DroppedError means that a body was dropped for the sake of others, since its sender stalled.
+type DroppedError struct{ Owner string }
+
+// Error implements error.
+func (e *DroppedError) Error() string {
+	return fmt.Sprintf("a body of %q that its sender did not go on with was dropped for the sake of others", e.Owner)
+}
--- a/buffer/stalled_test.go
+++ b/buffer/stalled_test.go
@@ -46,3 +46,30 @@
 	c.Check(account.Close(), qt.IsNil)
 	c.Check(budget.HeldBytes(), qt.Equals, 0)
 }
+
+// TestStalledBodyIsDroppedForOthers guards against requests that are refused since a few callers do not
+// go on with their bodies.
+func TestStalledBodyIsDroppedForOthers(t *testing.T) {
+	c := qt.New(t)
+	bodies := newBodies()
+	cuts := 0
+	dripped, resumed, whole := bodies.Open("one"), bodies.Open("one"), bodies.Open("one")
+	for _, body := range []*buffer.Body{dripped, resumed, whole} {
+		c.Assert(body.Resize(16), qt.IsNil)
+		body.Stall(func() { cuts++ })
+	}
+	resumed.Resume()
+	c.Assert(whole.Settle(), qt.IsNil)
+	next := bodies.Open("one")
+	c.Check(next.Resize(limitBytes/2+1), qt.IsNotNil)
+	c.Check(cuts, qt.Equals, 0)
+	c.Check(next.Resize(16), qt.IsNil)
+	c.Check(cuts, qt.Equals, 1)
+	var dropped *buffer.DroppedError
+	c.Check(dripped.Settle(), qt.ErrorAs, &dropped)
+	c.Check(dripped.Resize(17), qt.ErrorAs, &dropped)
+	dripped.Close()
+	c.Check(bodies.HeldBytes(), qt.Equals, 48)
+	c.Check(bodies.Open("one").Resize(16), qt.IsNotNil)
+	c.Check(resumed.Settle(), qt.IsNil)
+}
--- a/gateway/bodies_test.go
+++ b/gateway/bodies_test.go
@@ -34,10 +34,15 @@
 		}
 		return standin.Behaviour{Body: "answer"}
 	})
-	r.gateway.Bodies = buffer.NewBodies(buffer.BodyOptions{LimitBytes: 2 * bodyLimitBytes, FreeBytes: 16 << 10})
+	r.boundBodies()
 	return r
 }
 
+// boundBodies sets the bound on bodies.
+func (r *rig) boundBodies() {
+	r.gateway.Bodies = buffer.NewBodies(buffer.BodyOptions{LimitBytes: 2 * bodyLimitBytes, FreeBytes: 16 << 10})
+}
+
 // head returns the head of a request with further header lines.
 func head(path, lines string) string {
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\n%s: raw\r\n%s: %s\r\n%s: 5000\r\n%s\r\n",
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -14,7 +14,14 @@
 // other requests, is refused before it is read if its length is announced.
 func (x *exchange) readBody() *Refusal {
 	x.body = x.Bodies.Open(x.customer.Name)
-	content, err := x.receiveBody()
+	body := x.newPacedBody()
+	content, err := x.receiveBody(body)
+	if body.stop() {
+		err = &SlowCallerError{}
+	}
+	if dropped := x.body.Settle(); dropped != nil {
+		err = dropped
+	}
 	if err != nil {
 		x.body.Close()
 		return x.bodyRefusal(err)
@@ -24,22 +31,22 @@
 }
 
 // receiveBody returns the body of the request.
-func (x *exchange) receiveBody() ([]byte, error) {
+func (x *exchange) receiveBody(body io.ReadCloser) ([]byte, error) {
 	limit := int64(x.catalog.Limits().MaxBodyBytes)
 	length := x.request.ContentLength
 	switch {
 	case limit > 0 && length > limit:
 		return nil, &http.MaxBytesError{Limit: limit}
 	case length < 0 && limit > 0:
-		return x.receiveChunks(http.MaxBytesReader(x.writer, x.request.Body, limit))
+		return x.receiveChunks(http.MaxBytesReader(x.writer, body, limit))
 	case length < 0:
-		return x.receiveChunks(x.request.Body)
+		return x.receiveChunks(body)
 	}
 	if err := x.body.Resize(int(length)); err != nil {
 		return nil, err
 	}
 	content := make([]byte, length)
-	_, err := io.ReadFull(x.request.Body, content)
+	_, err := io.ReadFull(body, content)
 	return content, err
 }
 
@@ -83,11 +90,14 @@
 func (x *exchange) bodyRefusal(err error) *Refusal {
 	var tooLarge *http.MaxBytesError
 	var noRoom *buffer.NoRoomError
+	var dropped *buffer.DroppedError
 	switch {
 	case errors.As(err, &tooLarge), errors.As(err, &noRoom) && !noRoom.FitsLater:
 		return newRefusal(http.StatusRequestEntityTooLarge, "LongBody", err).withUnreadBody()
 	case noRoom != nil:
 		return unavailable("NoRoomForBody", retryAfterNoRoom, err).withUnreadBody()
+	case isSlowCaller(err), errors.As(err, &dropped):
+		return newRefusal(http.StatusRequestTimeout, "SlowBody", err).withUnreadBody()
 	case callerserver.IsStopped(x.request.Context()):
 		return unavailable("Stopping", retryAfterStop, err)
 	}
