Measure what callers read without a bound on the kernel's buffers

What callers saw: nothing yet.

An answer of 1 MiB then no longer fits into the kernel's buffers, and the daemon holds it, and its bytes in the budget, for a caller that is late.

Why it works: the kernel's buffers are as before. While a write waits, the bytes that the caller has not acknowledged are looked at twice a second; 64 KiB less are progress.

--- a/callerserver/server.go
+++ b/callerserver/server.go
@@ -11,7 +11,6 @@
 	"sync"
 	"time"
 
-	"github.com/cranberrywalk/cranberrywalk/socket"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 )
 
@@ -146,12 +145,7 @@
 	return l.server.track(conn), nil
 }
 
-// maxUnsentBytes bounds what the kernel has taken of an answer and not sent yet, so that writes show
-// how fast a caller reads.
-const maxUnsentBytes = 128 << 10
-
 func (s *Server) track(conn net.Conn) *connection {
-	socket.BoundUnsent(conn, maxUnsentBytes)
 	c := &connection{Conn: conn, server: s}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/gateway/deliver.go
+++ b/gateway/deliver.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/cranberrywalk/cranberrywalk/callerserver"
 )
 
 // longAgo is a deadline that has passed.
@@ -11,7 +13,10 @@
 // newWritePace returns the pace of a caller that reads.
 func (x *exchange) newWritePace(held holder) *pace {
 	controller := http.NewResponseController(x.writer)
-	return &pace{clock: x.Clock, held: held, interrupt: func() { _ = controller.SetWriteDeadline(longAgo) }}
+	return &pace{
+		clock: x.Clock, held: held, interrupt: func() { _ = controller.SetWriteDeadline(longAgo) },
+		pending: func() (int, bool) { return callerserver.UnacknowledgedBytes(x.request.Context()) },
+	}
 }
 
 // deliver sends the caller the body of an answer. It returns false if the caller took it too slowly.
--- a/gateway/pace.go
+++ b/gateway/pace.go
@@ -25,6 +25,9 @@
 	Resume()
 }
 
+// maxStalls is how many times in a row a caller may have made no progress within stallTime.
+const maxStalls = int(maxStepTime / stallTime)
+
 // pace bounds the time of a caller for each step of its transfer.
 type pace struct {
 	clock clock.Clock
@@ -32,14 +35,19 @@
 	held holder
 	// interrupt ends the current read or write.
 	interrupt func()
+	// pending returns how many bytes are on the way to the caller, if that is known. It may be nil.
+	pending func() (count int, isKnown bool)
 
 	mutex sync.Mutex
 	// timer is nil before the first step; guarded by mutex, as all fields below.
 	timer clockwork.Timer
 	// isStepping is true during a step.
 	isStepping bool
-	isStalled  bool
-	isCut      bool
+	// stalls counts how often in a row the caller has made no progress within stallTime.
+	stalls int
+	// lastPending is what pending returned last, or below zero if that is not known.
+	lastPending int
+	isCut       bool
 }
 
 // begin begins a step.
@@ -47,6 +55,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.isStepping = true
+	p.lastPending = p.readPending()
 	if p.timer == nil {
 		p.timer = p.clock.AfterFunc(stallTime, p.expire)
 		return
@@ -60,10 +69,7 @@
 	defer p.mutex.Unlock()
 	p.isStepping = false
 	p.timer.Stop()
-	if p.isStalled {
-		p.isStalled = false
-		p.resume()
-	}
+	p.resume()
 	return p.isCut
 }
 
@@ -71,35 +77,64 @@
 func (p *pace) expire() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	switch {
-	case !p.isStepping || p.isCut:
-	case p.isStalled:
+	if !p.isStepping || p.isCut {
+		return
+	}
+	if p.hasProgressed() {
+		p.resume()
+	} else {
+		p.stalls++
+	}
+	switch p.stalls {
+	case maxStalls:
 		p.isCut = true
 		p.interrupt()
-	default:
-		p.isStalled = true
-		p.timer.Reset(maxStepTime - stallTime)
-		p.stall()
+		return
+	case 1:
+		if p.held != nil {
+			p.held.Stall(p.cut)
+		}
+	}
+	p.timer.Reset(stallTime)
+}
+
+// hasProgressed reports whether a whole step has reached the caller since the last look, or the kernel
+// has taken more. The mutex must be held.
+func (p *pace) hasProgressed() bool {
+	last, now := p.lastPending, p.readPending()
+	if last < 0 || now < 0 || now <= last && now > last-stepBytes {
+		return false
 	}
+	p.lastPending = now
+	return true
 }
 
-func (p *pace) stall() {
-	if p.held != nil {
-		p.held.Stall(p.cut)
+// readPending returns how many bytes are on the way to the caller, or a number below zero if that is not
+// known.
+func (p *pace) readPending() int {
+	if p.pending == nil {
+		return -1
+	}
+	count, isKnown := p.pending()
+	if !isKnown {
+		return -1
 	}
+	return count
 }
 
+// resume ends a stall. The mutex must be held.
 func (p *pace) resume() {
-	if p.held != nil {
+	if p.stalls > 0 && p.held != nil {
 		p.held.Resume()
 	}
+	p.stalls = 0
 }
 
 // cut ends a step that has stalled.
 func (p *pace) cut() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.isStepping && p.isStalled && !p.isCut {
+	if p.isStepping && p.stalls > 0 && !p.isCut {
 		p.isCut = true
 		p.interrupt()
 	}
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -73,27 +73,20 @@
 // HasUnacknowledged reports whether the peer has not acknowledged all bytes that were
 // written to a connection.
 func HasUnacknowledged(conn any) bool {
-	raw, ok := rawConn(conn)
-	if !ok {
-		return false
-	}
-	count := 0
-	var failure error
-	err := raw.Control(func(fd uintptr) { count, failure = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
-	return err == nil && failure == nil && count > 0
+	count, isKnown := Unacknowledged(conn)
+	return isKnown && count > 0
 }
 
-// BoundUnsent bounds the bytes that the kernel takes for a connection and has not sent yet. Without it,
-// a write that waits for a slow peer goes on only after the peer has read a third of the kernel's buffer.
-func BoundUnsent(conn any, bytes int) {
+// Unacknowledged returns how many of the bytes that were written to a connection its peer has not
+// acknowledged.
+func Unacknowledged(conn any) (count int, isKnown bool) {
 	raw, ok := rawConn(conn)
 	if !ok {
-		return
+		return 0, false
 	}
-	// Without the bound, the connection works as well.
-	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, bytes)
-	})
+	var failure error
+	err := raw.Control(func(fd uintptr) { count, failure = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return count, err == nil && failure == nil
 }
 
 // HasPending reports whether a listener has connections that are established but not
