--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -184,12 +184,10 @@
 	gatewayOptions.ReturnTime = rigReturnTime
 	r.gateway = gateway.New(common, gateway.Dependencies{
 		Codec: platform.Codec{}, Balancer: balancer, Upstream: upstream.New(common, upstream.DefaultOptions()),
-		Bodies: buffer.NewBodies(buffer.BodyOptionsFor(0)),
-		Quotas: r.quotas, Segments: r.segments, Contents: r.contents, Usage: r.usage, SyncedClock: clocksync.New(time.Minute, now),
+		Bodies: buffer.NewBodies(buffer.BodyOptionsFor(0)), Quotas: r.quotas, Segments: r.segments, Contents: r.contents, Usage: r.usage, SyncedClock: clocksync.New(time.Minute, now),
 		RetryBudgets: gateway.NewRetryBudgets(retry.WindowOptions{Length: 10 * time.Second, Ratio: 0.2, Slack: 20, SafetyFactor: 1}),
 		Group:        singleDaemon{}, StreamVersions: r.versions,
-		Mover:  r.mover,
-		Meters: metric.New(common.Metrics), RunnersAge: func() time.Duration { return 0 },
+		Mover: r.mover, Meters: metric.New(common.Metrics), RunnersAge: func() time.Duration { return 0 },
 	}, gatewayOptions)
 	r.set(spec())
 	r.server = httptest.NewServer(r.gateway)
