--- a/buffer/budget.go
+++ b/buffer/budget.go
@@ -15,17 +15,38 @@
 	OnFailure func(*ExhaustedError)
 }
 
-// DefaultOptions returns the defaults for a process on the smallest VM, which has 184 MB.
-// The limit is an eighth of that: the garbage collector lets the heap grow to twice of what
-// is live, a buffer that grows is there twice for a moment, and the rest of the process
-// needs its own room.
-func DefaultOptions() Options {
-	return Options{LimitBytes: 23 << 20, FreeBytes: 16 << 10}
+// smallestMemoryBytes is the memory of a process on the smallest VM.
+const smallestMemoryBytes = 184 << 20
+
+const (
+	// answerDivisor and bodyDivisor divide the memory of a process into the shares that the bodies
+	// of answers and of requests may hold. Until its garbage is collected, a buffer that grows is
+	// there twice, and the rest of the process needs its own room.
+	answerDivisor = 8
+	bodyDivisor   = 3
+	// freeBytes is the size up to which buffers do not count.
+	freeBytes = 16 << 10
+)
+
+// DefaultOptions returns the defaults for a process on the smallest VM.
+func DefaultOptions() Options { return OptionsFor(0) }
+
+// OptionsFor returns the options for a process with so much memory; zero means that it is unknown.
+func OptionsFor(memoryBytes int) Options {
+	return Options{LimitBytes: orSmallest(memoryBytes) / answerDivisor, FreeBytes: freeBytes}
+}
+
+// orSmallest returns the memory of a process, or that of the smallest one if it is unknown.
+func orSmallest(memoryBytes int) int {
+	if memoryBytes <= 0 {
+		return smallestMemoryBytes
+	}
+	return memoryBytes
 }
 
 // Budget bounds the sum of the bytes that its accounts hold. When the limit is exceeded,
-// the open account that holds the most is failed, so that a few long bodies do not take
-// the room of many shorter ones. Nobody waits for room. A Budget is safe for concurrent
+// the stalled account that holds the most is failed, and if there is none, the open one that
+// does, so that a few long bodies do not take the room of many shorter ones. Nobody waits for room. A Budget is safe for concurrent
 // use; a nil Budget has no limit.
 type Budget struct {
 	options Options
@@ -35,6 +56,8 @@
 	heldBytes int
 	// open holds the accounts that count and may be failed.
 	open map[*Account]struct{}
+	// stalled holds the settled accounts whose readers take nothing.
+	stalled map[*Account]struct{}
 }
 
 // New returns a budget without accounts.
@@ -42,7 +65,7 @@
 	if options.OnFailure == nil {
 		options.OnFailure = func(*ExhaustedError) {}
 	}
-	return &Budget{options: options, open: make(map[*Account]struct{})}
+	return &Budget{options: options, open: make(map[*Account]struct{}), stalled: make(map[*Account]struct{})}
 }
 
 // HeldBytes returns the sum of the bytes that the accounts hold.
@@ -68,9 +91,12 @@
 	b.heldBytes += bytes - a.bytes
 	a.bytes = bytes
 	var failed []*Account
-	for b.heldBytes > b.options.LimitBytes && len(b.open) > 0 {
-		largest := b.largest()
-		if largest.bytes == 0 {
+	for b.heldBytes > b.options.LimitBytes {
+		largest := largestOf(b.stalled)
+		if largest == nil {
+			largest = largestOf(b.open)
+		}
+		if largest == nil || largest.bytes == 0 {
 			break
 		}
 		b.fail(largest)
@@ -79,10 +105,11 @@
 	return failed
 }
 
-// largest returns the open account that holds the most. The mutex must be held.
-func (b *Budget) largest() *Account {
+// largestOf returns the account that holds the most, or nil if there is none. The mutex of the budget
+// must be held.
+func largestOf(accounts map[*Account]struct{}) *Account {
 	var largest *Account
-	for a := range b.open {
+	for a := range accounts {
 		if largest == nil || a.bytes > largest.bytes {
 			largest = a
 		}
@@ -102,4 +129,5 @@
 	a.bytes = 0
 	a.closed = true
 	delete(b.open, a)
+	delete(b.stalled, a)
 }
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -73,14 +73,20 @@
 // HasUnacknowledged reports whether the peer has not acknowledged all bytes that were
 // written to a connection.
 func HasUnacknowledged(conn any) bool {
+	count, isKnown := Unacknowledged(conn)
+	return isKnown && count > 0
+}
+
+// Unacknowledged returns how many of the bytes that were written to a connection its peer has not
+// acknowledged.
+func Unacknowledged(conn any) (count int, isKnown bool) {
 	raw, ok := rawConn(conn)
 	if !ok {
-		return false
+		return 0, false
 	}
-	count := 0
 	var failure error
 	err := raw.Control(func(fd uintptr) { count, failure = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
-	return err == nil && failure == nil && count > 0
+	return count, err == nil && failure == nil
 }
 
 // HasPending reports whether a listener has connections that are established but not
