--- a/entry/entry.go
+++ b/entry/entry.go
@@ -48,6 +48,7 @@
 	quotas          *quota.Limiter
 	segments        *suspect.CrashTracker
 	contents        *suspect.CrashTracker
+	runs            *suspect.CrashTracker
 	usage           *usage.Counter
 	syncedClock     *clocksync.Clock
 	metrics         *metric.Set
@@ -103,8 +104,9 @@
 		},
 		budget:      newBudget(common),
 		quotas:      quota.New(quota.DefaultOptions()),
-		segments:    suspect.NewCrashTracker(crashOptions(common, "Segments")),
-		contents:    suspect.NewCrashTracker(crashOptions(common, "Contents").WithSettling(0)),
+		segments:    suspect.NewCrashTracker(crashOptions(common, "Segments", suspect.DefaultCrashOptions())),
+		contents:    suspect.NewCrashTracker(crashOptions(common, "Contents", suspect.DefaultCrashOptions()).WithSettling(0)),
+		runs:        suspect.NewCrashTracker(crashOptions(common, "Runs", suspect.RunCrashOptions())),
 		usage:       usage.New(usageWindow(settings), usageWindowsKept),
 		syncedClock: clocksync.New(clockOffsetLifetime, now),
 		metrics:     metric.New(common.Metrics),
@@ -138,9 +140,9 @@
 	e.metrics.ObserveStoreCall(call.Name, call.Topic, string(call.Result), call.Duration)
 }
 
-// crashOptions returns the options of the tracker of a kind of traits.
-func crashOptions(common telemetry.Common, kind string) suspect.CrashOptions {
-	options := suspect.DefaultCrashOptions()
+// crashOptions returns the options of the tracker of a kind, whose findings are counted and
+// logged.
+func crashOptions(common telemetry.Common, kind string, options suspect.CrashOptions) suspect.CrashOptions {
 	options.OnChange = func(change suspect.FindingChange) {
 		f := change.Finding
 		common.Count("Crashes."+kind+"."+string(change.Kind), 1)
@@ -161,7 +163,7 @@
 	bounds := e.settings.Bounds
 	e.gateway = gateway.New(e.Common, gateway.Dependencies{
 		Codec: platform.Codec{}, Balancer: e.balancer, Upstream: e.upstream, Quotas: e.quotas,
-		Segments: e.segments, Contents: e.contents, Usage: e.usage, SyncedClock: e.syncedClock, Group: e.group,
+		Segments: e.segments, Contents: e.contents, Runs: e.runs, Usage: e.usage, SyncedClock: e.syncedClock, Group: e.group,
 		StreamVersions: e.versions, Mover: platform.NewMover(newClient(e.budget)), Meters: e.metrics, RunnersAge: e.runnersAge,
 		RetryBudgets: gateway.NewRetryBudgets(retry.WindowOptions{
 			Length: bounds.RetryWindow, Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, SafetyFactor: retryBudgetShare,
--- a/entry/peerhandler.go
+++ b/entry/peerhandler.go
@@ -36,6 +36,7 @@
 		Segments:             h.segments.Report(toNew, now),
 		Contents:             h.contents.Report(toNew, now),
 		Versions:             h.versions.Report(),
+		Runs:                 h.runs.Report(toNew, now),
 	}
 	if toNew {
 		digest.PeerCounts = h.usage.PeerCounts(from)
@@ -61,6 +62,7 @@
 	h.applyCounts(digest, now.Add(-delay))
 	h.segments.Merge(digest.Segments, now.Add(-delay), now)
 	h.contents.Merge(digest.Contents, now.Add(-delay), now)
+	h.runs.Merge(digest.Runs, now.Add(-delay), now)
 	h.duties.ObservePeerProcess(sender.Name, instanceID(sender))
 	h.duties.ObserveReports(digest.Reports)
 	h.versions.ObservePeer(sender.Name, digest.Versions)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -60,7 +60,9 @@
 	// answeredAt is when the answer began: the first event of a stream, or the head of another
 	// answer. It is zero before.
 	answeredAt time.Time
-	// isProven is true once the runner is known not to crash on the request.
+	// silentSince is when the attempt was first replaced after its last data, or zero.
+	silentSince time.Time
+	// isProven is true once the runner is known not to crash at the begin of the answer.
 	isProven bool
 	// isOpened is true when opening and failure are set.
 	isOpened bool
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -14,14 +14,22 @@
 type trackedTraits struct {
 	tracker *suspect.CrashTracker
 	traits  []string
+	// isWholeRun is true if crashes count at any time of a run, and only a whole answer clears
+	// the traits. Otherwise it is the begin of the answer that counts and clears.
+	isWholeRun bool
 }
 
 // setTraits sets the traits of the request: the segments that it shares with others, and its
-// content.
+// content. A request is asked of the tracker of whole runs first: that is the last one to find a
+// cause, so that its trials are trials of the others too.
 func (x *exchange) setTraits() {
 	x.segments = x.call.SharedSegmentIDs()
-	content := strconv.FormatUint(x.call.Fingerprint(x.customer.Name), 16)
-	x.traits = []trackedTraits{{x.Segments, x.segments}, {x.Contents, []string{content}}}
+	content := []string{strconv.FormatUint(x.call.Fingerprint(x.customer.Name), 16)}
+	x.traits = []trackedTraits{
+		{tracker: x.Runs, traits: content, isWholeRun: true},
+		{tracker: x.Segments, traits: x.segments},
+		{tracker: x.Contents, traits: content},
+	}
 }
 
 // checkCrashes refuses a request whose traits crash runners.
@@ -48,23 +56,36 @@
 	return slices.ContainsFunc(x.traits, func(t trackedTraits) bool { return t.tracker.IsSuspected(t.traits, now) })
 }
 
-// proofTime is how long after the begin of its answer a runner is known not to crash on a
-// request.
+// proofTime is how long after the begin of its answer a runner is known not to crash at the begin
+// of an answer to a request.
 const proofTime = 250 * time.Millisecond
 
-// recordCrash records that the runner of a request seems to have crashed before its answer had
-// begun, or at its begin. Runners that leave close their connections too. The mutex must be
-// held.
+// recordCrash records that the runner of a request seems to have crashed. Runners that leave close
+// their connections too. The mutex must be held.
 func (x *exchange) recordCrash(a *attempt, failure error, now time.Time) {
-	hasBegun := !a.answeredAt.IsZero() && now.Sub(a.answeredAt) >= proofTime
-	if hasBegun || x.ctx.Err() != nil || !isBrokenOff(failure) || x.Balancer.IsLeaving(a.choice.Runner) {
+	if x.ctx.Err() != nil || x.Balancer.IsLeaving(a.choice.Runner) {
 		return
 	}
+	isOver, wasSilent := isBrokenOff(failure), a.isAbandoned(failure)
+	hasBegun := !a.answeredAt.IsZero() && now.Sub(a.answeredAt) >= proofTime
 	for _, t := range x.traits {
-		t.tracker.RecordCrash(a.incarnation, suspect.Attempt{Traits: t.traits, Sent: a.sentAt}, now)
+		attempt := suspect.Attempt{Traits: t.traits, Sent: a.sentAt}
+		switch {
+		case t.isWholeRun && wasSilent:
+			t.tracker.RecordCrash(a.incarnation, attempt, a.silentSince)
+		case isOver && (t.isWholeRun || !hasBegun):
+			t.tracker.RecordCrash(a.incarnation, attempt, now)
+		}
 	}
 }
 
+// isAbandoned reports whether the attempt was replaced by another one since its runner sent no
+// data. The runner may have crashed; data that it sends later show that it has not.
+func (a *attempt) isAbandoned(failure error) bool {
+	var timedOut *AttemptTimeoutError
+	return errors.As(failure, &timedOut) && !a.silentSince.IsZero()
+}
+
 // isBrokenOff reports whether the runner closed its connection before the end of its response.
 // It did not if the daemon ended the attempt.
 func isBrokenOff(failure error) bool {
@@ -94,16 +115,23 @@
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	x.prove(a, now)
+	for _, t := range x.traits {
+		if t.isWholeRun {
+			t.tracker.RecordAnswer(t.traits, now, now)
+		}
+	}
 }
 
-// prove records, once, that the runner of an attempt does not crash on the request. The mutex
-// must be held.
+// prove records, once, that the runner of an attempt does not crash at the begin of its answer. The
+// mutex must be held.
 func (x *exchange) prove(a *attempt, now time.Time) {
 	if a.isProven || a.answeredAt.IsZero() {
 		return
 	}
 	a.isProven = true
 	for _, t := range x.traits {
-		t.tracker.RecordAnswer(t.traits, a.answeredAt, now)
+		if !t.isWholeRun {
+			t.tracker.RecordAnswer(t.traits, a.answeredAt, now)
+		}
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -142,15 +142,15 @@
 	Upstream *upstream.Pool
 	Quotas   *quota.Limiter
 	// Segments and Contents track the segments of prompts, and the requests, that crash
-	// runners.
-	Segments, Contents *suspect.CrashTracker
-	Usage              *usage.Counter
-	SyncedClock        *clocksync.Clock
-	RetryBudgets       *RetryBudgets
-	Group              Group
-	StreamVersions     StreamVersions
-	Mover              Mover
-	Meters             *metric.Set
+	// runners at the begin of their answers. Runs tracks the requests that do so at any time.
+	Segments, Contents, Runs *suspect.CrashTracker
+	Usage                    *usage.Counter
+	SyncedClock              *clocksync.Clock
+	RetryBudgets             *RetryBudgets
+	Group                    Group
+	StreamVersions           StreamVersions
+	Mover                    Mover
+	Meters                   *metric.Set
 	// RunnersAge returns the time since the list of runners was last read.
 	RunnersAge func() time.Duration
 }
--- a/gateway/idle.go
+++ b/gateway/idle.go
@@ -102,7 +102,7 @@
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	a.lastData = x.Clock.Now()
-	a.answeredAt = a.lastData
+	a.answeredAt, a.silentSince = a.lastData, time.Time{}
 }
 
 // recordEvent records an event that is going to be forwarded and restarts the timer. The
@@ -124,7 +124,7 @@
 	if e.hasID {
 		x.lastEvent = e.id
 	}
-	w.attempt.lastData = now
+	w.attempt.lastData, w.attempt.silentSince = now, time.Time{}
 	if w.timer != nil {
 		w.timeout = x.options.StreamIdleTimeout
 		w.timer.Reset(w.timeout)
--- a/gateway/replace.go
+++ b/gateway/replace.go
@@ -66,6 +66,9 @@
 	if !x.RetryBudgets.AllowRetry(x.service, x.Group.Size(), now) {
 		return false
 	}
+	if x.watchdog.attempt.silentSince.IsZero() {
+		x.watchdog.attempt.silentSince = now
+	}
 	a, err := choose(now)
 	if err != nil {
 		x.RetryBudgets.ReturnRetry(x.service, now)
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -44,10 +44,10 @@
 	quotas  *quota.Limiter
 	usage   *usage.Counter
 	// segments and contents track what crashes runners.
-	segments, contents *suspect.CrashTracker
-	mover              *fakeMover
-	versions           *fakeVersions
-	log                *recordedLog
+	segments, contents, runs *suspect.CrashTracker
+	mover                    *fakeMover
+	versions                 *fakeVersions
+	log                      *recordedLog
 }
 
 // singleDaemon is a group of one daemon.
@@ -161,6 +161,7 @@
 	common.Log = funcr.New(r.log.record, funcr.Options{})
 	r.segments = suspect.NewCrashTracker(suspect.DefaultCrashOptions())
 	r.contents = suspect.NewCrashTracker(suspect.DefaultCrashOptions().WithSettling(0))
+	r.runs = suspect.NewCrashTracker(suspect.RunCrashOptions())
 	balancer := balance.New(balance.DefaultOptions("zone-1"), rand.New(rand.NewPCG(1, 2)))
 	var entries []inventory.Runner
 	for i, script := range scripts {
@@ -183,7 +184,7 @@
 	gatewayOptions.ReturnTime = rigReturnTime
 	r.gateway = gateway.New(common, gateway.Dependencies{
 		Codec: platform.Codec{}, Balancer: balancer, Upstream: upstream.New(common, upstream.DefaultOptions()),
-		Quotas: r.quotas, Segments: r.segments, Contents: r.contents, Usage: r.usage, SyncedClock: clocksync.New(time.Minute, now),
+		Quotas: r.quotas, Segments: r.segments, Contents: r.contents, Runs: r.runs, Usage: r.usage, SyncedClock: clocksync.New(time.Minute, now),
 		RetryBudgets: gateway.NewRetryBudgets(retry.WindowOptions{Length: 10 * time.Second, Ratio: 0.2, Slack: 20, SafetyFactor: 1}),
 		Group:        singleDaemon{}, StreamVersions: r.versions,
 		Mover:  r.mover,
--- a/membership/digest.go
+++ b/membership/digest.go
@@ -61,10 +61,12 @@
 	// are its last.
 	CountsAreFinal bool
 	// Segments tells of segments of prompts that crash runners, and Contents of requests
-	// that crash them each time they are sent.
+	// that crash them at the begin of each run.
 	Segments, Contents suspect.CrashReport
 	// Versions tells of the software versions that the sender has seen.
 	Versions streamversion.Report
+	// Runs tells of requests that crash runners at any time of their runs.
+	Runs suspect.CrashReport
 }
 
 // TopicEnd is the state of a daemon's copy of a topic.
--- a/membership/encoding_test.go
+++ b/membership/encoding_test.go
@@ -40,6 +40,7 @@
 		Contents: suspect.CrashReport{
 			Crashes: []suspect.ReportedCrash{{Runner: 9, Attempts: []suspect.ReportedAttempt{{Traits: []string{"8a2b3d673598208c"}, Age: time.Second}}}},
 		},
+		Runs: suspect.CrashReport{LifeSigns: []suspect.ReportedLifeSign{{Runner: 11, Age: time.Second}}},
 	}
 	for i := range 20 {
 		digest.Load.Loads = append(digest.Load.Loads, balance.Load{Runner: fmt.Sprintf("i-72a25050%02x", i), Running: 4, PrefillTokens: 5320})
@@ -58,5 +59,6 @@
 	c.Check(got.Sender, qt.Equals, digest.Sender)
 	c.Check(got.Segments, qt.DeepEquals, digest.Segments)
 	c.Check(got.Contents, qt.DeepEquals, digest.Contents)
+	c.Check(got.Runs, qt.DeepEquals, digest.Runs)
 	c.Check(got.Stopping, qt.IsTrue)
 }
--- a/suspect/cause.go
+++ b/suspect/cause.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 )
 
 // cause is a set of traits that may be the cause of crashes: in each of them, a request with
@@ -35,19 +36,22 @@
 // causeFinder looks for the causes of crashes. The attempts of the crashes hold only traits
 // that were not cleared.
 type causeFinder struct {
-	crashes   []crash
-	threshold int
+	crashes []crash
+	// threshold and separation are those of the options of the tracker.
+	threshold  int
+	separation time.Duration
 	// explained holds the numbers of the crashes that have a likely cause.
 	explained map[int]bool
 }
 
 // findCauses returns the smallest number of sets of traits that explain the crashes, which are
-// in the order of their times. A set must stand in threshold crashes in a row.
-func findCauses(crashes []crash, threshold int) []Finding {
+// in the order of their times. A set must stand in as many crashes in a row as the threshold.
+func findCauses(crashes []crash, options CrashOptions) []Finding {
+	threshold := options.Threshold
 	if len(crashes) < threshold {
 		return nil
 	}
-	f := causeFinder{crashes: crashes, threshold: threshold, explained: make(map[int]bool)}
+	f := causeFinder{crashes: crashes, threshold: threshold, separation: options.Separation, explained: make(map[int]bool)}
 	var found []Finding
 	for _, equal := range groupEqual(f.causes()) {
 		left := f.unexplained(equal[0])
@@ -153,7 +157,7 @@
 
 // rowOf counts the given crashes of a cause that are in a row.
 func (f *causeFinder) rowOf(c cause, crashes []int) row {
-	var r row
+	r := row{separation: f.separation}
 	for _, i := range crashes {
 		sent, _ := f.crashes[i].sentWith(c.traits)
 		r = r.add(sent, f.crashes[i].at)
--- a/suspect/crash.go
+++ b/suspect/crash.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Attempt is an attempt at a runner whose answer had not begun.
+// Attempt is an attempt at a runner that a crash has broken off.
 type Attempt struct {
 	// Traits are the IDs of the traits of its request. They are not changed.
 	Traits []string
@@ -101,18 +101,21 @@
 // Crashes at the same time, such as those of a zone, have a common cause that is no
 // request, and count once.
 type row struct {
-	count    int
-	first    time.Time
-	lastTime time.Time
+	// separation is how far apart crashes count each although the request was sent before the
+	// earlier one, or zero if they never do.
+	separation time.Duration
+	count      int
+	first      time.Time
+	lastTime   time.Time
 }
 
 // add counts a crash of a request that was sent at a time. Crashes are added in the order of
 // their times.
 func (r row) add(sent, crashed time.Time) row {
 	if r.count == 0 {
-		return row{count: 1, first: crashed, lastTime: crashed}
+		return row{separation: r.separation, count: 1, first: crashed, lastTime: crashed}
 	}
-	if sent.After(r.lastTime) {
+	if sent.After(r.lastTime) || r.separation > 0 && crashed.Sub(r.lastTime) >= r.separation {
 		r.count++
 		r.lastTime = crashed
 	}
--- a/suspect/crashtracker.go
+++ b/suspect/crashtracker.go
@@ -10,56 +10,13 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 )
 
-// CrashOptions are the settings of a CrashTracker.
-type CrashOptions struct {
-	// Threshold is the number of crashes in a row, over all daemons, from which on the
-	// traits that they have in common are refused.
-	Threshold int
-	// Settling is how long after a crash it is taken into account: by then, each daemon has
-	// told the others what it knows of it.
-	Settling time.Duration
-	// Lifetime is how long a crash counts, and how long after the last one its traits are
-	// refused.
-	Lifetime time.Duration
-	// LifeSignDelay is how long after a crash data of its runner may still arrive, and
-	// LifeSignWindow is how long after it no new runner takes the place of a crashed one.
-	LifeSignDelay, LifeSignWindow time.Duration
-	// RemovalTime is how long after a crash requests may still be sent to the runner, in vain.
-	RemovalTime time.Duration
-	// TrialDelays are the times from the last crash to each request with refused traits
-	// that is sent to a runner all the same, to see whether they still crash it.
-	TrialDelays []time.Duration
-	// MaxCrashes bounds the crashes, MaxAttempts the attempts of each, MaxFindings the
-	// findings, and MaxAnswered the traits with answers that are remembered.
-	MaxCrashes, MaxAttempts, MaxFindings, MaxAnswered int
-	// OnChange is called when a finding changes. It must not block or call the tracker. It
-	// may be nil.
-	OnChange func(FindingChange)
-}
-
-// DefaultCrashOptions returns the defaults.
-func DefaultCrashOptions() CrashOptions {
-	return CrashOptions{
-		Threshold: 3, Settling: 500 * time.Millisecond, Lifetime: 10 * time.Minute,
-		LifeSignDelay: 100 * time.Millisecond, LifeSignWindow: time.Second, RemovalTime: 6 * time.Second,
-		TrialDelays: []time.Duration{5 * time.Second, 30 * time.Second, 2 * time.Minute},
-		MaxCrashes:  64, MaxAttempts: 64, MaxFindings: 32, MaxAnswered: 16384,
-	}
-}
-
-// WithSettling returns a copy with another settling time.
-func (o CrashOptions) WithSettling(settling time.Duration) CrashOptions {
-	o.Settling = settling
-	return o
-}
-
-// CrashTracker finds the traits of requests that crash the runners which begin to answer
-// them. A trait is what requests may have in common: a segment of their prompts, or their
-// content. CrashTracker is safe for concurrent use.
+// CrashTracker finds the traits of requests that crash the runners which answer them. A trait
+// is what requests may have in common: a segment of their prompts, or their content.
+// CrashTracker is safe for concurrent use.
 //
-// A crash breaks off all requests at its runner. Those whose answer had not begun are its
-// suspects, and so are their traits. An answer to a request clears its traits of all crashes
-// before the answer began. What is left after some crashes in a row crashes runners. Traits that
+// A crash breaks off all requests at its runner. Those that its user records are its suspects,
+// and so are their traits. An answer to a request clears its traits of all crashes before the
+// answer began. What is left after some crashes in a row crashes runners. Traits that
 // only ever come together are found together, and only requests with all of them are refused.
 type CrashTracker struct {
 	options CrashOptions
@@ -92,8 +49,7 @@
 	return t
 }
 
-// RecordCrash records that a runner has broken off an attempt whose answer had not begun, as a
-// crash does. runner identifies the incarnation of the runner, so that one crash that breaks
+// RecordCrash records that a runner has broken off an attempt, as a crash does. runner identifies the incarnation of the runner, so that one crash that breaks
 // off several attempts counts once.
 func (t *CrashTracker) RecordCrash(runner uint64, attempt Attempt, now time.Time) {
 	if len(attempt.Traits) == 0 {
@@ -263,7 +219,7 @@
 }
 
 // IsSuspected reports whether a request with the traits must not be sent to another runner
-// after a failure: they are refused, or have crashed almost as many runners in a row.
+// after a failure: they are refused, or have crashed RetryThreshold runners in a row.
 func (t *CrashTracker) IsSuspected(traits []string, now time.Time) bool {
 	if len(traits) == 0 {
 		return false
@@ -274,9 +230,9 @@
 	if len(t.matching(traits)) > 0 {
 		return true
 	}
-	crashes := t.sortedCrashes()
+	crashes := t.unexplainedCrashes()
 	return slices.ContainsFunc(traits, func(trait string) bool {
-		return t.crashesInRow(trait, crashes) >= t.options.Threshold-1
+		return t.crashesInRow(trait, crashes) >= t.options.RetryThreshold
 	})
 }
 
--- a/suspect/evaluate.go
+++ b/suspect/evaluate.go
@@ -68,10 +68,23 @@
 	return slices.SortedFunc(maps.Values(t.crashes), crash.compareTime)
 }
 
+// unexplainedCrashes returns the crashes that no finding explains, in the order of their times. The
+// mutex must be held.
+func (t *CrashTracker) unexplainedCrashes() []crash {
+	return slices.DeleteFunc(t.sortedCrashes(), func(c crash) bool {
+		for _, f := range t.findings {
+			if _, found := c.sentWith(f.Traits); found {
+				return true
+			}
+		}
+		return false
+	})
+}
+
 // crashesInRow counts the crashes in a row that a trait was not cleared of. The mutex must be
 // held.
 func (t *CrashTracker) crashesInRow(trait string, crashes []crash) int {
-	var r row
+	r := row{separation: t.options.Separation}
 	for _, c := range crashes {
 		sent, found := c.sentWith([]string{trait})
 		if found && !t.isCleared(trait, c.at) {
@@ -84,7 +97,7 @@
 // evaluate looks for new findings in the crashes that have settled. The mutex must be held.
 func (t *CrashTracker) evaluate(now time.Time) {
 	crashes := slices.DeleteFunc(t.sortedCrashes(), func(c crash) bool { return now.Sub(c.at) < t.options.Settling })
-	for _, f := range findCauses(crashes, t.options.Threshold) {
+	for _, f := range findCauses(crashes, t.options) {
 		t.found(f)
 	}
 }
