Read the rejection of an attempt that is not needed any more

Cause: an attempt beside a silent one was cut as soon as the silent runner went on. A 503 that was on its way was never read, so that the runner was not paused.

Evidence, on the code before: TestRejectionOfUnneededReplacementIsHeeded gets five requests at the second runner in place of one, in all three cases.

The attempt goes on until the head of its answer, at most until 250 ms after its request began to be written; only what the head says of the runner counts. Its ticket ends at once. It ends with a caller that leaves. An attempt that is released before it is written is not written. Two runners work on a stream no longer than before, since the time counts from the writing.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -34,7 +34,7 @@
 	lastEvent int
 	// continuesTyped is true if the response that the attempt continues named its media type.
 	continuesTyped bool
-	// ctx ends when cancel is called, and with the context of the request.
+	// ctx ends when cancel is called, and with the context of the request until detach is called.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	// headReceived is true when the runner has sent the head of a response, and head is what
@@ -46,6 +46,9 @@
 
 	// onWritten is called when the request was written. It may be nil.
 	onWritten func()
+	// mayWrite reports whether the request may be written. It is nil for an attempt that replaces
+	// none, as is detach, which separates the attempt's context from that of the request.
+	mayWrite, detach func() bool
 
 	// opened is closed when opening and failure are set by another goroutine than that
 	// of the request. It is nil for an attempt that replaces none.
@@ -69,6 +72,13 @@
 	isTaken, isReleased bool
 	// acceptance accepts the attempt after a time. It is nil if only an answer does.
 	acceptance clockwork.Timer
+	// writtenAt is when an attempt that replaces another one began to be written, and awaitsHead is
+	// true from then on until the head of a response was applied.
+	writtenAt  time.Time
+	awaitsHead bool
+	// rejection ends the attempt after a time, if it was released while its runner could still
+	// reject it. It is nil otherwise.
+	rejection clockwork.Timer
 }
 
 // newAttempt returns an attempt that has not begun. The mutex must be held.
@@ -125,7 +135,7 @@
 	defer func() { x.Meters.ObservePhase(x.route.Kind.String(), metric.Connect, x.Clock.Since(started)) }()
 	return x.Upstream.Send(a.ctx, upstream.Request{
 		Address: runner.Address, MaxConnections: maxConnections,
-		NewConnection: a.newConnection, ToleratesReset: x.toleratesReset(a), OnWritten: a.onWritten,
+		NewConnection: a.newConnection, ToleratesReset: x.toleratesReset(a), MayWrite: a.mayWrite, OnWritten: a.onWritten,
 		Method: x.call.Method, Target: x.call.Target, Host: x.call.Host, Body: x.call.Body,
 		Header: x.Codec.RunnerHeader(x.call, x.attemptOf(a, x.Clock.Now())),
 	})
--- a/gateway/receive.go
+++ b/gateway/receive.go
@@ -66,6 +66,9 @@
 	if !head.Signed {
 		return &upstream.InvalidAnswerError{Address: runner.Address, Cause: &UnsignedError{Runner: runner.ID}}
 	}
+	if err := x.endHeadWait(a); err != nil {
+		return err
+	}
 	x.countUsage()
 	return nil
 }
--- a/gateway/replace.go
+++ b/gateway/replace.go
@@ -71,7 +71,7 @@
 		x.RetryBudgets.ReturnRetry(x.service, now)
 		return false
 	}
-	a.opened = make(chan struct{})
+	x.prepareReplacement(a)
 	x.replacements.pending = append(x.replacements.pending, a)
 	x.Count("Retries", 1)
 	x.Count("Replacements.Begun", 1)
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -1,10 +1,8 @@
 package gateway
 
 import (
-	"context"
 	"slices"
 
-	"github.com/cranberrywalk/cranberrywalk/balance"
 	"github.com/cranberrywalk/cranberrywalk/request"
 )
 
@@ -23,6 +21,8 @@
 	hasFailed bool
 	// hasReturned is true once a new attempt was made at the silent runner itself.
 	hasReturned bool
+	// unneeded are the attempts that were released while their runners could still reject them.
+	unneeded []*attempt
 	// endings are the ends of failed attempts that were not applied to the state machine
 	// yet, which only the goroutine of the request uses.
 	endings []request.EventKind
@@ -175,22 +175,7 @@
 		x.replacements.accepted = nil
 	}
 	x.releasePending()
-}
-
-// release ends an attempt. The mutex must be held.
-func (x *exchange) release(a *attempt) {
-	a.isReleased = true
-	a.stopAcceptance()
-	a.cancel(context.Canceled)
-	if a.isOpened {
-		x.discardReplacement(a)
-	}
-}
-
-// discardReplacement gives back what an attempt holds that was released.
-func (x *exchange) discardReplacement(a *attempt) {
-	a.ticket.End(balance.Cancelled, x.Clock.Now())
-	a.opening.drop()
+	x.separateUnneeded()
 }
 
 // applyEndings applies the ends of failed replacements to the state machine.
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -25,6 +25,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// MayWrite is called before the first byte is written. Nothing is written if it returns false.
+	// It may be nil.
+	MayWrite func() bool
 	// OnWritten is called when the kernel has taken the whole request. It may be nil.
 	OnWritten func()
 	// OnRead is called after each read of the answer that returned bytes. It may
@@ -98,6 +101,9 @@
 	c.beginUse(p.common.Clock.Now())
 	c.onRead = request.OnRead
 	c.hasCarriedHead = c.hasCarriedHead || request.Method == http.MethodHead
+	if request.MayWrite != nil && !request.MayWrite() {
+		return nil, &UnwrittenError{Address: request.Address, Cause: context.Canceled}
+	}
 	w, err := c.write(encode(request), request.OnWritten)
 	if err != nil {
 		return nil, err
