Leave a reserve of the grace period at a planned stop

What was seen: a daemon that still ran at the end of its grace period of 4 s, once, in the soak beside five busy processes.

Cause, by reading: requests may end within nine tenths of the period, the last answers take up to 0.1 s and the handover up to 0.3 s, which is just 4 s. Each part had its own time and nobody added them up.

That the stop in the soak had this cause is not shown: it did not come again.

stopTimes divides the period in one place. A twentieth, at least 0.1 s, is the reserve; requests get what the other parts leave, 7.2 s of 8 s as before.

--- a/callerserver/property_test.go
+++ b/callerserver/property_test.go
@@ -63,7 +63,7 @@
 		server.BeginStop()
 		time.Sleep(time.Duration(random.IntN(6)) * time.Millisecond)
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		qt.Check(t, server.Drain(ctx), qt.IsNil)
+		qt.Check(t, server.Drain(ctx, callerserver.LastAnswersTime), qt.IsNil)
 		cancel()
 		_ = server.Close()
 		qt.Check(t, <-served, qt.IsNil)
--- a/callerserver/requests_test.go
+++ b/callerserver/requests_test.go
@@ -125,7 +125,7 @@
 	r.c.Check(r.awaitDrained(r.drain(context.Background())), qt.IsNil)
 	r.c.Check(r.awaitDrained(r.drain(context.Background())), qt.IsNil)
 	unused := callerserver.New(r.common, callerserver.Options{}, http.HandlerFunc(answer))
-	r.c.Check(unused.Drain(context.Background()), qt.IsNil)
+	r.c.Check(unused.Drain(context.Background(), callerserver.LastAnswersTime), qt.IsNil)
 	r.c.Check(unused.Close(), qt.IsNil)
 }
 
--- a/callerserver/rig_test.go
+++ b/callerserver/rig_test.go
@@ -260,7 +260,7 @@
 // drain starts to drain the server. The returned channel receives the result.
 func (r *stopRig) drain(ctx context.Context) <-chan error {
 	drained := make(chan error, 1)
-	go func() { drained <- r.server.Drain(ctx) }()
+	go func() { drained <- r.server.Drain(ctx, callerserver.LastAnswersTime) }()
 	return drained
 }
 
--- a/callerserver/stop.go
+++ b/callerserver/stop.go
@@ -49,8 +49,8 @@
 // Drain accepts what waits at the listeners and closes them, closes connections as they
 // become idle, and waits until none is left. When ctx ends first, it ends the requests
 // that are still under way, so that their callers get an answer that says so, and returns
-// a *CutError.
-func (s *Server) Drain(ctx context.Context) error {
+// a *CutError. The answers may take lastAnswers.
+func (s *Server) Drain(ctx context.Context, lastAnswers time.Duration) error {
 	s.closeListeners(ctx)
 	empty := s.closeIdle()
 	select {
@@ -61,7 +61,7 @@
 	cut := &CutError{Open: s.openCount(), Cause: ctx.Err()}
 	s.cancelRequests(&StoppedError{})
 	s.endReads()
-	timer := s.common.Clock.NewTimer(lastAnswersTimeout)
+	timer := s.common.Clock.NewTimer(lastAnswers)
 	defer timer.Stop()
 	select {
 	case <-empty:
@@ -70,8 +70,8 @@
 	return cut
 }
 
-// lastAnswersTimeout is the time to answer requests that were ended.
-const lastAnswersTimeout = 100 * time.Millisecond
+// LastAnswersTime is enough to answer requests that were ended.
+const LastAnswersTime = 100 * time.Millisecond
 
 // StoppedError is the cause with which the context of a request ends when the time for a
 // stop is over.
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cranberrywalk/cranberrywalk/callerserver"
 	"github.com/cranberrywalk/cranberrywalk/clock"
 	"github.com/cranberrywalk/cranberrywalk/telemetry"
 )
@@ -103,7 +104,7 @@
 	d.dispatcher.DrainBy(d.Clock.Now().Add(d.settings.Daemon.DrainTimeout))
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Daemon.DrainTimeout)
 	defer cancel()
-	if err := d.callers.Drain(ctx); err != nil {
+	if err := d.callers.Drain(ctx, callerserver.LastAnswersTime); err != nil {
 		d.Log.Info("callers' connections cut", "Reason", err.Error())
 	}
 	d.dispatcher.Drain()
--- a/entry/handover_internal_test.go
+++ b/entry/handover_internal_test.go
@@ -46,7 +46,7 @@
 	common.Log = funcr.New(func(_, line string) { lines = append(lines, line) }, funcr.Options{})
 	stopped := New(common, platform.Settings{Name: "entry-1", StoreAddress: "127.0.0.1:1", HasUsageDuty: true})
 	stopped.usage.RecordRequest("library", time.Now())
-	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), handoverTime)
 	defer cancel()
 	stopped.handOver(ctx)
 	c.Assert(lines, qt.HasLen, 1)
--- a/entry/run.go
+++ b/entry/run.go
@@ -19,11 +19,6 @@
 	// maxHeaderTime bounds the time to read a request header, independently of
 	// the configuration.
 	maxHeaderTime = 60 * time.Second
-	// stopMarginDivisor divides the platform's grace period into parts, of which the
-	// last one is left to end the process once requests have been cut off.
-	stopMarginDivisor = 10
-	// defaultGrace is used when the platform sets no grace period.
-	defaultGrace = 8 * time.Second
 	// announceRetryDelay is the time between two attempts to write the daemon's
 	// own record.
 	announceRetryDelay = time.Second
@@ -165,40 +160,28 @@
 // listener for callers stays open while the platform still sends requests here.
 func (e *Entry) stop(stopDuties context.CancelFunc) {
 	e.Log.Info("Stopping", "Daemon", e.self.Name)
-	drainTime := e.drainTime()
-	drainEnd := e.Clock.Now().Add(drainTime)
-	drainCtx, cancel := context.WithTimeout(context.Background(), drainTime)
+	times := newStopTimes(e.settings.Bounds.StopGrace)
+	drainEnd := e.Clock.Now().Add(times.drain)
+	drainCtx, cancel := context.WithTimeout(context.Background(), times.drain)
 	defer cancel()
 	e.stopping.Store(true)
 	e.balancer.Stop()
 	e.callers.BeginStop()
 	stopDuties()
-	_ = clock.Sleep(drainCtx, e.Clock, min(readinessLag, drainTime/2))
+	_ = clock.Sleep(drainCtx, e.Clock, min(readinessLag, times.drain/2))
 	e.gateway.Drain(drainEnd)
-	if err := e.callers.Drain(drainCtx); err != nil {
+	if err := e.callers.Drain(drainCtx, times.lastAnswers); err != nil {
 		e.Log.Info("RequestsCut", "Reason", err.Error())
 	}
 	_ = e.callers.Close()
 	<-e.duties.Done()
 	_ = e.readinessServer.Close()
 	_ = e.metricsServer.Close()
-	leaveCtx, cancelLeave := context.WithTimeout(context.Background(), leaveTimeout)
+	leaveCtx, cancelLeave := context.WithTimeout(context.Background(), times.handover)
 	defer cancelLeave()
 	e.handOver(leaveCtx)
 }
 
-// drainTime returns how long after the start of a stop requests may take to end.
-func (e *Entry) drainTime() time.Duration {
-	grace := e.settings.Bounds.StopGrace
-	if grace <= 0 {
-		grace = defaultGrace
-	}
-	return grace - grace/stopMarginDivisor
-}
-
-// leaveTimeout bounds the handover of the last counts.
-const leaveTimeout = 300 * time.Millisecond
-
 // readinessLag is how long the platform continues to route callers to a daemon that
 // is no longer ready.
 const readinessLag = 2500 * time.Millisecond
