Ignore the timer of an earlier step of a slow caller

What callers could see: a caller that reads or sends slowly loses its connection half a second early.

Cause: the timer of a step may end just before the step does, and its function may run in the next step, which then counts a stall at its begin.

--- a/gateway/pace.go
+++ b/gateway/pace.go
@@ -43,6 +43,8 @@
 	timer clockwork.Timer
 	// isStepping is true during a step.
 	isStepping bool
+	// nextLook is when the timer ends. It may have ended for an earlier step just before.
+	nextLook time.Time
 	// stalls counts how often in a row the caller has made no progress within stallTime.
 	stalls int
 	// lastPending is what pending returned last, or unknownPending. The system call is saved at the
@@ -60,6 +62,7 @@
 	if p.held != nil {
 		p.lastPending = p.readPending()
 	}
+	p.nextLook = p.clock.Now().Add(stallTime)
 	if p.timer == nil {
 		p.timer = p.clock.AfterFunc(stallTime, p.expire)
 		return
@@ -81,9 +84,11 @@
 func (p *pace) expire() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if !p.isStepping || p.isCut {
+	now := p.clock.Now()
+	if !p.isStepping || p.isCut || now.Before(p.nextLook) {
 		return
 	}
+	p.nextLook = now.Add(stallTime)
 	if p.hasProgressed() {
 		p.resume()
 	} else {
