--- a/gateway/deliver.go
+++ b/gateway/deliver.go
@@ -23,7 +23,8 @@
 func (x *exchange) deliver(answer bufferedAnswer) bool {
 	p := x.newWritePace(answer.source)
 	written, err := x.writePaced(p, answer.body)
-	if err == nil && len(answer.body) > 0 {
+	// The kernel takes the rest of a short answer at once.
+	if err == nil && len(answer.body) > stepBytes {
 		err = x.flushPaced(p)
 	}
 	// Without a cut, the error is not needed: when the caller disconnects, the context of its
