--- a/buffer/bodies.go
+++ b/buffer/bodies.go
@@ -22,7 +22,8 @@
 const ownerDivisor = 2
 
 // Bodies bounds the sum of the bytes of requests' bodies, and of those of each owner. A body that does
-// not fit is refused, and one that was taken stays, unless its sender stalls. Bodies is safe for concurrent use; a nil Bodies has no limit.
+// not fit is refused, and one that was taken stays, unless its sender stalls. Bodies is safe for
+// concurrent use; a nil Bodies has no limit.
 type Bodies struct {
 	options BodyOptions
 
--- a/buffer/budget.go
+++ b/buffer/budget.go
@@ -46,7 +46,8 @@
 
 // Budget bounds the sum of the bytes that its accounts hold. When the limit is exceeded,
 // the stalled account that holds the most is failed, and if there is none, the open one that
-// does, so that a few long bodies do not take the room of many shorter ones. Nobody waits for room. A Budget is safe for concurrent
+// does, so that a few long bodies do not take the room of many shorter ones. Nobody waits for room.
+// A Budget is safe for concurrent
 // use; a nil Budget has no limit.
 type Budget struct {
 	options Options
--- a/suspect/crashtracker.go
+++ b/suspect/crashtracker.go
@@ -49,8 +49,8 @@
 	return t
 }
 
-// RecordCrash records that a runner has broken off an attempt, as a crash does. runner identifies the incarnation of the runner, so that one crash that breaks
-// off several attempts counts once.
+// RecordCrash records that a runner has broken off an attempt, as a crash does. runner identifies
+// the incarnation of the runner, so that one crash that breaks off several attempts counts once.
 func (t *CrashTracker) RecordCrash(runner uint64, attempt Attempt, now time.Time) {
 	if len(attempt.Traits) == 0 {
 		return
