--- a/review/drive2/memory.go
+++ b/review/drive2/memory.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return false, err
 	}
-	defer os.RemoveAll(scratch)
+	defer func() { _ = os.RemoveAll(scratch) }()
 	store := standin.NewStore()
 	defer store.Close()
 	cloud, err := standin.NewCloud()
