--- a/review/drive2/crash.go
+++ b/review/drive2/crash.go
@@ -29,17 +29,17 @@
 	crashCaseTime = 60 * time.Second
 	// sessions is the number of callers with a session at each daemon, and thinkTime the pause after
 	// each of their requests.
-	sessions  = 80
+	sessions  = 64
 	thinkTime = 500 * time.Millisecond
 	// crashParts is the number of parts of a prompt that the requests of a session share. The header then
 	// has 15 KB.
 	crashParts = 1250
 	// deskCallers is the number of callers of the desk at each daemon, and deskPause the pause after each
 	// of their requests.
-	deskCallers = 10
+	deskCallers = 3
 	deskPause   = 200 * time.Millisecond
 	// prefillTime is the time to the first event of a stream, and eventGap that between two events.
-	prefillTime = 250 * time.Millisecond
+	prefillTime = 500 * time.Millisecond
 	eventGap    = 20 * time.Millisecond
 	events      = 5
 	// deskTime is how long a desk request runs, and deskTimeout the timeout of its route and deadline
