review: send the token count that the prompt has

Cause: prompts of case 7 named the token count of those of case 6. Change: the count follows from the parts.

--- a/review/drive2/crash.go
+++ b/review/drive2/crash.go
@@ -31,9 +31,10 @@
 	// each of their requests.
 	sessions  = 64
 	thinkTime = 500 * time.Millisecond
-	// crashParts is the number of parts of a prompt that the requests of a session share. The header then
-	// has 15 KB.
-	crashParts = 1250
+	// crashParts is the number of parts of a prompt that the requests of a session share, and crashTokens
+	// the number of tokens of each. The header then has 15 KB.
+	crashParts  = 1250
+	crashTokens = 4
 	// deskCallers is the number of callers of the desk at each daemon, and deskPause the pause after each
 	// of their requests.
 	deskCallers = 3
@@ -260,12 +261,13 @@
 func sendSession(ctx context.Context, d *daemon, caller string, counts *callCounts) {
 	var shared strings.Builder
 	for part := range crashParts {
-		fmt.Fprintf(&shared, "%s%05x:4,", caller, part)
+		fmt.Fprintf(&shared, "%s%05x:%d,", caller, part, crashTokens)
 	}
 	client := http.Client{Timeout: patience, Transport: &http.Transport{}}
 	for n := 0; ctx.Err() == nil; n++ {
 		counts.sent.Add(1)
-		if sendPrompt(ctx, &client, d, fmt.Sprintf("%s%08x", caller, n), shared.String()) {
+		p := prompt{id: fmt.Sprintf("%s%08x", caller, n), shared: shared.String(), sharedTokens: crashParts * crashTokens}
+		if sendPrompt(ctx, &client, d, p) {
 			counts.answered.Add(1)
 		}
 		time.Sleep(thinkTime)
--- a/review/drive2/memory.go
+++ b/review/drive2/memory.go
@@ -164,7 +164,9 @@
 	manyParts  = 220
 	fewParts   = 3
 	// sharedParts has an ID as long as a SHA-256 hash.
-	sharedParts = "%s%061x:25,"
+	sharedParts = "%s%061x:%d,"
+	// tokensPerPart is the number of tokens of a shared part.
+	tokensPerPart = 25
 )
 
 // sendPrompts sends requests one after the other. Each prompt has shared parts and a last one of its
@@ -176,12 +178,13 @@
 	}
 	var shared strings.Builder
 	for part := range parts {
-		fmt.Fprintf(&shared, sharedParts, caller, part)
+		fmt.Fprintf(&shared, sharedParts, caller, part, tokensPerPart)
 	}
 	client := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{}}
 	for n := 0; ctx.Err() == nil; n++ {
 		counts.sent.Add(1)
-		if sendPrompt(ctx, &client, d, fmt.Sprintf("%s%08x", caller, n), shared.String()) {
+		p := prompt{id: fmt.Sprintf("%s%08x", caller, n), shared: shared.String(), sharedTokens: parts * tokensPerPart}
+		if sendPrompt(ctx, &client, d, p) {
 			counts.answered.Add(1)
 			continue
 		}
@@ -189,18 +192,30 @@
 	}
 }
 
+// prompt is a prompt of a request, whose last part has the ID of the request.
+type prompt struct {
+	id, shared   string
+	sharedTokens int
+}
+
+const (
+	// lastTokens is the number of tokens of the last part, and answerTokens that of the answer.
+	lastTokens   = 60
+	answerTokens = 5
+)
+
 // sendPrompt reports whether the answer is whole.
-func sendPrompt(ctx context.Context, client *http.Client, d *daemon, id, shared string) bool {
+func sendPrompt(ctx context.Context, client *http.Client, d *daemon, p prompt) bool {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.callers+promptPath, strings.NewReader("question"))
 	if err != nil {
 		return false
 	}
 	request.Host = promptHost
-	request.Header.Set(standin.HeaderCallID, fmt.Sprintf("%s%d", id, time.Now().UnixNano()))
+	request.Header.Set(standin.HeaderCallID, fmt.Sprintf("%s%d", p.id, time.Now().UnixNano()))
 	request.Header.Set(standin.HeaderAPIKey, promptKey)
 	request.Header.Set(standin.HeaderDeadline, "5000")
-	request.Header.Set(standin.HeaderTokenCount, "5060,5")
-	request.Header.Set(standin.HeaderPrompt, shared+id+":60")
+	request.Header.Set(standin.HeaderTokenCount, fmt.Sprintf("%d,%d", p.sharedTokens+lastTokens, answerTokens))
+	request.Header.Set(standin.HeaderPrompt, fmt.Sprintf("%s%s:%d", p.shared, p.id, lastTokens))
 	response, err := client.Do(request)
 	if err != nil {
 		return false
