--- a/review/drive2/crash.go
+++ b/review/drive2/crash.go
@@ -32,7 +32,7 @@
 	sessions  = 64
 	thinkTime = 500 * time.Millisecond
 	// crashParts is the number of parts of a prompt that the requests of a session share, and crashTokens
-	// the number of tokens of each. The header then has 15 KB.
+	// the number of tokens of each. The field then has 14 KB.
 	crashParts  = 1250
 	crashTokens = 4
 	// deskCallers is the number of callers of the desk at each daemon, and deskPause the pause after each
